Lay the ground: schema, settings, frames, HTTP and the stand-in platform

Settings and messages are generated from one schema. HTTP runs on h11 over trio on both sides; the platform's table, objects and instance list stand behind protocols, with a stand-in that has faults on request.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+PLOTS_READY := $(VENV)/.plots-ready
+SOURCES := src standins tests tools bench demo
+
+.PHONY: test demo lint types unit generate generated-check format capacity clean
+
+test: lint types generated-check unit
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.lock
+	$(BIN)/python -m pip install --quiet setuptools wheel
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+$(PLOTS_READY): $(READY) requirements-plots.lock
+	$(BIN)/python -m pip install --quiet -r requirements-plots.lock
+	touch $(PLOTS_READY)
+
+lint: $(READY)
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+
+types: $(READY)
+	$(BIN)/mypy
+
+generated-check: $(READY)
+	$(BIN)/python tools/generate.py --check
+
+unit: $(READY)
+	$(BIN)/python -m pytest
+
+generate: $(READY)
+	$(BIN)/python tools/generate.py
+
+format: $(READY)
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+
+demo: $(READY)
+	$(BIN)/python -m demo $(ARGS)
+
+capacity: $(PLOTS_READY)
+	$(BIN)/python -m bench.capacity
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product against baselines."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Run the product and the stand-ins as separate processes."""
--- /dev/null
+++ b/src/damaskstall/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule multi-accelerator jobs under team guarantees."""
--- /dev/null
+++ b/src/damaskstall/errors.py
@@ -0,0 +1,112 @@
+"""Define the tree of errors that the product raises."""
+
+from typing import NamedTuple
+
+
+class DamaskstallError(Exception):
+    """Base class of every error the product raises on purpose."""
+
+
+class SettingsError(DamaskstallError):
+    """A setting is unknown, malformed or out of its bounds."""
+
+
+class FieldProblem(NamedTuple):
+    """Name one bad field by its path and say what is wrong with it."""
+
+    path: str
+    message: str
+
+
+class ValidationError(DamaskstallError):
+    """A declaration has bad fields; all of them are listed."""
+
+    def __init__(self, problems: tuple[FieldProblem, ...]) -> None:
+        """Keep the problems and join them into the message."""
+        self.problems = problems
+        listed = "; ".join(f"{p.path}: {p.message}" for p in problems)
+        super().__init__(f"The declaration is not valid: {listed}.")
+
+
+class PlatformError(DamaskstallError):
+    """A platform service did not do what was asked."""
+
+
+class TableUnavailableError(PlatformError):
+    """The table service did not take the call: nothing was written."""
+
+
+class TableOutcomeUnknownError(PlatformError):
+    """The call may or may not have taken effect: read back to settle."""
+
+
+class TableConflictError(PlatformError):
+    """A row was not at the revision that the write named."""
+
+    def __init__(self, key: str, current_revision: int) -> None:
+        """Keep the row's key and the revision it is at (0: absent)."""
+        self.key = key
+        self.current_revision = current_revision
+        super().__init__(
+            f"The row {key!r} is at revision {current_revision}, "
+            "not at the one the write names."
+        )
+
+
+class RevisionTooOldError(PlatformError):
+    """The table no longer holds the changes after the named revision."""
+
+
+class ObjectMissingError(PlatformError):
+    """The object store holds no object under the key."""
+
+
+class HttpError(DamaskstallError):
+    """An HTTP exchange went wrong."""
+
+
+class ConnectFailedError(HttpError):
+    """No connection came about: no byte of the request was sent."""
+
+
+class ConnectionLostError(HttpError):
+    """The connection broke or answered nonsense after bytes were sent."""
+
+
+class BodyTooLargeError(HttpError):
+    """A body is longer than the receiver allows."""
+
+
+class FrameError(DamaskstallError):
+    """A frame from a peer is too long, truncated or malformed."""
+
+
+class LeaseLostError(DamaskstallError):
+    """The holder's cell lease has ended or passed to another holder."""
+
+
+class WorkerUnreachableError(DamaskstallError):
+    """A worker did not answer: what it did with the command is unknown."""
+
+
+class CommandRefusedError(DamaskstallError):
+    """A worker refused a command: stale epoch, too late, or no room."""
+
+
+class RequestNotRunError(DamaskstallError):
+    """A request was refused and no backend server has run any of it."""
+
+    def __init__(self, status: int, message: str, retry_after_s: int) -> None:
+        """Keep the HTTP status and when the caller may come back."""
+        self.status = status
+        self.retry_after_s = retry_after_s
+        super().__init__(message)
+
+
+class RequestOutcomeUnknownError(DamaskstallError):
+    """A request was sent and its answer is lost: it may have run."""
+
+    def __init__(self, status: int, message: str) -> None:
+        """Keep the HTTP status that the caller is told."""
+        self.status = status
+        super().__init__(message)
--- /dev/null
+++ b/src/damaskstall/events.py
@@ -0,0 +1,94 @@
+"""Write numbered log events, one line each.
+
+Each package that logs keeps its own catalogue module of events. Numbers are
+unique: 1000 common, 2000 resources, 3000 requests, 4000 scheduler,
+5000 placement, 6000 peers. The page docs/EVENTS.md lists them all.
+"""
+
+from json import dumps
+from sys import stderr
+from typing import TYPE_CHECKING, NamedTuple
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Record
+
+Field = str | int | float | bool | None
+
+
+class Event(NamedTuple):
+    """Describe one kind of log event; ``help`` goes into the catalogue."""
+
+    number: int
+    level: str
+    name: str
+    help: str
+
+
+PROGRAM_STARTED = Event(
+    1000, "INFO", "program_started", "The program listens and serves."
+)
+PROGRAM_STOPPING = Event(
+    1001, "INFO", "program_stopping", "A graceful stop has begun."
+)
+PROGRAM_STOPPED = Event(
+    1002, "INFO", "program_stopped", "The program has ended its work."
+)
+CONNECTION_FAILED = Event(
+    1003, "DEBUG", "connection_failed", "A client's connection broke."
+)
+HANDLER_FAILED = Event(
+    1004,
+    "ERROR",
+    "handler_failed",
+    "A request met an unexpected error and was answered with 500.",
+)
+
+
+def log(event: Event, **fields: Field) -> None:
+    """Write one event with its fields."""
+    logger.bind(event=event, fields=fields).log(event.level, event.name)
+
+
+def configure_logs(program: str, level: str, json: bool) -> None:
+    """Send events to standard error, as text or as JSON lines."""
+    logger.remove()
+
+    def render(record: "Record") -> str:
+        line = render_json(program, record) if json else render_text(record)
+        return escape(line) + "\n"
+
+    logger.add(stderr, level=level.upper(), format=render, colorize=False)
+
+
+def escape(line: str) -> str:
+    """Return a line that loguru's template takes literally."""
+    line = line.replace("\n", "\\n")
+    return line.replace("{", "{{").replace("}", "}}").replace("<", r"\<")
+
+
+def render_text(record: "Record") -> str:
+    """Return an event as one line of text."""
+    event = record["extra"].get("event")
+    number = f"E{event.number}" if event else "E0"
+    fields = record["extra"].get("fields", {})
+    listed = "".join(f" {name}={value}" for name, value in fields.items())
+    time = record["time"].isoformat(timespec="milliseconds")
+    level = record["level"].name
+    return f"{time} {level} {number} {record['message']}{listed}"
+
+
+def render_json(program: str, record: "Record") -> str:
+    """Return an event as one JSON object."""
+    event = record["extra"].get("event")
+    return dumps(
+        {
+            "time": record["time"].isoformat(timespec="milliseconds"),
+            "program": program,
+            "level": record["level"].name,
+            "event": event.number if event else 0,
+            "name": record["message"],
+            **record["extra"].get("fields", {}),
+        }
+    )
--- /dev/null
+++ b/src/damaskstall/http/messages.py
@@ -0,0 +1,114 @@
+"""Describe HTTP requests and answers as the handlers see them."""
+
+from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
+from json import JSONDecodeError, dumps, loads
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+from damaskstall.errors import BodyTooLargeError
+
+JSON_TYPE = "application/json"
+NOT_RUN_HEADER = "damaskstall-not-run"
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Body:
+    """Read the body of a message once, in parts or whole."""
+
+    def __init__(self, parts: AsyncIterator[bytes]) -> None:
+        """Wrap the iterator that yields the parts."""
+        self.parts = parts
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return the whole body; raise BodyTooLargeError past the limit."""
+        data = bytearray()
+        async for part in self.parts:
+            data += part
+            if len(data) > limit_bytes:
+                raise BodyTooLargeError(
+                    f"The body is longer than {limit_bytes} bytes."
+                )
+        return bytes(data)
+
+
+class Request(NamedTuple):
+    """Carry one request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: Body
+
+
+class Response(NamedTuple):
+    """Carry one answer; a body in parts is sent chunked as it comes."""
+
+    status: int
+    body: bytes | AsyncIterable[bytes] = b""
+    headers: Headers = ()
+    close: bool = False
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def split_target(target: str) -> tuple[str, dict[str, str]]:
+    """Return the path and the query of a request target."""
+    parts = urlsplit(target)
+    return parts.path, dict(parse_qsl(parts.query, keep_blank_values=True))
+
+
+def json_response(status: int, value: Any, headers: Headers = ()) -> Response:
+    """Return an answer that carries a JSON value."""
+    body = dumps(value).encode() + b"\n"
+    return Response(status, body, (("content-type", JSON_TYPE), *headers))
+
+
+def error_response(
+    status: int, message: str, headers: Headers = (), **details: Any
+) -> Response:
+    """Return an answer that says what went wrong in a full sentence."""
+    return json_response(status, {"error": message, **details}, headers)
+
+
+def retry_later(
+    status: int, message: str, retry_after_s: int, not_run: bool = True
+) -> Response:
+    """Return a refusal that names when to come back."""
+    headers: Headers = (("retry-after", str(retry_after_s)),)
+    if not_run:
+        headers += ((NOT_RUN_HEADER, "true"),)
+    return error_response(
+        status, message, headers, retry_after_s=retry_after_s
+    )
+
+
+def parse_json(data: bytes) -> Any:
+    """Return the value a JSON text stands for; ValueError on others.
+
+    Duplicate names and the constants NaN and Infinity are refused, since
+    other readers of the same text may take them differently.
+    """
+    try:
+        return loads(
+            data,
+            object_pairs_hook=unique_names,
+            parse_constant=refuse_constant,
+        )
+    except (JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ValueError(f"The body is not JSON: {error}.") from error
+
+
+def unique_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return an object's members; raise ValueError for a repeated name."""
+    members = dict(pairs)
+    if len(members) != len(pairs):
+        raise ValueError("The body names a member twice.")
+    return members
+
+
+def refuse_constant(text: str) -> Any:
+    """Raise ValueError for NaN and Infinity."""
+    raise ValueError(f"The body contains {text}, which is not JSON.")
--- /dev/null
+++ b/src/damaskstall/http/server.py
@@ -0,0 +1,375 @@
+"""Serve HTTP/1.1 connections with one task each.
+
+A client that is slow or silent holds one connection slot until a timeout;
+past the connection limit, new connections are closed at once.
+"""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from functools import partial
+from http import HTTPStatus
+from typing import NamedTuple
+
+from h11 import (
+    CLOSED,
+    DONE,
+    IDLE,
+    MUST_CLOSE,
+    NEED_DATA,
+    SEND_BODY,
+    SERVER,
+    Connection,
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    RemoteProtocolError,
+)
+from h11 import Request as RequestHead
+from h11 import Response as ResponseHead
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    Event,
+    Nursery,
+    SocketListener,
+    SocketStream,
+    TooSlowError,
+    current_time,
+    fail_after,
+    move_on_after,
+    open_nursery,
+    open_tcp_listeners,
+    serve_listeners,
+)
+
+from damaskstall.addresses import Address
+from damaskstall.errors import (
+    BodyTooLargeError,
+    ConnectionLostError,
+    DamaskstallError,
+)
+from damaskstall.events import CONNECTION_FAILED, HANDLER_FAILED, log
+from damaskstall.http.messages import (
+    Body,
+    Handler,
+    Request,
+    Response,
+    error_response,
+    split_target,
+)
+
+RECEIVE_BYTES = 65536
+HEADER_LIMIT_BYTES = 16384
+LINGER_S = 0.5
+
+
+class ServerLimits(NamedTuple):
+    """Bound what clients may hold of a server."""
+
+    connections: int = 512
+    read_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+    write_timeout_s: float = 30.0
+
+
+class DrainState:
+    """Tell a server's connections to finish, and count what is left."""
+
+    def __init__(self) -> None:
+        """Start with no connection and no request."""
+        self.draining = False
+        self.connections = 0
+        self.requests = 0
+        self.idle_scopes: set[CancelScope] = set()
+        self._quiet = Event()
+
+    def start(self) -> None:
+        """Close idle connections; the others close after their answer."""
+        self.draining = True
+        for scope in list(self.idle_scopes):
+            scope.cancel()
+        self.check_quiet()
+
+    def check_quiet(self) -> None:
+        """Wake the waiters once draining has left no connection."""
+        if self.draining and not self.connections:
+            self._quiet.set()
+
+    async def wait_quiet(self) -> None:
+        """Return once draining has left no connection."""
+        await self._quiet.wait()
+
+
+async def listen(address: Address) -> SocketListener:
+    """Return a listener on one address; port 0 picks a free one."""
+    listeners = await open_tcp_listeners(address.port, host=address.host)
+    return listeners[0]
+
+
+def bound_address(listener: SocketListener) -> Address:
+    """Return the address that a listener is bound to."""
+    name = listener.socket.getsockname()
+    return Address(name[0], name[1])
+
+
+async def serve_http(
+    handler: Handler,
+    listener: SocketListener,
+    limits: ServerLimits,
+    drain: DrainState,
+) -> None:
+    """Serve connections until cancelled."""
+    async with open_nursery() as nursery:
+        await serve_in(nursery, handler, listener, limits, drain)
+
+
+async def serve_in(
+    nursery: Nursery,
+    handler: Handler,
+    listener: SocketListener,
+    limits: ServerLimits,
+    drain: DrainState,
+) -> None:
+    """Serve connections whose tasks live in the given nursery."""
+    serve = partial(
+        serve_connection, handler=handler, limits=limits, drain=drain
+    )
+    await serve_listeners(serve, [listener], handler_nursery=nursery)
+
+
+async def serve_connection(
+    stream: SocketStream,
+    handler: Handler,
+    limits: ServerLimits,
+    drain: DrainState,
+) -> None:
+    """Serve the requests of one connection, one after the other."""
+    if drain.connections >= limits.connections:
+        await stream.aclose()
+        return
+    drain.connections += 1
+    connection = ServerConnection(stream, limits, drain)
+    try:
+        while await connection.serve_next(handler):
+            pass
+        await connection.close()
+    except (
+        BrokenResourceError,
+        ClosedResourceError,
+        ConnectionLostError,
+        TooSlowError,
+    ) as error:
+        log(CONNECTION_FAILED, error=repr(error))
+    finally:
+        drain.connections -= 1
+        drain.check_quiet()
+        with CancelScope(shield=True):
+            with move_on_after(LINGER_S):
+                await stream.aclose()
+
+
+class ServerConnection:
+    """Read requests from one connection and write their answers."""
+
+    def __init__(
+        self, stream: SocketStream, limits: ServerLimits, drain: DrainState
+    ) -> None:
+        """Wrap an accepted stream."""
+        self.stream = stream
+        self.limits = limits
+        self.drain = drain
+        self.http = Connection(
+            SERVER, max_incomplete_event_size=HEADER_LIMIT_BYTES
+        )
+
+    async def serve_next(self, handler: Handler) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            head = await self._read_head()
+        except RemoteProtocolError as error:
+            await self._answer_malformed(error)
+            return False
+        if head is None:
+            return False
+        self.drain.requests += 1
+        try:
+            response = await self._handle(handler, head)
+            await self._send(response)
+        finally:
+            self.drain.requests -= 1
+        return await self._recycle()
+
+    async def close(self) -> None:
+        """Send the end of the stream and let the client read the rest."""
+        await self.stream.send_eof()
+        with move_on_after(LINGER_S):
+            while await self.stream.receive_some(RECEIVE_BYTES):
+                pass
+
+    async def _read_head(self) -> RequestHead | None:
+        first = self.http.next_event()
+        if first is NEED_DATA:
+            if not await self._wait_for_data():
+                return None
+            first = NEED_DATA
+        with fail_after(self.limits.read_timeout_s):
+            event = await self._read_event(first)
+        if isinstance(event, RequestHead):
+            return event
+        return None
+
+    async def _wait_for_data(self) -> bool:
+        """Return whether a request began before the idle timeout."""
+        if self.drain.draining:
+            # A request that is already on its way is still served.
+            scope = CancelScope(deadline=current_time() + LINGER_S)
+        else:
+            deadline = current_time() + self.limits.idle_timeout_s
+            scope = CancelScope(deadline=deadline)
+        self.drain.idle_scopes.add(scope)
+        data = b""
+        try:
+            with scope:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+        finally:
+            self.drain.idle_scopes.discard(scope)
+        if scope.cancelled_caught:
+            return False
+        self.http.receive_data(data)
+        return bool(data)
+
+    async def _read_event(self, event: object) -> object:
+        """Return the next event other than NEED_DATA."""
+        while event is NEED_DATA:
+            event = self.http.next_event()
+            if event is not NEED_DATA:
+                break
+            data = await self.stream.receive_some(RECEIVE_BYTES)
+            self.http.receive_data(data)
+        return event
+
+    async def _body_parts(self) -> AsyncGenerator[bytes, None]:
+        if self.http.they_are_waiting_for_100_continue:
+            go_on = InformationalResponse(status_code=100, headers=[])
+            await self.stream.send_all(self.http.send(go_on))
+        while True:
+            try:
+                with fail_after(self.limits.read_timeout_s):
+                    event = await self._read_event(NEED_DATA)
+            except RemoteProtocolError as error:
+                raise ConnectionLostError(
+                    f"The request's body is malformed: {error}."
+                ) from error
+            if isinstance(event, Data):
+                yield bytes(event.data)
+            elif isinstance(event, EndOfMessage):
+                return
+            else:
+                raise ConnectionLostError("The request's body was cut off.")
+
+    async def _handle(self, handler: Handler, head: RequestHead) -> Response:
+        path, query = split_target(head.target.decode("ascii", "replace"))
+        headers = decode_headers(head)
+        async with aclosing(self._body_parts()) as parts:
+            request = Request(
+                head.method.decode("ascii"), path, query, headers, Body(parts)
+            )
+            try:
+                return await handler(request)
+            except BodyTooLargeError as error:
+                return error_response(413, str(error))
+            except ConnectionLostError:
+                raise
+            except Exception as error:
+                # One faulty request must not end the whole process.
+                log(HANDLER_FAILED, path=path, error=repr(error))
+                return error_response(500, "The request met a fault.")
+
+    async def _answer_malformed(self, error: RemoteProtocolError) -> None:
+        if self.http.our_state not in (IDLE, SEND_BODY):
+            return
+        status = error.error_status_hint or 400
+        await self._send(
+            error_response(status, f"The request is malformed: {error}.")
+        )
+
+    async def _send(self, response: Response) -> None:
+        headers = list(response.headers)
+        if isinstance(response.body, bytes):
+            headers.append(("content-length", str(len(response.body))))
+        if response.close or self.drain.draining or self._unread():
+            headers.append(("connection", "close"))
+        head = ResponseHead(
+            status_code=response.status,
+            headers=headers,
+            reason=reason_phrase(response.status),
+        )
+        if isinstance(response.body, bytes):
+            data = self.http.send(head)
+            data += self.http.send(Data(data=response.body)) or b""
+            data += self.http.send(EndOfMessage()) or b""
+            await self._send_all(data)
+            return
+        await self._send_all(self.http.send(head))
+        try:
+            async for part in response.body:
+                if part:
+                    await self._send_all(self.http.send(Data(data=part)))
+        except DamaskstallError as error:
+            # The missing end tells the client that the answer is not whole.
+            raise ConnectionLostError(
+                f"The answer broke off: {error}"
+            ) from error
+        await self._send_all(self.http.send(EndOfMessage()))
+
+    async def _send_all(self, data: bytes | None) -> None:
+        if data:
+            with fail_after(self.limits.write_timeout_s):
+                await self.stream.send_all(data)
+
+    def _unread(self) -> bool:
+        """Return whether the handler left part of the body unread."""
+        return (
+            self.http.their_state
+            not in (
+                DONE,
+                MUST_CLOSE,
+                CLOSED,
+            )
+            and not self._ends_now()
+        )
+
+    def _ends_now(self) -> bool:
+        """Return whether the body turns out to be complete."""
+        if self.http.their_state is not SEND_BODY:
+            return False
+        try:
+            event = self.http.next_event()
+        except RemoteProtocolError:
+            return False
+        return isinstance(event, EndOfMessage)
+
+    async def _recycle(self) -> bool:
+        if self.http.our_state is not DONE:
+            return False
+        if self.http.their_state is not DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+
+def decode_headers(head: RequestHead) -> dict[str, str]:
+    """Return the headers by lower-case name; repeated ones are joined."""
+    headers: dict[str, str] = {}
+    for name_bytes, value_bytes in head.headers:
+        name = name_bytes.decode("ascii")
+        value = value_bytes.decode("latin-1")
+        known = headers.get(name)
+        headers[name] = value if known is None else f"{known}, {value}"
+    return headers
+
+
+def reason_phrase(status: int) -> bytes:
+    """Return the standard phrase of a status code."""
+    return HTTPStatus(status).phrase.encode()
--- /dev/null
+++ b/src/damaskstall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's services behind small protocols."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems in tests and demonstrations."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform: table, object store, instance list."""
--- /dev/null
+++ b/standins/platform/__main__.py
@@ -0,0 +1,54 @@
+"""Run the stand-in platform: ``python -m standins.platform``."""
+
+from os import environ
+from sys import argv
+
+from trio import open_nursery, run
+
+from damaskstall.addresses import parse_address
+from damaskstall.http.server import (
+    DrainState,
+    ServerLimits,
+    bound_address,
+    listen,
+    serve_http,
+)
+from damaskstall.program import announce, stop_signal
+from damaskstall.settings import settings_or_exit
+from standins.platform.faults import Budget
+from standins.platform.memory import Platform
+from standins.platform.server import PlatformServer
+from standins.settings import PLATFORM_STANDIN_SETTINGS as FIELDS
+from standins.settings import PlatformStandinSettings
+
+CONNECTION_LIMIT = 20_000
+
+
+async def serve(settings: PlatformStandinSettings) -> None:
+    """Serve until a signal comes."""
+    server = PlatformServer(
+        Platform(settings.seed),
+        Budget(settings.operations_per_s),
+        settings.list_lag_s,
+    )
+    listener = await listen(parse_address(settings.listen))
+    limits = ServerLimits(connections=CONNECTION_LIMIT, idle_timeout_s=3600)
+    async with stop_signal() as stop, open_nursery() as nursery:
+        nursery.start_soon(
+            serve_http, server.handle, listener, limits, DrainState()
+        )
+        announce(listen=bound_address(listener))
+        await stop.wait()
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Start the program."""
+    settings = settings_or_exit(
+        PlatformStandinSettings, FIELDS, argv[1:], environ
+    )
+    run(serve, settings)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/settings.py
@@ -0,0 +1,181 @@
+"""Settings of the programs, generated from the schema."""
+
+from typing import NamedTuple
+
+from damaskstall.setting_fields import ProgramFields, SettingField
+
+
+class PlatformStandinSettings(NamedTuple):
+    """Hold the settings of platform-standin."""
+
+    listen: str = "127.0.0.1:0"
+    seed: int = 1
+    list_lag_s: float = 2.0
+    operations_per_s: float = 2000.0
+
+
+PLATFORM_STANDIN_SETTINGS = ProgramFields(
+    "platform-standin",
+    (
+        SettingField(
+            "listen",
+            str,
+            "127.0.0.1:0",
+            "host:port",
+            None,
+            None,
+            "address of the services",
+        ),
+        SettingField(
+            "seed", int, 1, "", 0.0, 1000000000.0, "seed of the faults"
+        ),
+        SettingField(
+            "list_lag_s",
+            float,
+            2.0,
+            "s",
+            0.0,
+            600.0,
+            "lag of the instance list",
+        ),
+        SettingField(
+            "operations_per_s",
+            float,
+            2000.0,
+            "reads/s",
+            1.0,
+            1000000.0,
+            "reads a second that the table carries; a write costs five reads",
+        ),
+    ),
+)
+
+
+class WorkerStandinSettings(NamedTuple):
+    """Hold the settings of worker-standin."""
+
+    listen: str = "127.0.0.1:0"
+    name: str = ""
+    accelerators: int = 8
+    platform: str = ""
+    time_scale: float = 1.0
+    seed: int = 1
+    workers: int = 1
+
+
+WORKER_STANDIN_SETTINGS = ProgramFields(
+    "worker-standin",
+    (
+        SettingField(
+            "listen",
+            str,
+            "127.0.0.1:0",
+            "host:port",
+            None,
+            None,
+            "address of the worker",
+        ),
+        SettingField("name", str, "", "", None, None, "name of the worker"),
+        SettingField(
+            "accelerators",
+            int,
+            8,
+            "accelerators",
+            1.0,
+            64.0,
+            "accelerators of the worker",
+        ),
+        SettingField(
+            "platform",
+            str,
+            "",
+            "host:port",
+            None,
+            None,
+            "address of the object store",
+        ),
+        SettingField(
+            "time_scale",
+            float,
+            1.0,
+            "ratio",
+            0.0001,
+            1000.0,
+            "factor on the run time of tasks",
+        ),
+        SettingField(
+            "seed", int, 1, "", 0.0, 1000000000.0, "seed of the faults"
+        ),
+        SettingField(
+            "workers",
+            int,
+            1,
+            "workers",
+            1.0,
+            4096.0,
+            "workers that this process stands for, on consecutive ports",
+        ),
+    ),
+)
+
+
+class BackendStandinSettings(NamedTuple):
+    """Hold the settings of backend-standin."""
+
+    listen: str = "127.0.0.1:0"
+    name: str = ""
+    slots: int = 8
+    connection_limit: int = 64
+    service_time_s: float = 0.05
+    platform: str = ""
+    seed: int = 1
+
+
+BACKEND_STANDIN_SETTINGS = ProgramFields(
+    "backend-standin",
+    (
+        SettingField(
+            "listen",
+            str,
+            "127.0.0.1:0",
+            "host:port",
+            None,
+            None,
+            "address of the server",
+        ),
+        SettingField("name", str, "", "", None, None, "name of the server"),
+        SettingField(
+            "slots", int, 8, "requests", 1.0, 1024.0, "requests run at once"
+        ),
+        SettingField(
+            "connection_limit",
+            int,
+            64,
+            "connections",
+            1.0,
+            4096.0,
+            "connections held open at once",
+        ),
+        SettingField(
+            "service_time_s",
+            float,
+            0.05,
+            "s",
+            0.0,
+            600.0,
+            "mean run time of a request that names none",
+        ),
+        SettingField(
+            "platform",
+            str,
+            "",
+            "host:port",
+            None,
+            None,
+            "address of the instance list",
+        ),
+        SettingField(
+            "seed", int, 1, "", 0.0, 1000000000.0, "seed of the faults"
+        ),
+    ),
+)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test damaskstall by its behaviour."""
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,146 @@
+"""Test the HTTP server and client against each other."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from pytest import mark, raises
+from trio import SocketStream, open_nursery, open_tcp_stream, run
+
+from damaskstall.addresses import Address
+from damaskstall.errors import ConnectFailedError, ConnectionLostError
+from damaskstall.http.client import HttpClient
+from damaskstall.http.messages import (
+    Request,
+    Response,
+    json_response,
+    parse_json,
+)
+from damaskstall.http.server import (
+    DrainState,
+    ServerLimits,
+    bound_address,
+    listen,
+    serve_http,
+)
+
+LIMITS = ServerLimits(connections=4, read_timeout_s=5)
+BODY_LIMIT_BYTES = 1000
+Check = Callable[[Address], Awaitable[None]]
+
+
+async def echo(request: Request) -> Response:
+    """Answer with what was asked; one path breaks off, one is chunked."""
+    if request.path == "/ignore":
+        return json_response(200, {})
+    body = await request.body.read(BODY_LIMIT_BYTES)
+    if request.path == "/cut":
+        return Response(200, cut_parts())
+    if request.path == "/parts":
+        return Response(200, whole_parts(body))
+    return json_response(200, {"path": request.path, "body": body.decode()})
+
+
+async def cut_parts() -> AsyncIterator[bytes]:
+    """Yield one part and then fail."""
+    yield b"half"
+    raise ConnectionLostError("The source broke.")
+
+
+async def whole_parts(body: bytes) -> AsyncIterator[bytes]:
+    """Yield a body in two parts."""
+    yield body[:1]
+    yield body[1:]
+
+
+def check_server(check: Check) -> None:
+    """Run a check against a server of its own."""
+
+    async def serve_and_check() -> None:
+        listener = await listen(Address("127.0.0.1", 0))
+        async with open_nursery() as nursery:
+            nursery.start_soon(
+                serve_http, echo, listener, LIMITS, DrainState()
+            )
+            await check(bound_address(listener))
+            nursery.cancel_scope.cancel()
+
+    run(serve_and_check)
+
+
+def test_connection_is_kept_between_calls() -> None:
+    async def check(address: Address) -> None:
+        async with HttpClient(address, 5) as client:
+            for word in ("one", "two"):
+                answer = await client.call_json("POST", "/x", word)
+                assert answer.value == {"path": "/x", "body": f'"{word}"'}
+            head, body = await client.call("POST", "/parts", b"abc")
+            assert (head.status, body) == (200, b"abc")
+
+    check_server(check)
+
+
+def test_cut_answer_is_an_error() -> None:
+    async def check(address: Address) -> None:
+        async with HttpClient(address, 5) as client:
+            with raises(ConnectionLostError):
+                await client.call("GET", "/cut")
+
+    check_server(check)
+
+
+def test_unread_body_closes_the_connection() -> None:
+    async def check(address: Address) -> None:
+        async with HttpClient(address, 5) as client:
+            for _ in range(2):
+                answer = await client.call_json("POST", "/ignore", "x" * 500)
+                assert answer.status == 200
+
+    check_server(check)
+
+
+def test_refused_connection_is_told_apart() -> None:
+    async def check() -> None:
+        listener = await listen(Address("127.0.0.1", 0))
+        address = bound_address(listener)
+        await listener.aclose()
+        with raises(ConnectFailedError):
+            await HttpClient(address, 5).call("GET", "/")
+
+    run(check)
+
+
+@mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 20000, b"431"),
+        (
+            b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+            b"content-length: 5000\r\n\r\n" + b"z" * 5000,
+            b"413",
+        ),
+    ],
+)
+def test_bad_request_gets_a_clear_answer(sent: bytes, status: bytes) -> None:
+    async def check(address: Address) -> None:
+        stream = await open_tcp_stream(address.host, address.port)
+        await stream.send_all(sent)
+        first = await read_all(stream)
+        assert first.split()[1] == status
+
+    check_server(check)
+
+
+async def read_all(stream: SocketStream) -> bytes:
+    """Return all bytes until the server closes."""
+    data = b""
+    async for part in stream:
+        data += part
+    return data
+
+
+@mark.parametrize(
+    "text", [b"{", b'{"a":1,"a":2}', b"NaN", b"\xff", b"[" * 9999]
+)
+def test_bad_json_is_refused(text: bytes) -> None:
+    with raises(ValueError):
+        parse_json(text)
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,25 @@
+"""Run tests under virtual time with a repeatable order of tasks."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, TypeVar
+
+import trio._core._run as trio_run
+from trio import run
+from trio.testing import MockClock
+
+Result = TypeVar("Result")
+
+
+def run_virtual(
+    function: Callable[..., Awaitable[Result]], *arguments: Any, seed: int = 0
+) -> Result:
+    """Run an async function on a clock that jumps to the next deadline.
+
+    trio shuffles its tasks to keep programs from relying on their order. A
+    test has to give the same verdict every time, so the order is seeded.
+    """
+    vars(trio_run)["_ALLOW_DETERMINISTIC_SCHEDULING"] = True
+    vars(trio_run)["_r"] = Random(seed)
+    clock = MockClock(autojump_threshold=0)
+    return run(function, *arguments, clock=clock)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the project's development tools."""
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,188 @@
+"""Generate the committed Python from the schemas.
+
+Run ``python tools/generate.py`` to write the files, and with ``--check`` to
+exit 1 when a committed file is stale.
+"""
+
+from pathlib import Path
+from re import sub
+from sys import argv, exit
+from typing import Any, NamedTuple
+
+from black import Mode, format_str
+from capnp import load
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEMAS = ROOT / "schema"
+LINE_LENGTH = 79
+
+UNIT_ID = 0xB0F1A65C3D2E4701
+HELP_ID = 0xB0F1A65C3D2E4702
+MINIMUM_ID = 0xB0F1A65C3D2E4703
+MAXIMUM_ID = 0xB0F1A65C3D2E4704
+PROGRAM_ID = 0xB0F1A65C3D2E4705
+
+PYTHON_TYPES = {
+    "text": "str",
+    "data": "bytes",
+    "bool": "bool",
+    "int64": "int",
+    "uint64": "int",
+    "float64": "float",
+}
+
+
+class Struct(NamedTuple):
+    """One struct of a schema: its name and its reflected node."""
+
+    name: str
+    node: Any
+
+
+def snake(name: str) -> str:
+    """Return a camel-case schema name in the language's own case."""
+    return sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
+
+
+def read_structs(module: Any) -> list[Struct]:
+    """Return the structs of a loaded schema in file order."""
+    return [
+        Struct(nested.name, getattr(module, nested.name).schema.node)
+        for nested in module.schema.node.nestedNodes
+    ]
+
+
+def annotation(holder: Any, annotation_id: int) -> Any:
+    """Return the value of an annotation, or None where it is absent."""
+    for found in holder.annotations:
+        if found.id == annotation_id:
+            return getattr(found.value, found.value.which())
+    return None
+
+
+def python_type(slot_type: Any, names: dict[int, str]) -> str:
+    """Return the Python annotation of a schema type."""
+    which = str(slot_type.which())
+    if which == "struct":
+        return names[slot_type.struct.typeId]
+    if which == "list":
+        element = python_type(slot_type.list.elementType, names)
+        return f"tuple[{element}, ...]"
+    return PYTHON_TYPES[which]
+
+
+def render_message(struct: Struct, names: dict[int, str]) -> str:
+    """Return the record class of one message."""
+    lines = [f"class {struct.name}(NamedTuple):"]
+    lines.append(f'    """Carry the message {struct.name}."""')
+    lines.append("")
+    choices = []
+    for field in struct.node.struct.fields:
+        kind = python_type(field.slot.type, names)
+        if field.discriminantValue != 0xFFFF:
+            choices.append(kind)
+            continue
+        lines.append(f"    {snake(field.name)}: {kind}")
+    if choices:
+        lines.append(f"    body: {' | '.join(choices)}")
+    return "\n".join(lines)
+
+
+def default_of(field: Any) -> Any:
+    """Return the default value of a settings field."""
+    return getattr(field.slot.defaultValue, field.slot.defaultValue.which())
+
+
+def render_settings(struct: Struct, program: str) -> str:
+    """Return the settings class of one program and its field table."""
+    lines = [f"class {struct.name}(NamedTuple):"]
+    lines.append(f'    """Hold the settings of {program}."""')
+    lines.append("")
+    rows = []
+    for field in struct.node.struct.fields:
+        kind = PYTHON_TYPES[str(field.slot.type.which())]
+        name = snake(field.name)
+        lines.append(f"    {name}: {kind} = {default_of(field)!r}")
+        rows.append(
+            f"SettingField({name!r}, {kind}, {default_of(field)!r}, "
+            f"{annotation(field, UNIT_ID) or ''!r}, "
+            f"{annotation(field, MINIMUM_ID)!r}, "
+            f"{annotation(field, MAXIMUM_ID)!r}, "
+            f"{annotation(field, HELP_ID)!r})"
+        )
+    table = snake(struct.name).upper()
+    lines.append("")
+    lines.append("")
+    lines.append(f"{table} = ProgramFields(")
+    lines.append(f"    {program!r}, ({', '.join(rows)},)")
+    lines.append(")")
+    return "\n".join(lines)
+
+
+def join(parts: list[str]) -> str:
+    """Return the formatted source of a generated module."""
+    source = "\n\n\n".join(parts) + "\n"
+    return format_str(source, mode=Mode(line_length=LINE_LENGTH))
+
+
+def generate_messages(structs: list[Struct]) -> str:
+    """Return the module of message records."""
+    names = {struct.node.id: struct.name for struct in structs}
+    header = '"""Message records, generated from the schema."""\n\n'
+    header += "from typing import NamedTuple"
+    chosen = [s for s in structs if annotation(s.node, PROGRAM_ID) is None]
+    return join([header] + [render_message(s, names) for s in chosen])
+
+
+def generate_settings(structs: list[Struct]) -> str:
+    """Return the module of settings records."""
+    header = '"""Settings of the programs, generated from the schema."""\n\n'
+    header += "from typing import NamedTuple\n\n"
+    header += (
+        "from damaskstall.setting_fields import ProgramFields, SettingField"
+    )
+    parts = [header]
+    for struct in structs:
+        program = annotation(struct.node, PROGRAM_ID)
+        if program is not None:
+            parts.append(render_settings(struct, program))
+    return join(parts)
+
+
+def outputs() -> dict[Path, str]:
+    """Return the text of each generated file by its path."""
+    generated = ROOT / "src" / "damaskstall" / "generated"
+    imports = [str(SCHEMAS)]
+    product = read_structs(
+        load(str(SCHEMAS / "damaskstall.capnp"), imports=imports)
+    )
+    standins = read_structs(
+        load(str(SCHEMAS / "standins.capnp"), imports=imports)
+    )
+    files = {
+        generated / "messages.py": generate_messages(product),
+        generated / "settings.py": generate_settings(product),
+        ROOT / "standins" / "settings.py": generate_settings(standins),
+    }
+    for name in ("annotations.capnp", "damaskstall.capnp"):
+        files[generated / name] = (SCHEMAS / name).read_text()
+    return files
+
+
+def main(check: bool) -> int:
+    """Write or check the generated files; return the exit code."""
+    stale = []
+    for path, text in outputs().items():
+        if path.exists() and path.read_text() == text:
+            continue
+        stale.append(path.relative_to(ROOT))
+        if not check:
+            path.write_text(text)
+    if check and stale:
+        print(f"Generated files are stale, run make generate: {stale}")
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    exit(main("--check" in argv[1:]))
