--- /dev/null
+++ b/src/damaskstall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/src/damaskstall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators at the front door."""
--- a/src/damaskstall/frames.py
+++ b/src/damaskstall/frames.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from capnp import KjException, load
-from trio import Lock, SocketStream
+from trio import Lock
+from trio.abc import Stream
 
 from damaskstall.errors import FrameError
 from damaskstall.generated import messages
@@ -102,7 +103,7 @@
     Sending is safe from several tasks; receiving is for one task.
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: Stream) -> None:
         """Wrap a connected stream."""
         self.stream = stream
         self._send_lock = Lock()
--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -31,8 +31,8 @@
     TooSlowError,
     fail_after,
     move_on_after,
-    open_tcp_stream,
 )
+from trio.abc import HalfCloseableStream
 from trio.lowlevel import checkpoint_if_cancelled
 
 from damaskstall.addresses import Address
@@ -42,6 +42,7 @@
     ConnectionLostError,
 )
 from damaskstall.http.messages import JSON_TYPE, Headers, parse_json
+from damaskstall.network import Network
 
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
@@ -59,7 +60,7 @@
 class HttpConnection:
     """Exchange requests and answers on one connection, in turn."""
 
-    def __init__(self, address: Address, stream: SocketStream) -> None:
+    def __init__(self, address: Address, stream: HalfCloseableStream) -> None:
         """Wrap a connected stream."""
         self.address = address
         self.stream = stream
@@ -71,10 +72,12 @@
         self.head: ResponseStart | None = None
 
     @classmethod
-    async def open(cls, address: Address) -> "HttpConnection":
+    async def open(
+        cls, network: Network, address: Address
+    ) -> "HttpConnection":
         """Connect; raise ConnectFailedError when it is not accepted."""
         try:
-            stream = await open_tcp_stream(address.host, address.port)
+            stream = await network.connect(address)
         except OSError as error:
             raise ConnectFailedError(
                 f"No connection to {address} came about: {error}."
@@ -190,7 +193,7 @@
             while event is NEED_DATA:
                 data = await self.stream.receive_some(RECEIVE_BYTES)
                 self.received_bytes += len(data)
-                self.http.receive_data(data)
+                self.http.receive_data(bytes(data))
                 event = self.http.next_event()
         except (
             RemoteProtocolError,
@@ -232,8 +235,11 @@
 class HttpClient:
     """Call one server with JSON or bytes over a few kept connections."""
 
-    def __init__(self, address: Address, timeout_s: float) -> None:
+    def __init__(
+        self, network: Network, address: Address, timeout_s: float
+    ) -> None:
         """Name the server and the time limit of one call."""
+        self.network = network
         self.address = address
         self.timeout_s = timeout_s
         self._idle: list[HttpConnection] = []
@@ -310,7 +316,7 @@
                 await checkpoint_if_cancelled()
                 return connection
             await connection.close()
-        return await HttpConnection.open(self.address)
+        return await HttpConnection.open(self.network, self.address)
 
     async def _keep_or_close(self, connection: HttpConnection) -> None:
         room = len(self._idle) < IDLE_CONNECTION_LIMIT
@@ -320,8 +326,10 @@
         await connection.close()
 
 
-def has_ended(stream: SocketStream) -> bool:
+def has_ended(stream: HalfCloseableStream) -> bool:
     """Return whether an idle connection was closed or has stray bytes."""
+    if not isinstance(stream, SocketStream):
+        return False
     poller = poll()
     poller.register(stream.socket.fileno(), POLLIN)
     return bool(poller.poll(0))
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -27,21 +27,18 @@
 from h11 import Request as RequestHead
 from h11 import Response as ResponseHead
 from trio import (
+    TASK_STATUS_IGNORED,
     BrokenResourceError,
     CancelScope,
     ClosedResourceError,
     Event,
-    Nursery,
-    SocketListener,
-    SocketStream,
+    TaskStatus,
     TooSlowError,
     current_time,
     fail_after,
     move_on_after,
-    open_nursery,
-    open_tcp_listeners,
-    serve_listeners,
 )
+from trio.abc import HalfCloseableStream
 
 from damaskstall.addresses import Address
 from damaskstall.errors import (
@@ -58,6 +55,7 @@
     error_response,
     split_target,
 )
+from damaskstall.network import Network
 
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
@@ -101,45 +99,23 @@
         await self._quiet.wait()
 
 
-async def listen(address: Address) -> SocketListener:
-    """Return a listener on one address; port 0 picks a free one."""
-    listeners = await open_tcp_listeners(address.port, host=address.host)
-    return listeners[0]
-
-
-def bound_address(listener: SocketListener) -> Address:
-    """Return the address that a listener is bound to."""
-    name = listener.socket.getsockname()
-    return Address(name[0], name[1])
-
-
 async def serve_http(
     handler: Handler,
-    listener: SocketListener,
-    limits: ServerLimits,
-    drain: DrainState,
-) -> None:
-    """Serve connections until cancelled."""
-    async with open_nursery() as nursery:
-        await serve_in(nursery, handler, listener, limits, drain)
-
-
-async def serve_in(
-    nursery: Nursery,
-    handler: Handler,
-    listener: SocketListener,
+    network: Network,
+    address: Address,
     limits: ServerLimits,
     drain: DrainState,
+    task_status: TaskStatus[Address] = TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve connections whose tasks live in the given nursery."""
+    """Serve connections until cancelled; report the bound address."""
     serve = partial(
         serve_connection, handler=handler, limits=limits, drain=drain
     )
-    await serve_listeners(serve, [listener], handler_nursery=nursery)
+    await network.serve(serve, address, task_status=task_status)
 
 
 async def serve_connection(
-    stream: SocketStream,
+    stream: HalfCloseableStream,
     handler: Handler,
     limits: ServerLimits,
     drain: DrainState,
@@ -173,7 +149,10 @@
     """Read requests from one connection and write their answers."""
 
     def __init__(
-        self, stream: SocketStream, limits: ServerLimits, drain: DrainState
+        self,
+        stream: HalfCloseableStream,
+        limits: ServerLimits,
+        drain: DrainState,
     ) -> None:
         """Wrap an accepted stream."""
         self.stream = stream
@@ -231,7 +210,7 @@
         data = b""
         try:
             with scope:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
+                data = bytes(await self.stream.receive_some(RECEIVE_BYTES))
         finally:
             self.drain.idle_scopes.discard(scope)
         if scope.cancelled_caught:
@@ -246,7 +225,7 @@
             if event is not NEED_DATA:
                 break
             data = await self.stream.receive_some(RECEIVE_BYTES)
-            self.http.receive_data(data)
+            self.http.receive_data(bytes(data))
         return event
 
     async def _body_parts(self) -> AsyncGenerator[bytes, None]:
--- /dev/null
+++ b/src/damaskstall/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange configuration and liveness with other processes."""
--- /dev/null
+++ b/src/damaskstall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which job runs where."""
--- a/src/damaskstall/platform/http_adapter.py
+++ b/src/damaskstall/platform/http_adapter.py
@@ -15,6 +15,7 @@
     TableUnavailableError,
 )
 from damaskstall.http.client import HttpClient, JsonAnswer
+from damaskstall.network import Network
 from damaskstall.platform.types import (
     ChangePage,
     InstanceRecord,
@@ -35,10 +36,14 @@
     """Call the table service as one named instance."""
 
     def __init__(
-        self, address: Address, timeout_s: float, instance: str
+        self,
+        network: Network,
+        address: Address,
+        timeout_s: float,
+        instance: str,
     ) -> None:
         """Name the service, the limit of one call, and the caller."""
-        self.client = HttpClient(address, timeout_s)
+        self.client = HttpClient(network, address, timeout_s)
         self.instance = quote(instance)
 
     async def read(self, key: str) -> Row | None:
@@ -120,10 +125,14 @@
     """Call the object store as one named instance."""
 
     def __init__(
-        self, address: Address, timeout_s: float, instance: str
+        self,
+        network: Network,
+        address: Address,
+        timeout_s: float,
+        instance: str,
     ) -> None:
         """Name the service, the limit of one call, and the caller."""
-        self.client = HttpClient(address, timeout_s)
+        self.client = HttpClient(network, address, timeout_s)
         self.instance = quote(instance)
 
     async def put(self, key: str, data: bytes) -> None:
@@ -158,10 +167,14 @@
     """Call the platform's instance list as one named instance."""
 
     def __init__(
-        self, address: Address, timeout_s: float, instance: str
+        self,
+        network: Network,
+        address: Address,
+        timeout_s: float,
+        instance: str,
     ) -> None:
         """Name the service, the limit of one call, and the caller."""
-        self.client = HttpClient(address, timeout_s)
+        self.client = HttpClient(network, address, timeout_s)
         self.instance = quote(instance)
 
     async def instances(self) -> tuple[InstanceRecord, ...]:
--- /dev/null
+++ b/src/damaskstall/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Declare, validate, store and watch resources."""
--- /dev/null
+++ b/src/damaskstall/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Hold cells, drive workers and see jobs through."""
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -9,10 +9,9 @@
 from damaskstall.http.server import (
     DrainState,
     ServerLimits,
-    bound_address,
-    listen,
     serve_http,
 )
+from damaskstall.network import TcpNetwork
 from damaskstall.program import announce, stop_signal
 from damaskstall.settings import settings_or_exit
 from standins.platform.faults import Budget
@@ -31,13 +30,17 @@
         Budget(settings.operations_per_s),
         settings.list_lag_s,
     )
-    listener = await listen(parse_address(settings.listen))
     limits = ServerLimits(connections=CONNECTION_LIMIT, idle_timeout_s=3600)
     async with stop_signal() as stop, open_nursery() as nursery:
-        nursery.start_soon(
-            serve_http, server.handle, listener, limits, DrainState()
+        address = await nursery.start(
+            serve_http,
+            server.handle,
+            TcpNetwork(),
+            parse_address(settings.listen),
+            limits,
+            DrainState(),
         )
-        announce(listen=bound_address(listener))
+        announce(listen=address)
         await stop.wait()
         nursery.cancel_scope.cancel()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,7 +3,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from pytest import mark, raises
-from trio import SocketStream, open_nursery, open_tcp_stream, run
+from trio import (
+    SocketStream,
+    open_nursery,
+    open_tcp_listeners,
+    open_tcp_stream,
+    run,
+)
 
 from damaskstall.addresses import Address
 from damaskstall.errors import ConnectFailedError, ConnectionLostError
@@ -17,13 +23,13 @@
 from damaskstall.http.server import (
     DrainState,
     ServerLimits,
-    bound_address,
-    listen,
     serve_http,
 )
+from damaskstall.network import TcpNetwork
 
 LIMITS = ServerLimits(connections=4, read_timeout_s=5)
 BODY_LIMIT_BYTES = 1000
+ANY = Address("127.0.0.1", 0)
 Check = Callable[[Address], Awaitable[None]]
 
 
@@ -55,12 +61,11 @@
     """Run a check against a server of its own."""
 
     async def serve_and_check() -> None:
-        listener = await listen(Address("127.0.0.1", 0))
         async with open_nursery() as nursery:
-            nursery.start_soon(
-                serve_http, echo, listener, LIMITS, DrainState()
+            address = await nursery.start(
+                serve_http, echo, TcpNetwork(), ANY, LIMITS, DrainState()
             )
-            await check(bound_address(listener))
+            await check(address)
             nursery.cancel_scope.cancel()
 
     run(serve_and_check)
@@ -68,7 +73,7 @@
 
 def test_connection_is_kept_between_calls() -> None:
     async def check(address: Address) -> None:
-        async with HttpClient(address, 5) as client:
+        async with HttpClient(TcpNetwork(), address, 5) as client:
             for word in ("one", "two"):
                 answer = await client.call_json("POST", "/x", word)
                 assert answer.value == {"path": "/x", "body": f'"{word}"'}
@@ -80,7 +85,7 @@
 
 def test_cut_answer_is_an_error() -> None:
     async def check(address: Address) -> None:
-        async with HttpClient(address, 5) as client:
+        async with HttpClient(TcpNetwork(), address, 5) as client:
             with raises(ConnectionLostError):
                 await client.call("GET", "/cut")
 
@@ -89,7 +94,7 @@
 
 def test_unread_body_closes_the_connection() -> None:
     async def check(address: Address) -> None:
-        async with HttpClient(address, 5) as client:
+        async with HttpClient(TcpNetwork(), address, 5) as client:
             for _ in range(2):
                 answer = await client.call_json("POST", "/ignore", "x" * 500)
                 assert answer.status == 200
@@ -99,11 +104,12 @@
 
 def test_refused_connection_is_told_apart() -> None:
     async def check() -> None:
-        listener = await listen(Address("127.0.0.1", 0))
-        address = bound_address(listener)
-        await listener.aclose()
+        listeners = await open_tcp_listeners(0, host=ANY.host)
+        name = listeners[0].socket.getsockname()
+        await listeners[0].aclose()
+        address = Address(name[0], name[1])
         with raises(ConnectFailedError):
-            await HttpClient(address, 5).call("GET", "/")
+            await HttpClient(TcpNetwork(), address, 5).call("GET", "/")
 
     run(check)
 
