--- /dev/null
+++ b/src/damaskstall/cli/main.py
@@ -0,0 +1,141 @@
+"""Start damaskstallctl: settings first, then one command."""
+
+# The stream sys.stderr may be replaced after this import.
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from os import environ
+from typing import Any
+
+from fire import Fire
+from trio import run
+
+from damaskstall.cli import commands
+from damaskstall.cli.client import ApiClient, CommandError
+from damaskstall.cli.exits import OK, USAGE
+from damaskstall.errors import SettingsError
+from damaskstall.generated.settings import CTL_SETTINGS, CtlSettings
+from damaskstall.network import TcpNetwork
+from damaskstall.settings import settings_or_exit
+
+INTERRUPTED_EXIT_CODE = 130
+OUTPUTS = ("table", "json")
+
+
+class Ctl:
+    """Declare and follow teams, jobs, failure domains and services."""
+
+    def __init__(self, settings: CtlSettings) -> None:
+        """Call the server that the settings name."""
+        self._settings = settings
+
+    def get(self, kind: str, name: str = "", selector: str = "") -> None:
+        """Print resources of a kind, one of them, or ``instances``.
+
+        The selector is for jobs: team=a,state=queued,label.x=y.
+        """
+        output = self._settings.output
+        self._run(commands.get, kind, str(name), str(selector), output)
+
+    def apply(self, *files: str, f: str = "", dry_run: bool = False) -> None:
+        """Create or replace the declarations of YAML or JSON files."""
+        paths = [str(path) for path in (*files, f) if path]
+        self._run(commands.apply, paths, dry_run)
+
+    def delete(
+        self,
+        kind: str,
+        name: str,
+        resource_version: int = 0,
+        dry_run: bool = False,
+    ) -> None:
+        """Delete a resource, at its present version if none is named."""
+        self._run(commands.delete, kind, str(name), resource_version, dry_run)
+
+    def watch(self, kind: str, from_version: int | None = None) -> None:
+        """Print the changes of a kind as they come."""
+        output = self._settings.output
+        self._run(commands.watch, kind, from_version, output)
+
+    def drain(self, failure_domain: str) -> None:
+        """Take a failure domain out of service."""
+        self._run(commands.drain, str(failure_domain))
+
+    def restore(self, failure_domain: str) -> None:
+        """Bring a failure domain back into service."""
+        self._run(commands.restore, str(failure_domain))
+
+    def cancel(self, name: str = "", selector: str = "") -> None:
+        """Cancel a job by name, or all that a selector matches."""
+        self._run(commands.cancel, str(name), str(selector))
+
+    def dump(self) -> None:
+        """Print the full state of the process at the server's address."""
+        self._run(commands.dump)
+
+    def _run(
+        self, command: Callable[..., Awaitable[None]], *arguments: Any
+    ) -> None:
+        run(run_command, self._settings, command, arguments)
+
+
+async def run_command(
+    settings: CtlSettings,
+    command: Callable[..., Awaitable[None]],
+    arguments: Sequence[Any],
+) -> None:
+    """Carry out a command against the server of the settings."""
+    client = ApiClient(TcpNetwork(), settings)
+    try:
+        await command(client, *arguments)
+    finally:
+        await client.close()
+
+
+def split_arguments(
+    arguments: Sequence[str],
+) -> tuple[list[str], list[str]]:
+    """Return the settings' flags, and the command with the other ones."""
+    names = {
+        "--" + field.name.replace("_", "-") for field in CTL_SETTINGS.fields
+    }
+    flags: list[str] = []
+    command: list[str] = []
+    remaining = list(arguments)
+    while remaining:
+        argument = remaining.pop(0)
+        flag, equals, _ = argument.partition("=")
+        if flag.replace("_", "-") not in names:
+            command.append(argument)
+            continue
+        flags.append(argument)
+        if not equals and remaining:
+            flags.append(remaining.pop(0))
+    return flags, command
+
+
+def run_ctl(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
+    """Carry out one command line; return the exit code."""
+    flags, command = split_arguments(arguments)
+    settings = settings_or_exit(CtlSettings, CTL_SETTINGS, flags, environment)
+    if settings.output not in OUTPUTS:
+        return fail(USAGE.code, "The output is either table or json.")
+    try:
+        Fire(Ctl(settings), command=command, name=CTL_SETTINGS.program)
+    except CommandError as error:
+        return fail(error.exit_code.code, str(error))
+    except SettingsError as error:
+        return fail(USAGE.code, str(error))
+    except KeyboardInterrupt:
+        return INTERRUPTED_EXIT_CODE
+    return OK.code
+
+
+def fail(code: int, message: str) -> int:
+    """Print what went wrong; return the exit code."""
+    print(f"{CTL_SETTINGS.program}: {message}", file=sys.stderr)
+    return code
+
+
+def main() -> None:
+    """Start the program."""
+    sys.exit(run_ctl(sys.argv[1:], environ))
--- /dev/null
+++ b/src/damaskstall/cli/output.py
@@ -0,0 +1,140 @@
+"""Print answers as tables or JSON."""
+
+from collections.abc import Sequence
+from json import dumps
+from typing import Any
+
+Row = Sequence[str]
+
+JOB_COLUMNS = ("NAME", "TEAM", "STATE", "SHAPE", "ATTEMPT", "CELL", "REASON")
+
+
+def table_text(header: Row, rows: Sequence[Row]) -> str:
+    """Return rows as aligned columns under a header."""
+    lines = [header, *rows]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def json_text(value: Any) -> str:
+    """Return a value as indented JSON."""
+    return dumps(value, indent=2)
+
+
+def shape_text(spec: dict[str, Any]) -> str:
+    """Return a shape as hosts times accelerators."""
+    hosts = spec.get("hosts", "?")
+    return f"{hosts}x{spec.get('accelerators_per_host', '?')}"
+
+
+def job_row(item: dict[str, Any]) -> Row:
+    """Return a job's line in a table."""
+    spec, status = item["spec"], item["status"]
+    return (
+        item["name"],
+        str(spec.get("team", "")),
+        str(status.get("state", "")),
+        shape_text(spec),
+        str(status.get("attempt", "")),
+        str(status.get("cell", "")),
+        str(status.get("reason", "")),
+    )
+
+
+def team_row(item: dict[str, Any]) -> Row:
+    """Return a team's line in a table."""
+    guarantees = [
+        f"{guarantee['count']}*{shape_text(guarantee)}"
+        + (f"@{where}" if (where := guarantee["failure_domain"]) else "")
+        for guarantee in item["spec"]["guarantees"]
+    ]
+    weight = str(item["spec"]["weight"])
+    return (item["name"], weight, " ".join(guarantees) or "-")
+
+
+def failure_domain_row(item: dict[str, Any]) -> Row:
+    """Return a failure domain's line in a table."""
+    racks = item["spec"]["racks"]
+    workers = [worker for rack in racks for worker in rack["workers"]]
+    held = item["status"].get("held", {}).get("state")
+    state = f"{held} (not kept yet)" if held else item["spec"]["state"]
+    accelerators = sum(worker["accelerators"] for worker in workers)
+    counts = (len(racks), len(workers), accelerators)
+    return (item["name"], state, *map(str, counts))
+
+
+def service_row(item: dict[str, Any]) -> Row:
+    """Return a backend service's line in a table."""
+    spec = item["spec"]
+    return (
+        item["name"],
+        "yes" if spec["idempotent"] else "no",
+        f"{spec['timeout_s']:g}",
+        str(len(spec["servers"])),
+    )
+
+
+TABLES = {
+    "job": (JOB_COLUMNS, job_row),
+    "team": (("NAME", "WEIGHT", "GUARANTEES"), team_row),
+    "failure_domain": (
+        ("NAME", "STATE", "RACKS", "WORKERS", "ACCELERATORS"),
+        failure_domain_row,
+    ),
+    "backend_service": (
+        ("NAME", "IDEMPOTENT", "TIMEOUT_S", "SERVERS"),
+        service_row,
+    ),
+}
+
+
+def items_text(kind: str, items: Sequence[dict[str, Any]]) -> str:
+    """Return resources of one kind as a table."""
+    header, make_row = TABLES[kind]
+    rows = [make_row(item) for item in items]
+    return table_text(
+        (*header, "VERSION"),
+        [
+            (*row, str(item["resource_version"]))
+            for row, item in zip(rows, items, strict=True)
+        ],
+    )
+
+
+def instances_text(items: Sequence[dict[str, Any]]) -> str:
+    """Return the product's processes as a table, those behind first."""
+    newest = max((item.get("revision") or 0 for item in items), default=0)
+    rows = []
+    for item in items:
+        behind = newest - (item.get("revision") or 0)
+        cells = [str(item.get(name, "")) for name in INSTANCE_FIELDS]
+        rows.append((behind, (*cells, str(behind))))
+    rows.sort(key=lambda row: -row[0])
+    header = (*(name.upper() for name in INSTANCE_FIELDS), "BEHIND")
+    return table_text(header, [row for _, row in rows])
+
+
+INSTANCE_FIELDS = (
+    "instance",
+    "program",
+    "failure_domain",
+    "revision",
+    "age_s",
+)
+
+
+def details_text(item: dict[str, Any]) -> str:
+    """Return one resource with all its fields, one a line."""
+    lines = [f"{item['kind']} {item['name']}"]
+    lines.append(f"  resource_version: {item['resource_version']}")
+    for part in ("spec", "status"):
+        lines.append(f"  {part}:")
+        for name, value in item[part].items():
+            text = value if isinstance(value, str) else dumps(value)
+            lines.append(f"    {name}: {text}")
+    return "\n".join(lines)
--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -28,6 +28,27 @@
         super().__init__(f"The declaration is not valid: {listed}.")
 
 
+class BadRequestError(DamaskstallError):
+    """An operator's request is malformed; nothing was changed."""
+
+
+class ResourceMissingError(DamaskstallError):
+    """There is no resource of the kind and name."""
+
+    def __init__(self, kind: str, name: str) -> None:
+        """Name the resource."""
+        super().__init__(f"There is no {kind} {name!r}.")
+
+
+class ResourceConflictError(DamaskstallError):
+    """A write met another version, or a state that does not allow it."""
+
+    def __init__(self, message: str, current_version: int) -> None:
+        """Keep the version that the resource is at (0: absent)."""
+        self.current_version = current_version
+        super().__init__(message)
+
+
 class PlatformError(DamaskstallError):
     """A platform service did not do what was asked."""
 
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -300,6 +300,11 @@
             raise ConnectionLostError(
                 f"The answer broke off: {error}"
             ) from error
+        finally:
+            # What the generator holds is freed now and not when it is
+            # collected.
+            if isinstance(response.body, AsyncGenerator):
+                await response.body.aclose()
         await self._send_all(self.http.send(EndOfMessage()))
 
     async def _send_all(self, data: bytes | None) -> None:
--- a/src/damaskstall/platform/keys.py
+++ b/src/damaskstall/platform/keys.py
@@ -5,6 +5,8 @@
 CELL_PREFIX = "cell/"
 QUARANTINE_PREFIX = "quarantine/"
 IDEMPOTENCY_PREFIX = "idempotency/"
+# Moved on by every write that had to look at all configuration.
+GUARD_KEY = "guard/config"
 
 
 def config_key(kind: str, name: str) -> str:
--- /dev/null
+++ b/src/damaskstall/resources/answers.py
@@ -0,0 +1,67 @@
+"""Say over HTTP what went wrong with an operator's request."""
+
+from damaskstall.errors import (
+    BadRequestError,
+    ResourceConflictError,
+    ResourceMissingError,
+    RevisionTooOldError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+    ValidationError,
+)
+from damaskstall.events import log
+from damaskstall.http.messages import Response, error_response, retry_later
+from damaskstall.resources.events import (
+    OUTCOME_UNKNOWN,
+    RESOURCE_CONFLICT,
+    RESOURCE_REFUSED,
+    TABLE_DOWN,
+)
+from damaskstall.resources.routes import Match
+
+RETRY_AFTER_S = 2
+AGE_HEADER = "damaskstall-age-s"
+STREAM_TYPE = "application/x-ndjson"
+
+
+def answer_error(match: Match, error: Exception) -> Response:
+    """Return the answer an error stands for, or raise an unexpected one."""
+    handler = match.route.handler
+    if isinstance(error, BadRequestError):
+        return error_response(400, str(error))
+    if isinstance(error, ResourceMissingError):
+        return error_response(404, str(error))
+    if isinstance(error, RevisionTooOldError):
+        return error_response(410, str(error))
+    if isinstance(error, ResourceConflictError):
+        log(RESOURCE_CONFLICT, handler=handler, error=str(error))
+        return error_response(
+            409, str(error), current_version=error.current_version
+        )
+    if isinstance(error, ValidationError):
+        log(RESOURCE_REFUSED, handler=handler, error=str(error))
+        problems = [problem._asdict() for problem in error.problems]
+        return error_response(422, str(error), problems=problems)
+    if isinstance(error, TableUnavailableError):
+        log(TABLE_DOWN, handler=handler, error=str(error))
+        return retry_later(
+            503, "Not accepted: the table is down.", RETRY_AFTER_S
+        )
+    if isinstance(error, TableOutcomeUnknownError):
+        log(OUTCOME_UNKNOWN, handler=handler, error=str(error))
+        return error_response(
+            504,
+            f"The outcome is unknown: read the resource. {error}",
+            (("retry-after", str(RETRY_AFTER_S)),),
+        )
+    raise error
+
+
+def no_route(path: str, methods: tuple[str, ...]) -> Response:
+    """Return the answer to a path or method that nothing serves."""
+    if not methods:
+        return error_response(404, f"There is no {path} here.")
+    listed = ", ".join(methods)
+    return error_response(
+        405, f"This path takes {listed}.", (("allow", listed),)
+    )
--- /dev/null
+++ b/src/damaskstall/resources/bodies.py
@@ -0,0 +1,98 @@
+"""Read what operators send: bodies and query strings."""
+
+from re import compile as compile_pattern
+from typing import Any
+
+from damaskstall.errors import BadRequestError, FieldProblem, ValidationError
+from damaskstall.http.messages import Request, parse_json
+
+PAGE_LIMIT = 1000
+PAGE_DEFAULT = 100
+VERSION_LIMIT = 2**62
+MUTATION_HEADER = "idempotency-key"
+MUTATION_PATTERN = compile_pattern(r"[A-Za-z0-9._-]{8,128}")
+TRUE_WORDS = frozenset({"true", "1"})
+FALSE_WORDS = frozenset({"false", "0"})
+
+
+async def read_object(
+    request: Request, limit_bytes: int, known: tuple[str, ...]
+) -> dict[str, Any]:
+    """Return the body's members, all of them known.
+
+    Raises BadRequestError and BodyTooLargeError.
+    """
+    data = await request.body.read(limit_bytes)
+    try:
+        value = parse_json(data)
+    except ValueError as error:
+        raise BadRequestError(str(error)) from error
+    if not isinstance(value, dict):
+        raise BadRequestError("The body must be a JSON object.")
+    unknown = [
+        FieldProblem(name, "is not a known field")
+        for name in value
+        if name not in known
+    ]
+    if unknown:
+        raise ValidationError(tuple(unknown[:PAGE_DEFAULT]))
+    return value
+
+
+def check_query(request: Request, known: tuple[str, ...]) -> None:
+    """Raise BadRequestError for a query parameter that is not known."""
+    for name in request.query:
+        if name not in known:
+            raise BadRequestError(
+                f"The query parameter {name!r} is not known here."
+            )
+
+
+def read_version(value: Any, path: str) -> int:
+    """Return a resource version; raise ValidationError for a bad one."""
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    if not whole or not 0 <= value <= VERSION_LIMIT:
+        raise ValidationError(
+            (FieldProblem(path, "must be the version that was read"),)
+        )
+    version: int = value
+    return version
+
+
+def read_number(
+    request: Request, name: str, default: int, minimum: int, maximum: int
+) -> int:
+    """Return a whole number of the query within its bounds."""
+    text = request.query.get(name)
+    if text is None:
+        return default
+    digits = text.isascii() and text.isdigit() and len(text) <= 19
+    if not digits or not minimum <= int(text) <= maximum:
+        raise BadRequestError(
+            f"The query parameter {name!r} must be a whole number from "
+            f"{minimum} to {maximum}."
+        )
+    return int(text)
+
+
+def read_switch(request: Request, name: str) -> bool:
+    """Return a switch of the query; it is off where it is not given."""
+    text = request.query.get(name, "false")
+    if text not in TRUE_WORDS | FALSE_WORDS:
+        raise BadRequestError(
+            f"The query parameter {name!r} must be true or false."
+        )
+    return text in TRUE_WORDS
+
+
+def read_mutation_id(request: Request, default: str) -> str:
+    """Return the id under which the client may repeat its write."""
+    given = request.headers.get(MUTATION_HEADER)
+    if given is None:
+        return default
+    if not MUTATION_PATTERN.fullmatch(given):
+        raise BadRequestError(
+            "The Idempotency-Key takes 8 to 128 characters of A-Z, a-z, 0-9, "
+            "'.', '_' and '-'."
+        )
+    return given
--- /dev/null
+++ b/src/damaskstall/resources/store.py
@@ -0,0 +1,222 @@
+"""Keep resources as rows of the table.
+
+A row's value is ``{"spec", "status", "written_ids"}``. The last part names
+the operators' latest mutations of the row, so that a lost answer is settled
+although a scheduler or another operator has written the row since.
+"""
+
+from typing import Any, NamedTuple
+from uuid import uuid4
+
+from damaskstall.errors import (
+    ResourceConflictError,
+    ResourceMissingError,
+    RevisionTooOldError,
+    TableConflictError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
+from damaskstall.platform.keys import (
+    CONFIG_PREFIX,
+    JOB_PREFIX,
+    config_key,
+    job_key,
+)
+from damaskstall.platform.settle import commit_settled
+from damaskstall.platform.types import ABSENT, Row, TableService, Write
+from damaskstall.resources.records import Resource
+
+WRITTEN_IDS_LIMIT = 8
+
+CHANGES_LIMIT = 10
+
+
+class ResourcePage(NamedTuple):
+    """Hold one page of a list; ``next_after`` is empty on the last one."""
+
+    resources: tuple[Resource, ...]
+    next_after: str
+    revision: int
+
+
+def resource_key(kind: str, name: str) -> str:
+    """Return the row key of a resource."""
+    return job_key(name) if kind == "job" else config_key(kind, name)
+
+
+def kind_prefix(kind: str) -> str:
+    """Return the prefix of the row keys of a kind."""
+    return JOB_PREFIX if kind == "job" else f"{CONFIG_PREFIX}{kind}/"
+
+
+def resource_of(kind: str, row: Row) -> Resource:
+    """Return the resource that a live row holds."""
+    value = row.value or {}
+    name = row.key.removeprefix(kind_prefix(kind))
+    return Resource(
+        kind,
+        name,
+        row.revision,
+        value.get("spec", {}),
+        value.get("status", {}),
+    )
+
+
+def resource_json(resource: Resource) -> dict[str, Any]:
+    """Return a resource as the JSON object that operators see."""
+    return resource._asdict()
+
+
+def new_mutation_id(instance: str) -> str:
+    """Return a mutation id that no other write has."""
+    return f"{instance}-{uuid4().hex}"
+
+
+def row_value(
+    spec: dict[str, Any],
+    status: dict[str, Any],
+    mutation_id: str,
+    previous: Row | None = None,
+) -> dict[str, Any]:
+    """Return the value of an operator's write of a row."""
+    known = written_ids(previous)
+    return {
+        "spec": spec,
+        "status": status,
+        "written_ids": [*known, mutation_id][-WRITTEN_IDS_LIMIT:],
+    }
+
+
+def written_ids(row: Row | None) -> list[str]:
+    """Return the operators' latest mutations of a row, oldest first."""
+    if row is None or row.value is None:
+        return []
+    ids: list[str] = row.value.get("written_ids", [])
+    return ids
+
+
+class ResourceStore:
+    """Read and write resources; each write settles its lost answers."""
+
+    def __init__(self, table: TableService) -> None:
+        """Keep the resources in a table."""
+        self.table = table
+
+    async def read_row(self, kind: str, name: str) -> Row:
+        """Return a resource's row; raise ResourceMissingError."""
+        row = await self.table.read(resource_key(kind, name))
+        if row is None:
+            raise ResourceMissingError(kind, name)
+        return row
+
+    async def list_page(
+        self, kind: str, after_name: str, limit: int
+    ) -> ResourcePage:
+        """Return resources of a kind in the order of their names."""
+        prefix = kind_prefix(kind)
+        after = prefix + after_name if after_name else ""
+        page = await self.table.scan(prefix, after, limit)
+        return ResourcePage(
+            tuple(resource_of(kind, row) for row in page.rows),
+            page.next_after.removeprefix(prefix),
+            page.revision,
+        )
+
+    async def replace(
+        self, row: Row, value: dict[str, Any], mutation_id: str
+    ) -> int:
+        """Write a row that is still at the version read; return the new one.
+
+        Raises ResourceConflictError and TableOutcomeUnknownError.
+        """
+        write = Write(row.key, value, row.revision)
+        return await self.commit(write, row, (), mutation_id)
+
+    async def commit(
+        self,
+        write: Write,
+        row: Row | None,
+        guards: tuple[Write, ...],
+        mutation_id: str,
+    ) -> int:
+        """Write a row as it was read (None: absent); return the version.
+
+        Raises ResourceConflictError when the row has moved on, and
+        TableConflictError when only a guard has.
+        """
+        known_id = latest_id(row) if row is not None else ""
+        writes = (write, *guards)
+        try:
+            return await commit_settled(self.table, writes, mutation_id)
+        except TableConflictError as error:
+            if error.key != write.key:
+                raise
+        except TableOutcomeUnknownError:
+            pass
+        return await self._version_written(write, known_id, mutation_id)
+
+    async def _version_written(
+        self, write: Write, known_id: str, mutation_id: str
+    ) -> int:
+        """Return the version our write led to, or say that it lost.
+
+        Raises ResourceConflictError only when our write surely had no
+        effect, and TableOutcomeUnknownError when that cannot be told.
+        """
+        row = await self._newest(write)
+        if row is not None and is_written_by(row, mutation_id):
+            return row.revision
+        current = ABSENT
+        if row is not None and row.value is not None:
+            current = row.revision
+        if current == write.if_revision:
+            raise TableOutcomeUnknownError(
+                f"The write of {write.key!r} may still take effect."
+            )
+        if not remembers(row, known_id):
+            raise TableOutcomeUnknownError(
+                f"Whether {write.key!r} was written before another wrote "
+                "it cannot be told."
+            )
+        raise ResourceConflictError(
+            f"The resource is at version {current}, "
+            f"not at {write.if_revision}.",
+            current,
+        )
+
+    async def _newest(self, write: Write) -> Row | None:
+        """Return a row's newest state, its deletion included."""
+        try:
+            row = await self.table.read(write.key)
+            if row is not None:
+                return row
+            page = await self.table.changes(
+                write.key, write.if_revision, CHANGES_LIMIT
+            )
+        except (TableUnavailableError, RevisionTooOldError) as error:
+            raise TableOutcomeUnknownError(
+                f"The write of {write.key!r} could not be read back."
+            ) from error
+        return next((r for r in page.rows if r.key == write.key), None)
+
+
+def is_written_by(row: Row, mutation_id: str) -> bool:
+    """Return whether a mutation is among the row's latest ones."""
+    return row.mutation_id == mutation_id or mutation_id in written_ids(row)
+
+
+def remembers(row: Row | None, known_id: str) -> bool:
+    """Return whether a row names every operator's write since a known one.
+
+    Without a known one, the row has to remember all of its writes.
+    """
+    if row is None or row.value is None:
+        return True
+    if known_id:
+        return known_id in written_ids(row)
+    return len(written_ids(row)) < WRITTEN_IDS_LIMIT
+
+
+def latest_id(row: Row) -> str:
+    """Return the operators' latest mutation of a row, or an empty text."""
+    return written_ids(row)[-1] if written_ids(row) else ""
--- /dev/null
+++ b/src/damaskstall/resources/take_out.py
@@ -0,0 +1,203 @@
+"""Drain and restore failure domains, also while the table is down.
+
+A drain that the table does not take is obeyed in memory at once, and written
+as soon as the table answers. Each decision carries the time at which it was
+issued, and of two decisions the later one wins.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from trio import current_time, sleep
+
+from damaskstall.errors import (
+    ResourceConflictError,
+    ResourceMissingError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
+from damaskstall.events import log
+from damaskstall.peers.config_store import ConfigStore, PendingTakeOut
+from damaskstall.platform.types import Row
+from damaskstall.resources.events import (
+    TAKE_OUT_HELD,
+    TAKE_OUT_KEPT,
+    TAKE_OUT_SUPERSEDED,
+)
+from damaskstall.resources.records import STATE_IN, STATE_OUT
+from damaskstall.resources.store import (
+    ResourceStore,
+    is_written_by,
+    new_mutation_id,
+    row_value,
+)
+
+KIND = "failure_domain"
+RETRY_FIRST_S = 0.5
+RETRY_LIMIT_S = 5.0
+WRITE_ATTEMPTS = 5
+
+UnixClock = Callable[[], float]
+
+
+def decided_status(row: Row | None, unix_s: float) -> dict[str, Any]:
+    """Return the status of a failure domain decided about at a time.
+
+    The time never goes back, although writers' clocks may differ.
+    """
+    if row is None:
+        return {"decided_unix_s": unix_s}
+    status = (row.value or {}).get("status", {})
+    latest_unix_s = max(unix_s, decided_unix_s(row))
+    return {**status, "decided_unix_s": latest_unix_s}
+
+
+def decided_unix_s(row: Row) -> float:
+    """Return when the row's state was decided; 0 where it is not told."""
+    unix_s: float = (
+        (row.value or {}).get("status", {}).get("decided_unix_s", 0.0)
+    )
+    return unix_s
+
+
+class TakeOuts:
+    """Write decisions about failure domains and keep trying held ones."""
+
+    def __init__(
+        self,
+        store: ResourceStore,
+        config: ConfigStore,
+        instance: str,
+        unix_clock: UnixClock,
+    ) -> None:
+        """Hold drains in the configuration until the store has them."""
+        self.store = store
+        self.config = config
+        self.instance = instance
+        self.unix_clock = unix_clock
+        self.random = Random(instance)
+        # Versions of held decisions that the table has taken, by their id.
+        self.kept: dict[str, int] = {}
+
+    async def drain(self, name: str) -> int | None:
+        """Take a failure domain out; None where it is only held in memory.
+
+        Returns the version that says so. Raises ResourceMissingError for an
+        unknown failure domain.
+        """
+        pending = PendingTakeOut(
+            name, True, new_mutation_id(self.instance), current_time()
+        )
+        known = self.config.spec(KIND, name) is not None
+        if known:
+            # In force here at once, also while the table is slow.
+            self.config.hold(pending)
+        try:
+            version = await self._decide(
+                name, STATE_OUT, pending.issued_id, self.unix_clock()
+            )
+        except (TableUnavailableError, TableOutcomeUnknownError):
+            if not known:
+                raise
+            log(TAKE_OUT_HELD, failure_domain=name, id=pending.issued_id)
+            return None
+        except ResourceMissingError:
+            self.config.settle(name, pending.issued_id)
+            raise
+        if known:
+            self.kept[pending.issued_id] = version
+        return version
+
+    async def restore(self, name: str) -> int:
+        """Bring a failure domain back; return the version that says so."""
+        held = self.config.pending.get(name)
+        mutation_id = new_mutation_id(self.instance)
+        version = await self._decide(
+            name, STATE_IN, mutation_id, self.unix_clock()
+        )
+        if held is not None:
+            self._settle(held)
+        return version
+
+    async def run(self) -> None:
+        """Write held drains until the table has each of them."""
+        delay_s = RETRY_FIRST_S
+        while True:
+            if not self.config.pending:
+                await self.config.wait_change()
+            await sleep(delay_s * self.random.uniform(0.5, 1.0))
+            delay_s = min(RETRY_LIMIT_S, 2 * delay_s)
+            if await self._write_all_held():
+                delay_s = RETRY_FIRST_S
+
+    async def _write_all_held(self) -> bool:
+        """Return whether the table took every call."""
+        answered = True
+        for pending in list(self.config.pending.values()):
+            answered &= await self._write_held(pending)
+        return answered
+
+    async def _write_held(self, pending: PendingTakeOut) -> bool:
+        """Write one held decision; return whether the table took the call."""
+        name = pending.failure_domain
+        version = self.kept.get(pending.issued_id)
+        if version is not None:
+            # Held until the configuration here says the same.
+            if self.config.revision >= version:
+                self._settle(pending)
+            return True
+        state = STATE_OUT if pending.out else STATE_IN
+        age_s = current_time() - pending.issued_s
+        issued_unix_s = self.unix_clock() - age_s
+        try:
+            version = await self._decide(
+                name, state, pending.issued_id, issued_unix_s, held=True
+            )
+        except (TableUnavailableError, TableOutcomeUnknownError):
+            return False
+        except (ResourceMissingError, ResourceConflictError) as error:
+            log(TAKE_OUT_SUPERSEDED, failure_domain=name, error=str(error))
+            self._settle(pending)
+            return True
+        log(TAKE_OUT_KEPT, failure_domain=name, version=version)
+        self.kept[pending.issued_id] = version
+        return True
+
+    def _settle(self, pending: PendingTakeOut) -> None:
+        self.config.settle(pending.failure_domain, pending.issued_id)
+        self.kept.pop(pending.issued_id, None)
+
+    async def _decide(
+        self,
+        name: str,
+        state: str,
+        mutation_id: str,
+        unix_s: float,
+        held: bool = False,
+    ) -> int:
+        """Write a decision; return the version that has it.
+
+        A held decision gives way to a later one in the table, which raises
+        ResourceConflictError.
+        """
+        for _ in range(WRITE_ATTEMPTS):
+            row = await self.store.read_row(KIND, name)
+            if is_written_by(row, mutation_id):
+                return row.revision
+            if held and decided_unix_s(row) > unix_s:
+                raise ResourceConflictError(
+                    f"A later decision about {name!r} is in the table.",
+                    row.revision,
+                )
+            spec = {**(row.value or {})["spec"], "state": state}
+            status = decided_status(row, unix_s)
+            value = row_value(spec, status, mutation_id, row)
+            try:
+                return await self.store.replace(row, value, mutation_id)
+            except ResourceConflictError:
+                # Another wrote the row: what it says now decides.
+                continue
+        raise TableOutcomeUnknownError(
+            f"The decision about {name!r} lost every race."
+        )
--- /dev/null
+++ b/src/damaskstall/resources/validate.py
@@ -0,0 +1,310 @@
+"""Check a declaration and fill in its defaults.
+
+All problems are found at once, each with the path of its field.
+"""
+
+from collections.abc import Callable, Iterable
+from copy import deepcopy
+from json import dumps
+from math import isfinite
+from re import compile as compile_pattern
+from typing import Any
+
+from damaskstall.addresses import parse_address
+from damaskstall.errors import FieldProblem, SettingsError, ValidationError
+from damaskstall.resources.fields import (
+    ADDRESS,
+    BOOLEAN,
+    DEPTH_LIMIT,
+    INTEGER,
+    LABEL_LIMIT_CHARACTERS,
+    LABELS,
+    LABELS_LIMIT,
+    LIST,
+    NAME,
+    NAME_LIMIT_CHARACTERS,
+    NUMBER,
+    OBJECT,
+    OPTIONAL_NAME,
+    REQUIRED,
+    SPEC_FIELDS,
+    WORK_LIMIT_BYTES,
+    FieldRule,
+)
+
+NAME_PATTERN = compile_pattern(r"[a-z0-9]([a-z0-9._-]*[a-z0-9])?")
+ADDRESS_PATTERN = compile_pattern(r"[A-Za-z0-9.:_-]{1,253}:[0-9]{1,5}")
+NAME_HELP = (
+    f"takes 1 to {NAME_LIMIT_CHARACTERS} characters of a-z, 0-9, '.', '_' "
+    "and '-' and begins and ends with a letter or digit"
+)
+
+PROBLEMS_LIMIT = 100
+
+Problems = list[FieldProblem]
+Check = Callable[[FieldRule, Any, str, Problems], Any]
+
+
+def validate_resource(kind: str, name: Any, spec: Any) -> dict[str, Any]:
+    """Return the spec with its defaults; raise ValidationError if it is bad.
+
+    The error lists every bad field.
+    """
+    problems: Problems = []
+    if kind not in SPEC_FIELDS:
+        raise ValidationError(
+            (FieldProblem("kind", f"must be one of {', '.join(SPEC_FIELDS)}"),)
+        )
+    if not is_name(name):
+        problems.append(FieldProblem("name", NAME_HELP))
+    checked = check_members(SPEC_FIELDS[kind], spec, "spec", problems)
+    if not problems:
+        problems.extend(UNIQUE_CHECKS.get(kind, no_problems)(checked))
+    if problems:
+        raise ValidationError(tuple(problems[:PROBLEMS_LIMIT]))
+    return checked
+
+
+def is_name(value: Any) -> bool:
+    """Return whether a value can name a resource."""
+    return (
+        isinstance(value, str)
+        and len(value) <= NAME_LIMIT_CHARACTERS
+        and NAME_PATTERN.fullmatch(value) is not None
+    )
+
+
+def check_members(
+    rules: tuple[FieldRule, ...], value: Any, path: str, problems: Problems
+) -> dict[str, Any]:
+    """Return an object's checked members, defaults filled in."""
+    if not isinstance(value, dict):
+        problems.append(FieldProblem(path, "must be an object"))
+        return {}
+    known = {rule.name for rule in rules}
+    for name in value:
+        if name not in known:
+            problems.append(
+                FieldProblem(f"{path}.{name}", "is not a known field")
+            )
+    checked = {}
+    for rule in rules:
+        member_path = f"{path}.{rule.name}"
+        if rule.name in value:
+            check = CHECKS[rule.kind]
+            found = check(rule, value[rule.name], member_path, problems)
+            checked[rule.name] = found
+        elif rule.default is REQUIRED:
+            problems.append(FieldProblem(member_path, "is required"))
+        else:
+            checked[rule.name] = default_of(rule)
+    return checked
+
+
+def default_of(rule: FieldRule) -> Any:
+    """Return a fresh copy of a field's default."""
+    if rule.kind == LIST:
+        return []
+    return deepcopy(rule.default)
+
+
+def check_boolean(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take true and false."""
+    if not isinstance(value, bool):
+        problems.append(FieldProblem(path, "must be true or false"))
+    return value
+
+
+def check_number(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take a finite number, or a whole one, within the field's bounds."""
+    kinds = (int,) if rule.kind == INTEGER else (int, float)
+    if isinstance(value, bool) or not isinstance(value, kinds):
+        problems.append(FieldProblem(path, f"must be of type {rule.kind}"))
+        return value
+    in_bounds = rule.minimum <= value <= rule.maximum
+    if not (in_bounds and isfinite(value)):
+        problems.append(
+            FieldProblem(
+                path, f"must be from {rule.minimum:g} to {rule.maximum:g}"
+            )
+        )
+    return value
+
+
+def check_name(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take a name, one of the choices, or nothing where that is allowed."""
+    if rule.choices:
+        if value not in rule.choices:
+            listed = " or ".join(rule.choices)
+            problems.append(FieldProblem(path, f"must be {listed}"))
+        return value
+    if rule.kind == OPTIONAL_NAME and value == "":
+        return value
+    if not is_name(value):
+        problems.append(FieldProblem(path, NAME_HELP))
+    return value
+
+
+def check_address(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take host:port."""
+    if not is_address(value):
+        problems.append(FieldProblem(path, "must be host:port"))
+    return value
+
+
+def is_address(value: Any) -> bool:
+    """Return whether a value names a host and a port."""
+    if not isinstance(value, str) or not ADDRESS_PATTERN.fullmatch(value):
+        return False
+    try:
+        parse_address(value)
+    except SettingsError:
+        return False
+    return True
+
+
+def check_labels(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take a few names with short texts."""
+    if not isinstance(value, dict) or len(value) > LABELS_LIMIT:
+        problems.append(
+            FieldProblem(path, f"must be at most {LABELS_LIMIT} labels")
+        )
+        return value
+    for name, text in value.items():
+        if not is_name(name):
+            problems.append(FieldProblem(f"{path}.{name}", NAME_HELP))
+        if not is_label(text):
+            problems.append(
+                FieldProblem(
+                    f"{path}.{name}",
+                    f"must be a text of at most {LABEL_LIMIT_CHARACTERS} "
+                    "characters without ',' and '='",
+                )
+            )
+    return value
+
+
+def is_label(text: Any) -> bool:
+    """Return whether a value can be a label's."""
+    if not isinstance(text, str) or len(text) > LABEL_LIMIT_CHARACTERS:
+        return False
+    return text.isprintable() and not set(text) & {",", "="}
+
+
+def check_object(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take any object that is not too large or too deep."""
+    if not isinstance(value, dict):
+        problems.append(FieldProblem(path, "must be an object"))
+        return value
+    if depth_over(value, DEPTH_LIMIT):
+        problems.append(
+            FieldProblem(path, f"must nest at most {DEPTH_LIMIT} deep")
+        )
+        return value
+    if len(dumps(value)) > WORK_LIMIT_BYTES:
+        problems.append(
+            FieldProblem(path, f"must take at most {WORK_LIMIT_BYTES} bytes")
+        )
+    return value
+
+
+def depth_over(value: Any, limit: int) -> bool:
+    """Return whether a value nests deeper than a limit."""
+    if not isinstance(value, dict | list):
+        return False
+    if limit == 0:
+        return True
+    members = value.values() if isinstance(value, dict) else value
+    return any(depth_over(member, limit - 1) for member in members)
+
+
+def check_list(
+    rule: FieldRule, value: Any, path: str, problems: Problems
+) -> Any:
+    """Take a list of objects."""
+    if not isinstance(value, list) or len(value) > rule.maximum:
+        problems.append(
+            FieldProblem(path, f"must be a list of at most {rule.maximum:g}")
+        )
+        return []
+    return [
+        check_members(rule.members, member, f"{path}[{index}]", problems)
+        for index, member in enumerate(value)
+    ]
+
+
+CHECKS: dict[str, Check] = {
+    BOOLEAN: check_boolean,
+    INTEGER: check_number,
+    NUMBER: check_number,
+    NAME: check_name,
+    OPTIONAL_NAME: check_name,
+    ADDRESS: check_address,
+    LABELS: check_labels,
+    OBJECT: check_object,
+    LIST: check_list,
+}
+
+
+def no_problems(spec: dict[str, Any]) -> Problems:
+    """Find nothing: the kind has no list of unique things."""
+    return []
+
+
+def repeated(found: Iterable[tuple[str, str]], noun: str) -> Problems:
+    """Return a problem for each path whose text was there before."""
+    first: dict[str, str] = {}
+    problems: Problems = []
+    for path, text in found:
+        if text in first:
+            problems.append(
+                FieldProblem(path, f"repeats the {noun} of {first[text]}")
+            )
+        first.setdefault(text, path)
+    return problems
+
+
+def check_failure_domain(spec: dict[str, Any]) -> Problems:
+    """Find racks and workers that share a name or an address."""
+    racks = list(enumerate(spec["racks"]))
+    workers = [
+        (f"spec.racks[{i}].workers[{j}]", worker)
+        for i, rack in racks
+        for j, worker in enumerate(rack["workers"])
+    ]
+    rack_names = [(f"spec.racks[{i}].name", rack["name"]) for i, rack in racks]
+    names = [(f"{path}.name", worker["name"]) for path, worker in workers]
+    addresses = [(f"{path}.address", w["address"]) for path, w in workers]
+    return [
+        *repeated(rack_names, "name"),
+        *repeated(names, "name"),
+        *repeated(addresses, "address"),
+    ]
+
+
+def check_backend_service(spec: dict[str, Any]) -> Problems:
+    """Find servers that share a name or an address."""
+    servers = list(enumerate(spec["servers"]))
+    names = [(f"spec.servers[{i}].name", s["name"]) for i, s in servers]
+    addresses = [
+        (f"spec.servers[{i}].address", s["address"]) for i, s in servers
+    ]
+    return [*repeated(names, "name"), *repeated(addresses, "address")]
+
+
+UNIQUE_CHECKS: dict[str, Callable[[dict[str, Any]], Problems]] = {
+    "failure_domain": check_failure_domain,
+    "backend_service": check_backend_service,
+}
--- /dev/null
+++ b/src/damaskstall/resources/watch.py
@@ -0,0 +1,278 @@
+"""Stream the changes of resources to watchers.
+
+One loop per kind reads the table's changes into a bounded log that all
+watchers of the kind follow, each at its own version. A watcher that starts
+before the log first catches up by reads of its own; one that falls behind
+the log is ended and may begin again from its version.
+"""
+
+from collections import deque
+from collections.abc import AsyncGenerator
+from json import dumps
+from typing import Any, NamedTuple
+
+from trio import Event, current_time, move_on_after, open_nursery, sleep
+
+from damaskstall.errors import (
+    RevisionTooOldError,
+    TableUnavailableError,
+)
+from damaskstall.events import log
+from damaskstall.platform.types import Row, TableService
+from damaskstall.resources.events import WATCH_POLL_FAILED, WATCHER_CUT
+from damaskstall.resources.records import KINDS
+from damaskstall.resources.store import kind_prefix, resource_json, resource_of
+
+NEVER = float("-inf")
+WATCHERS_LIMIT = 64
+LOG_LIMIT_BYTES = 4 * 1024 * 1024
+CATCH_UP_ROWS = 200
+POLL_ROWS = 1000
+BOOKMARK_INTERVAL_S = 5.0
+
+CHANGED = "changed"
+DELETED = "deleted"
+BOOKMARK = "bookmark"
+END = "end"
+
+
+class Entry(NamedTuple):
+    """Hold one change as the line that watchers get."""
+
+    revision: int
+    line: bytes
+
+
+def event_line(kind: str, **fields: Any) -> bytes:
+    """Return one event of a stream as a JSON line."""
+    return dumps({"type": kind, **fields}).encode() + b"\n"
+
+
+def change_line(kind: str, row: Row) -> bytes:
+    """Return the event of a changed or deleted row."""
+    event = DELETED if row.value is None else CHANGED
+    return event_line(event, resource=resource_json(resource_of(kind, row)))
+
+
+class KindLog:
+    """Follow the changes of one kind for all its watchers."""
+
+    def __init__(self, kind: str, table: TableService, poll_s: float) -> None:
+        """Follow a kind in a table, one read every ``poll_s``."""
+        self.kind = kind
+        self.prefix = kind_prefix(kind)
+        self.table = table
+        self.poll_s = poll_s
+        self.watchers = 0
+        self.floor = 0
+        self.revision = 0
+        self.confirmed_s = NEVER
+        self.bytes = 0
+        self.entries: deque[Entry] = deque()
+        self.started = Event()
+        self._changed = Event()
+        self._wanted = Event()
+
+    async def run(self) -> None:
+        """Read changes while there is a watcher."""
+        while True:
+            if not self.watchers:
+                self._wanted = Event()
+                await self._wanted.wait()
+                self._forget()
+            await self.poll()
+            await sleep(self.poll_s)
+
+    def join(self) -> None:
+        """Count one more watcher."""
+        self.watchers += 1
+        self._wanted.set()
+
+    def leave(self) -> None:
+        """Count one watcher less."""
+        self.watchers -= 1
+
+    async def poll(self) -> None:
+        """Read the changes since the last poll into the log."""
+        try:
+            if not self.started.is_set():
+                await self._start()
+            while not await self._read_page():
+                pass
+        except TableUnavailableError as error:
+            log(WATCH_POLL_FAILED, kind=self.kind, error=str(error))
+        except RevisionTooOldError:
+            # Every watcher is then behind the log, which starts anew.
+            self._forget()
+        self._changed.set()
+        self._changed = Event()
+
+    async def wait_change(self) -> None:
+        """Return after the next poll."""
+        await self._changed.wait()
+
+    def after(self, revision: int) -> list[Entry]:
+        """Return the log's changes after a revision, oldest first."""
+        found: list[Entry] = []
+        for entry in reversed(self.entries):
+            if entry.revision <= revision:
+                break
+            found.append(entry)
+        found.reverse()
+        return found
+
+    def _forget(self) -> None:
+        self.entries.clear()
+        self.bytes = 0
+        self.started = Event()
+
+    async def _start(self) -> None:
+        asked_s = current_time()
+        page = await self.table.scan(self.prefix, "", 1)
+        self.floor = page.revision
+        self.revision = page.revision
+        self.confirmed_s = asked_s
+        self.started.set()
+
+    async def _read_page(self) -> bool:
+        """Read one page; return whether it was the last one."""
+        asked_s = current_time()
+        page = await self.table.changes(self.prefix, self.revision, POLL_ROWS)
+        for row in page.rows:
+            self._append(Entry(row.revision, change_line(self.kind, row)))
+        self.revision = max(self.revision, page.revision)
+        if page.complete:
+            self.confirmed_s = asked_s
+        return page.complete
+
+    def _append(self, entry: Entry) -> None:
+        self.entries.append(entry)
+        self.bytes += len(entry.line)
+        while self.bytes > LOG_LIMIT_BYTES:
+            dropped = self.entries.popleft()
+            self.bytes -= len(dropped.line)
+            self.floor = dropped.revision
+
+
+class Watcher:
+    """Follow one kind from a version."""
+
+    def __init__(self, log: KindLog, version: int) -> None:
+        """Start after a version, which the watcher has seen."""
+        self.log = log
+        self.version = version
+        self.ended = False
+        self.bookmark_s = NEVER
+        self.first: tuple[Row, ...] = ()
+
+    async def open(self) -> None:
+        """Read the first changes.
+
+        Raises RevisionTooOldError where they are gone, and
+        TableUnavailableError.
+        """
+        self.first = await self._read_rows()
+
+    async def lines(self) -> AsyncGenerator[bytes, None]:
+        """Yield the stream's lines until the watcher falls behind."""
+        if self.log.watchers >= WATCHERS_LIMIT:
+            yield self._end_line("There are too many watchers.")
+            return
+        self.log.join()
+        try:
+            for row in self.first:
+                yield change_line(self.log.kind, row)
+            self.first = ()
+            while not self.ended:
+                for line in await self._next_lines():
+                    yield line
+        finally:
+            self.log.leave()
+
+    async def _next_lines(self) -> list[bytes]:
+        """Return lines, from the log if it reaches back to the version."""
+        await self.log.started.wait()
+        if self.version < self.log.floor:
+            return await self._catch_up()
+        found = [entry.line for entry in self.log.after(self.version)]
+        self.version = max(self.version, self.log.revision)
+        now_s = current_time()
+        if found:
+            self.bookmark_s = now_s
+            return found
+        if now_s - self.bookmark_s >= BOOKMARK_INTERVAL_S:
+            self.bookmark_s = now_s
+            return [self._bookmark_line(now_s)]
+        with move_on_after(BOOKMARK_INTERVAL_S):
+            await self.log.wait_change()
+        return []
+
+    async def _catch_up(self) -> list[bytes]:
+        """Return changes that the log no longer has."""
+        try:
+            rows = await self._read_rows()
+        except RevisionTooOldError:
+            log(WATCHER_CUT, kind=self.log.kind, version=self.version)
+            self.ended = True
+            return [self._end_line("The watch fell too far behind.")]
+        except TableUnavailableError:
+            await self.log.wait_change()
+            return []
+        return [change_line(self.log.kind, row) for row in rows]
+
+    async def _read_rows(self) -> tuple[Row, ...]:
+        page = await self.log.table.changes(
+            self.log.prefix, self.version, CATCH_UP_ROWS
+        )
+        self.version = max(self.version, page.revision)
+        return page.rows
+
+    def _bookmark_line(self, now_s: float) -> bytes:
+        age_s = round(now_s - self.log.confirmed_s, 3)
+        return event_line(BOOKMARK, resource_version=self.version, age_s=age_s)
+
+    def _end_line(self, error: str) -> bytes:
+        return event_line(END, resource_version=self.version, error=error)
+
+
+class WatchHub:
+    """Hold one log of changes for each kind."""
+
+    def __init__(self, table: TableService, poll_s: float) -> None:
+        """Follow every kind in a table."""
+        self.table = table
+        self.logs = {kind: KindLog(kind, table, poll_s) for kind in KINDS}
+
+    async def run(self) -> None:
+        """Follow the kinds that are watched."""
+        async with open_nursery() as nursery:
+            for kind_log in self.logs.values():
+                nursery.start_soon(kind_log.run)
+
+    def is_full(self, kind: str) -> bool:
+        """Return whether there is no room for another watcher of a kind."""
+        return self.logs[kind].watchers >= WATCHERS_LIMIT
+
+    async def open(self, kind: str, version: int | None) -> Watcher:
+        """Return a watcher after a version, or from now on.
+
+        Raises RevisionTooOldError and TableUnavailableError.
+        """
+        if version is None:
+            page = await self.table.scan(kind_prefix(kind), "", 1)
+            return Watcher(self.logs[kind], page.revision)
+        watcher = Watcher(self.logs[kind], version)
+        await watcher.open()
+        return watcher
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of each kind's log."""
+        return {
+            kind: {
+                "watchers": kind_log.watchers,
+                "revision": kind_log.revision,
+                "floor": kind_log.floor,
+                "bytes": kind_log.bytes,
+            }
+            for kind, kind_log in self.logs.items()
+        }
--- /dev/null
+++ b/tests/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Test the resource interface and its command line."""
--- /dev/null
+++ b/tests/resources/calls.py
@@ -0,0 +1,103 @@
+"""Call a resource interface of a test without a connection."""
+
+from collections.abc import AsyncIterator
+from json import dumps, loads
+from typing import Any, NamedTuple
+
+from trio import current_time
+
+from damaskstall.errors import PlatformError
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.messages import Body, Request, split_target
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.platform.keys import CONFIG_PREFIX
+from damaskstall.resources.api import ResourceApi
+from standins.platform.memory import MemoryTable, Platform
+
+RACK = {
+    "name": "r1",
+    "workers": [
+        {"name": f"w{n}", "address": f"10.0.0.{n}:1", "accelerators": 8}
+        for n in range(4)
+    ],
+}
+
+
+class Reply(NamedTuple):
+    """Hold an answer with its JSON value."""
+
+    status: int
+    headers: dict[str, str]
+    value: Any
+
+
+class Entry:
+    """Run the resource interface of one instance."""
+
+    def __init__(self, platform: Platform, name: str = "e1") -> None:
+        """Serve the platform's table."""
+        self.table = MemoryTable(platform, name)
+        self.config = ConfigStore()
+        self.api = ResourceApi(
+            self.table,
+            self.config,
+            EntrySettings(instance=name, failure_domain="fd1"),
+            unix_clock=current_time,
+        )
+
+    async def follow(self) -> None:
+        """Read the configuration once, as the entry does all the time."""
+        asked_s = current_time()
+        try:
+            page = await self.table.changes(
+                CONFIG_PREFIX, self.config.revision, 10_000
+            )
+        except PlatformError:
+            return
+        self.config.apply(page, asked_s)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Return the answer to one request with a JSON body."""
+        body = b"" if value is None else dumps(value).encode()
+        return await self.send(method, target, body, headers or {})
+
+    async def send(
+        self, method: str, target: str, body: bytes, headers: dict[str, str]
+    ) -> Reply:
+        """Return the answer to one request."""
+        path, query = split_target(target)
+
+        async def parts() -> AsyncIterator[bytes]:
+            yield body
+
+        request = Request(method, path, query, headers, Body(parts()))
+        response = await self.api.handle(request)
+        assert isinstance(response.body, bytes)
+        parsed = loads(response.body)
+        return Reply(response.status, dict(response.headers), parsed)
+
+    async def declare(self, kind: str, name: str, spec: Any) -> Reply:
+        """Create a resource."""
+        body = {"name": name, "spec": spec}
+        return await self.call("POST", f"/v1/resources/{kind}", body)
+
+    async def set_up(self) -> None:
+        """Declare one failure domain and one team."""
+        made = await self.declare("failure_domain", "fd1", {"racks": [RACK]})
+        assert made.status == 201
+        assert (await self.declare("team", "t1", {})).status == 201
+        await self.follow()
+
+
+async def replace(
+    entry: Entry, kind: str, name: str, spec: Any, version: int
+) -> Reply:
+    """Replace the spec of one version."""
+    body = {"spec": spec, "resource_version": version}
+    return await entry.call("PUT", f"/v1/resources/{kind}/{name}", body)
--- /dev/null
+++ b/tests/resources/test_watch.py
@@ -0,0 +1,105 @@
+"""Test that watchers see every change from their version on."""
+
+from collections.abc import AsyncGenerator
+from json import loads
+from typing import Any
+
+from trio import fail_after, open_nursery, sleep
+
+from damaskstall.http.messages import Body, Request
+from damaskstall.resources.api import ResourceApi
+from standins.platform.memory import Platform
+from tests.resources.calls import Entry, replace
+from tests.virtual_time import run_virtual
+
+WAIT_LIMIT_S = 60
+
+
+async def no_parts() -> AsyncGenerator[bytes, None]:
+    """Yield an empty body."""
+    yield b""
+
+
+async def open_watch(
+    api: ResourceApi, query: dict[str, str]
+) -> AsyncGenerator[bytes, None]:
+    """Return the lines of a stream of teams."""
+    request = Request("GET", "/v1/watch/team", query, {}, Body(no_parts()))
+    response = await api.handle(request)
+    assert response.status == 200
+    assert isinstance(response.body, AsyncGenerator)
+    return response.body
+
+
+async def take(
+    lines: AsyncGenerator[bytes, None], count: int
+) -> list[dict[str, Any]]:
+    """Return the next events other than bookmarks."""
+    found: list[dict[str, Any]] = []
+    with fail_after(WAIT_LIMIT_S):
+        while len(found) < count:
+            event = loads(await anext(lines))
+            if event["type"] != "bookmark":
+                found.append(event)
+    return found
+
+
+def test_watch_shows_changes_from_a_version_and_then_live_ones() -> None:
+    async def scenario() -> None:
+        entry = Entry(Platform(seed=1))
+        made = await entry.declare("team", "t1", {})
+        version = made.value["resource_version"]
+        await replace(entry, "team", "t1", {"weight": 2}, version)
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            lines = await open_watch(entry.api, {"from_version": str(version)})
+            (event,) = await take(lines, 1)
+            assert event["type"] == "changed"
+            assert event["resource"]["spec"]["weight"] == 2
+            newest = event["resource"]["resource_version"]
+            path = f"/v1/resources/team/t1?resource_version={newest}"
+            await entry.declare("job", "unseen", {"team": "t1"})
+            await entry.call("DELETE", path)
+            (event,) = await take(lines, 1)
+            assert event["type"] == "deleted"
+            assert event["resource"]["name"] == "t1"
+            await lines.aclose()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_version_that_is_too_old_is_gone() -> None:
+    async def scenario() -> None:
+        platform = Platform(seed=1)
+        entry = Entry(platform)
+        for number in range(5):
+            await entry.declare("team", f"t{number}", {})
+        platform.table.forget_changes(keep=1)
+        answer = await entry.call("GET", "/v1/watch/team?from_version=1")
+        assert answer.status == 410
+
+    run_virtual(scenario)
+
+
+def test_watchers_share_one_poll() -> None:
+    async def scenario() -> None:
+        platform = Platform(seed=1)
+        entry = Entry(platform)
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            streams = [await open_watch(entry.api, {}) for _ in range(20)]
+
+            async def follow(lines: AsyncGenerator[bytes, None]) -> None:
+                async for _ in lines:
+                    pass
+
+            for lines in streams:
+                nursery.start_soon(follow, lines)
+            await sleep(2)
+            before = platform.reads
+            await sleep(30)
+            assert platform.reads - before <= 31
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
