--- a/src/damaskstall/cli/commands.py
+++ b/src/damaskstall/cli/commands.py
@@ -187,24 +187,33 @@
         print(f"job/{name} {answer.value['outcome']}")
         return
     counts: dict[str, int] = {}
+    try:
+        failed = await cancel_all(client, selector, counts)
+    finally:
+        # Also what was done before a failure is told.
+        print(" ".join(f"{name}={count}" for name, count in counts.items()))
+    if failed:
+        raise CommandError(
+            UNKNOWN, f"These jobs may not be cancelled: {' '.join(failed)}."
+        )
+
+
+async def cancel_all(
+    client: ApiClient, selector: str, counts: dict[str, int]
+) -> list[str]:
+    """Cancel every selected job; return the names that failed."""
+    path = "/v1/cancellations"
     failed: list[str] = []
     after = ""
     while True:
         body = {"selector": selector, "continue": after}
-        wave = (
-            await client.write("POST", "/v1/cancellations", {}, body)
-        ).value
+        wave = (await client.write("POST", path, {}, body)).value
         after = wave.pop("continue")
         failed += wave.pop("failed")
         for outcome, count in wave.items():
             counts[outcome] = counts.get(outcome, 0) + count
         if not after:
-            break
-    print(" ".join(f"{name}={count}" for name, count in counts.items()))
-    if failed:
-        raise CommandError(
-            UNKNOWN, f"These jobs may not be cancelled: {' '.join(failed)}."
-        )
+            return failed
 
 
 async def dump(client: ApiClient) -> None:
--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -49,6 +49,10 @@
         super().__init__(message)
 
 
+class WrittenBeforeError(ResourceConflictError):
+    """A repeated write took effect before; another has changed it since."""
+
+
 class PlatformError(DamaskstallError):
     """A platform service did not do what was asked."""
 
--- a/src/damaskstall/platform/keys.py
+++ b/src/damaskstall/platform/keys.py
@@ -5,8 +5,9 @@
 CELL_PREFIX = "cell/"
 QUARANTINE_PREFIX = "quarantine/"
 IDEMPOTENCY_PREFIX = "idempotency/"
-# Moved on by every write that had to look at all configuration.
+# Moved on by operators' writes; see resources/guards.py.
 GUARD_KEY = "guard/config"
+GUARD_PREFIX = "guard/"
 
 
 def config_key(kind: str, name: str) -> str:
@@ -38,3 +39,8 @@
 def idempotency_key(service: str, team: str, key: str) -> str:
     """Return the key that claims a request's idempotency key."""
     return f"{IDEMPOTENCY_PREFIX}{service}/{team}/{key}"
+
+
+def bucket_guard_key(kind: str, bucket: int) -> str:
+    """Return the key that writes of a bucket of resources move on."""
+    return f"{GUARD_PREFIX}{kind}/{bucket}"
--- a/src/damaskstall/resources/answers.py
+++ b/src/damaskstall/resources/answers.py
@@ -2,31 +2,38 @@
 
 from damaskstall.errors import (
     BadRequestError,
+    FieldProblem,
     ResourceConflictError,
     ResourceMissingError,
     RevisionTooOldError,
     TableOutcomeUnknownError,
     TableUnavailableError,
     ValidationError,
+    WrittenBeforeError,
 )
 from damaskstall.events import log
-from damaskstall.http.messages import Response, error_response, retry_later
+from damaskstall.http.messages import (
+    Headers,
+    Response,
+    error_response,
+    retry_later,
+)
 from damaskstall.resources.events import (
     OUTCOME_UNKNOWN,
     RESOURCE_CONFLICT,
     RESOURCE_REFUSED,
     TABLE_DOWN,
 )
-from damaskstall.resources.routes import Match
+from damaskstall.resources.routes import Route
 
 RETRY_AFTER_S = 2
 AGE_HEADER = "damaskstall-age-s"
 STREAM_TYPE = "application/x-ndjson"
 
 
-def answer_error(match: Match, error: Exception) -> Response:
+def answer_error(route: Route, error: Exception) -> Response:
     """Return the answer an error stands for, or raise an unexpected one."""
-    handler = match.route.handler
+    handler = route.handler
     if isinstance(error, BadRequestError):
         return error_response(400, str(error))
     if isinstance(error, ResourceMissingError):
@@ -36,7 +43,10 @@
     if isinstance(error, ResourceConflictError):
         log(RESOURCE_CONFLICT, handler=handler, error=str(error))
         return error_response(
-            409, str(error), current_version=error.current_version
+            409,
+            str(error),
+            current_version=error.current_version,
+            took_effect=isinstance(error, WrittenBeforeError),
         )
     if isinstance(error, ValidationError):
         log(RESOURCE_REFUSED, handler=handler, error=str(error))
@@ -44,9 +54,7 @@
         return error_response(422, str(error), problems=problems)
     if isinstance(error, TableUnavailableError):
         log(TABLE_DOWN, handler=handler, error=str(error))
-        return retry_later(
-            503, "Not accepted: the table is down.", RETRY_AFTER_S
-        )
+        return retry_later(503, f"Not accepted now: {error}", RETRY_AFTER_S)
     if isinstance(error, TableOutcomeUnknownError):
         log(OUTCOME_UNKNOWN, handler=handler, error=str(error))
         return error_response(
@@ -65,3 +73,15 @@
     return error_response(
         405, f"This path takes {listed}.", (("allow", listed),)
     )
+
+
+def age_headers(age_s: float | None) -> Headers:
+    """Return the header that tells the age of what memory served."""
+    if age_s is None:
+        return ()
+    return ((AGE_HEADER, f"{age_s:.3f}"),)
+
+
+def invalid_field(path: str, message: str) -> ValidationError:
+    """Return the error of one bad field."""
+    return ValidationError((FieldProblem(path, message),))
--- a/src/damaskstall/resources/api.py
+++ b/src/damaskstall/resources/api.py
@@ -4,9 +4,13 @@
 from time import time
 from typing import Any
 
-from trio import current_time, open_nursery
+from trio import current_time, move_on_after, open_nursery
 
-from damaskstall.errors import BadRequestError, FieldProblem, ValidationError
+from damaskstall.errors import (
+    BadRequestError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
 from damaskstall.events import log
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.http.messages import (
@@ -18,10 +22,11 @@
 from damaskstall.peers.config_store import NEVER, ConfigStore
 from damaskstall.platform.types import TableService
 from damaskstall.resources.answers import (
-    AGE_HEADER,
     RETRY_AFTER_S,
     STREAM_TYPE,
+    age_headers,
     answer_error,
+    invalid_field,
     no_route,
 )
 from damaskstall.resources.api_metrics import API_REQUESTS, TAKE_OUTS_HELD
@@ -29,19 +34,19 @@
     PAGE_DEFAULT,
     PAGE_LIMIT,
     VERSION_LIMIT,
-    check_query,
+    Call,
+    read_call,
     read_mutation_id,
     read_number,
-    read_object,
     read_switch,
     read_version,
 )
 from damaskstall.resources.cancel import Canceller
 from damaskstall.resources.checks import Planner, plan_nothing
 from damaskstall.resources.events import RESOURCE_WRITTEN
-from damaskstall.resources.reads import ResourceReader, Seen
-from damaskstall.resources.records import KINDS, STATE_IN, STATE_OUT, Resource
-from damaskstall.resources.routes import Match, find_route
+from damaskstall.resources.reads import ResourceReader
+from damaskstall.resources.records import STATE_IN, STATE_OUT, Resource
+from damaskstall.resources.routes import Match, Route, find_route
 from damaskstall.resources.selector import parse_selector
 from damaskstall.resources.store import ResourceStore, new_mutation_id
 from damaskstall.resources.take_out import TakeOuts, UnixClock
@@ -49,7 +54,8 @@
 from damaskstall.resources.watch import WatchHub
 from damaskstall.resources.writes import Change, ResourceWriter
 
-Parts = dict[str, str]
+ANSWER_LIMIT_S = 8.0
+
 InstanceView = Callable[[], list[dict[str, Any]]]
 
 
@@ -94,6 +100,10 @@
             ],
         }
 
+    def close_watches(self) -> None:
+        """End every stream, for a graceful stop."""
+        self.hub.close()
+
     async def handle(self, request: Request) -> Response:
         """Answer one request; a refusal has changed nothing."""
         self.requests += 1
@@ -101,25 +111,33 @@
         if not isinstance(match, Match):
             return no_route(request.path, match)
         try:
-            check_parts(match.parts)
-            check_query(request, match.route.query)
-            handler = HANDLERS[match.route.handler]
-            response = await handler(self, request, match.parts)
+            limit_bytes = self.settings.body_limit_bytes
+            call = await read_call(request, match, limit_bytes)
+            response = await self._answer(call, match.route)
         except Exception as error:
-            response = answer_error(match, error)
+            response = answer_error(match.route, error)
         API_REQUESTS.inc(
             {"handler": match.route.handler, "status": str(response.status)}
         )
         TAKE_OUTS_HELD.set({}, len(self.config.pending))
         return response
 
-    async def list_resources(self, request: Request, parts: Parts) -> Response:
+    async def _answer(self, call: Call, route: Route) -> Response:
+        """Return the handler's answer, or give up in time to say so."""
+        with move_on_after(ANSWER_LIMIT_S):
+            return await HANDLERS[route.handler](self, call)
+        if route.method == "GET":
+            raise TableUnavailableError("The table was too slow.")
+        raise TableOutcomeUnknownError("The table was too slow.")
+
+    async def list_resources(self, call: Call) -> Response:
         """Return one page of a kind; the selector is for jobs."""
+        request = call.request
         after = request.query.get("continue", "")
         if after and not is_name(after):
             raise BadRequestError("The continue token is not a name.")
         seen = await self.reader.list_page(
-            parts["kind"],
+            call.kind,
             after,
             read_number(request, "limit", PAGE_DEFAULT, 1, PAGE_LIMIT),
             parse_selector(request.query.get("selector", "")),
@@ -130,90 +148,66 @@
             "continue": page.next_after,
             "resource_version": page.revision,
         }
-        return json_response(200, value, age_headers(seen))
+        return json_response(200, value, age_headers(seen.age_s))
 
-    async def get_resource(self, request: Request, parts: Parts) -> Response:
+    async def get_resource(self, call: Call) -> Response:
         """Return one resource."""
-        seen = await self.reader.get(parts["kind"], parts["name"])
-        resource = seen.page.resources[0]
-        return json_response(
-            200, self.reader.seen_json(resource), age_headers(seen)
-        )
+        seen = await self.reader.get(call.kind, call.name)
+        shown = self.reader.seen_json(seen.page.resources[0])
+        return json_response(200, shown, age_headers(seen.age_s))
 
-    async def create_resource(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def create_resource(self, call: Call) -> Response:
         """Create the resource that the body declares."""
-        kind = parts["kind"]
-        body = await self._read(request, ("kind", "name", "spec"))
-        if body.get("kind", kind) != kind:
-            raise invalid_field("kind", f"must be {kind}")
-        change = self._change(request)
-        created = await self.writer.create(
-            kind, body.get("name"), body.get("spec"), change
-        )
+        change = self._change(call.request)
+        name, spec = call.body.get("name"), call.body.get("spec")
+        created = await self.writer.create(call.kind, name, spec, change)
         self._log_write("created", created, change)
-        return json_response(
-            200 if change.dry_run else 201, self.reader.seen_json(created)
-        )
+        status = 200 if change.dry_run else 201
+        return json_response(status, self.reader.seen_json(created))
 
-    async def replace_resource(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def replace_resource(self, call: Call) -> Response:
         """Replace the spec of the version that the body names."""
-        kind, name = parts["kind"], parts["name"]
-        body = await self._read(
-            request, ("kind", "name", "spec", "resource_version")
-        )
-        if body.get("kind", kind) != kind:
-            raise invalid_field("kind", f"must be {kind}")
-        if body.get("name", name) != name:
-            raise invalid_field("name", f"must be {name}")
         version = read_version(
-            body.get("resource_version"), "resource_version"
+            call.body.get("resource_version"), "resource_version"
         )
-        change = self._change(request)
+        change = self._change(call.request)
         replaced = await self.writer.replace(
-            kind, name, body.get("spec"), version, change
+            call.kind, call.name, call.body.get("spec"), version, change
         )
         if replaced.resource_version != version:
             self._log_write("replaced", replaced, change)
         return json_response(200, self.reader.seen_json(replaced))
 
-    async def delete_resource(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def delete_resource(self, call: Call) -> Response:
         """Delete the version that the query names."""
-        version = read_number(
-            request, "resource_version", -1, 0, VERSION_LIMIT
-        )
-        if version < 0:
+        if "resource_version" not in call.request.query:
             raise BadRequestError(
                 "The query parameter 'resource_version' is required."
             )
-        change = self._change(request)
+        version = read_number(
+            call.request, "resource_version", 0, 0, VERSION_LIMIT
+        )
+        change = self._change(call.request)
         deleted = await self.writer.delete(
-            parts["kind"], parts["name"], version, change
+            call.kind, call.name, version, change
         )
         self._log_write("deleted", deleted, change)
         return json_response(200, self.reader.seen_json(deleted))
 
-    async def cancel_job(self, request: Request, parts: Parts) -> Response:
+    async def cancel_job(self, call: Call) -> Response:
         """Cancel one job."""
-        name = parts["name"]
-        outcome = await self.canceller.cancel(name, self.unix_clock())
-        return json_response(200, {"name": name, "outcome": outcome})
+        outcome = await self.canceller.cancel(call.name, self.unix_clock())
+        return json_response(200, {"name": call.name, "outcome": outcome})
 
-    async def cancel_jobs(self, request: Request, parts: Parts) -> Response:
+    async def cancel_jobs(self, call: Call) -> Response:
         """Cancel a bounded number of the jobs that a selector matches."""
-        body = await self._read(request, ("selector", "continue"))
-        text = body.get("selector")
+        text = call.body.get("selector")
         if not isinstance(text, str):
             raise invalid_field("selector", "must be a text")
         selector = parse_selector(text)
         if selector.matches_all:
             raise invalid_field("selector", "must not match every job")
-        after = body.get("continue", "")
+        after = call.body.get("continue", "")
         if after != "" and not is_name(after):
             raise invalid_field("continue", "must come from the last answer")
         wave = await self.canceller.cancel_wave(
@@ -223,43 +217,38 @@
         value["continue"] = value.pop("next_after")
         return json_response(200, value)
 
-    async def drain_failure_domain(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def drain_failure_domain(self, call: Call) -> Response:
         """Take a failure domain out; 202 while only memory has it."""
-        name = parts["name"]
-        version = await self.take_outs.drain(name)
-        value = {"name": name, "state": STATE_OUT, "kept": version is not None}
+        version = await self.take_outs.drain(call.name)
+        value = {"name": call.name, "state": STATE_OUT}
         if version is None:
-            return json_response(202, value)
-        return json_response(200, {**value, "resource_version": version})
+            return json_response(202, {**value, "kept": False})
+        kept = {**value, "kept": True, "resource_version": version}
+        return json_response(200, kept)
 
-    async def restore_failure_domain(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def restore_failure_domain(self, call: Call) -> Response:
         """Bring a failure domain back."""
-        name = parts["name"]
-        version = await self.take_outs.restore(name)
-        value = {"name": name, "state": STATE_IN, "resource_version": version}
-        return json_response(200, value)
+        version = await self.take_outs.restore(call.name)
+        value = {"name": call.name, "state": STATE_IN}
+        kept = {**value, "kept": True, "resource_version": version}
+        return json_response(200, kept)
 
-    async def watch_resources(
-        self, request: Request, parts: Parts
-    ) -> Response:
+    async def watch_resources(self, call: Call) -> Response:
         """Stream a kind's changes after a version, or from now on."""
-        kind = parts["kind"]
-        if self.hub.is_full(kind):
+        if self.hub.is_full(call.kind):
             return retry_later(
                 429, "There are too many watchers.", RETRY_AFTER_S
             )
         version: int | None = None
-        if "from_version" in request.query:
-            version = read_number(request, "from_version", 0, 0, VERSION_LIMIT)
-        watcher = await self.hub.open(kind, version)
+        if "from_version" in call.request.query:
+            version = read_number(
+                call.request, "from_version", 0, 0, VERSION_LIMIT
+            )
+        watcher = await self.hub.open(call.kind, version)
         headers = (("content-type", STREAM_TYPE),)
         return Response(200, watcher.lines(), headers, close=True)
 
-    async def list_instances(self, request: Request, parts: Parts) -> Response:
+    async def list_instances(self, call: Call) -> Response:
         """List the product's processes and what they run by."""
         return json_response(200, {"items": self.instances()})
 
@@ -280,13 +269,6 @@
             }
         ]
 
-    async def _read(
-        self, request: Request, known: tuple[str, ...]
-    ) -> dict[str, Any]:
-        return await read_object(
-            request, self.settings.body_limit_bytes, known
-        )
-
     def _change(self, request: Request) -> Change:
         default = new_mutation_id(self.settings.instance)
         return Change(
@@ -310,27 +292,7 @@
         )
 
 
-def age_headers(seen: Seen) -> tuple[tuple[str, str], ...]:
-    """Return the header that tells the age of what memory served."""
-    if seen.age_s is None:
-        return ()
-    return ((AGE_HEADER, f"{seen.age_s:.3f}"),)
-
-
-def check_parts(parts: Parts) -> None:
-    """Raise BadRequestError for a kind or name that cannot be."""
-    if parts.get("kind", KINDS[0]) not in KINDS:
-        raise BadRequestError(f"The kind must be one of {', '.join(KINDS)}.")
-    if "name" in parts and not is_name(parts["name"]):
-        raise BadRequestError("The path does not contain a valid name.")
-
-
-def invalid_field(path: str, message: str) -> ValidationError:
-    """Return the error of one bad field."""
-    return ValidationError((FieldProblem(path, message),))
-
-
-Handler = Callable[[ResourceApi, Request, Parts], Awaitable[Response]]
+Handler = Callable[[ResourceApi, Call], Awaitable[Response]]
 
 HANDLERS: dict[str, Handler] = {
     "list_resources": ResourceApi.list_resources,
--- a/src/damaskstall/resources/bodies.py
+++ b/src/damaskstall/resources/bodies.py
@@ -1,27 +1,65 @@
 """Read what operators send: bodies and query strings."""
 
 from re import compile as compile_pattern
-from typing import Any
+from typing import Any, NamedTuple
 
 from damaskstall.errors import BadRequestError, FieldProblem, ValidationError
 from damaskstall.http.messages import Request, parse_json
+from damaskstall.resources.fields import NAME_LIMIT_CHARACTERS
+from damaskstall.resources.records import KINDS
+from damaskstall.resources.routes import Match
+from damaskstall.resources.validate import is_name
 
 PAGE_LIMIT = 1000
 PAGE_DEFAULT = 100
+PROBLEMS_LIMIT = 100
 VERSION_LIMIT = 2**62
 MUTATION_HEADER = "idempotency-key"
 MUTATION_PATTERN = compile_pattern(r"[A-Za-z0-9._-]{8,128}")
+SHOWN_CHARACTERS = 64
 TRUE_WORDS = frozenset({"true", "1"})
 FALSE_WORDS = frozenset({"false", "0"})
 
 
+class Call(NamedTuple):
+    """Hold one operator's request with what its path and body say."""
+
+    request: Request
+    kind: str
+    name: str
+    body: dict[str, Any]
+
+
+async def read_call(request: Request, match: Match, limit_bytes: int) -> Call:
+    """Return a checked request.
+
+    Raises BadRequestError, ValidationError and BodyTooLargeError.
+    """
+    kind = match.parts.get("kind", "")
+    name = match.parts.get("name", "")
+    if "kind" in match.parts and kind not in KINDS:
+        raise BadRequestError(f"The kind must be one of {', '.join(KINDS)}.")
+    if "name" in match.parts and not is_name(name):
+        raise BadRequestError("The path does not contain a valid name.")
+    check_query(request, match.route.query)
+    body: dict[str, Any] = {}
+    if match.route.body:
+        body = await read_object(request, limit_bytes, match.route.body)
+        check_same(body, "kind", kind)
+        check_same(body, "name", name)
+    return Call(request, kind, name, body)
+
+
+def check_same(body: dict[str, Any], member: str, wanted: str) -> None:
+    """Raise ValidationError where a body contradicts its path."""
+    if wanted and body.get(member, wanted) != wanted:
+        raise ValidationError((FieldProblem(member, f"must be {wanted}"),))
+
+
 async def read_object(
     request: Request, limit_bytes: int, known: tuple[str, ...]
 ) -> dict[str, Any]:
-    """Return the body's members, all of them known.
-
-    Raises BadRequestError and BodyTooLargeError.
-    """
+    """Return the body's members, all of them known."""
     data = await request.body.read(limit_bytes)
     try:
         value = parse_json(data)
@@ -30,12 +68,12 @@
     if not isinstance(value, dict):
         raise BadRequestError("The body must be a JSON object.")
     unknown = [
-        FieldProblem(name, "is not a known field")
+        FieldProblem(name[:NAME_LIMIT_CHARACTERS], "is not a known field")
         for name in value
         if name not in known
     ]
     if unknown:
-        raise ValidationError(tuple(unknown[:PAGE_DEFAULT]))
+        raise ValidationError(tuple(unknown[:PROBLEMS_LIMIT]))
     return value
 
 
@@ -44,7 +82,8 @@
     for name in request.query:
         if name not in known:
             raise BadRequestError(
-                f"The query parameter {name!r} is not known here."
+                f"The query parameter {name[:SHOWN_CHARACTERS]!r} is not "
+                "known here."
             )
 
 
--- a/src/damaskstall/resources/cancel.py
+++ b/src/damaskstall/resources/cancel.py
@@ -6,10 +6,13 @@
 
 from typing import NamedTuple
 
+from trio import current_time
+
 from damaskstall.errors import (
     ResourceMissingError,
     TableConflictError,
     TableOutcomeUnknownError,
+    TableUnavailableError,
 )
 from damaskstall.events import log
 from damaskstall.platform.keys import JOB_PREFIX, job_key
@@ -29,6 +32,7 @@
 SINGLE_ATTEMPTS = 5
 SCAN_ROWS = 1000
 SCAN_PAGES = 4
+WAVE_LIMIT_S = 5.0
 REASON = "cancelled by an operator"
 
 ENDED = "already_ended"
@@ -52,12 +56,18 @@
     next_after: str
 
 
+def needs_write(row: Row) -> bool:
+    """Return whether a job is neither ended nor asked to stop."""
+    status = (row.value or {})["status"]
+    return not (status["state"] in JOB_ENDED or status["cancel_requested"])
+
+
 def outcome_of(row: Row) -> str:
     """Return what cancelling a job in this state comes to."""
-    status = (row.value or {})["status"]
-    if status["state"] in JOB_ENDED or status["cancel_requested"]:
-        return ENDED
-    return CANCELLED if status["state"] == JOB_QUEUED else REQUESTED
+    state = (row.value or {})["status"]["state"]
+    if state in (JOB_QUEUED, JOB_CANCELLED):
+        return CANCELLED
+    return ENDED if state in JOB_ENDED else REQUESTED
 
 
 def cancel_write(row: Row, now_unix_s: float) -> Write:
@@ -90,7 +100,7 @@
             if row is None:
                 raise ResourceMissingError("job", name)
             outcome = outcome_of(row)
-            if outcome == ENDED:
+            if not needs_write(row):
                 return outcome
             mutation_id = new_mutation_id(self.instance)
             write = cancel_write(row, now_unix_s)
@@ -107,40 +117,48 @@
     async def cancel_wave(
         self, selector: Selector, after_name: str, now_unix_s: float
     ) -> CancelledWave:
-        """Cancel a bounded number of matching jobs in name order."""
+        """Cancel a bounded number of matching jobs in name order.
+
+        Begins no new batch after ``WAVE_LIMIT_S``; the caller goes on from
+        the name that the answer gives.
+        """
         outcomes: list[tuple[str, str]] = []
         after = job_key(after_name) if after_name else ""
-        for _ in range(SCAN_PAGES):
-            page = await self.table.scan(JOB_PREFIX, after, SCAN_ROWS)
-            rows = [row for row in page.rows if row_matches(row, selector)]
-            outcomes += await self._cancel_rows(rows, now_unix_s)
-            after = page.next_after
-            if not after:
-                break
-        wave = count_outcomes(outcomes, after.removeprefix(JOB_PREFIX))
-        log(
-            JOBS_CANCELLED,
-            matched=wave.matched,
-            cancelled=wave.cancelled,
-            cancel_requested=wave.cancel_requested,
-            failed=len(wave.failed),
-        )
-        return wave
+        deadline_s = current_time() + WAVE_LIMIT_S
+        try:
+            for _ in range(SCAN_PAGES):
+                page = await self.table.scan(JOB_PREFIX, after, SCAN_ROWS)
+                rows = [r for r in page.rows if row_matches(r, selector)]
+                for start in range(0, len(rows), BATCH_ROWS):
+                    batch = rows[start : start + BATCH_ROWS]
+                    outcomes += await self._cancel_rows(
+                        batch, now_unix_s, deadline_s
+                    )
+                    after = batch[-1].key
+                    if current_time() >= deadline_s:
+                        return count_outcomes(outcomes, after)
+                after = page.next_after
+                if not after:
+                    break
+        except TableUnavailableError:
+            if not outcomes:
+                raise
+            # Part of the wave is written: tell it and where to go on.
+        return count_outcomes(outcomes, after)
 
     async def _cancel_rows(
-        self, rows: list[Row], now_unix_s: float
+        self, rows: list[Row], now_unix_s: float, deadline_s: float
     ) -> list[tuple[str, str]]:
-        live = [row for row in rows if outcome_of(row) != ENDED]
+        live = [row for row in rows if needs_write(row)]
         outcomes = [
-            (row.key, ENDED) for row in rows if outcome_of(row) == ENDED
+            (row.key, outcome_of(row)) for row in rows if not needs_write(row)
         ]
-        for start in range(0, len(live), BATCH_ROWS):
-            batch = live[start : start + BATCH_ROWS]
-            outcomes += await self._cancel_batch(batch, now_unix_s)
+        if live:
+            outcomes += await self._cancel_batch(live, now_unix_s, deadline_s)
         return outcomes
 
     async def _cancel_batch(
-        self, rows: list[Row], now_unix_s: float
+        self, rows: list[Row], now_unix_s: float, deadline_s: float
     ) -> list[tuple[str, str]]:
         """Write rows together; those that lost a race go one by one."""
         remaining = list(rows)
@@ -167,19 +185,21 @@
         else:
             single += remaining
         for row in single:
-            outcomes.append(await self._cancel_single(row.key, now_unix_s))
+            if current_time() < deadline_s:
+                outcome = await self._cancel_single(row.key, now_unix_s)
+            else:
+                outcome = FAILED
+            outcomes.append((row.key, outcome))
         return outcomes
 
-    async def _cancel_single(
-        self, key: str, now_unix_s: float
-    ) -> tuple[str, str]:
-        name = key.removeprefix(JOB_PREFIX)
+    async def _cancel_single(self, key: str, now_unix_s: float) -> str:
         try:
-            return key, await self.cancel(name, now_unix_s)
+            name = key.removeprefix(JOB_PREFIX)
+            return await self.cancel(name, now_unix_s)
         except ResourceMissingError:
-            return key, ENDED
-        except TableOutcomeUnknownError:
-            return key, FAILED
+            return ENDED
+        except (TableOutcomeUnknownError, TableUnavailableError):
+            return FAILED
 
 
 def row_matches(row: Row, selector: Selector) -> bool:
@@ -191,18 +211,26 @@
 def count_outcomes(
     outcomes: list[tuple[str, str]], next_after: str
 ) -> CancelledWave:
-    """Return the counts of a wave's step."""
+    """Log and return the counts of a wave's step."""
     found = [outcome for _, outcome in outcomes]
     failed = tuple(
         key.removeprefix(JOB_PREFIX)
         for key, outcome in outcomes
         if outcome == FAILED
     )
-    return CancelledWave(
+    wave = CancelledWave(
         len(found),
         found.count(CANCELLED),
         found.count(REQUESTED),
         found.count(ENDED),
         failed,
-        next_after,
+        next_after.removeprefix(JOB_PREFIX),
+    )
+    log(
+        JOBS_CANCELLED,
+        matched=wave.matched,
+        cancelled=wave.cancelled,
+        cancel_requested=wave.cancel_requested,
+        failed=len(wave.failed),
     )
+    return wave
--- a/src/damaskstall/resources/checks.py
+++ b/src/damaskstall/resources/checks.py
@@ -1,9 +1,4 @@
-"""Check a declaration against the other ones.
-
-The checks look at one view of all configuration. Two operators who each
-pass them could together break what they check, so a write that depends on
-the view also moves a guard row on from where it was when the view was read.
-"""
+"""Check a declaration against one view of the other ones."""
 
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
@@ -16,13 +11,12 @@
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.platform.keys import (
     CONFIG_PREFIX,
-    GUARD_KEY,
     split_config_key,
 )
-from damaskstall.platform.types import ABSENT, TableService, Write
+from damaskstall.platform.types import TableService
+from damaskstall.resources.guards import GUARDED_KINDS
 
 PAGE_ROWS = 1000
-GUARDED_KINDS = frozenset({"team", "failure_domain"})
 
 Specs = dict[str, dict[str, Any]]
 
@@ -114,13 +108,6 @@
             return rows
 
 
-async def read_guard(table: TableService, mutation_id: str) -> Write:
-    """Return the write that moves the guard row on from where it is now."""
-    row = await table.read(GUARD_KEY)
-    revision = ABSENT if row is None else row.revision
-    return Write(GUARD_KEY, {"moved_by": mutation_id}, revision)
-
-
 def check_against(
     kind: str,
     name: str,
--- a/src/damaskstall/resources/routes.py
+++ b/src/damaskstall/resources/routes.py
@@ -12,6 +12,7 @@
     help: str
     query: tuple[str, ...] = ()
     statuses: tuple[int, ...] = ()
+    body: tuple[str, ...] = ()
 
 
 ROUTES = (
@@ -30,6 +31,7 @@
         "Create a resource.",
         ("dry_run",),
         (200, 201, 400, 409, 413, 422, 503, 504),
+        ("kind", "name", "spec"),
     ),
     Route(
         "GET",
@@ -46,6 +48,7 @@
         "Replace the spec of the version that the body names.",
         ("dry_run",),
         (200, 400, 404, 409, 413, 422, 503, 504),
+        ("kind", "name", "spec", "resource_version"),
     ),
     Route(
         "DELETE",
@@ -53,7 +56,7 @@
         "delete_resource",
         "Delete the named version of a resource.",
         ("resource_version", "dry_run"),
-        (200, 400, 404, 409, 503, 504),
+        (200, 400, 404, 409, 422, 503, 504),
     ),
     Route(
         "POST",
@@ -69,7 +72,8 @@
         "cancel_jobs",
         "Cancel the jobs that a selector matches, a bounded number a call.",
         (),
-        (200, 400, 413, 503),
+        (200, 400, 413, 422, 503, 504),
+        ("selector", "continue"),
     ),
     Route(
         "POST",
--- a/src/damaskstall/resources/store.py
+++ b/src/damaskstall/resources/store.py
@@ -15,6 +15,7 @@
     TableConflictError,
     TableOutcomeUnknownError,
     TableUnavailableError,
+    WrittenBeforeError,
 )
 from damaskstall.platform.keys import (
     CONFIG_PREFIX,
@@ -24,11 +25,13 @@
 )
 from damaskstall.platform.settle import commit_settled
 from damaskstall.platform.types import ABSENT, Row, TableService, Write
+from damaskstall.resources.guards import Guard, read_guard
 from damaskstall.resources.records import Resource
 
 WRITTEN_IDS_LIMIT = 8
 
 CHANGES_LIMIT = 10
+FENCE_SUFFIX = "-fence"
 
 
 class ResourcePage(NamedTuple):
@@ -130,69 +133,109 @@
         Raises ResourceConflictError and TableOutcomeUnknownError.
         """
         write = Write(row.key, value, row.revision)
-        return await self.commit(write, row, (), mutation_id)
+        return await self.commit(write, row, None, mutation_id)
 
     async def commit(
         self,
         write: Write,
         row: Row | None,
-        guards: tuple[Write, ...],
+        guard: Guard | None,
         mutation_id: str,
     ) -> int:
         """Write a row as it was read (None: absent); return the version.
 
         Raises ResourceConflictError when the row has moved on, and
-        TableConflictError when only a guard has.
+        TableConflictError when only its guard has.
         """
         known_id = latest_id(row) if row is not None else ""
-        writes = (write, *guards)
+        guards = (guard.write(mutation_id),) if guard is not None else ()
         try:
-            return await commit_settled(self.table, writes, mutation_id)
+            return await commit_settled(
+                self.table, (write, *guards), mutation_id
+            )
         except TableConflictError as error:
             if error.key != write.key:
                 raise
+            # A client that repeats its write may have won before, or may
+            # have a copy of it still on its way.
         except TableOutcomeUnknownError:
             pass
-        return await self._version_written(write, known_id, mutation_id)
+        return await self._settle(write, known_id, guard, mutation_id)
 
-    async def _version_written(
-        self, write: Write, known_id: str, mutation_id: str
+    async def _settle(
+        self,
+        write: Write,
+        known_id: str,
+        guard: Guard | None,
+        mutation_id: str,
     ) -> int:
-        """Return the version our write led to, or say that it lost.
+        """Return the version our write led to, or say what became of it.
 
-        Raises ResourceConflictError only when our write surely had no
-        effect, and TableOutcomeUnknownError when that cannot be told.
+        Raises ResourceConflictError and TableConflictError only when our
+        write had no effect and can have none, and TableOutcomeUnknownError
+        when that cannot be told.
         """
-        row = await self._newest(write)
+        fenced = await self._fence(guard, mutation_id)
+        since = write.if_revision
+        if guard is not None:
+            since = max(since, guard.revision)
+        row = await self._newest(write, since)
         if row is not None and is_written_by(row, mutation_id):
             return row.revision
-        current = ABSENT
-        if row is not None and row.value is not None:
-            current = row.revision
-        if current == write.if_revision:
+        if guard is not None and await self._has_passed(guard, mutation_id):
+            raise written_before(row)
+        if is_unchanged(row, write):
+            if fenced is not None:
+                raise fenced
             raise TableOutcomeUnknownError(
                 f"The write of {write.key!r} may still take effect."
             )
-        if not remembers(row, known_id):
+        stopped = fenced is not None or write.if_revision != ABSENT
+        if stopped and row is not None and remembers(row, known_id):
+            raise lost_race(write, row.revision)
+        raise TableOutcomeUnknownError(
+            f"Whether {write.key!r} was written before another wrote it "
+            "cannot be told."
+        )
+
+    async def _has_passed(self, guard: Guard, mutation_id: str) -> bool:
+        """Return whether a mutation moved a guard on."""
+        try:
+            newest = await read_guard(self.table, guard.key)
+        except TableUnavailableError as error:
             raise TableOutcomeUnknownError(
-                f"Whether {write.key!r} was written before another wrote "
-                "it cannot be told."
+                f"The guard {guard.key!r} could not be read back."
+            ) from error
+        return mutation_id in newest.passed
+
+    async def _fence(
+        self, guard: Guard | None, mutation_id: str
+    ) -> TableConflictError | None:
+        """Move a guard on, so that no copy of our write passes any more.
+
+        Returns the conflict such a copy now meets, or None where the table
+        does not settle it.
+        """
+        if guard is None:
+            return None
+        fence_id = f"{mutation_id}{FENCE_SUFFIX}"
+        try:
+            revision = await self.table.commit(
+                (guard.write(fence_id),), fence_id
             )
-        raise ResourceConflictError(
-            f"The resource is at version {current}, "
-            f"not at {write.if_revision}.",
-            current,
-        )
+        except TableConflictError as error:
+            return error
+        except (TableOutcomeUnknownError, TableUnavailableError):
+            return None
+        return TableConflictError(guard.key, revision)
 
-    async def _newest(self, write: Write) -> Row | None:
-        """Return a row's newest state, its deletion included."""
+    async def _newest(self, write: Write, since: int) -> Row | None:
+        """Return a live row, or its deletion after a revision."""
         try:
             row = await self.table.read(write.key)
             if row is not None:
                 return row
-            page = await self.table.changes(
-                write.key, write.if_revision, CHANGES_LIMIT
-            )
+            page = await self.table.changes(write.key, since, CHANGES_LIMIT)
         except (TableUnavailableError, RevisionTooOldError) as error:
             raise TableOutcomeUnknownError(
                 f"The write of {write.key!r} could not be read back."
@@ -200,18 +243,43 @@
         return next((r for r in page.rows if r.key == write.key), None)
 
 
+def written_before(row: Row | None) -> WrittenBeforeError:
+    """Return the error of a write that others have followed."""
+    live = row is not None and row.value is not None
+    return WrittenBeforeError(
+        "The request took effect before, and what it wrote has been "
+        "replaced or deleted since.",
+        row.revision if row is not None and live else ABSENT,
+    )
+
+
+def lost_race(write: Write, current: int) -> ResourceConflictError:
+    """Return the error of a write that met another version."""
+    return ResourceConflictError(
+        f"The resource is at version {current}, not at {write.if_revision}.",
+        current,
+    )
+
+
+def is_unchanged(row: Row | None, write: Write) -> bool:
+    """Return whether a row still is as the write expects it."""
+    if row is None:
+        return write.if_revision == ABSENT
+    return row.value is not None and row.revision == write.if_revision
+
+
 def is_written_by(row: Row, mutation_id: str) -> bool:
     """Return whether a mutation is among the row's latest ones."""
     return row.mutation_id == mutation_id or mutation_id in written_ids(row)
 
 
-def remembers(row: Row | None, known_id: str) -> bool:
+def remembers(row: Row, known_id: str) -> bool:
     """Return whether a row names every operator's write since a known one.
 
     Without a known one, the row has to remember all of its writes.
     """
-    if row is None or row.value is None:
-        return True
+    if row.value is None:
+        return False
     if known_id:
         return known_id in written_ids(row)
     return len(written_ids(row)) < WRITTEN_IDS_LIMIT
--- a/src/damaskstall/resources/take_out.py
+++ b/src/damaskstall/resources/take_out.py
@@ -6,10 +6,11 @@
 """
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Any
 
-from trio import current_time, sleep
+from trio import current_time, move_on_after, sleep
 
 from damaskstall.errors import (
     ResourceConflictError,
@@ -34,6 +35,8 @@
 )
 
 KIND = "failure_domain"
+# A drain that the table is slow to take is answered as held.
+HELD_ANSWER_S = 5.0
 RETRY_FIRST_S = 0.5
 RETRY_LIMIT_S = 5.0
 WRITE_ATTEMPTS = 5
@@ -93,19 +96,21 @@
         if known:
             # In force here at once, also while the table is slow.
             self.config.hold(pending)
+        version: int | None = None
         try:
-            version = await self._decide(
-                name, STATE_OUT, pending.issued_id, self.unix_clock()
-            )
+            with move_on_after(HELD_ANSWER_S if known else inf):
+                version = await self._decide(
+                    name, STATE_OUT, pending.issued_id, self.unix_clock()
+                )
         except (TableUnavailableError, TableOutcomeUnknownError):
             if not known:
                 raise
-            log(TAKE_OUT_HELD, failure_domain=name, id=pending.issued_id)
-            return None
-        except ResourceMissingError:
+        except (ResourceMissingError, ResourceConflictError):
             self.config.settle(name, pending.issued_id)
             raise
-        if known:
+        if version is None:
+            log(TAKE_OUT_HELD, failure_domain=name, id=pending.issued_id)
+        elif known:
             self.kept[pending.issued_id] = version
         return version
 
@@ -178,8 +183,8 @@
     ) -> int:
         """Write a decision; return the version that has it.
 
-        A held decision gives way to a later one in the table, which raises
-        ResourceConflictError.
+        It gives way to a later decision that is written meanwhile, or that
+        is there already when this one was held: ResourceConflictError.
         """
         for _ in range(WRITE_ATTEMPTS):
             row = await self.store.read_row(KIND, name)
@@ -190,6 +195,9 @@
                     f"A later decision about {name!r} is in the table.",
                     row.revision,
                 )
+            # An operator decides about what is there, whatever its clock.
+            unix_s = max(unix_s, decided_unix_s(row))
+            held = True
             spec = {**(row.value or {})["spec"], "state": state}
             status = decided_status(row, unix_s)
             value = row_value(spec, status, mutation_id, row)
--- a/src/damaskstall/resources/validate.py
+++ b/src/damaskstall/resources/validate.py
@@ -83,9 +83,10 @@
         return {}
     known = {rule.name for rule in rules}
     for name in value:
-        if name not in known:
+        if name not in known and len(problems) < PROBLEMS_LIMIT:
+            shown = name[:NAME_LIMIT_CHARACTERS]
             problems.append(
-                FieldProblem(f"{path}.{name}", "is not a known field")
+                FieldProblem(f"{path}.{shown}", "is not a known field")
             )
     checked = {}
     for rule in rules:
@@ -181,12 +182,13 @@
         )
         return value
     for name, text in value.items():
+        label_path = f"{path}.{name[:NAME_LIMIT_CHARACTERS]}"
         if not is_name(name):
-            problems.append(FieldProblem(f"{path}.{name}", NAME_HELP))
+            problems.append(FieldProblem(label_path, NAME_HELP))
         if not is_label(text):
             problems.append(
                 FieldProblem(
-                    f"{path}.{name}",
+                    label_path,
                     f"must be a text of at most {LABEL_LIMIT_CHARACTERS} "
                     "characters without ',' and '='",
                 )
--- a/src/damaskstall/resources/watch.py
+++ b/src/damaskstall/resources/watch.py
@@ -19,6 +19,7 @@
 )
 from damaskstall.events import log
 from damaskstall.platform.types import Row, TableService
+from damaskstall.resources.api_metrics import API_WATCHERS
 from damaskstall.resources.events import WATCH_POLL_FAILED, WATCHER_CUT
 from damaskstall.resources.records import KINDS
 from damaskstall.resources.store import kind_prefix, resource_json, resource_of
@@ -64,6 +65,7 @@
         self.table = table
         self.poll_s = poll_s
         self.watchers = 0
+        self.closing = False
         self.floor = 0
         self.revision = 0
         self.confirmed_s = NEVER
@@ -86,11 +88,23 @@
     def join(self) -> None:
         """Count one more watcher."""
         self.watchers += 1
+        API_WATCHERS.set({"kind": self.kind}, self.watchers)
         self._wanted.set()
 
     def leave(self) -> None:
         """Count one watcher less."""
         self.watchers -= 1
+        API_WATCHERS.set({"kind": self.kind}, self.watchers)
+
+    def close(self) -> None:
+        """End every watcher, for a graceful stop."""
+        self.closing = True
+        self.started.set()
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
 
     async def poll(self) -> None:
         """Read the changes since the last poll into the log."""
@@ -104,8 +118,7 @@
         except RevisionTooOldError:
             # Every watcher is then behind the log, which starts anew.
             self._forget()
-        self._changed.set()
-        self._changed = Event()
+        self._wake()
 
     async def wait_change(self) -> None:
         """Return after the next poll."""
@@ -192,6 +205,9 @@
     async def _next_lines(self) -> list[bytes]:
         """Return lines, from the log if it reaches back to the version."""
         await self.log.started.wait()
+        if self.log.closing:
+            self.ended = True
+            return [self._end_line("The server is stopping.")]
         if self.version < self.log.floor:
             return await self._catch_up()
         found = [entry.line for entry in self.log.after(self.version)]
@@ -249,6 +265,11 @@
             for kind_log in self.logs.values():
                 nursery.start_soon(kind_log.run)
 
+    def close(self) -> None:
+        """End every watcher, for a graceful stop."""
+        for kind_log in self.logs.values():
+            kind_log.close()
+
     def is_full(self, kind: str) -> bool:
         """Return whether there is no room for another watcher of a kind."""
         return self.logs[kind].watchers >= WATCHERS_LIMIT
--- a/src/damaskstall/resources/writes.py
+++ b/src/damaskstall/resources/writes.py
@@ -4,25 +4,35 @@
 condition that this still holds.
 """
 
+from collections.abc import Callable
+from random import Random
 from typing import Any, NamedTuple
 
+from trio import sleep
+
 from damaskstall.errors import (
     ResourceConflictError,
+    ResourceMissingError,
     TableConflictError,
-    TableOutcomeUnknownError,
+    TableUnavailableError,
     ValidationError,
+    WrittenBeforeError,
 )
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.platform.types import ABSENT, Row, Write
 from damaskstall.resources.checks import (
-    GUARDED_KINDS,
     Planner,
     check_against,
     check_guarantees,
     memory_view,
-    read_guard,
     read_view,
 )
+from damaskstall.resources.guards import (
+    GUARDED_KINDS,
+    Guard,
+    guard_key,
+    read_guard,
+)
 from damaskstall.resources.records import (
     JOB_ENDED,
     JOB_QUEUED,
@@ -34,12 +44,15 @@
     ResourceStore,
     is_written_by,
     resource_key,
+    resource_of,
     row_value,
+    written_before,
 )
 from damaskstall.resources.take_out import decided_status
 from damaskstall.resources.validate import validate_resource
 
-GUARD_ATTEMPTS = 5
+GUARD_ATTEMPTS = 8
+GUARD_DELAY_S = 0.01
 
 
 class Change(NamedTuple):
@@ -50,6 +63,21 @@
     dry_run: bool
 
 
+class Planned(NamedTuple):
+    """Hold what a change would come to, decided on one state of its row.
+
+    ``write`` is None where nothing has to be written, and ``spec`` is None
+    for a deletion.
+    """
+
+    write: Write | None
+    spec: dict[str, Any] | None
+    seen: Resource
+
+
+Plan = Callable[[Row | None], Planned]
+
+
 class ResourceWriter:
     """Write declarations that are valid by themselves and together."""
 
@@ -60,6 +88,7 @@
         self.store = store
         self.config = config
         self.planner = planner
+        self.random = Random(0)
 
     async def create(
         self, kind: str, name: Any, given: Any, change: Change
@@ -71,42 +100,44 @@
         spec = validate_resource(kind, name, given)
         status = new_status(kind, change.now_unix_s)
         value = row_value(spec, status, change.mutation_id)
-        write = Write(resource_key(kind, name), value, ABSENT)
-        version = await self._write_checked(
-            kind, name, spec, write, None, change
-        )
-        return Resource(kind, name, version, spec, status)
+        key = resource_key(kind, name)
+
+        def plan(row: Row | None) -> Planned:
+            if row is not None:
+                raise ResourceConflictError(
+                    f"There is a {kind} {name!r} at version {row.revision}.",
+                    row.revision,
+                )
+            seen = Resource(kind, name, ABSENT, spec, status)
+            return Planned(Write(key, value, ABSENT), spec, seen)
+
+        return await self._write(kind, name, plan, change)
 
     async def replace(
         self, kind: str, name: str, given: Any, version: int, change: Change
     ) -> Resource:
         """Replace the spec of one version of a resource.
 
-        Writes nothing where the spec is the same already.
-
-        Raises ValidationError, ResourceMissingError and
-        ResourceConflictError.
+        Writes nothing where the spec is the same already. Raises
+        ValidationError, ResourceMissingError and ResourceConflictError.
         """
-        row = await self.store.read_row(kind, name)
-        old = row.value or {}
-        if isinstance(given, dict) and kind == "failure_domain":
-            given = {"state": old["spec"]["state"], **given}
-        spec = validate_resource(kind, name, given)
-        if is_written_by(row, change.mutation_id):
-            return Resource(kind, name, row.revision, spec, old["status"])
-        check_version(row, version)
-        if spec == old["spec"]:
-            return Resource(kind, name, version, spec, old["status"])
-        check_replaceable(kind, row)
-        status = old.get("status", {})
-        if kind == "failure_domain" and spec["state"] != old["spec"]["state"]:
-            status = decided_status(row, change.now_unix_s)
-        value = row_value(spec, status, change.mutation_id, row)
-        write = Write(row.key, value, version)
-        written = await self._write_checked(
-            kind, name, spec, write, row, change
-        )
-        return Resource(kind, name, written, spec, status)
+
+        def plan(row: Row | None) -> Planned:
+            row = present(kind, name, row)
+            old = resource_of(kind, row)
+            spec = validate_resource(kind, name, with_state(old, given))
+            check_version(row, version)
+            if spec == old.spec:
+                return Planned(None, spec, old)
+            check_replaceable(row, old)
+            status = old.status
+            if spec.get("state") != old.spec.get("state"):
+                status = decided_status(row, change.now_unix_s)
+            value = row_value(spec, status, change.mutation_id, row)
+            seen = Resource(kind, name, version, spec, status)
+            return Planned(Write(row.key, value, version), spec, seen)
+
+        return await self._write(kind, name, plan, change)
 
     async def delete(
         self, kind: str, name: str, version: int, change: Change
@@ -115,65 +146,63 @@
 
         Raises ResourceMissingError and ResourceConflictError.
         """
-        row = await self.store.read_row(kind, name)
-        check_version(row, version)
-        check_deletable(kind, row)
-        old = row.value or {}
-        write = Write(row.key, None, version)
-        written = await self._write_checked(
-            kind, name, None, write, row, change
-        )
-        return Resource(kind, name, written, old["spec"], old["status"])
-
-    async def _write_checked(
-        self,
-        kind: str,
-        name: str,
-        spec: dict[str, Any] | None,
-        write: Write,
-        row: Row | None,
-        change: Change,
-    ) -> int:
-        """Commit a write whose checks still hold when it takes effect.
-
-        Returns the version written, or the present one of a dry run.
-        """
-        for _ in range(GUARD_ATTEMPTS):
-            guards = await self._check(kind, name, spec, change)
+
+        def plan(row: Row | None) -> Planned:
+            row = present(kind, name, row)
+            old = resource_of(kind, row)
+            check_version(row, version)
+            check_deletable(row, old)
+            return Planned(Write(row.key, None, version), None, old)
+
+        try:
+            return await self._write(kind, name, plan, change)
+        except WrittenBeforeError as error:
+            if error.current_version != ABSENT:
+                raise
+            return Resource(kind, name, version, {}, {})
+
+    async def _write(
+        self, kind: str, name: str, plan: Plan, change: Change
+    ) -> Resource:
+        """Commit a plan whose checks still hold when it takes effect."""
+        table = self.store.table
+        for attempt in range(GUARD_ATTEMPTS):
+            await sleep(self.random.uniform(0, attempt * GUARD_DELAY_S))
+            guard = await read_guard(table, guard_key(kind, name))
+            row = await table.read(resource_key(kind, name))
+            if is_repeated(row, guard, change.mutation_id):
+                return repeated(kind, row, change.mutation_id)
+            planned = plan(row)
+            if planned.write is None:
+                return planned.seen
+            await self._check(kind, name, planned.spec)
             if change.dry_run:
-                return await self._check_dry(write)
+                return planned.seen
             try:
-                return await self.store.commit(
-                    write, row, guards, change.mutation_id
+                version = await self.store.commit(
+                    planned.write, row, guard, change.mutation_id
                 )
             except TableConflictError:
                 # Another's write moved the guard: check again with it.
                 continue
-        raise TableOutcomeUnknownError(
-            f"The write of {write.key!r} lost every race for the guard row."
-        )
+            return planned.seen._replace(resource_version=version)
+        raise TableUnavailableError("Too many operators write at once.")
 
     async def _check(
-        self,
-        kind: str,
-        name: str,
-        spec: dict[str, Any] | None,
-        change: Change,
-    ) -> tuple[Write, ...]:
-        """Check a spec against the others; return the guards it needs."""
+        self, kind: str, name: str, spec: dict[str, Any] | None
+    ) -> None:
+        """Check a spec, or its removal, against the other ones."""
+        if kind == "job" and spec is not None:
+            await self._check_job(name, spec)
         if kind not in GUARDED_KINDS:
-            if kind == "job" and spec is not None:
-                await self._check_job(name, spec)
-            return ()
-        guard = await read_guard(self.store.table, change.mutation_id)
+            return
         view = await read_view(self.store.table, self.config)
         if spec is not None:
             check_against(kind, name, spec, view, self.planner)
-        elif kind == "failure_domain":
-            problems = check_guarantees(view.without(kind, name), self.planner)
-            if problems:
-                raise ValidationError(tuple(problems))
-        return (guard,)
+            return
+        problems = check_guarantees(view.without(kind, name), self.planner)
+        if problems:
+            raise ValidationError(tuple(problems))
 
     async def _check_job(self, name: str, spec: dict[str, Any]) -> None:
         try:
@@ -184,17 +213,36 @@
             view = await read_view(self.store.table, self.config)
             check_against("job", name, spec, view, self.planner)
 
-    async def _check_dry(self, write: Write) -> int:
-        """Return the present version; raise ResourceConflictError."""
-        row = await self.store.table.read(write.key)
-        current = ABSENT if row is None else row.revision
-        if current != write.if_revision:
-            raise ResourceConflictError(
-                f"The resource is at version {current}, "
-                f"not at {write.if_revision}.",
-                current,
-            )
-        return current
+
+def is_repeated(row: Row | None, guard: Guard, mutation_id: str) -> bool:
+    """Return whether a request has taken effect before."""
+    if mutation_id in guard.passed:
+        return True
+    return row is not None and is_written_by(row, mutation_id)
+
+
+def repeated(kind: str, row: Row | None, mutation_id: str) -> Resource:
+    """Return what a repeated request came to the first time.
+
+    Raises WrittenBeforeError when others have followed it.
+    """
+    if row is not None and is_written_by(row, mutation_id):
+        return resource_of(kind, row)
+    raise written_before(row)
+
+
+def present(kind: str, name: str, row: Row | None) -> Row:
+    """Return a row that is there; raise ResourceMissingError otherwise."""
+    if row is None:
+        raise ResourceMissingError(kind, name)
+    return row
+
+
+def with_state(old: Resource, given: Any) -> Any:
+    """Return a spec that keeps its failure domain's state if it has none."""
+    if old.kind != "failure_domain" or not isinstance(given, dict):
+        return given
+    return {"state": old.spec["state"], **given}
 
 
 def new_status(kind: str, now_unix_s: float) -> dict[str, Any]:
@@ -215,9 +263,9 @@
         )
 
 
-def check_replaceable(kind: str, row: Row) -> None:
+def check_replaceable(row: Row, old: Resource) -> None:
     """Raise ResourceConflictError for a job that has been placed."""
-    state = job_state(kind, row)
+    state = job_state(old)
     if state not in ("", JOB_QUEUED):
         raise ResourceConflictError(
             f"The job is {state}: only a queued job can be changed.",
@@ -225,25 +273,22 @@
         )
 
 
-def check_deletable(kind: str, row: Row) -> None:
+def check_deletable(row: Row, old: Resource) -> None:
     """Raise ResourceConflictError where deleting would lose work."""
-    state = job_state(kind, row)
+    state = job_state(old)
     if state and state != JOB_QUEUED and state not in JOB_ENDED:
         raise ResourceConflictError(
             f"The job is {state}: cancel it before it is deleted.",
             row.revision,
         )
-    spec = (row.value or {}).get("spec", {})
-    if kind == "failure_domain" and spec.get("state") != STATE_OUT:
+    in_service = old.spec.get("state") != STATE_OUT
+    if old.kind == "failure_domain" and in_service:
         raise ResourceConflictError(
             "The failure domain is in service: drain it before it is deleted.",
             row.revision,
         )
 
 
-def job_state(kind: str, row: Row) -> str:
+def job_state(resource: Resource) -> str:
     """Return a job's state, and an empty text for other kinds."""
-    if kind != "job":
-        return ""
-    state: str = (row.value or {})["status"]["state"]
-    return state
+    return str(resource.status["state"]) if resource.kind == "job" else ""
--- a/tests/resources/calls.py
+++ b/tests/resources/calls.py
@@ -2,18 +2,25 @@
 
 from collections.abc import AsyncIterator
 from json import dumps, loads
+from random import Random
 from typing import Any, NamedTuple
 
-from trio import current_time
+from trio import Nursery, current_time, sleep
 
-from damaskstall.errors import PlatformError
+from damaskstall.errors import (
+    PlatformError,
+    TableConflictError,
+    TableOutcomeUnknownError,
+)
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.http.messages import Body, Request, split_target
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.platform.keys import CONFIG_PREFIX
+from damaskstall.platform.types import Write
 from damaskstall.resources.api import ResourceApi
 from standins.platform.memory import MemoryTable, Platform
 
+LATEST_S = 20.0
 RACK = {
     "name": "r1",
     "workers": [
@@ -34,9 +41,14 @@
 class Entry:
     """Run the resource interface of one instance."""
 
-    def __init__(self, platform: Platform, name: str = "e1") -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        name: str = "e1",
+        table: MemoryTable | None = None,
+    ) -> None:
         """Serve the platform's table."""
-        self.table = MemoryTable(platform, name)
+        self.table = table or MemoryTable(platform, name)
         self.config = ConfigStore()
         self.api = ResourceApi(
             self.table,
@@ -101,3 +113,36 @@
     """Replace the spec of one version."""
     body = {"spec": spec, "resource_version": version}
     return await entry.call("PUT", f"/v1/resources/{kind}/{name}", body)
+
+
+class LateTable(MemoryTable):
+    """Lose commits on their way, so that some take effect much later."""
+
+    def __init__(
+        self, platform: Platform, caller: str, nursery: Nursery, seed: int
+    ) -> None:
+        """Choose by a seeded share which commits are late."""
+        super().__init__(platform, caller)
+        self.nursery = nursery
+        self.random = Random(seed)
+        self.late_share = 0.0
+
+    async def commit(self, writes: tuple[Write, ...], mutation_id: str) -> int:
+        """Write all rows or none; a late copy is written after the answer."""
+        if self.random.random() >= self.late_share:
+            return await super().commit(writes, mutation_id)
+        delay_s = self.timeout_s + self.random.uniform(0, LATEST_S)
+        self.nursery.start_soon(
+            self._commit_late, writes, mutation_id, delay_s
+        )
+        await sleep(self.timeout_s)
+        raise TableOutcomeUnknownError("The commit got stuck on its way.")
+
+    async def _commit_late(
+        self, writes: tuple[Write, ...], mutation_id: str, delay_s: float
+    ) -> None:
+        await sleep(delay_s)
+        try:
+            self.platform.table.commit(writes, mutation_id, current_time())
+        except TableConflictError:
+            return
