--- a/src/damaskstall/cli/files.py
+++ b/src/damaskstall/cli/files.py
@@ -1,5 +1,6 @@
 """Read declarations from YAML and JSON files."""
 
+from json import dumps, loads
 from pathlib import Path
 from sys import stdin
 from typing import Any, NamedTuple
@@ -79,14 +80,23 @@
     for document in documents:
         if document is None:
             continue
-        items = document if isinstance(document, list) else [document]
-        if isinstance(document, dict) and "items" in document:
-            items = document["items"]
-        for item in items:
-            found.append(declaration_of(path, item))
+        items = document
+        if isinstance(document, dict):
+            items = document.get("items", [document])
+        if not isinstance(items, list):
+            raise CommandError(USAGE, f"{path} has no list of declarations.")
+        found += [declaration_of(path, item) for item in items]
     return found
 
 
+def is_json(value: Any) -> bool:
+    """Return whether JSON can carry a value as it is."""
+    try:
+        return bool(loads(dumps(value, allow_nan=False)) == value)
+    except (TypeError, ValueError, RecursionError):
+        return False
+
+
 def declaration_of(path: str, item: Any) -> Declaration:
     """Return one declaration; raise CommandError for a bad shape."""
     if not isinstance(item, dict):
@@ -103,4 +113,11 @@
             f"A document of {path} needs a kind of {', '.join(KINDS)} and "
             "a name.",
         )
-    return Declaration(kind, name, item.get("spec", {}))
+    spec = item.get("spec", {})
+    if not is_json(spec):
+        raise CommandError(
+            USAGE,
+            f"The spec of {kind}/{name} in {path} has values that JSON cannot "
+            "carry, such as dates, NaN or names that are not texts.",
+        )
+    return Declaration(kind, name, spec)
--- a/src/damaskstall/resources/answers.py
+++ b/src/damaskstall/resources/answers.py
@@ -2,6 +2,7 @@
 
 from damaskstall.errors import (
     BadRequestError,
+    BodyTooLargeError,
     FieldProblem,
     ResourceConflictError,
     ResourceMissingError,
@@ -36,6 +37,8 @@
     handler = route.handler
     if isinstance(error, BadRequestError):
         return error_response(400, str(error))
+    if isinstance(error, BodyTooLargeError):
+        return error_response(413, str(error))
     if isinstance(error, ResourceMissingError):
         return error_response(404, str(error))
     if isinstance(error, RevisionTooOldError):
--- a/tests/resources/calls.py
+++ b/tests/resources/calls.py
@@ -84,14 +84,26 @@
     ) -> Reply:
         """Return the answer to one request."""
         path, query = split_target(target)
+        return await self.request(method, path, query, body, headers)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Return the answer to one request, without a stream's lines."""
 
         async def parts() -> AsyncIterator[bytes]:
             yield body
 
-        request = Request(method, path, query, headers, Body(parts()))
+        request = Request(method, path, query, headers or {}, Body(parts()))
         response = await self.api.handle(request)
-        assert isinstance(response.body, bytes)
-        parsed = loads(response.body)
+        parsed = None
+        if isinstance(response.body, bytes):
+            parsed = loads(response.body)
         return Reply(response.status, dict(response.headers), parsed)
 
     async def declare(self, kind: str, name: str, spec: Any) -> Reply:
