Follow the configuration from the table and from peers

Every process needs the accepted configuration within 3 s, also where it is cut off from the table and reaches a peer.

Add ConfigFollower: a table poller, a server of frames, a client for each chosen peer, a table of who was heard directly, pending take-outs passed on at once, and the report to the instance list.

Harden ConfigStore: a row at or below the held revision is never news, an answer that begins after it is refused, and a peer older than the deletions another remembers gets all rows in place of a delta. The frames name the revision a delta comes after, so a reordered one cannot open a gap.

Ruled out: confirming only from an equal or higher revision. What a peer knew as current at a time is known here too when it is at a lower revision.

--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -27,6 +27,12 @@
   confirmedAgeS @1 :Float64;
   # Seconds since the table last confirmed this revision; negative: never.
   rows @2 :List(ConfigRow);
+  afterRevision @3 :Int64;
+  # The revision the rows come after.
+  snapshot @4 :Bool;
+  # The rows are all there are: what is missing was deleted.
+  more @5 :Bool;
+  # Another frame of this answer follows; none counts before the last.
 }
 
 struct Heartbeat {
@@ -37,6 +43,8 @@
   revision @3 :Int64;
   confirmedAgeS @4 :Float64;
   leaving @5 :Bool;
+  configRevision @6 :Int64;
+  # The newest row known, which may be newer than the revision.
 }
 
 struct HeartbeatAck {
@@ -50,6 +58,10 @@
   out @1 :Bool;
   issuedAgeS @2 :Float64;
   issuedId @3 :Text;
+  baseRevision @4 :Int64;
+  # The row of the failure domain that the issuer knew.
+  sequence @5 :Int64;
+  # Grows with each take-out or restore that its issuer knew of.
 }
 
 struct TakeOutAck {
--- a/src/damaskstall/peers/config_store.py
+++ b/src/damaskstall/peers/config_store.py
@@ -1,18 +1,35 @@
 """Keep the configuration that a process runs by.
 
-The revision never goes down. Freshness counts from the send time of the
-request that confirmed it, so a slow answer looks older and never younger.
+Three rules hold whatever arrives, in whatever order:
+
+- The revision says that every commit up to it is known here, in its own or a
+  later state. It never goes down, and information that begins after it is
+  refused, since commits between would be missed.
+- A row only moves to a higher revision. A row at or below the revision is
+  never news, so a deleted one cannot come back.
+- Freshness counts from the send time of the request that confirmed it, so a
+  slow answer looks older and never younger.
 """
 
 from typing import Any, NamedTuple
 
 from trio import Event
 
+from damaskstall.peers.pending import PendingTakeOut, PendingTakeOuts
 from damaskstall.platform.keys import config_key, split_config_key
 from damaskstall.platform.types import ChangePage, Row
 from damaskstall.resources.records import STATE_OUT
 
+__all__ = [
+    "NEVER",
+    "ConfigDump",
+    "ConfigEntry",
+    "ConfigStore",
+    "PendingTakeOut",
+]
+
 NEVER = float("-inf")
+TOMBSTONE_LIMIT = 512
 
 
 class ConfigEntry(NamedTuple):
@@ -22,13 +39,16 @@
     value: dict[str, Any] | None
 
 
-class PendingTakeOut(NamedTuple):
-    """Hold a change of a failure domain that the table has not kept yet."""
+class ConfigDump(NamedTuple):
+    """Tell what a process runs by; no age means never confirmed."""
 
-    failure_domain: str
-    out: bool
-    issued_id: str
-    issued_s: float
+    revision: int
+    config_revision: int
+    confirmed_age_s: float | None
+    rows: int
+    tombstones: int
+    tombstone_floor: int
+    pending: tuple[PendingTakeOut, ...]
 
 
 class ConfigStore:
@@ -38,26 +58,106 @@
         """Start without any configuration."""
         self.entries: dict[str, ConfigEntry] = {}
         self.revision = 0
+        self.config_revision = 0
         self.confirmed_s = NEVER
-        self.pending: dict[str, PendingTakeOut] = {}
+        # Deletions up to this revision may be missing from the entries.
+        self.tombstone_floor = 0
+        self.take_outs = PendingTakeOuts()
+        self._tombstones = 0
         self._changed = Event()
 
-    def apply(self, page: ChangePage, confirmed_s: float) -> None:
-        """Take in rows up to a revision that was current at a time."""
-        changed = False
-        for row in page.rows:
-            changed |= self._apply_row(row)
-        if page.revision > self.revision:
-            self.revision = page.revision
-        if page.complete and page.revision >= self.revision:
+    @property
+    def pending(self) -> dict[str, PendingTakeOut]:
+        """Return the changes of failure domains the table has not kept."""
+        return self.take_outs.held
+
+    def apply(
+        self,
+        page: ChangePage,
+        confirmed_s: float,
+        after_revision: int | None = None,
+    ) -> bool:
+        """Take in the changes after a revision that were current at a time.
+
+        No revision means after the one held. Returns False, and changes
+        nothing, for a page that begins after what is known here or ends
+        before it begins.
+        """
+        after = self.revision if after_revision is None else after_revision
+        if after > self.revision or page.revision < after:
+            return False
+        changed = self._apply_rows(page.rows)
+        self.revision = max(self.revision, page.revision)
+        if page.complete:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        self._drop_old_tombstones()
+        if changed:
+            self.wake()
+        return True
+
+    def apply_snapshot(
+        self, rows: tuple[Row, ...], revision: int, confirmed_s: float
+    ) -> bool:
+        """Take in all rows there were at a revision; the others are gone.
+
+        Returns False, and changes no row, for a revision below the one held.
+        """
+        if revision < self.revision:
             self.confirmed_s = max(self.confirmed_s, confirmed_s)
+            return False
+        kept = {row.key for row in rows}
+        gone = [
+            key
+            for key, entry in self.entries.items()
+            if key not in kept and entry.revision <= revision
+        ]
+        for key in gone:
+            self._forget(key)
+        changed = self._apply_rows(rows) or bool(gone)
+        self.revision = revision
+        self.tombstone_floor = revision
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
         if changed:
             self.wake()
+        return True
+
+    def learn(self, row: Row) -> None:
+        """Take in one row that the table surely holds, such as an own write.
+
+        Moves neither the revision nor the freshness: commits of others may
+        lie between.
+        """
+        if self._apply_row(row):
+            self.wake()
+
+    def confirm(self, revision: int, confirmed_s: float) -> None:
+        """Count as current at a time, by word of one at a revision.
+
+        Does nothing when the word is from a revision beyond the one held.
+        """
+        if revision <= self.revision:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def age_s(self, now_s: float) -> float:
         """Return seconds since the configuration was surely current."""
         return now_s - self.confirmed_s
 
+    def rows_after(self, revision: int) -> tuple[Row, ...]:
+        """Return the rows changed after a revision, deleted ones included."""
+        return tuple(
+            Row(key, entry.revision, "", entry.value)
+            for key, entry in self.entries.items()
+            if entry.revision > revision
+        )
+
+    def live_rows(self) -> tuple[Row, ...]:
+        """Return all rows that are not deleted."""
+        return tuple(
+            Row(key, entry.revision, "", entry.value)
+            for key, entry in self.entries.items()
+            if entry.value is not None
+        )
+
     def resources(self, kind: str) -> dict[str, dict[str, Any]]:
         """Return the live rows of one kind by name."""
         found = {}
@@ -81,18 +181,26 @@
         if pending is not None and pending.out:
             return True
         spec = self.spec("failure_domain", failure_domain)
-        return spec is not None and spec["state"] == STATE_OUT
+        return spec is not None and spec.get("state") == STATE_OUT
+
+    def hold(self, pending: PendingTakeOut) -> bool:
+        """Obey a take-out in memory until the table has it.
 
-    def hold(self, pending: PendingTakeOut) -> None:
-        """Obey a take-out in memory until the table has it."""
-        self.pending[pending.failure_domain] = pending
-        self.wake()
+        Returns False for one that is known already or overtaken.
+        """
+        name = pending.failure_domain
+        key = config_key("failure_domain", name)
+        entry = self.entries.get(key)
+        revision = 0 if entry is None else entry.revision
+        spec = self.spec("failure_domain", name)
+        held = self.take_outs.hold(pending, revision, spec)
+        if held:
+            self.wake()
+        return held
 
     def settle(self, failure_domain: str, issued_id: str) -> None:
         """Drop a pending take-out that the table now has."""
-        pending = self.pending.get(failure_domain)
-        if pending is not None and pending.issued_id == issued_id:
-            del self.pending[failure_domain]
+        if self.take_outs.settle(failure_domain, issued_id):
             self.wake()
 
     def wake(self) -> None:
@@ -104,9 +212,66 @@
         """Return after the next change."""
         await self._changed.wait()
 
+    def dump(self, now_s: float) -> ConfigDump:
+        """Return what the process runs by."""
+        confirmed = self.confirmed_s != NEVER
+        return ConfigDump(
+            revision=self.revision,
+            config_revision=self.config_revision,
+            confirmed_age_s=self.age_s(now_s) if confirmed else None,
+            rows=len(self.entries) - self._tombstones,
+            tombstones=self._tombstones,
+            tombstone_floor=self.tombstone_floor,
+            pending=tuple(self.pending.values()),
+        )
+
+    def _apply_rows(self, rows: tuple[Row, ...]) -> bool:
+        changed = False
+        for row in rows:
+            changed |= self._apply_row(row)
+        return changed
+
     def _apply_row(self, row: Row) -> bool:
+        if row.revision <= self.revision:
+            return False
         known = self.entries.get(row.key)
         if known is not None and known.revision >= row.revision:
             return False
-        self.entries[row.key] = ConfigEntry(row.revision, row.value)
+        self._count(known, -1)
+        entry = ConfigEntry(row.revision, row.value)
+        self.entries[row.key] = entry
+        self._count(entry, 1)
+        self.config_revision = max(self.config_revision, row.revision)
+        self._settle_by_row(row)
         return True
+
+    def _settle_by_row(self, row: Row) -> None:
+        kind, name = split_config_key(row.key)
+        if kind == "failure_domain":
+            spec = None if row.value is None else row.value["spec"]
+            self.take_outs.settle_by_row(name, row.revision, spec)
+
+    def _forget(self, key: str) -> None:
+        entry = self.entries.pop(key)
+        self._count(entry, -1)
+        kind, name = split_config_key(key)
+        if kind == "failure_domain":
+            self.take_outs.settle_by_row(name, entry.revision + 1, None)
+
+    def _count(self, entry: ConfigEntry | None, step: int) -> None:
+        if entry is not None and entry.value is None:
+            self._tombstones += step
+
+    def _drop_old_tombstones(self) -> None:
+        """Bound the memory of deletions; who lacks them gets a snapshot."""
+        if self._tombstones <= TOMBSTONE_LIMIT:
+            return
+        found = sorted(
+            (entry.revision, key)
+            for key, entry in self.entries.items()
+            if entry.value is None and entry.revision <= self.revision
+        )
+        for revision, key in found[: len(found) // 2]:
+            del self.entries[key]
+            self._tombstones -= 1
+            self.tombstone_floor = max(self.tombstone_floor, revision)
--- /dev/null
+++ b/src/damaskstall/peers/fanout.py
@@ -0,0 +1,54 @@
+"""Choose the peers a process talks to, so that their number is bounded.
+
+Inside a failure domain the processes form a ring by address; each asks those
+1, 2, 4 and 8 places ahead, so news crosses the ring in a few exchanges and
+the loss of single processes cuts nobody off. Each also asks one process in
+each of the next two failure domains.
+"""
+
+from typing import NamedTuple
+
+from damaskstall.addresses import Address
+
+RING_STEPS = (1, 2, 4, 8)
+FAR_STEPS = (1, 2)
+SMALL_COUNT = 8
+
+
+class Candidate(NamedTuple):
+    """Name a process that could be asked; no failure domain: not known."""
+
+    address: Address
+    failure_domain: str
+
+
+def choose_peers(
+    candidates: frozenset[Candidate], own: Candidate
+) -> frozenset[Address]:
+    """Return whom a process asks; the same for the same candidates."""
+    others = {c for c in candidates if c.address != own.address}
+    if len(others) <= SMALL_COUNT:
+        return frozenset(c.address for c in others)
+    near = [c for c in others if c.failure_domain == own.failure_domain]
+    ring = sorted([own, *near])
+    place = ring.index(own)
+    chosen = {ring[(place + step) % len(ring)] for step in RING_STEPS}
+    chosen |= choose_far(others, own, place)
+    chosen.discard(own)
+    return frozenset(c.address for c in chosen)
+
+
+def choose_far(
+    others: set[Candidate], own: Candidate, place: int
+) -> set[Candidate]:
+    """Return one process in each of the next failure domains."""
+    names = sorted({c.failure_domain for c in others} | {own.failure_domain})
+    start = names.index(own.failure_domain)
+    chosen = set()
+    for step in FAR_STEPS:
+        name = names[(start + step) % len(names)]
+        if name == own.failure_domain:
+            continue
+        members = sorted(c for c in others if c.failure_domain == name)
+        chosen.add(members[place % len(members)])
+    return chosen
--- /dev/null
+++ b/src/damaskstall/peers/follower.py
@@ -0,0 +1,180 @@
+"""Keep a process's configuration in step with the table and its peers."""
+
+from typing import Any
+
+from trio import (
+    TASK_STATUS_IGNORED,
+    CancelScope,
+    Lock,
+    Nursery,
+    TaskStatus,
+    current_time,
+    open_nursery,
+)
+
+from damaskstall.addresses import Address, parse_address, parse_addresses
+from damaskstall.events import log
+from damaskstall.generated.settings import EntrySettings, SchedulerSettings
+from damaskstall.network import Network
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.peers.events import CONFIG_CHANGED
+from damaskstall.peers.fanout import Candidate, choose_peers
+from damaskstall.peers.liveness import InstanceRow, PeerIdentity
+from damaskstall.peers.node import PeerNode
+from damaskstall.peers.peer_client import PeerClient
+from damaskstall.peers.peer_server import PeerServer
+from damaskstall.peers.table_poller import TablePoller
+from damaskstall.platform.types import InstanceRecord, TableService
+
+__all__ = ["ConfigFollower", "PeerIdentity"]
+
+Settings = EntrySettings | SchedulerSettings
+
+
+class ConfigFollower:
+    """Poll the table, serve peers and ask them."""
+
+    def __init__(
+        self,
+        network: Network,
+        table: TableService,
+        store: ConfigStore,
+        identity: PeerIdentity,
+        settings: Settings,
+    ) -> None:
+        """Name the process and what it keeps up to date."""
+        self.network = network
+        self.store = store
+        self.settings = settings
+        self.node = PeerNode(identity, store)
+        self.poller = TablePoller(
+            table, store, settings.config_poll_s, identity.instance
+        )
+        self.server = PeerServer(self.node)
+        self.clients: dict[Address, PeerClient] = {}
+        self._scopes: dict[Address, CancelScope] = {}
+        self._pull_lock = Lock()
+        self._own: Candidate | None = None
+        self._listed: frozenset[Candidate] = frozenset()
+        self._nursery: Nursery | None = None
+
+    async def run(
+        self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
+    ) -> None:
+        """Follow the configuration until cancelled.
+
+        Reports the address that answers peers.
+        """
+        async with open_nursery() as nursery:
+            self._nursery = nursery
+            address: Address = await nursery.start(
+                self.network.serve,
+                self.server.handle,
+                parse_address(self.settings.peer_listen),
+            )
+            domain = self.node.identity.failure_domain
+            self._own = Candidate(address, domain)
+            nursery.start_soon(self.poller.run)
+            nursery.start_soon(self._log_changes)
+            self._connect_chosen()
+            task_status.started(address)
+
+    def leave(self) -> None:
+        """Tell peers, with the next exchanges, that this process leaves."""
+        self.node.leaving = True
+
+    def offer(self, records: tuple[InstanceRecord, ...]) -> None:
+        """Take in the processes that the platform lists."""
+        listed = set()
+        for record in records:
+            if record.role.startswith("damaskstall-") and not record.leaving:
+                address = parse_address(record.address)
+                listed.add(Candidate(address, record.failure_domain))
+        self._listed = frozenset(listed)
+        self._connect_chosen()
+
+    def instances(self) -> tuple[InstanceRow, ...]:
+        """Return this process and the peers it heard directly."""
+        now_s = current_time()
+        identity = self.node.identity
+        confirmed = self.store.dump(now_s).confirmed_age_s
+        own = InstanceRow(
+            identity.instance,
+            identity.program,
+            identity.failure_domain,
+            self.store.revision,
+            confirmed,
+            self.node.leaving,
+            0.0,
+        )
+        heard = self.node.liveness.instances(now_s)
+        return (own, *(r for r in heard if r.instance != own.instance))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the exchange as JSON values."""
+        traffic = self.node.traffic
+        dump = self.store.dump(current_time())._asdict()
+        dump["pending"] = [p._asdict() for p in dump["pending"]]
+        return {
+            "config": dump,
+            "table_failures": self.poller.failures,
+            "table_polls": self.poller.polls,
+            "peers": {
+                str(address): {
+                    "connected": client.connected,
+                    "failures": client.failures,
+                    "instance": client.peer.instance if client.peer else None,
+                }
+                for address, client in self.clients.items()
+            },
+            "peer_connections": self.server.connections,
+            "refused_frames": self.server.refused_frames,
+            "ended_connections_sent_bytes": traffic.sent_bytes,
+            "ended_connections_received_bytes": traffic.received_bytes,
+            "instances": [row._asdict() for row in self.instances()],
+        }
+
+    def _connect_chosen(self) -> None:
+        """Start a task for each new peer and end those of the others."""
+        if self._nursery is None or self._own is None:
+            return
+        chosen = choose_peers(self._candidates(), self._own)
+        for address in self.clients.keys() - chosen:
+            del self.clients[address]
+            self._scopes.pop(address).cancel()
+        for address in sorted(chosen - self.clients.keys()):
+            client = PeerClient(
+                self.network,
+                address,
+                self.node,
+                self._pull_lock,
+                self.settings.peer_poll_s,
+            )
+            self.clients[address] = client
+            self._scopes[address] = CancelScope()
+            self._nursery.start_soon(
+                run_in_scope, client, self._scopes[address]
+            )
+
+    def _candidates(self) -> frozenset[Candidate]:
+        known = {c.address for c in self._listed}
+        configured = parse_addresses(self.settings.peers)
+        return self._listed | {
+            Candidate(address, "")
+            for address in configured
+            if address not in known
+        }
+
+    async def _log_changes(self) -> None:
+        logged = self.store.config_revision
+        while True:
+            await self.store.wait_change()
+            if self.store.config_revision > logged:
+                logged = self.store.config_revision
+                log(CONFIG_CHANGED, config_revision=logged)
+
+
+async def run_in_scope(client: PeerClient, scope: CancelScope) -> None:
+    """Run a client until its scope is cancelled."""
+    with scope:
+        await client.run()
--- /dev/null
+++ b/src/damaskstall/peers/liveness.py
@@ -0,0 +1,99 @@
+"""Keep who was heard directly, when, and what it runs by."""
+
+from typing import NamedTuple
+
+from damaskstall.generated.messages import Heartbeat
+
+FORGET_AFTER_S = 3600.0
+PEER_ROW_LIMIT = 4096
+
+
+class PeerIdentity(NamedTuple):
+    """Name a process: unique instance name, failure domain and program."""
+
+    instance: str
+    failure_domain: str
+    program: str
+
+
+class PeerRow(NamedTuple):
+    """Hold what a peer last said of itself, and when we heard it.
+
+    ``confirmed_s`` is on our own clock; None means never confirmed.
+    """
+
+    identity: PeerIdentity
+    revision: int
+    confirmed_s: float | None
+    leaving: bool
+    heard_s: float
+
+
+class InstanceRow(NamedTuple):
+    """Describe one process to an operator; ages count from the present."""
+
+    instance: str
+    program: str
+    failure_domain: str
+    revision: int
+    confirmed_age_s: float | None
+    leaving: bool
+    heard_age_s: float
+
+
+class LivenessTable:
+    """Hold the peers that were heard directly."""
+
+    def __init__(self) -> None:
+        """Start knowing nobody."""
+        self.rows: dict[str, PeerRow] = {}
+
+    def heard(self, heartbeat: Heartbeat, since_s: float) -> None:
+        """Note a heartbeat; its age counts from a time on our clock."""
+        age_s = heartbeat.confirmed_age_s
+        identity = PeerIdentity(
+            heartbeat.instance, heartbeat.failure_domain, heartbeat.program
+        )
+        self.rows[heartbeat.instance] = PeerRow(
+            identity,
+            heartbeat.revision,
+            None if age_s < 0 else since_s - age_s,
+            heartbeat.leaving,
+            since_s,
+        )
+        self._forget_silent(since_s)
+
+    def live(self, failure_domain: str, now_s: float, ttl_s: float) -> int:
+        """Return how many peers of a failure domain were heard lately."""
+        return sum(
+            row.identity.failure_domain == failure_domain
+            and not row.leaving
+            and now_s - row.heard_s <= ttl_s
+            for row in self.rows.values()
+        )
+
+    def instances(self, now_s: float) -> tuple[InstanceRow, ...]:
+        """Return all peers that are remembered, by name."""
+        return tuple(
+            InstanceRow(
+                row.identity.instance,
+                row.identity.program,
+                row.identity.failure_domain,
+                row.revision,
+                age_or_none(row.confirmed_s, now_s),
+                row.leaving,
+                now_s - row.heard_s,
+            )
+            for _, row in sorted(self.rows.items())
+        )
+
+    def _forget_silent(self, now_s: float) -> None:
+        if len(self.rows) <= PEER_ROW_LIMIT:
+            return
+        silent = min(self.rows.values(), key=lambda row: row.heard_s)
+        del self.rows[silent.identity.instance]
+
+
+def age_or_none(confirmed_s: float | None, now_s: float) -> float | None:
+    """Return seconds since a time, or None where there is none."""
+    return None if confirmed_s is None else now_s - confirmed_s
--- /dev/null
+++ b/src/damaskstall/peers/node.py
@@ -0,0 +1,58 @@
+"""Hold what the server and the clients of one process share."""
+
+from damaskstall.events import log
+from damaskstall.frames import FrameStream
+from damaskstall.generated.messages import Heartbeat
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.peers.deltas import age_to_send
+from damaskstall.peers.events import TAKE_OUT_HELD
+from damaskstall.peers.liveness import LivenessTable, PeerIdentity
+from damaskstall.peers.pending import PendingTakeOut
+
+
+class Traffic:
+    """Count the bytes of connections that have ended."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def add(self, frames: FrameStream) -> None:
+        """Count a connection that ends."""
+        self.sent_bytes += frames.sent_bytes
+        self.received_bytes += frames.received_bytes
+
+
+class PeerNode:
+    """Hold one process's identity, configuration and liveness table."""
+
+    def __init__(self, identity: PeerIdentity, store: ConfigStore) -> None:
+        """Name the process and what it runs by."""
+        self.identity = identity
+        self.store = store
+        self.liveness = LivenessTable()
+        self.traffic = Traffic()
+        self.leaving = False
+
+    def heartbeat(self, now_s: float) -> Heartbeat:
+        """Return what the process says of itself."""
+        return Heartbeat(
+            instance=self.identity.instance,
+            failure_domain=self.identity.failure_domain,
+            program=self.identity.program,
+            revision=self.store.revision,
+            confirmed_age_s=age_to_send(self.store, now_s),
+            leaving=self.leaving,
+            config_revision=self.store.config_revision,
+        )
+
+    def hold(self, pending: PendingTakeOut) -> None:
+        """Obey a peer's take-out and so pass it on."""
+        if self.store.hold(pending):
+            log(
+                TAKE_OUT_HELD,
+                failure_domain=pending.failure_domain,
+                out=pending.out,
+                issued_id=pending.issued_id,
+            )
--- /dev/null
+++ b/src/damaskstall/peers/peer_client.py
@@ -0,0 +1,268 @@
+"""Exchange heartbeats, configuration and take-outs with one peer."""
+
+from random import Random
+
+from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    Event,
+    Lock,
+    TooSlowError,
+    current_time,
+    fail_after,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.addresses import Address
+from damaskstall.errors import FrameError
+from damaskstall.events import log
+from damaskstall.frames import FrameStream
+from damaskstall.generated.messages import (
+    ConfigDelta,
+    ConfigPull,
+    Frame,
+    Heartbeat,
+    HeartbeatAck,
+    TakeOut,
+    TakeOutAck,
+)
+from damaskstall.network import Network
+from damaskstall.peers.deltas import apply_answer, confirmed_time
+from damaskstall.peers.events import (
+    PEER_CONNECTED,
+    PEER_DELTA_REFUSED,
+    PEER_LOST,
+)
+from damaskstall.peers.node import PeerNode
+from damaskstall.peers.peer_server import HINT_REQUEST_ID, check_heartbeat
+from damaskstall.peers.pending import PendingTakeOut
+
+EXCHANGE_TIMEOUT_S = 1.0
+BACKOFF_LIMIT_S = 2.0
+JITTER_RATIO = 0.2
+DOUBLING_LIMIT = 8
+ANSWER_PARTS_LIMIT = 64
+
+AnswerBody = (
+    ConfigPull | ConfigDelta | Heartbeat | HeartbeatAck | TakeOut | TakeOutAck
+)
+
+LOST = (
+    BrokenResourceError,
+    ClosedResourceError,
+    FrameError,
+    OSError,
+    TooSlowError,
+)
+
+
+class PeerClient:
+    """Keep one connection to one peer and ask it in turn."""
+
+    def __init__(
+        self,
+        network: Network,
+        address: Address,
+        node: PeerNode,
+        pull_lock: Lock,
+        poll_s: float,
+    ) -> None:
+        """Name the peer and what is shared with the other clients."""
+        self.network = network
+        self.address = address
+        self.node = node
+        self.pull_lock = pull_lock
+        self.poll_s = poll_s
+        self.peer: Heartbeat | None = None
+        self.connected = False
+        self.failures = 0
+        self._random = Random(f"{node.identity.instance} {address}")
+
+    async def run(self) -> None:
+        """Connect and exchange until cancelled."""
+        while True:
+            try:
+                await self._connect_and_exchange()
+            except* LOST as group:
+                self._count_failure(group.exceptions[0])
+            doublings = min(self.failures, DOUBLING_LIMIT)
+            pause_s = min(BACKOFF_LIMIT_S, self.poll_s * 2.0**doublings)
+            jitter = self._random.uniform(1 - JITTER_RATIO, 1)
+            await sleep(pause_s * jitter)
+
+    async def _connect_and_exchange(self) -> None:
+        with fail_after(EXCHANGE_TIMEOUT_S):
+            stream = await self.network.connect(self.address)
+        frames = FrameStream(stream)
+        async with stream:
+            try:
+                session = PeerSession(self, frames)
+                await session.run()
+            finally:
+                self.connected = False
+                self.node.traffic.add(frames)
+
+    def _count_failure(self, error: BaseException) -> None:
+        if not self.failures:
+            log(PEER_LOST, peer=str(self.address), error=repr(error))
+        self.failures += 1
+
+    def count_success(self, peer: Heartbeat) -> None:
+        """Note an exchange that worked."""
+        if not self.connected:
+            log(PEER_CONNECTED, peer=str(self.address), instance=peer.instance)
+        self.peer = peer
+        self.connected = True
+        self.failures = 0
+
+
+class PeerSession:
+    """Exchange frames over one connection that works."""
+
+    def __init__(self, client: PeerClient, frames: FrameStream) -> None:
+        """Name the client and its connection."""
+        self.client = client
+        self.node = client.node
+        self.frames = frames
+        self.passed_on: set[str] = set()
+        self._request_id = HINT_REQUEST_ID
+        self._answers: list[Frame] = []
+        self._arrived = Event()
+        self._wanted = Event()
+        self._turn = Lock()
+
+    async def run(self) -> None:
+        """Exchange until the connection fails."""
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._pass_on_take_outs)
+            while True:
+                await self._exchange()
+                await self._wait_turn()
+
+    async def _wait_turn(self) -> None:
+        poll_s = self.client.poll_s
+        with move_on_after(poll_s):
+            await self._wanted.wait()
+            self._wanted = Event()
+
+    async def _receive(self) -> None:
+        while frame := await self.frames.receive():
+            if frame.request_id == HINT_REQUEST_ID:
+                self._take_hint(frame)
+                continue
+            self._answers.append(frame)
+            self._arrived.set()
+        raise FrameError("The peer closed the connection.")
+
+    def _take_hint(self, frame: Frame) -> None:
+        body = frame.body
+        if not isinstance(body, ConfigDelta):
+            raise FrameError("A peer sent a hint of an unknown kind.")
+        if body.revision > self.node.store.config_revision:
+            self._wanted.set()
+
+    async def _exchange(self) -> None:
+        sent_s = current_time()
+        answer = await self._ask(self.node.heartbeat(sent_s))
+        if not isinstance(answer[0], HeartbeatAck):
+            raise FrameError("A peer answered a heartbeat with another.")
+        peer = answer[0].heartbeat
+        check_heartbeat(peer)
+        self.node.liveness.heard(peer, sent_s)
+        self.client.count_success(peer)
+        confirmed_s = confirmed_time(sent_s, peer.confirmed_age_s)
+        self.node.store.confirm(peer.revision, confirmed_s)
+        if not self._should_pull(peer, confirmed_s):
+            return
+        async with self.client.pull_lock:
+            # Another peer may have brought it while this one waited.
+            if self._should_pull(peer, confirmed_s):
+                await self._pull()
+
+    def _should_pull(self, peer: Heartbeat, confirmed_s: float) -> bool:
+        store = self.node.store
+        if peer.config_revision > store.config_revision:
+            return True
+        return (
+            peer.revision > store.revision and confirmed_s > store.confirmed_s
+        )
+
+    async def _pull(self) -> None:
+        store = self.node.store
+        after = store.revision
+        sent_s = current_time()
+        answer = await self._ask(ConfigPull(after))
+        parts = tuple(p for p in answer if isinstance(p, ConfigDelta))
+        if len(parts) != len(answer):
+            raise FrameError("A peer answered a pull with another.")
+        if not apply_answer(store, parts, sent_s):
+            log(
+                PEER_DELTA_REFUSED,
+                peer=str(self.client.address),
+                after_revision=after,
+                revision=parts[-1].revision,
+            )
+
+    async def _pass_on_take_outs(self) -> None:
+        store = self.node.store
+        while True:
+            pending = self._next_to_pass_on()
+            if pending is None:
+                await store.wait_change()
+                continue
+            answer = await self._ask(take_out_to_frame(pending))
+            if not isinstance(answer[0], TakeOutAck):
+                raise FrameError("A peer answered a take-out with another.")
+            self.passed_on.add(pending.issued_id)
+
+    def _next_to_pass_on(self) -> PendingTakeOut | None:
+        held = tuple(self.node.store.pending.values())
+        self.passed_on &= {pending.issued_id for pending in held}
+        for pending in held:
+            if pending.issued_id not in self.passed_on:
+                return pending
+        return None
+
+    async def _ask(
+        self, body: ConfigPull | Heartbeat | TakeOut
+    ) -> tuple[AnswerBody, ...]:
+        """Return the answer's frames; one question is asked at a time."""
+        async with self._turn:
+            with fail_after(EXCHANGE_TIMEOUT_S):
+                self._request_id += 1
+                await self.frames.send(Frame(self._request_id, body))
+                return await self._answer()
+
+    async def _answer(self) -> tuple[AnswerBody, ...]:
+        bodies: list[AnswerBody] = []
+        while not bodies or wants_more(bodies[-1]):
+            if not self._answers:
+                self._arrived = Event()
+                await self._arrived.wait()
+            frame = self._answers.pop(0)
+            if frame.request_id != self._request_id:
+                raise FrameError("A peer answered another question.")
+            bodies.append(frame.body)
+            if len(bodies) > ANSWER_PARTS_LIMIT:
+                raise FrameError("A peer's answer has too many parts.")
+        return tuple(bodies)
+
+
+def wants_more(body: AnswerBody) -> bool:
+    """Return whether another frame of the same answer follows."""
+    return isinstance(body, ConfigDelta) and body.more
+
+
+def take_out_to_frame(pending: PendingTakeOut) -> TakeOut:
+    """Return a pending take-out as it travels."""
+    return TakeOut(
+        pending.failure_domain,
+        pending.out,
+        max(0.0, current_time() - pending.issued_s),
+        pending.issued_id,
+        pending.base_revision,
+        pending.sequence,
+    )
--- /dev/null
+++ b/src/damaskstall/peers/peer_server.py
@@ -0,0 +1,135 @@
+"""Answer the frames of peers, one task for each connection."""
+
+from trio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    current_time,
+    open_nursery,
+)
+from trio.abc import HalfCloseableStream
+
+from damaskstall.errors import FrameError
+from damaskstall.events import log
+from damaskstall.frames import FrameStream
+from damaskstall.generated.messages import (
+    ConfigDelta,
+    ConfigPull,
+    Frame,
+    Heartbeat,
+    HeartbeatAck,
+    TakeOut,
+    TakeOutAck,
+)
+from damaskstall.peers.deltas import age_to_send, answer_pull
+from damaskstall.peers.events import PEER_FRAME_REFUSED
+from damaskstall.peers.node import PeerNode
+from damaskstall.peers.pending import PendingTakeOut
+
+CONNECTION_LIMIT = 256
+NAME_LIMIT = 256
+HINT_REQUEST_ID = 0
+
+
+class PeerServer:
+    """Serve the configuration and the liveness of one process."""
+
+    def __init__(self, node: PeerNode) -> None:
+        """Name the process that is served."""
+        self.node = node
+        self.connections = 0
+        self.refused_frames = 0
+
+    async def handle(self, stream: HalfCloseableStream) -> None:
+        """Answer one connection until it ends or sends nonsense."""
+        if self.connections >= CONNECTION_LIMIT:
+            await stream.aclose()
+            return
+        self.connections += 1
+        try:
+            async with stream:
+                await self._converse(FrameStream(stream))
+        except* FrameError as group:
+            self.refused_frames += 1
+            log(PEER_FRAME_REFUSED, error=str(group.exceptions[0]))
+        except* (BrokenResourceError, ClosedResourceError):
+            pass
+        finally:
+            self.connections -= 1
+
+    async def _converse(self, frames: FrameStream) -> None:
+        try:
+            async with open_nursery() as nursery:
+                nursery.start_soon(self._send_hints, frames)
+                while frame := await frames.receive():
+                    await self._answer(frames, frame)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.node.traffic.add(frames)
+
+    async def _answer(self, frames: FrameStream, frame: Frame) -> None:
+        body = frame.body
+        if isinstance(body, ConfigPull):
+            for delta in answer_pull(
+                self.node.store, body.after_revision, current_time()
+            ):
+                await frames.send(Frame(frame.request_id, delta))
+            return
+        if isinstance(body, Heartbeat):
+            check_heartbeat(body)
+            now_s = current_time()
+            self.node.liveness.heard(body, now_s)
+            ack = HeartbeatAck(self.node.heartbeat(now_s))
+            await frames.send(Frame(frame.request_id, ack))
+            return
+        if isinstance(body, TakeOut):
+            self.node.hold(take_out_from_frame(body, current_time()))
+            ack_id = TakeOutAck(body.issued_id)
+            await frames.send(Frame(frame.request_id, ack_id))
+            return
+        raise FrameError("A peer sent an answer to no question.")
+
+    async def _send_hints(self, frames: FrameStream) -> None:
+        """Tell the peer of each change at once; it asks if it wants it."""
+        store = self.node.store
+        told = store.config_revision
+        while True:
+            if store.config_revision <= told:
+                await store.wait_change()
+                continue
+            told = store.config_revision
+            age_s = age_to_send(store, current_time())
+            hint = ConfigDelta(told, age_s, (), told, False, False)
+            await frames.send(Frame(HINT_REQUEST_ID, hint))
+
+
+def check_heartbeat(heartbeat: Heartbeat) -> None:
+    """Raise FrameError for a heartbeat that no process of ours sends."""
+    names = (
+        heartbeat.instance,
+        heartbeat.failure_domain,
+        heartbeat.program,
+    )
+    if not heartbeat.instance or max(map(len, names)) > NAME_LIMIT:
+        raise FrameError("A heartbeat names no process.")
+    # A comparison with nan is false.
+    if not heartbeat.confirmed_age_s < float("inf"):
+        raise FrameError("A heartbeat names no age.")
+
+
+def take_out_from_frame(body: TakeOut, now_s: float) -> PendingTakeOut:
+    """Return a peer's take-out; raise FrameError on a malformed one."""
+    names = (body.failure_domain, body.issued_id)
+    if not all(names) or max(map(len, names)) > NAME_LIMIT:
+        raise FrameError("A take-out names no failure domain or no id.")
+    if not 0 <= body.issued_age_s < float("inf"):
+        raise FrameError("A take-out names no age.")
+    if body.base_revision < 0 or body.sequence < 1:
+        raise FrameError("A take-out names no revision or no sequence.")
+    return PendingTakeOut(
+        body.failure_domain,
+        body.out,
+        body.issued_id,
+        now_s - body.issued_age_s,
+        body.base_revision,
+        body.sequence,
+    )
--- /dev/null
+++ b/src/damaskstall/peers/registration.py
@@ -0,0 +1,77 @@
+"""Report a process to the platform's instance list and read its peers."""
+
+from trio import current_time, move_on_after, sleep
+
+from damaskstall.addresses import Address
+from damaskstall.errors import PlatformError
+from damaskstall.events import log
+from damaskstall.peers.events import REGISTRATION_FAILED
+from damaskstall.peers.follower import ConfigFollower
+from damaskstall.platform.types import InstanceList, InstanceRecord
+
+REPORT_INTERVAL_S = 10.0
+LEAVE_TIMEOUT_S = 2.0
+
+
+class Registration:
+    """Keep a process in the instance list while it runs."""
+
+    def __init__(
+        self,
+        instances: InstanceList,
+        follower: ConfigFollower,
+        peer_address: Address,
+    ) -> None:
+        """Name the list, the process and where peers reach it."""
+        self.instances = instances
+        self.follower = follower
+        self.peer_address = peer_address
+        self.reported_s: float | None = None
+        self._failing = False
+
+    async def run(self) -> None:
+        """Report and read until cancelled."""
+        while True:
+            await self.report(leaving=self.follower.node.leaving)
+            await self._read()
+            await sleep(REPORT_INTERVAL_S)
+
+    async def leave(self) -> None:
+        """Tell peers and the platform that the process leaves.
+
+        Gives the platform up after a short time: the list lags anyway.
+        """
+        self.follower.leave()
+        with move_on_after(LEAVE_TIMEOUT_S):
+            await self.report(leaving=True)
+
+    async def report(self, leaving: bool) -> None:
+        """Write the process's record; the platform may be down."""
+        identity = self.follower.node.identity
+        record = InstanceRecord(
+            identity.instance,
+            identity.program,
+            identity.failure_domain,
+            str(self.peer_address),
+            leaving,
+        )
+        try:
+            await self.instances.register(record)
+        except PlatformError as error:
+            self._note_failure(error)
+            return
+        self._failing = False
+        self.reported_s = current_time()
+
+    async def _read(self) -> None:
+        try:
+            records = await self.instances.instances()
+        except PlatformError as error:
+            self._note_failure(error)
+            return
+        self.follower.offer(records)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if not self._failing:
+            log(REGISTRATION_FAILED, error=str(error))
+        self._failing = True
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Test the exchange between processes."""
--- /dev/null
+++ b/tests/peers/cluster.py
@@ -0,0 +1,124 @@
+"""Run several processes' followers in one test, with faults on request."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from trio import CancelScope, Nursery, current_time, open_nursery
+
+from damaskstall.addresses import Address
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.peers.follower import ConfigFollower, PeerIdentity
+from damaskstall.platform.keys import config_key
+from damaskstall.platform.types import ABSENT, Row, Write
+from standins.network import MemoryNetwork
+from standins.platform.faults import FaultRule
+from standins.platform.memory import MemoryTable, Platform
+
+FIRST_PORT = 7000
+
+
+def failure_domain_value(state: str, workers: int = 1) -> dict[str, Any]:
+    """Return a failure domain's row with one rack."""
+    listed = [
+        {"name": f"w{n}", "address": "127.0.0.1:1", "accelerators": 8}
+        for n in range(workers)
+    ]
+    racks = [{"name": "r1", "workers": listed}]
+    return {"spec": {"state": state, "racks": racks}, "status": {}}
+
+
+def team_value(weight: float) -> dict[str, Any]:
+    """Return a team's row."""
+    return {"spec": {"weight": weight, "guarantees": []}, "status": {}}
+
+
+class Process:
+    """Hold one running follower."""
+
+    def __init__(self, name: str, follower: ConfigFollower) -> None:
+        """Name the process."""
+        self.name = name
+        self.follower = follower
+        self.scope = CancelScope()
+        self.store = follower.store
+
+
+class Cluster:
+    """Hold the processes, their network and the platform."""
+
+    def __init__(self, nursery: Nursery, seed: int = 0) -> None:
+        """Start without any process."""
+        self.nursery = nursery
+        self.platform = Platform(seed)
+        self.network = MemoryNetwork()
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, Address] = {}
+
+    def address(self, name: str) -> Address:
+        """Return where a process answers its peers, also when it is dead."""
+        port = FIRST_PORT + len(self.addresses)
+        return self.addresses.setdefault(name, Address("127.0.0.1", port))
+
+    async def start(self, name: str, peers: tuple[str, ...]) -> Process:
+        """Start a process that knows the addresses of some peers."""
+        settings = EntrySettings(
+            instance=name,
+            failure_domain="fd1",
+            peer_listen=str(self.address(name)),
+            peers=",".join(str(self.address(peer)) for peer in peers),
+        )
+        follower = ConfigFollower(
+            self.network.end(name),
+            MemoryTable(self.platform, name),
+            ConfigStore(),
+            PeerIdentity(name, "fd1", "damaskstall-entry"),
+            settings,
+        )
+        process = Process(name, follower)
+        self.processes[name] = process
+        await self.nursery.start(self._run, process)
+        return process
+
+    async def _run(self, process: Process, task_status: Any) -> None:
+        with process.scope:
+            await process.follower.run(task_status)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.processes.pop(name).scope.cancel()
+
+    def cut_from_table(self, *names: str) -> None:
+        """Cut these processes, and no others, off from the platform."""
+        rule = FaultRule(callers=names, down=True)
+        self.platform.faults.rules = (rule,) if names else ()
+
+    def cut(self, first: str, second: str) -> None:
+        """Cut two processes off from each other."""
+        self.network.cut(first, second)
+        self.network.cut(second, first)
+
+    def heal(self, first: str, second: str) -> None:
+        """Let two processes reach each other again."""
+        self.network.heal(first, second)
+        self.network.heal(second, first)
+
+    def write(self, kind: str, name: str, value: dict[str, Any] | None) -> Row:
+        """Commit one configuration row at the table itself."""
+        key = config_key(kind, name)
+        table = self.platform.table
+        row = table.read(key)
+        current = row.revision if row else ABSENT
+        revision = table.commit(
+            (Write(key, value, current),), "test", current_time()
+        )
+        return Row(key, revision, "test", value)
+
+
+@asynccontextmanager
+async def cluster(seed: int = 0) -> AsyncIterator[Cluster]:
+    """Yield a cluster whose processes end with the block."""
+    async with open_nursery() as nursery:
+        yield Cluster(nursery, seed)
+        nursery.cancel_scope.cancel()
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -17,7 +17,8 @@
 
 @given(st.integers(0, 2**63), st.lists(ROWS, max_size=4))
 def test_frame_survives_encoding(number: int, rows: list[ConfigRow]) -> None:
-    frame = Frame(number, ConfigDelta(7, 1.5, tuple(rows)))
+    delta = ConfigDelta(7, 1.5, tuple(rows), 6, True, True)
+    frame = Frame(number, delta)
     assert decode(encode(frame)) == frame
 
 
