--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,179 @@
+"""Lay out the demonstration: which processes run, and where."""
+
+from typing import Any, NamedTuple
+
+from trio import open_nursery
+
+from damaskstall.addresses import Address, parse_address
+from demo.processes import HOST, Processes, free_ports
+
+FAILURE_DOMAINS = ("a", "b", "c")
+WORKERS_PER_RACK = 8
+ACCELERATORS = 8
+SCHEDULERS_PER_DOMAIN = 2
+BACKENDS_PER_DOMAIN = 2
+SLOTS = 8
+PLATFORM_OPERATIONS_PER_S = 3000
+
+ENTRY_MODULE = "damaskstall.entry.main"
+SCHEDULER_MODULE = "damaskstall.scheduler.main"
+SERVICES = {"fit-check": True, "publish-minutes": False}
+
+
+class Cluster(NamedTuple):
+    """Hold the addresses that the demonstration talks to."""
+
+    platform: Address
+    workers: dict[str, list[Address]]
+    backends: dict[str, Address]
+    entries: dict[str, Address]
+    operators: dict[str, Address]
+
+
+async def start_cluster(processes: Processes) -> Cluster:
+    """Start every process; return once all have announced."""
+    started = await processes.start(
+        "platform",
+        "standins.platform",
+        {
+            "operations_per_s": PLATFORM_OPERATIONS_PER_S,
+            "list_lag_s": 2,
+        },
+    )
+    platform = parse_address(started.addresses["listen"])
+    await start_outside(processes, platform)
+    await start_product(processes, platform)
+    return describe(processes, platform)
+
+
+async def start_outside(processes: Processes, platform: Address) -> None:
+    """Start the workers and the backend servers."""
+    async with open_nursery() as nursery:
+        for domain in FAILURE_DOMAINS:
+            processes.start_in(
+                nursery,
+                f"workers-{domain}",
+                "standins.worker",
+                {
+                    "name": f"{domain}-worker",
+                    "workers": WORKERS_PER_RACK,
+                    "accelerators": ACCELERATORS,
+                    "platform": platform,
+                },
+            )
+            for number in range(1, BACKENDS_PER_DOMAIN + 1):
+                name = f"backend-{domain}-{number}"
+                processes.start_in(
+                    nursery,
+                    name,
+                    "standins.backend",
+                    {
+                        "name": name,
+                        "slots": SLOTS,
+                        "platform": platform,
+                    },
+                )
+
+
+async def start_product(processes: Processes, platform: Address) -> None:
+    """Start the entries and the schedulers; all are peers of each other."""
+    names = [f"entry-{domain}" for domain in FAILURE_DOMAINS]
+    for domain in FAILURE_DOMAINS:
+        for number in range(1, SCHEDULERS_PER_DOMAIN + 1):
+            names.append(f"scheduler-{domain}-{number}")
+    ports = dict(zip(names, free_ports(len(names)), strict=True))
+    async with open_nursery() as nursery:
+        for name in names:
+            module = (
+                ENTRY_MODULE if name.startswith("entry") else SCHEDULER_MODULE
+            )
+            peers = [f"{HOST}:{p}" for n, p in ports.items() if n != name]
+            processes.start_in(
+                nursery,
+                name,
+                module,
+                {
+                    "instance": name,
+                    "failure_domain": name.split("-")[1],
+                    "platform": platform,
+                    "peer_listen": f"{HOST}:{ports[name]}",
+                    "peers": ",".join(peers),
+                },
+            )
+
+
+def describe(processes: Processes, platform: Address) -> Cluster:
+    """Return the addresses of what runs."""
+
+    def address(name: str, part: str) -> Address:
+        text = processes.running[name].addresses[part]
+        return parse_address(text)
+
+    entries = {d: address(f"entry-{d}", "listen") for d in FAILURE_DOMAINS}
+    operators = {
+        d: address(f"entry-{d}", "operator_listen") for d in FAILURE_DOMAINS
+    }
+    backends = {
+        name: address(name, "listen")
+        for name in processes.running
+        if name.startswith("backend-")
+    }
+    workers = {
+        domain: worker_addresses(processes, domain)
+        for domain in FAILURE_DOMAINS
+    }
+    return Cluster(platform, workers, backends, entries, operators)
+
+
+def worker_addresses(processes: Processes, domain: str) -> list[Address]:
+    """Return the addresses of one failure domain's workers in order."""
+    announced = processes.running[f"workers-{domain}"].addresses["listen"]
+    return [parse_address(text) for text in announced.split(",")]
+
+
+def domain_declarations(cluster: Cluster) -> list[dict[str, Any]]:
+    """Return the declarations of the failure domains."""
+    return [
+        {
+            "kind": "failure_domain",
+            "name": domain,
+            "spec": {
+                "state": "in",
+                "racks": [
+                    {
+                        "name": f"{domain}-rack",
+                        "workers": [
+                            {
+                                "name": f"{domain}-worker-{number}",
+                                "address": str(address),
+                                "accelerators": ACCELERATORS,
+                            }
+                            for number, address in enumerate(addresses, 1)
+                        ],
+                    }
+                ],
+            },
+        }
+        for domain, addresses in cluster.workers.items()
+    ]
+
+
+def service_declarations(cluster: Cluster) -> list[dict[str, Any]]:
+    """Return the declarations of the backend services."""
+    servers = [
+        {
+            "name": name,
+            "address": str(address),
+            "failure_domain": name.split("-")[1],
+            "slots": SLOTS,
+        }
+        for name, address in cluster.backends.items()
+    ]
+    return [
+        {
+            "kind": "backend_service",
+            "name": name,
+            "spec": {"idempotent": idempotent, "servers": servers},
+        }
+        for name, idempotent in SERVICES.items()
+    ]
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,126 @@
+"""Start the product and the stand-ins as processes, and end them all."""
+
+from collections.abc import Mapping, Sequence
+from json import JSONDecodeError, loads
+from pathlib import Path
+from signal import SIGKILL, SIGTERM
+from socket import AF_INET, SOCK_STREAM, socket
+from subprocess import DEVNULL, PIPE
+from sys import executable
+from typing import Any, NamedTuple
+
+from trio import (
+    Nursery,
+    Process,
+    fail_after,
+    move_on_after,
+)
+from trio.lowlevel import open_process
+
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 15
+HOST = "127.0.0.1"
+LINE_LIMIT_BYTES = 65536
+
+
+class ProcessError(Exception):
+    """A process of the demonstration did not start."""
+
+
+class Running(NamedTuple):
+    """Hold one started process and the addresses it announced."""
+
+    name: str
+    process: Process
+    addresses: dict[str, Any]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on; all are distinct.
+
+    Peers must know each other's addresses before any of them runs, so a
+    bound port cannot be asked for afterwards.
+    """
+    sockets = [socket(AF_INET, SOCK_STREAM) for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Processes:
+    """Start processes with a log file each, and stop them in the end."""
+
+    def __init__(self, log_directory: Path) -> None:
+        """Name the directory that the log files go to."""
+        self.log_directory = log_directory
+        self.running: dict[str, Running] = {}
+
+    async def start(
+        self, name: str, module: str, settings: Mapping[str, object]
+    ) -> Running:
+        """Start ``python -m module`` and return once it has announced."""
+        command = [executable, "-m", module, *as_flags(settings)]
+        with (self.log_directory / f"{name}.log").open("wb") as log:
+            process = await open_process(
+                command, stdin=DEVNULL, stdout=PIPE, stderr=log
+            )
+        self.running[name] = Running(name, process, {})
+        addresses = await self._announcement(name, process)
+        started = Running(name, process, addresses)
+        self.running[name] = started
+        return started
+
+    def start_in(
+        self,
+        nursery: Nursery,
+        name: str,
+        module: str,
+        settings: Mapping[str, object],
+    ) -> None:
+        """Start a process beside others."""
+        nursery.start_soon(self.start, name, module, settings)
+
+    async def stop_all(self) -> dict[str, int | None]:
+        """Stop every process gracefully, then by force; return the codes."""
+        for each in self.running.values():
+            if each.process.poll() is None:
+                each.process.send_signal(SIGTERM)
+        with move_on_after(STOP_TIMEOUT_S):
+            for each in self.running.values():
+                await each.process.wait()
+        for each in self.running.values():
+            if each.process.poll() is None:
+                each.process.send_signal(SIGKILL)
+        return {
+            name: each.process.returncode
+            for name, each in self.running.items()
+        }
+
+    async def _announcement(
+        self, name: str, process: Process
+    ) -> dict[str, Any]:
+        assert process.stdout is not None
+        line = b""
+        with fail_after(START_TIMEOUT_S):
+            while not line.endswith(b"\n"):
+                part = await process.stdout.receive_some(LINE_LIMIT_BYTES)
+                if not part:
+                    break
+                line += part
+        try:
+            announced: dict[str, Any] = loads(line)
+        except JSONDecodeError:
+            log = (self.log_directory / f"{name}.log").read_text()
+            raise ProcessError(f"{name} did not start: {log}") from None
+        return announced
+
+
+def as_flags(settings: Mapping[str, object]) -> Sequence[str]:
+    """Return settings as command-line flags."""
+    return [
+        f"--{name.replace('_', '-')}={value}"
+        for name, value in settings.items()
+    ]
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -90,13 +90,15 @@
         self.check_quiet()
 
     def check_quiet(self) -> None:
-        """Wake the waiters once draining has left no connection."""
-        if self.draining and not self.connections:
+        """Wake the waiters when no connection is left."""
+        if not self.connections:
             self._quiet.set()
+            self._quiet = Event()
 
     async def wait_quiet(self) -> None:
-        """Return once draining has left no connection."""
-        await self._quiet.wait()
+        """Return when no connection is left."""
+        while self.connections:
+            await self._quiet.wait()
 
 
 async def serve_http(
