--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -169,6 +169,8 @@
   logLevel @22 :Text = "INFO" $help("lowest level of log events written");
   quarantineProbationS @23 :Float64 = 600.0 $unit("s") $minimum(1) $maximum(86400)
     $help("time a failing worker gets no task before it is tried again");
+  outageRenewLimitS @24 :Float64 = 14400.0 $unit("s") $minimum(0) $maximum(604800)
+    $help("time past a lapsed cell lease in which running tasks live on");
 }
 
 struct CtlSettings $program("damaskstallctl") {
--- /dev/null
+++ b/src/damaskstall/scheduler/attempt.py
@@ -0,0 +1,152 @@
+"""Hold one attempt to run a job's gang, and judge what its workers report."""
+
+from typing import NamedTuple
+
+from trio import Event
+
+from damaskstall.placement.model import Block
+from damaskstall.resources.records import JobSpec
+from damaskstall.scheduler.session import WorkerSession
+from damaskstall.scheduler.wire import (
+    TASK_FAILED,
+    TASK_PREPARED,
+    TASK_RUNNING,
+    TASK_SUCCEEDED,
+    TaskKey,
+    TaskReport,
+)
+
+SUCCEEDED = "succeeded"
+FAILED = "failed"
+CANCELLED = "cancelled"
+PREEMPTED = "preempted"
+TAKEN_OUT = "taken out"
+NOT_STARTED = "not started"
+LOST = "lost"
+
+PLACED = "placed"
+STARTING = "starting"
+RUNNING = "running"
+ENDING = "ending"
+
+
+class Outcome(NamedTuple):
+    """Say how an attempt ends or is to be ended, and through which worker."""
+
+    kind: str
+    reason: str
+    worker: str = ""
+
+
+class Attempt:
+    """Hold an attempt's place, its workers and what is asked of it."""
+
+    def __init__(
+        self,
+        name: str,
+        number: int,
+        spec: JobSpec,
+        block: Block,
+        sessions: tuple[WorkerSession | None, ...],
+        workers: tuple[str, ...],
+    ) -> None:
+        """Hold an attempt; a worker that is gone has no session."""
+        self.name = name
+        self.number = number
+        self.spec = spec
+        self.block = block
+        self.sessions = sessions
+        self.workers = workers
+        self.phase = PLACED
+        self.adopted = False
+        self.started_s = 0.0
+        self.stop: Outcome | None = None
+        self.in_policy = False
+        # Tasks whose run command may have been taken by the worker.
+        self.maybe_ran: set[int] = set()
+        self._changed = Event()
+
+    def key(self, task: int) -> TaskKey:
+        """Return the name of one of the tasks."""
+        return (self.name, self.number, task)
+
+    def report(self, task: int) -> TaskReport | None:
+        """Return what is known of a task, or None."""
+        session = self.sessions[task]
+        if session is None:
+            return None
+        return session.tasks.get(self.key(task))
+
+    def reports(self) -> list[TaskReport | None]:
+        """Return what is known of all tasks in order."""
+        return [self.report(task) for task in range(len(self.workers))]
+
+    def ask_stop(self, outcome: Outcome) -> None:
+        """Ask the attempt to stop; the first reason stays."""
+        if self.stop is None:
+            self.stop = outcome
+            self.wake()
+
+    def wake(self) -> None:
+        """Let the attempt's task look again."""
+        self._changed.set()
+        self._changed = Event()
+
+    async def wait_change(self) -> None:
+        """Return after the next change."""
+        await self._changed.wait()
+
+    def surely_lapsed(self, task: int, now_s: float) -> bool:
+        """Return whether a silent worker's task must have ended by itself."""
+        session = self.sessions[task]
+        return session is not None and now_s >= session.lapse_s
+
+    def judge(self, now_s: float) -> Outcome | None:
+        """Return how a running attempt has ended, or None while it runs."""
+        succeeded = 0
+        for task, worker in enumerate(self.workers):
+            report = self.report(task)
+            if report is not None and report.state == TASK_SUCCEEDED:
+                succeeded += 1
+                continue
+            problem = self._task_problem(task, report, now_s)
+            if problem is not None:
+                return problem._replace(worker=worker)
+        if succeeded == len(self.workers):
+            return Outcome(SUCCEEDED, "")
+        return None
+
+    def _task_problem(
+        self, task: int, report: TaskReport | None, now_s: float
+    ) -> Outcome | None:
+        session = self.sessions[task]
+        worker = self.workers[task]
+        if session is None or not session.fenced:
+            if self.surely_lapsed(task, now_s):
+                return Outcome(LOST, f"The worker {worker} was lost.")
+            return None
+        if report is None and not session.reachable:
+            # What it listed last may be out of date: wait for its answer.
+            if now_s >= session.lapse_s:
+                return Outcome(LOST, f"The worker {worker} was lost.")
+            return None
+        if report is None:
+            return Outcome(LOST, f"The worker {worker} lost the task.")
+        if report.state == TASK_FAILED:
+            return Outcome(
+                FAILED, f"The task on {worker} failed: {report.detail}."
+            )
+        if report.state == TASK_RUNNING:
+            if not session.reachable and now_s >= session.lapse_s:
+                return Outcome(LOST, f"The worker {worker} was lost.")
+            return None
+        if report.state == TASK_PREPARED:
+            return Outcome(LOST, f"The task on {worker} never started.")
+        return Outcome(LOST, f"The task on {worker} was {report.state}.")
+
+    def surely_never_ran(self) -> bool:
+        """Return whether no task of the attempt can ever have run."""
+        if not self.adopted:
+            return not self.maybe_ran
+        reports = self.reports()
+        return all(r is not None and not r.ran for r in reports)
--- /dev/null
+++ b/src/damaskstall/scheduler/backoff.py
@@ -0,0 +1,13 @@
+"""Space retries so that many processes do not come back at once."""
+
+from random import Random
+
+BASE_S = 0.2
+LIMIT_S = 5.0
+DOUBLINGS_LIMIT = 16
+
+
+def retry_delay_s(tries: int, random: Random) -> float:
+    """Return how long to wait after some failed tries, with jitter."""
+    doubled_s: float = BASE_S * 2.0 ** min(tries, DOUBLINGS_LIMIT)
+    return min(LIMIT_S, doubled_s) * random.uniform(0.5, 1.5)
--- /dev/null
+++ b/src/damaskstall/scheduler/cell.py
@@ -0,0 +1,404 @@
+"""Decide over one cell for as long as its lease is held."""
+
+from typing import Any
+
+from trio import Event, Nursery, current_time, move_on_after, open_nursery
+
+from damaskstall.errors import LeaseLostError, TableUnavailableError
+from damaskstall.events import log
+from damaskstall.placement.model import (
+    Block,
+    Cell,
+    Preempt,
+    RunningJob,
+    Start,
+)
+from damaskstall.resources.records import JOB_PLACED, JOB_QUEUED
+from damaskstall.scheduler.attempt import (
+    CANCELLED,
+    ENDING,
+    FAILED,
+    NOT_STARTED,
+    PREEMPTED,
+    RUNNING,
+    STARTING,
+    SUCCEEDED,
+    TAKEN_OUT,
+    Attempt,
+    Outcome,
+)
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.scheduler.context import SchedulerContext
+from damaskstall.scheduler.ends import QueueEnds
+from damaskstall.scheduler.events import (
+    JOB_ADOPTED,
+    JOB_ENDED,
+    JOB_REQUEUED,
+)
+from damaskstall.scheduler.gangs import GangRunner
+from damaskstall.scheduler.jobs import JobEntry
+from damaskstall.scheduler.lease import CellLease
+from damaskstall.scheduler.metrics import ATTEMPTS, JOBS_ENDED
+from damaskstall.scheduler.queue import CellQueue, queued_job
+from damaskstall.scheduler.session import WorkerSession
+from damaskstall.scheduler.status import PLACED_STATES
+from damaskstall.scheduler.wire import ACK, STOP, Command
+from damaskstall.scheduler.workers import CellWorkers
+
+
+class CellRunner:
+    """Place jobs on the workers of one cell and see them through."""
+
+    def __init__(
+        self, context: SchedulerContext, lease: CellLease, cell: Cell
+    ) -> None:
+        """Decide over a cell under its lease."""
+        self.context = context
+        self.lease = lease
+        self.cell = cell
+        self.policy = context.planner.make_policy(cell)
+        self.queue = CellQueue(context, cell.name, self.policy)
+        self.workers = CellWorkers(context, lease, cell, self)
+        self.ends = QueueEnds(context, cell.name)
+        self.gangs = GangRunner(
+            lease,
+            context.transitions,
+            context.objects,
+            context.settings,
+            context.random,
+            context.unix_s,
+        )
+        self.attempts: dict[str, Attempt] = {}
+        self.draining = False
+        self.is_open = True
+        self._dirty: set[str] = set()
+        self._config_entries: Any = None
+        self._pause_until_s = 0.0
+        self._pauses = 0
+        self._wake = Event()
+        self._nursery: Nursery | None = None
+
+    async def run(self) -> None:
+        """Decide until cancelled; adopt first what runs already."""
+        book = self.context.book
+        book.listeners.append(self)
+        try:
+            await book.wait_revision(self.lease.acquired_revision)
+            await self.workers.load_quarantines()
+            async with open_nursery() as nursery:
+                self._nursery = nursery
+                self._dirty.update(book.entries)
+                self._apply_config()
+                self._take_jobs()
+                self.workers.start(nursery)
+                nursery.start_soon(self.ends.run)
+                await self._decide_forever()
+        finally:
+            book.listeners.remove(self)
+            ATTEMPTS.set({"cell": self.cell.name}, 0)
+
+    def on_job(self, name: str) -> None:
+        """Take note that a job's entry changed or went away."""
+        self._dirty.add(name)
+        self._wake.set()
+
+    def on_worker(self, session: WorkerSession) -> None:
+        """Take note of a worker's answer or of its silence."""
+        for attempt in self.attempts.values():
+            if session in attempt.sessions:
+                attempt.wake()
+        if session.reachable:
+            self._stop_strangers(session)
+        self._wake.set()
+
+    async def drain(self) -> None:
+        """Start nothing more; return once no attempt is between states."""
+        self.draining = True
+        while any(a.phase != RUNNING for a in self.attempts.values()):
+            await self._wake.wait()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        now_s = current_time()
+        return {
+            "cell": self.cell.name,
+            "epoch": self.lease.epoch,
+            "lease_left_s": self.lease.expires_s - now_s,
+            "open": self.is_open,
+            "workers": self.workers.dump(now_s),
+            "attempts": {
+                name: {
+                    "attempt": attempt.number,
+                    "phase": attempt.phase,
+                    "workers": attempt.workers,
+                    "block": attempt.block,
+                    "stop": attempt.stop.reason if attempt.stop else "",
+                }
+                for name, attempt in self.attempts.items()
+            },
+            "queue": {
+                name: self.policy.explain(name, now_s)._asdict()
+                for name in sorted(self.queue.admitted)
+            },
+        }
+
+    async def _decide_forever(self) -> None:
+        while True:
+            self._wake = Event()
+            self._step(current_time())
+            with move_on_after(self.context.settings.decision_interval_s):
+                await self._wake.wait()
+
+    def _step(self, now_s: float) -> None:
+        self._apply_config()
+        self._take_jobs()
+        self._apply_take_out(now_s)
+        self.workers.update(self.policy, now_s)
+        for entry in self.queue.take_due(now_s):
+            self._admit(entry, now_s)
+        if self._may_start(now_s):
+            for decision in self.policy.decide(now_s):
+                if isinstance(decision, Start):
+                    self._start(decision)
+                else:
+                    self._preempt(decision)
+        self.ends.note_waiting(self.queue, now_s)
+        ATTEMPTS.set({"cell": self.cell.name}, len(self.attempts))
+
+    def _may_start(self, now_s: float) -> bool:
+        """Return whether anything could be started at all.
+
+        Without a fresh configuration every worker would refuse to run.
+        """
+        if self.draining or not self.is_open or now_s < self._pause_until_s:
+            return False
+        permit_s = self.context.settings.start_permit_ttl_s
+        fresh = self.context.config.age_s(now_s) < permit_s
+        return fresh and self.lease.may_decide(now_s)
+
+    def _apply_config(self) -> None:
+        """Tell the policy what the cell promises, when that has changed."""
+        config = self.context.config
+        guarantees = self.context.planner.guarantees(config)
+        if guarantees is self._config_entries:
+            return
+        self._config_entries = guarantees
+        self.policy.set_guarantees(guarantees.get(self.cell.name, ()))
+        weights = {
+            name: float(value["spec"]["weight"])
+            for name, value in config.resources("team").items()
+        }
+        self.policy.set_weights(weights)
+        # The claim order may have changed for every waiting job.
+        self._dirty.update(self.context.book.entries)
+
+    def _apply_take_out(self, now_s: float) -> None:
+        """Close a cell whose failure domain is out, and move its work."""
+        is_out = self.context.config.is_out(self.cell.failure_domain)
+        if self.is_open == is_out:
+            self.is_open = not is_out
+            self.policy.set_open(self.is_open)
+        if not is_out:
+            return
+        domain = self.cell.failure_domain
+        for attempt in self.attempts.values():
+            # Work that cannot be moved may finish where it is.
+            started = attempt.phase in (STARTING, RUNNING)
+            if attempt.spec["restartable"] or not started:
+                attempt.ask_stop(
+                    Outcome(TAKEN_OUT, f"{domain} was taken out of service.")
+                )
+
+    def _take_jobs(self) -> None:
+        dirty, self._dirty = self._dirty, set()
+        for name in dirty:
+            self._take_job(name)
+
+    def _take_job(self, name: str) -> None:
+        """Bring the queue and the attempts in line with a job's row."""
+        entry = self.context.book.entries.get(name)
+        attempt = self.attempts.get(name)
+        if entry is None:
+            self.queue.forget(name)
+            if attempt is not None:
+                attempt.ask_stop(Outcome(CANCELLED, "The job is gone."))
+            return
+        if entry.status["state"] == JOB_QUEUED:
+            if attempt is None:
+                self._take_queued(entry)
+            return
+        self.queue.forget(name)
+        if attempt is not None:
+            if entry.status["cancel_requested"]:
+                attempt.ask_stop(Outcome(CANCELLED, "Cancelled on request."))
+            return
+        if self._is_ours(entry):
+            self._adopt(entry)
+
+    def _take_queued(self, entry: JobEntry) -> None:
+        if entry.status["cancel_requested"]:
+            self.queue.forget(entry.name)
+            if self.queue.rank(entry) is not None:
+                self.ends.cancel(entry.name)
+            return
+        self.queue.offer(entry)
+
+    def _is_ours(self, entry: JobEntry) -> bool:
+        if entry.status["state"] not in PLACED_STATES:
+            return False
+        return entry.status["cell"] == self.cell.name
+
+    def _admit(self, entry: JobEntry, now_s: float) -> None:
+        """Queue a job whose turn has come, or end one that can never run."""
+        if entry.status["state"] != JOB_QUEUED or entry.name in self.attempts:
+            return
+        reason = self.ends.never_fits(entry)
+        permit_s = self.context.settings.start_permit_ttl_s
+        # A configuration that is not whole yet must not end a job.
+        if reason and self.context.config.age_s(now_s) < permit_s:
+            self.ends.refuse(entry.name, reason)
+            return
+        self.queue.admit(entry, now_s)
+
+    def _start(self, decision: Start) -> None:
+        entry = self.context.book.entries.get(decision.job)
+        self.queue.started(decision.job)
+        if entry is None or entry.status["state"] != JOB_QUEUED:
+            self.policy.release(decision.job, current_time(), None)
+            return
+        block = decision.block
+        names = self.cell.workers[block.first_worker :][: block.hosts]
+        workers = tuple(worker.name for worker in names)
+        attempt = Attempt(
+            entry.name,
+            entry.status["attempt"] + 1,
+            entry.spec,
+            block,
+            self.workers.sessions_of(workers),
+            workers,
+        )
+        attempt.in_policy = True
+        self.attempts[entry.name] = attempt
+        self._spawn(attempt, decision.guaranteed)
+
+    def _spawn(self, attempt: Attempt, guaranteed: bool) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self._run_attempt, attempt, guaranteed)
+
+    def _preempt(self, decision: Preempt) -> None:
+        attempt = self.attempts.get(decision.job)
+        if attempt is not None:
+            attempt.ask_stop(Outcome(PREEMPTED, decision.reason))
+
+    def _adopt(self, entry: JobEntry) -> None:
+        """Take over a job that an earlier holder has placed here."""
+        status = entry.status
+        block = Block(*status["block"])
+        workers = tuple(status["tasks"])
+        attempt = Attempt(
+            entry.name,
+            status["attempt"],
+            entry.spec,
+            block,
+            self.workers.sessions_of(workers),
+            workers,
+        )
+        attempt.adopted = True
+        if status["state"] == JOB_PLACED:
+            attempt.ask_stop(
+                Outcome(NOT_STARTED, "The cell changed hands before it ran.")
+            )
+        else:
+            attempt.phase = RUNNING
+            self._adopt_into_policy(attempt, entry)
+        if status["cancel_requested"]:
+            attempt.ask_stop(Outcome(CANCELLED, "Cancelled on request."))
+        self.attempts[entry.name] = attempt
+        log(JOB_ADOPTED, job=entry.name, cell=self.cell.name)
+        self._spawn(attempt, status["guaranteed"])
+
+    def _adopt_into_policy(self, attempt: Attempt, entry: JobEntry) -> None:
+        first = self.workers.index_of(attempt.workers)
+        if first is None:
+            return
+        attempt.block = attempt.block._replace(first_worker=first)
+        now_s = current_time()
+        now_unix_s = self.context.unix_s()
+        ran_s = max(0.0, now_unix_s - entry.status["started_unix_s"])
+        attempt.started_s = now_s - ran_s
+        attempt.in_policy = True
+        self.policy.adopt(
+            RunningJob(
+                queued_job(entry, now_s, now_unix_s),
+                attempt.block,
+                attempt.started_s,
+                entry.status["guaranteed"],
+                False,
+            )
+        )
+
+    async def _run_attempt(self, attempt: Attempt, guaranteed: bool) -> None:
+        """See an attempt through from its first write to its last."""
+        try:
+            outcome: Outcome | None
+            if attempt.adopted:
+                outcome = None
+                if attempt.phase != RUNNING:
+                    outcome = attempt.stop
+            else:
+                if not await self.gangs.place(attempt, guaranteed):
+                    return
+                outcome = await self.gangs.bring_up(attempt)
+            if outcome is None:
+                outcome = await self.gangs.watch(attempt)
+            attempt.phase = ENDING
+            await self._end_attempt(attempt, outcome)
+        except TableUnavailableError:
+            self._pause()
+        except LeaseLostError:
+            # The renewal task meets the same and ends the whole cell.
+            await Event().wait()
+        finally:
+            self._forget(attempt)
+
+    async def _end_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
+        was_running = outcome.kind in (FAILED, SUCCEEDED)
+        if outcome.kind == FAILED:
+            await self.workers.note_failure(attempt.name, outcome.worker)
+        status = await self.gangs.wind_down(attempt, outcome)
+        self._pauses = 0
+        if status is None:
+            return
+        state = status["state"]
+        if state == JOB_QUEUED:
+            log(JOB_REQUEUED, job=attempt.name, reason=outcome.reason)
+            return
+        if was_running and outcome.kind == SUCCEEDED:
+            self.workers.health.succeeded(attempt.name, attempt.workers)
+        self.workers.health.ended(attempt.name)
+        JOBS_ENDED.inc({"state": state})
+        log(JOB_ENDED, job=attempt.name, state=state, reason=status["reason"])
+
+    def _forget(self, attempt: Attempt) -> None:
+        """Free an attempt's block and look at the job's row again."""
+        del self.attempts[attempt.name]
+        if attempt.in_policy:
+            now_s = current_time()
+            ran_s = now_s - attempt.started_s if attempt.started_s else None
+            self.policy.release(attempt.name, now_s, ran_s)
+        self._dirty.add(attempt.name)
+        self._wake.set()
+
+    def _pause(self) -> None:
+        """Wait before the next start after the table took no write."""
+        delay_s = retry_delay_s(self._pauses, self.context.random)
+        self._pauses += 1
+        self._pause_until_s = current_time() + delay_s
+
+    def _stop_strangers(self, session: WorkerSession) -> None:
+        """Stop tasks that belong to no attempt, and let ended ones go."""
+        for key, report in session.tasks.items():
+            attempt = self.attempts.get(key[0])
+            if attempt is not None and attempt.number == key[1]:
+                continue
+            session.post(Command(STOP if report.is_active else ACK, key))
--- /dev/null
+++ b/src/damaskstall/scheduler/health.py
@@ -0,0 +1,103 @@
+"""Judge from failed tasks which workers need a rest.
+
+A job that fails everywhere says nothing about a worker, so a worker is blamed
+only for jobs that have not failed on another one. Few workers of a cell rest
+at once, so that a wave of bad jobs cannot empty it.
+"""
+
+from typing import NamedTuple
+
+STRIKES_LIMIT = 3
+SUSPECT_S = 30.0
+RESTING_SHARE_LIMIT = 0.25
+DOUBLINGS_LIMIT = 5
+
+
+class Quarantine(NamedTuple):
+    """Say how long a worker rests and why, as its row does."""
+
+    worker: str
+    until_unix_s: float
+    times: int
+    reason: str
+
+
+class WorkerHealth:
+    """Count strikes against the workers of one cell."""
+
+    def __init__(self, workers: int, probation_s: float) -> None:
+        """Judge a number of workers."""
+        self.resting_limit = max(1, int(workers * RESTING_SHARE_LIMIT))
+        self.probation_s = probation_s
+        self.strikes: dict[str, set[str]] = {}
+        self.failed_on: dict[str, set[str]] = {}
+        self.suspect_until_s: dict[str, float] = {}
+        self.quarantines: dict[str, Quarantine] = {}
+
+    def load(self, quarantine: Quarantine) -> None:
+        """Take in a quarantine that an earlier holder has written."""
+        self.quarantines[quarantine.worker] = quarantine
+
+    def usable(self, worker: str, now_s: float, now_unix_s: float) -> bool:
+        """Return whether new work may go to a worker."""
+        if now_s < self.suspect_until_s.get(worker, 0.0):
+            return False
+        quarantine = self.quarantines.get(worker)
+        return quarantine is None or now_unix_s >= quarantine.until_unix_s
+
+    def succeeded(self, job: str, workers: tuple[str, ...]) -> None:
+        """Count a job that ended well on some workers."""
+        for worker in workers:
+            self.strikes.pop(worker, None)
+            self.quarantines.pop(worker, None)
+        self.failed_on.pop(job, None)
+
+    def ended(self, job: str) -> None:
+        """Forget on which workers a job has failed."""
+        self.failed_on.pop(job, None)
+
+    def failed(
+        self, job: str, worker: str, now_s: float, now_unix_s: float
+    ) -> Quarantine | None:
+        """Count a failure; return a new quarantine if that was too many."""
+        places = self.failed_on.setdefault(job, set())
+        places.add(worker)
+        if len(places) > 1:
+            # The job fails wherever it runs: no worker is to blame.
+            for place in places:
+                self.strikes.get(place, set()).discard(job)
+            return None
+        self.strikes.setdefault(worker, set()).add(job)
+        if not self._may_rest(worker, now_s, now_unix_s):
+            return None
+        self.suspect_until_s[worker] = now_s + SUSPECT_S
+        return self._quarantine(worker, now_unix_s)
+
+    def _quarantine(self, worker: str, now_unix_s: float) -> Quarantine | None:
+        earlier = self.quarantines.get(worker)
+        strikes = len(self.strikes[worker])
+        # After its probation one more strike is enough.
+        if strikes < (STRIKES_LIMIT if earlier is None else 1):
+            return None
+        times = earlier.times + 1 if earlier else 1
+        rest_s = self.probation_s * 2 ** min(times - 1, DOUBLINGS_LIMIT)
+        quarantine = Quarantine(
+            worker,
+            now_unix_s + rest_s,
+            times,
+            f"{strikes} different jobs failed only on this worker.",
+        )
+        self.quarantines[worker] = quarantine
+        self.strikes.pop(worker)
+        return quarantine
+
+    def _may_rest(self, worker: str, now_s: float, now_unix_s: float) -> bool:
+        resting = {
+            name
+            for name, until_s in self.suspect_until_s.items()
+            if now_s < until_s
+        }
+        for name, quarantine in self.quarantines.items():
+            if now_unix_s < quarantine.until_unix_s:
+                resting.add(name)
+        return worker in resting or len(resting) < self.resting_limit
--- /dev/null
+++ b/src/damaskstall/scheduler/jobs.py
@@ -0,0 +1,197 @@
+"""Follow the job rows that concern one failure domain."""
+
+from random import Random
+from typing import NamedTuple, Protocol, cast
+
+from trio import Event, current_time, move_on_after, sleep
+
+from damaskstall.errors import PlatformError, RevisionTooOldError
+from damaskstall.events import log
+from damaskstall.platform.keys import JOB_PREFIX, job_key
+from damaskstall.platform.types import Row, TableService
+from damaskstall.resources.records import (
+    JOB_ENDED,
+    JOB_QUEUED,
+    JobSpec,
+    JobStatus,
+)
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.scheduler.events import QUEUE_RELOADED, TABLE_RETRY
+
+PAGE_LIMIT = 500
+HOLDER_POLL_S = 0.5
+STANDBY_POLL_S = 2.0
+
+
+class JobEntry(NamedTuple):
+    """Hold one followed job row; ``seen_s`` is when it came to be queued."""
+
+    name: str
+    revision: int
+    mutation_id: str
+    spec: JobSpec
+    status: JobStatus
+    seen_s: float
+
+
+class JobListener(Protocol):
+    """Hear of job rows that changed."""
+
+    def on_job(self, name: str) -> None:
+        """Take note that a job's entry changed or went away."""
+
+
+class JobBook:
+    """Keep the queued jobs that may run here and the placed ones that do."""
+
+    def __init__(
+        self, table: TableService, failure_domain: str, random: Random
+    ) -> None:
+        """Follow the jobs of a failure domain."""
+        self.table = table
+        self.failure_domain = failure_domain
+        self.random = random
+        self.entries: dict[str, JobEntry] = {}
+        self.listeners: list[JobListener] = []
+        self.revision = 0
+        self.loaded = False
+        self._dropped: dict[str, int] = {}
+        self._advanced = Event()
+        self._hurry = Event()
+
+    async def run(self) -> None:
+        """Load all rows, then follow the changes until cancelled."""
+        tries = 0
+        while True:
+            try:
+                await self._step()
+                tries = 0
+                delay_s = HOLDER_POLL_S if self.listeners else STANDBY_POLL_S
+            except RevisionTooOldError:
+                self.loaded = False
+                delay_s = 0.0
+            except PlatformError as error:
+                log(TABLE_RETRY, error=str(error))
+                delay_s = retry_delay_s(tries, self.random)
+                tries += 1
+            with move_on_after(delay_s):
+                await self._hurry.wait()
+            self._hurry = Event()
+            await sleep(0)
+
+    async def wait_revision(self, revision: int) -> None:
+        """Return once every change up to a revision has been taken in."""
+        self._hurry.set()
+        while not self.loaded or self.revision < revision:
+            await self._advanced.wait()
+
+    async def read(self, name: str) -> JobEntry | None:
+        """Read one row now; raise PlatformError when that fails."""
+        row = await self.table.read(job_key(name))
+        if row is None:
+            self.drop(name, self.revision)
+            return None
+        self.apply_row(row)
+        return entry_of(row, current_time())
+
+    def apply_row(self, row: Row) -> None:
+        """Take in a newer state of a row."""
+        name = row.key.removeprefix(JOB_PREFIX)
+        known = self.entries.get(name)
+        newest = known.revision if known else self._dropped.get(name, 0)
+        if row.revision <= newest:
+            return
+        if row.value is None:
+            self.drop(name, row.revision)
+            return
+        seen_s = current_time()
+        if known is not None and known.status["state"] == JOB_QUEUED:
+            seen_s = known.seen_s
+        entry = entry_of(row, seen_s)
+        if not self._concerns_us(entry):
+            self.drop(name, row.revision)
+            return
+        self.entries[name] = entry
+        self._tell(name)
+
+    def drop(self, name: str, revision: int) -> None:
+        """Forget a job, but not which revision was the last seen."""
+        self._dropped[name] = revision
+        if self.entries.pop(name, None) is not None:
+            self._tell(name)
+
+    def queued(self) -> int:
+        """Return how many followed jobs wait."""
+        entries = self.entries.values()
+        return sum(e.status["state"] == JOB_QUEUED for e in entries)
+
+    def _tell(self, name: str) -> None:
+        for listener in self.listeners:
+            listener.on_job(name)
+
+    def _concerns_us(self, entry: JobEntry) -> bool:
+        state = entry.status["state"]
+        if state in JOB_ENDED:
+            return False
+        if state == JOB_QUEUED:
+            wanted = entry.spec["failure_domain"]
+            return wanted in ("", self.failure_domain)
+        return entry.status["cell"].startswith(f"{self.failure_domain}/")
+
+    async def _step(self) -> None:
+        if not self.loaded:
+            await self._load()
+        complete = False
+        while not complete:
+            page = await self.table.changes(
+                JOB_PREFIX, self.revision, PAGE_LIMIT
+            )
+            for row in page.rows:
+                self.apply_row(row)
+            complete = page.complete
+            self._advance(page.revision)
+
+    async def _load(self) -> None:
+        """Read all rows; changes made meanwhile are read again after."""
+        names: set[str] = set()
+        first_revision = 0
+        after = ""
+        while True:
+            page = await self.table.scan(JOB_PREFIX, after, PAGE_LIMIT)
+            first_revision = first_revision or page.revision
+            for row in page.rows:
+                self.apply_row(row)
+                names.add(row.key.removeprefix(JOB_PREFIX))
+            after = page.next_after
+            if not after:
+                break
+        for name in set(self.entries) - names:
+            if self.entries[name].revision <= first_revision:
+                self.drop(name, first_revision)
+        self.loaded = True
+        self._advance(first_revision)
+        log(QUEUE_RELOADED, jobs=len(self.entries))
+
+    def _advance(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        if self._dropped:
+            self._dropped = {
+                name: at
+                for name, at in self._dropped.items()
+                if at > self.revision
+            }
+        self._advanced.set()
+        self._advanced = Event()
+
+
+def entry_of(row: Row, seen_s: float) -> JobEntry:
+    """Return the entry that a row's value describes."""
+    value = row.value or {}
+    return JobEntry(
+        row.key.removeprefix(JOB_PREFIX),
+        row.revision,
+        row.mutation_id,
+        cast(JobSpec, value["spec"]),
+        cast(JobStatus, value["status"]),
+        seen_s,
+    )
--- /dev/null
+++ b/src/damaskstall/scheduler/metrics.py
@@ -0,0 +1,36 @@
+"""Name the metrics of the scheduler."""
+
+from damaskstall.metrics import Counter, Gauge
+
+NO_LABELS: dict[str, str] = {}
+
+CELLS_HELD = Gauge(
+    "damaskstall_scheduler_cells_held", "Cell leases that this process holds."
+)
+JOBS_QUEUED = Gauge(
+    "damaskstall_scheduler_jobs_queued", "Jobs that wait, as followed here."
+)
+ATTEMPTS = Gauge(
+    "damaskstall_scheduler_attempts", "Gang attempts in progress, by cell."
+)
+STARTS = Counter(
+    "damaskstall_scheduler_starts_total", "Gangs that were told to run."
+)
+PREEMPTIONS = Counter(
+    "damaskstall_scheduler_preemptions_total", "Gangs stopped for others."
+)
+JOBS_ENDED = Counter(
+    "damaskstall_scheduler_jobs_ended_total", "Jobs that ended, by state."
+)
+EXCHANGES = Counter(
+    "damaskstall_scheduler_exchanges_total",
+    "Exchanges with workers, by outcome.",
+)
+EXCHANGE_BYTES = Counter(
+    "damaskstall_scheduler_exchange_bytes_total",
+    "Bytes of exchange bodies, by direction.",
+)
+TABLE_COMMITS = Counter(
+    "damaskstall_scheduler_table_commits_total",
+    "Commits sent to the table, by outcome.",
+)
--- /dev/null
+++ b/src/damaskstall/scheduler/queue.py
@@ -0,0 +1,88 @@
+"""Admit queued jobs to one cell's policy when it is the cell's turn."""
+
+from damaskstall.placement.model import Policy, QueuedJob, Shape
+from damaskstall.resources.records import JobSpec
+from damaskstall.scheduler.context import SchedulerContext
+from damaskstall.scheduler.jobs import JobEntry
+
+
+def shape_of(spec: JobSpec) -> Shape:
+    """Return the shape that a job asks for."""
+    return Shape(spec["hosts"], spec["accelerators_per_host"])
+
+
+def queued_job(entry: JobEntry, now_s: float, now_unix_s: float) -> QueuedJob:
+    """Return a job as a policy sees it; it has waited since it was made."""
+    waited_s = max(0.0, now_unix_s - entry.status["created_unix_s"])
+    spec = entry.spec
+    return QueuedJob(
+        entry.name,
+        spec["team"],
+        shape_of(spec),
+        spec["estimate_s"],
+        spec["urgent"],
+        spec["checkpointable"],
+        now_s - waited_s,
+    )
+
+
+class CellQueue:
+    """Hold the jobs that wait in one cell.
+
+    A cell waits a little for each cell that the claim order prefers to it,
+    so that two cells seldom try to claim one job.
+    """
+
+    def __init__(
+        self, context: SchedulerContext, cell: str, policy: Policy
+    ) -> None:
+        """Admit jobs to a cell's policy."""
+        self.context = context
+        self.cell = cell
+        self.policy = policy
+        self.due_s: dict[str, float] = {}
+        self.admitted: set[str] = set()
+
+    def rank(self, entry: JobEntry) -> int | None:
+        """Return how many cells go before this one, or None if it may not."""
+        order = self.context.planner.claim_order(
+            entry.name, entry.spec, self.context.config
+        )
+        return order.index(self.cell) if self.cell in order else None
+
+    def offer(self, entry: JobEntry) -> None:
+        """Take note of a queued job."""
+        if entry.name in self.admitted or entry.name in self.due_s:
+            return
+        rank = self.rank(entry)
+        if rank is None:
+            return
+        stagger_s = self.context.settings.claim_stagger_s
+        self.due_s[entry.name] = entry.seen_s + rank * stagger_s
+
+    def forget(self, name: str) -> None:
+        """Drop a job that no longer waits."""
+        self.due_s.pop(name, None)
+        if name in self.admitted:
+            self.admitted.discard(name)
+            self.policy.withdraw(name)
+
+    def started(self, name: str) -> None:
+        """Take note that the policy has moved a job out of its queue."""
+        self.admitted.discard(name)
+
+    def take_due(self, now_s: float) -> list[JobEntry]:
+        """Return the jobs whose turn has come; they are offered no more."""
+        due = [name for name, at_s in self.due_s.items() if at_s <= now_s]
+        found = []
+        for name in due:
+            del self.due_s[name]
+            entry = self.context.book.entries.get(name)
+            if entry is not None:
+                found.append(entry)
+        return found
+
+    def admit(self, entry: JobEntry, now_s: float) -> None:
+        """Let the policy decide over a job."""
+        self.admitted.add(entry.name)
+        self.policy.add(queued_job(entry, now_s, self.context.unix_s()))
--- /dev/null
+++ b/src/damaskstall/scheduler/session.py
@@ -0,0 +1,307 @@
+"""Drive one worker: one task, one exchange at a time."""
+
+from json import dumps
+from random import Random
+from typing import Any, Protocol
+
+from trio import Event, current_time, move_on_after, sleep
+
+from damaskstall.addresses import parse_address
+from damaskstall.errors import ConnectFailedError, HttpError
+from damaskstall.events import log
+from damaskstall.generated.settings import SchedulerSettings
+from damaskstall.http.client import HttpClient
+from damaskstall.http.messages import parse_json
+from damaskstall.network import Network
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.placement.model import Worker
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.scheduler.clock import WorkerClock
+from damaskstall.scheduler.events import (
+    WORKER_FENCED,
+    WORKER_REFUSED,
+    WORKER_UNREACHABLE,
+)
+from damaskstall.scheduler.lease import CellLease
+from damaskstall.scheduler.metrics import EXCHANGE_BYTES, EXCHANGES
+from damaskstall.scheduler.wire import (
+    PREPARE,
+    RUN,
+    Answer,
+    Command,
+    TaskKey,
+    TaskReport,
+    parse_answer,
+)
+
+STALE_EPOCH = "stale epoch"
+
+DONE = "done"
+REFUSED = "refused"
+NOT_SENT = "not sent"
+COMMAND_LOST = "lost"
+
+
+class SessionListener(Protocol):
+    """Hear what happens with a worker."""
+
+    def on_worker(self, session: "WorkerSession") -> None:
+        """Take note of a worker's answer or of its silence."""
+
+
+class PendingCommand:
+    """Hold one command until the worker has answered it, or may not have.
+
+    ``outcome`` is ``done``, ``refused`` and ``not sent`` when that is sure,
+    and ``lost`` when the worker may have taken the command.
+    """
+
+    def __init__(self, command: Command) -> None:
+        """Queue a command."""
+        self.command = command
+        self.outcome = NOT_SENT
+        self.reason = ""
+        self.done = Event()
+
+    def settle(self, outcome: str, reason: str) -> None:
+        """Wake the sender with what became of the command."""
+        self.outcome = outcome
+        self.reason = reason
+        self.done.set()
+
+
+class WorkerSession:
+    """Fence a worker, renew its tasks' leases and send it commands."""
+
+    def __init__(
+        self,
+        network: Network,
+        worker: Worker,
+        lease: CellLease,
+        config: ConfigStore,
+        settings: SchedulerSettings,
+        listener: SessionListener,
+        random: Random,
+    ) -> None:
+        """Speak to a worker under a cell lease."""
+        self.worker = worker
+        self.lease = lease
+        self.config = config
+        self.settings = settings
+        self.listener = listener
+        self.random = random
+        self.client = HttpClient(
+            network, parse_address(worker.address), settings.worker_timeout_s
+        )
+        self.clock: WorkerClock | None = None
+        self.boot = ""
+        self.sequence = 0
+        self.version = -1
+        self.reachable = False
+        self.stale = False
+        self.tasks: dict[TaskKey, TaskReport] = {}
+        self.answered_s = float("-inf")
+        # When tasks here have surely ended if the worker stays silent.
+        self.lapse_s = (
+            lease.acquired_s
+            + settings.outage_renew_limit_s
+            + settings.task_lease_ttl_s
+        )
+        self.exchanges = 0
+        self._pending: list[PendingCommand] = []
+        self._wake = Event()
+
+    @property
+    def fenced(self) -> bool:
+        """Return whether the worker has ever obeyed this epoch."""
+        return self.clock is not None
+
+    def post(self, command: Command) -> PendingCommand:
+        """Queue a command for the next exchange, which goes at once."""
+        pending = PendingCommand(command)
+        self._pending.append(pending)
+        self._wake.set()
+        return pending
+
+    async def perform(self, command: Command) -> PendingCommand:
+        """Send a command and return what became of it."""
+        pending = self.post(command)
+        await pending.done.wait()
+        return pending
+
+    async def run(self) -> None:
+        """Exchange with the worker until cancelled."""
+        failures = 0
+        try:
+            while True:
+                was_reachable = self.reachable
+                failures = 0 if await self._try_exchange() else failures + 1
+                if self.reachable and not was_reachable:
+                    # The worker is fenced; renew what runs there at once.
+                    continue
+                if failures:
+                    await sleep(retry_delay_s(failures - 1, self.random))
+                    continue
+                with move_on_after(self.settings.worker_exchange_s):
+                    await self._wake.wait()
+        finally:
+            await self.client.close()
+
+    async def _try_exchange(self) -> bool:
+        """Return whether an exchange succeeded, and settle its commands."""
+        self._wake = Event()
+        batch: list[PendingCommand] = []
+        if self.reachable:
+            batch, self._pending = self._pending, []
+        outcome, reason = COMMAND_LOST, ""
+        try:
+            answer = await self._exchange(batch)
+        except ConnectFailedError as error:
+            outcome, reason = NOT_SENT, str(error)
+        except (HttpError, ValueError) as error:
+            reason = str(error)
+        else:
+            self._take_answer(answer, batch)
+            return not answer.problem
+        EXCHANGES.inc({"outcome": outcome})
+        self._give_up(batch, outcome, reason)
+        return False
+
+    async def _exchange(self, batch: list[PendingCommand]) -> Answer:
+        """Send one exchange; raise HttpError when its answer is lost."""
+        sent_s = current_time()
+        request = self._request(batch, sent_s)
+        body = dumps(request, separators=(",", ":")).encode()
+        head, data = await self.client.call("POST", "/exchange", body)
+        received_s = current_time()
+        self.exchanges += 1
+        EXCHANGE_BYTES.add({"direction": "out"}, len(body))
+        EXCHANGE_BYTES.add({"direction": "in"}, len(data))
+        if head.status != 200:
+            raise ValueError(f"The worker answered {head.status}.")
+        answer = parse_answer(parse_json(data))
+        if answer.problem != STALE_EPOCH:
+            if self.clock is None:
+                # Fenced now: nobody else renews its tasks from here on.
+                self.lapse_s = received_s + self.settings.task_lease_ttl_s
+            self.clock = WorkerClock(answer.now_s, sent_s, received_s)
+        return answer
+
+    def _request(
+        self, batch: list[PendingCommand], now_s: float
+    ) -> dict[str, Any]:
+        """Return the exchange to send now.
+
+        The first one only fences, since the worker's clock is not known yet.
+        So does each one after a silence: a renewal that may have arrived
+        would put off when the tasks of a silent worker count as ended.
+        """
+        self.sequence += 1
+        request: dict[str, Any] = {
+            "cell": self.lease.cell,
+            "epoch": self.lease.epoch,
+            "sequence": self.sequence,
+        }
+        if not self.reachable or self.clock is None:
+            return request
+        request["boot"] = self.boot
+        request["seen_version"] = self.version
+        outage_s = self.settings.outage_renew_limit_s
+        if self.lease.may_renew_tasks(now_s, outage_s):
+            until_s = now_s + self.settings.task_lease_ttl_s
+            request["renew_until_s"] = self.clock.not_after_s(until_s)
+            self.lapse_s = until_s
+        commands = [self._encode(p.command, now_s) for p in batch]
+        if commands:
+            request["commands"] = commands
+        return request
+
+    def _encode(self, command: Command, now_s: float) -> dict[str, Any]:
+        assert self.clock is not None
+        job, attempt, task = command.key
+        encoded: dict[str, Any] = {
+            "do": command.do,
+            "job": job,
+            "attempt": attempt,
+            "task": task,
+        }
+        if command.do == PREPARE:
+            hold_until_s = now_s + self.settings.prepare_ttl_s
+            encoded["first"] = command.first_accelerator
+            encoded["count"] = command.accelerators
+            encoded["work"] = command.work
+            encoded["hold_until_s"] = self.clock.not_after_s(hold_until_s)
+            encoded["not_after_s"] = self.clock.not_after_s(
+                self.lease.expires_s
+            )
+            if command.checkpoint:
+                encoded["checkpoint"] = command.checkpoint
+        elif command.do == RUN:
+            deadline_s = self.start_deadline_s()
+            encoded["not_after_s"] = self.clock.not_after_s(deadline_s)
+        return encoded
+
+    def start_deadline_s(self) -> float:
+        """Return when a start must have happened at the latest.
+
+        After the cell lease another holder may place work here; after the
+        start permit the failure domain may have been taken out.
+        """
+        permit_s = self.config.confirmed_s + self.settings.start_permit_ttl_s
+        return min(self.lease.expires_s, permit_s)
+
+    def _take_answer(
+        self, answer: Answer, batch: list[PendingCommand]
+    ) -> None:
+        """Take in an answer and settle the commands it answers."""
+        EXCHANGES.inc({"outcome": answer.problem or "done"})
+        if answer.problem:
+            log(
+                WORKER_REFUSED,
+                worker=self.worker.name,
+                reason=answer.problem,
+                epoch=answer.epoch,
+            )
+        if answer.problem == STALE_EPOCH:
+            self.stale = True
+            self._give_up(batch, REFUSED, answer.problem)
+            return
+        if self.boot != answer.boot:
+            self._begin_boot(answer)
+        self.reachable = True
+        self.answered_s = current_time()
+        self._take_tasks(answer)
+        for index, pending in enumerate(batch):
+            reason = answer.problem or answer.refused.get(index, "")
+            pending.settle(REFUSED if reason else DONE, reason)
+        self.listener.on_worker(self)
+
+    def _begin_boot(self, answer: Answer) -> None:
+        log(WORKER_FENCED, worker=self.worker.name, epoch=answer.epoch)
+        self.boot = answer.boot
+        self.version = -1
+        self.tasks = {}
+
+    def _take_tasks(self, answer: Answer) -> None:
+        if answer.tasks is not None:
+            self.tasks = {report.key: report for report in answer.tasks}
+            self.version = answer.version
+
+    def _give_up(
+        self, batch: list[PendingCommand], outcome: str, reason: str
+    ) -> None:
+        if self.reachable:
+            log(WORKER_UNREACHABLE, worker=self.worker.name, reason=reason)
+        self.reachable = False
+        for pending in batch:
+            pending.settle(outcome, reason)
+        # Nothing was sent of what waits for the worker's return.
+        waiting, self._pending = self._pending, []
+        for pending in waiting:
+            pending.settle(NOT_SENT, reason)
+        self.listener.on_worker(self)
+
+    def active_on(self, key: TaskKey) -> bool:
+        """Return whether the worker's last answer shows a task active."""
+        report = self.tasks.get(key)
+        return report is not None and report.is_active
--- /dev/null
+++ b/src/damaskstall/scheduler/workers.py
@@ -0,0 +1,171 @@
+"""Keep the sessions with one cell's workers and judge their health."""
+
+from typing import Any
+
+from trio import Nursery, current_time, sleep
+
+from damaskstall.errors import PlatformError
+from damaskstall.events import log
+from damaskstall.placement.model import Cell, Policy
+from damaskstall.platform.keys import QUARANTINE_PREFIX, quarantine_key
+from damaskstall.platform.types import ABSENT, Write
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.scheduler.context import SchedulerContext
+from damaskstall.scheduler.events import TABLE_RETRY, WORKER_QUARANTINED
+from damaskstall.scheduler.health import Quarantine, WorkerHealth
+from damaskstall.scheduler.lease import CellLease
+from damaskstall.scheduler.session import SessionListener, WorkerSession
+
+PAGE_LIMIT = 500
+
+
+class CellWorkers:
+    """Hold one session for each worker of a cell."""
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        lease: CellLease,
+        cell: Cell,
+        listener: SessionListener,
+    ) -> None:
+        """Prepare the sessions; none has started yet."""
+        self.context = context
+        self.cell = cell
+        self.health = WorkerHealth(
+            len(cell.workers), context.settings.quarantine_probation_s
+        )
+        self.sessions = {
+            worker.name: WorkerSession(
+                context.network,
+                worker,
+                lease,
+                context.config,
+                context.settings,
+                listener,
+                context.random,
+            )
+            for worker in cell.workers
+        }
+        self._names = tuple(self.sessions)
+        self._usable: dict[str, bool] = {}
+
+    def start(self, nursery: Nursery) -> None:
+        """Run all sessions in a nursery."""
+        for session in self.sessions.values():
+            nursery.start_soon(session.run)
+
+    def sessions_of(
+        self, workers: tuple[str, ...]
+    ) -> tuple[WorkerSession | None, ...]:
+        """Return the sessions of some workers; None for one that is gone."""
+        return tuple(self.sessions.get(worker) for worker in workers)
+
+    def index_of(self, workers: tuple[str, ...]) -> int | None:
+        """Return the index of the first of adjacent workers, or None."""
+        if not workers or workers[0] not in self._names:
+            return None
+        first = self._names.index(workers[0])
+        if self._names[first : first + len(workers)] != workers:
+            return None
+        return first
+
+    def update(self, policy: Policy, now_s: float) -> None:
+        """Tell the policy which workers may get new work."""
+        now_unix_s = self.context.unix_s()
+        for index, (name, session) in enumerate(self.sessions.items()):
+            usable = session.reachable and not session.stale
+            usable = usable and self.health.usable(name, now_s, now_unix_s)
+            if self._usable.get(name) != usable:
+                self._usable[name] = usable
+                policy.set_usable(index, usable)
+
+    async def load_quarantines(self) -> None:
+        """Read what earlier holders have written, once the table answers."""
+        tries = 0
+        while True:
+            try:
+                await self._load_pages()
+                return
+            except PlatformError as error:
+                log(TABLE_RETRY, error=str(error))
+                await sleep(retry_delay_s(tries, self.context.random))
+                tries += 1
+
+    async def note_failure(self, job: str, worker: str) -> None:
+        """Count a failed task; write a quarantine if that was too many."""
+        quarantine = self.health.failed(
+            job, worker, current_time(), self.context.unix_s()
+        )
+        if quarantine is None:
+            return
+        log(
+            WORKER_QUARANTINED,
+            worker=worker,
+            reason=quarantine.reason,
+            until_unix_s=quarantine.until_unix_s,
+        )
+        try:
+            await self._write(quarantine)
+        except PlatformError as error:
+            # This holder obeys it anyway; the next one learns it anew.
+            log(TABLE_RETRY, worker=worker, error=str(error))
+
+    def dump(self, now_s: float) -> dict[str, Any]:
+        """Return the state of all workers as JSON values."""
+        return {
+            name: {
+                "usable": self._usable.get(name, False),
+                "reachable": session.reachable,
+                "fenced": session.fenced,
+                "answered_age_s": (
+                    now_s - session.answered_s if session.fenced else None
+                ),
+                "tasks": len(session.tasks),
+                "exchanges": session.exchanges,
+                "quarantine": quarantine_dump(
+                    self.health.quarantines.get(name)
+                ),
+            }
+            for name, session in self.sessions.items()
+        }
+
+    async def _load_pages(self) -> None:
+        after = ""
+        while True:
+            page = await self.context.table.scan(
+                QUARANTINE_PREFIX, after, PAGE_LIMIT
+            )
+            for row in page.rows:
+                name = row.key.removeprefix(QUARANTINE_PREFIX)
+                if name in self.sessions and row.value is not None:
+                    self.health.load(parse_quarantine(name, row.value))
+            after = page.next_after
+            if not after:
+                return
+
+    async def _write(self, quarantine: Quarantine) -> None:
+        key = quarantine_key(quarantine.worker)
+        row = await self.context.table.read(key)
+        value = {
+            "cell": self.cell.name,
+            "until_unix_s": quarantine.until_unix_s,
+            "times": quarantine.times,
+            "reason": quarantine.reason,
+        }
+        revision = row.revision if row else ABSENT
+        await self.context.transitions.writer.write(
+            Write(key, value, revision)
+        )
+
+
+def parse_quarantine(worker: str, value: dict[str, Any]) -> Quarantine:
+    """Return the quarantine that a row's value describes."""
+    return Quarantine(
+        worker, value["until_unix_s"], value["times"], value["reason"]
+    )
+
+
+def quarantine_dump(quarantine: Quarantine | None) -> dict[str, Any] | None:
+    """Return a quarantine as JSON values."""
+    return quarantine._asdict() if quarantine else None
--- /dev/null
+++ b/src/damaskstall/scheduler/writer.py
@@ -0,0 +1,126 @@
+"""Write job rows in batches, so that bursts cost few commits."""
+
+from collections import deque
+from typing import NamedTuple
+from uuid import uuid4
+
+from trio import Event, sleep
+
+from damaskstall.errors import (
+    PlatformError,
+    TableConflictError,
+    TableUnavailableError,
+)
+from damaskstall.platform.settle import commit_settled
+from damaskstall.platform.types import TableService, Write
+from damaskstall.scheduler.metrics import TABLE_COMMITS
+
+BATCH_LIMIT = 100
+BATCH_GAP_S = 0.02
+
+WRITTEN = "written"
+CONFLICT = "conflict"
+UNAVAILABLE = "unavailable"
+UNKNOWN = "unknown"
+
+
+class WriteResult(NamedTuple):
+    """Say what became of one write; the revision is 0 if not written."""
+
+    outcome: str
+    revision: int
+    mutation_id: str
+
+
+class PendingWrite:
+    """Hold one write that waits for its batch."""
+
+    def __init__(self, write: Write) -> None:
+        """Queue a write."""
+        self.write = write
+        self.done = Event()
+        self.result = WriteResult(UNAVAILABLE, 0, "")
+
+    def settle(self, result: WriteResult) -> None:
+        """Wake the writer with what became of it."""
+        self.result = result
+        self.done.set()
+
+
+class JobWriter:
+    """Commit the writes of many tasks, one batch at a time."""
+
+    def __init__(self, table: TableService) -> None:
+        """Write to a table."""
+        self.table = table
+        self._pending: deque[PendingWrite] = deque()
+        self._wake = Event()
+
+    async def write(self, write: Write) -> WriteResult:
+        """Return what became of a write, once its batch is through."""
+        pending = PendingWrite(write)
+        self._pending.append(pending)
+        self._wake.set()
+        await pending.done.wait()
+        return pending.result
+
+    async def run(self) -> None:
+        """Commit batches until cancelled."""
+        while True:
+            await self._wake.wait()
+            batch = self._take_batch()
+            if not batch:
+                self._wake = Event()
+                continue
+            await self._commit(batch)
+            await sleep(BATCH_GAP_S)
+
+    def _take_batch(self) -> list[PendingWrite]:
+        """Take waiting writes, at most one for each row."""
+        batch: dict[str, PendingWrite] = {}
+        later: list[PendingWrite] = []
+        while self._pending and len(batch) < BATCH_LIMIT:
+            pending = self._pending.popleft()
+            if pending.write.key in batch:
+                later.append(pending)
+            else:
+                batch[pending.write.key] = pending
+        self._pending.extendleft(reversed(later))
+        return list(batch.values())
+
+    async def _commit(self, batch: list[PendingWrite]) -> None:
+        """Commit a batch; drop single rows that lost a race."""
+        while batch:
+            mutation_id = uuid4().hex
+            writes = tuple(pending.write for pending in batch)
+            try:
+                revision = await commit_settled(
+                    self.table, writes, mutation_id
+                )
+                result = WriteResult(WRITTEN, revision, mutation_id)
+            except TableConflictError as error:
+                TABLE_COMMITS.inc({"outcome": CONFLICT})
+                lost = WriteResult(CONFLICT, 0, mutation_id)
+                batch = settle_key(batch, error.key, lost)
+                continue
+            except TableUnavailableError:
+                result = WriteResult(UNAVAILABLE, 0, mutation_id)
+            except PlatformError:
+                result = WriteResult(UNKNOWN, 0, mutation_id)
+            TABLE_COMMITS.inc({"outcome": result.outcome})
+            for pending in batch:
+                pending.settle(result)
+            return
+
+
+def settle_key(
+    batch: list[PendingWrite], key: str, result: WriteResult
+) -> list[PendingWrite]:
+    """Settle the writes of one row and return the others."""
+    others = []
+    for pending in batch:
+        if pending.write.key == key:
+            pending.settle(result)
+        else:
+            others.append(pending)
+    return others
--- /dev/null
+++ b/tests/job_checker.py
@@ -0,0 +1,327 @@
+"""Judge jobs from the table's commits and the workers' records alone.
+
+The checker trusts no scheduler. It returns one sentence for each violation.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from damaskstall.platform.types import Write
+from damaskstall.resources.records import (
+    JOB_ENDED,
+    JOB_QUEUED,
+    JOB_SUCCEEDED,
+    STATE_OUT,
+)
+from standins.platform.table import Commit
+
+ENDS = frozenset({"finished", "failed", "stopped", "expired"})
+JOB_PREFIX = "job/"
+DOMAIN_PREFIX = "config/failure_domain/"
+NEVER_S = float("inf")
+
+Record = Mapping[str, Any]
+
+
+class TaskLife(NamedTuple):
+    """Hold what one task did; times are infinite where it never did."""
+
+    worker: str
+    job: str
+    attempt: int
+    task: int
+    first: int
+    accelerators: int
+    prepared_s: float
+    run_s: float
+    ended_s: float
+    end: str
+
+
+def commits_from_json(values: Iterable[Mapping[str, Any]]) -> list[Commit]:
+    """Return commits as the stand-in platform lists them at /records."""
+    return [
+        Commit(
+            value["time_s"],
+            value["revision"],
+            value["mutation_id"],
+            tuple(Write(**write) for write in value["writes"]),
+        )
+        for value in values
+    ]
+
+
+def check_jobs(
+    commits: Iterable[Commit],
+    worker_records: Iterable[Record],
+    start_limit_s: float | None = None,
+    must_end: bool = True,
+) -> list[str]:
+    """Return all violations of what must always hold for jobs.
+
+    ``start_limit_s`` is the time after a take-out's commit from which no
+    task may start there; None leaves that check out, as where the records
+    and the commits come from different clocks.
+    """
+    listed = list(commits)
+    lives = task_lives(worker_records)
+    problems = check_rows(listed, must_end)
+    problems += check_attempts(listed, lives)
+    problems += check_accelerators(lives)
+    if start_limit_s is not None:
+        problems += check_late_starts(listed, lives, start_limit_s)
+    return problems
+
+
+def task_lives(records: Iterable[Record]) -> list[TaskLife]:
+    """Return the life of each task from the workers' records."""
+    events: dict[tuple[str, str, int, int], dict[str, Record]] = {}
+    for record in records:
+        name = record["event"]
+        if name in ("refused", "checkpointed"):
+            continue
+        key = (
+            record["worker"],
+            record["job"],
+            record["attempt"],
+            record["task"],
+        )
+        kind = "end" if name in ENDS else name
+        events.setdefault(key, {}).setdefault(kind, record)
+    lives = []
+    for (worker, job, attempt, task), seen in events.items():
+        any_record = next(iter(seen.values()))
+        lives.append(
+            TaskLife(
+                worker,
+                job,
+                attempt,
+                task,
+                any_record["first_accelerator"],
+                any_record["accelerators"],
+                time_of(seen, "prepared"),
+                time_of(seen, "run"),
+                time_of(seen, "end"),
+                seen["end"]["event"] if "end" in seen else "",
+            )
+        )
+    return lives
+
+
+def time_of(seen: Mapping[str, Record], kind: str) -> float:
+    """Return when an event was, or infinity."""
+    return float(seen[kind]["time_s"]) if kind in seen else NEVER_S
+
+
+def job_states(commits: list[Commit]) -> dict[str, list[dict[str, Any]]]:
+    """Return the statuses that each job's row went through."""
+    states: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for commit in commits:
+        for write in commit.writes:
+            if write.key.startswith(JOB_PREFIX) and write.value is not None:
+                name = write.key.removeprefix(JOB_PREFIX)
+                states[name].append(write.value["status"])
+    return states
+
+
+def check_rows(commits: list[Commit], must_end: bool) -> list[str]:
+    """Check that rows only move on, and end once."""
+    problems = []
+    for job, statuses in job_states(commits).items():
+        for before, after in zip(statuses, statuses[1:], strict=False):
+            if before["state"] in JOB_ENDED:
+                problems.append(
+                    f"The job {job} went from {before['state']} "
+                    f"to {after['state']}."
+                )
+            step = after["attempt"] - before["attempt"]
+            if step not in (0, 1):
+                problems.append(f"The job {job} skipped an attempt.")
+            if step == 1 and before["state"] != JOB_QUEUED:
+                problems.append(
+                    f"The job {job} was placed again while it was "
+                    f"{before['state']}."
+                )
+        if must_end and statuses[-1]["state"] not in JOB_ENDED:
+            problems.append(
+                f"The job {job} is still {statuses[-1]['state']}: "
+                f"{statuses[-1]['reason']}"
+            )
+    return problems
+
+
+def check_attempts(commits: list[Commit], lives: list[TaskLife]) -> list[str]:
+    """Check gangs, overlapping attempts and what must run only once."""
+    problems = []
+    by_job: dict[str, dict[int, list[TaskLife]]] = defaultdict(dict)
+    for life in lives:
+        by_job[life.job].setdefault(life.attempt, []).append(life)
+    specs = job_specs(commits)
+    states = job_states(commits)
+    for job, attempts in by_job.items():
+        problems += check_overlap(job, attempts)
+        ran = [n for n, tasks in attempts.items() if any_ran(tasks)]
+        spec = specs.get(job)
+        if spec is None:
+            problems.append(f"The job {job} ran and was never declared.")
+            continue
+        if not spec["restartable"] and len(ran) > 1:
+            problems.append(
+                f"The job {job} must run once and ran in attempts {ran}."
+            )
+    for job, statuses in states.items():
+        if statuses[-1]["state"] == JOB_SUCCEEDED:
+            attempt = statuses[-1]["attempt"]
+            tasks = by_job[job].get(attempt, [])
+            problems += check_success(job, specs[job], tasks)
+    return problems
+
+
+def any_ran(tasks: list[TaskLife]) -> bool:
+    """Return whether any task of an attempt started."""
+    return any(task.run_s < NEVER_S for task in tasks)
+
+
+def check_overlap(job: str, attempts: dict[int, list[TaskLife]]) -> list[str]:
+    """Check that no attempt runs while a task of another one does."""
+    problems = []
+    for number, tasks in attempts.items():
+        starts = [t.run_s for t in tasks if t.run_s < NEVER_S]
+        for other, earlier in attempts.items():
+            if other >= number or not starts:
+                continue
+            for task in earlier:
+                if task.run_s < NEVER_S and task.ended_s > min(starts):
+                    problems.append(
+                        f"Attempt {number} of {job} started at "
+                        f"{min(starts):.3f} s while task {task.task} of "
+                        f"attempt {other} ran on {task.worker}."
+                    )
+    return problems
+
+
+def check_success(
+    job: str, spec: Mapping[str, Any], tasks: list[TaskLife]
+) -> list[str]:
+    """Check that a job that succeeded has run whole, and once."""
+    finished = sorted(t.task for t in tasks if t.end == "finished")
+    if finished == list(range(spec["hosts"])):
+        return []
+    return [
+        f"The job {job} counts as succeeded, but of its {spec['hosts']} "
+        f"tasks {finished} finished."
+    ]
+
+
+def check_partial_gangs(
+    commits: list[Commit],
+    records: Iterable[Record],
+    now_s: float,
+    limit_s: float,
+) -> list[str]:
+    """Check that no gang ran partly for longer than a limit."""
+    problems = []
+    specs = job_specs(commits)
+    by_attempt: dict[tuple[str, int], list[TaskLife]] = defaultdict(list)
+    for life in task_lives(records):
+        by_attempt[life.job, life.attempt].append(life)
+    for (job, attempt), tasks in by_attempt.items():
+        ran = [t for t in tasks if t.run_s < NEVER_S]
+        if not ran or len(ran) == specs[job]["hosts"]:
+            continue
+        for task in ran:
+            lasted_s = min(task.ended_s, now_s) - task.run_s
+            if lasted_s > limit_s:
+                problems.append(
+                    f"Attempt {attempt} of {job} ran only on part of its "
+                    f"workers, on {task.worker} for {lasted_s:.3f} s."
+                )
+    return problems
+
+
+def job_specs(commits: list[Commit]) -> dict[str, dict[str, Any]]:
+    """Return the specs of all jobs that were ever declared."""
+    specs = {}
+    for commit in commits:
+        for write in commit.writes:
+            if write.key.startswith(JOB_PREFIX) and write.value is not None:
+                name = write.key.removeprefix(JOB_PREFIX)
+                specs[name] = write.value["spec"]
+    return specs
+
+
+def check_accelerators(lives: list[TaskLife]) -> list[str]:
+    """Check that no accelerator was held by two tasks at once."""
+    problems = []
+    by_worker: dict[str, list[TaskLife]] = defaultdict(list)
+    for life in lives:
+        by_worker[life.worker].append(life)
+    for worker, tasks in by_worker.items():
+        tasks.sort(key=lambda life: min(life.prepared_s, life.run_s))
+        for index, task in enumerate(tasks):
+            for later in tasks[index + 1 :]:
+                if min(later.prepared_s, later.run_s) >= task.ended_s:
+                    continue
+                if shares_accelerator(task, later):
+                    problems.append(
+                        f"On {worker}, {task.job}/{task.attempt} and "
+                        f"{later.job}/{later.attempt} shared accelerators."
+                    )
+    return problems
+
+
+def shares_accelerator(one: TaskLife, other: TaskLife) -> bool:
+    """Return whether two tasks hold an accelerator in common."""
+    if one.first >= other.first + other.accelerators:
+        return False
+    return other.first < one.first + one.accelerators
+
+
+def check_late_starts(
+    commits: list[Commit], lives: list[TaskLife], limit_s: float
+) -> list[str]:
+    """Check that nothing starts where operators have taken a domain out."""
+    problems = []
+    outs = out_periods(commits)
+    for life in lives:
+        for domain, workers, out_s, in_s in outs:
+            if life.worker not in workers:
+                continue
+            if out_s + limit_s < life.run_s < in_s:
+                problems.append(
+                    f"The job {life.job} started on {life.worker} "
+                    f"{life.run_s - out_s:.3f} s after {domain} was "
+                    "taken out."
+                )
+    return problems
+
+
+def out_periods(
+    commits: list[Commit],
+) -> list[tuple[str, frozenset[str], float, float]]:
+    """Return when each failure domain was out, and its workers."""
+    periods: list[tuple[str, frozenset[str], float, float]] = []
+    since: dict[str, tuple[frozenset[str], float]] = {}
+    for commit in commits:
+        for write in commit.writes:
+            if not write.key.startswith(DOMAIN_PREFIX):
+                continue
+            name = write.key.removeprefix(DOMAIN_PREFIX)
+            spec = (write.value or {}).get("spec")
+            is_out = spec is None or spec["state"] == STATE_OUT
+            if is_out and name not in since and spec is not None:
+                since[name] = (domain_workers(spec), commit.time_s)
+            elif not is_out and name in since:
+                workers, out_s = since.pop(name)
+                periods.append((name, workers, out_s, commit.time_s))
+    for name, (workers, out_s) in since.items():
+        periods.append((name, workers, out_s, NEVER_S))
+    return periods
+
+
+def domain_workers(spec: Mapping[str, Any]) -> frozenset[str]:
+    """Return the names of a failure domain's workers."""
+    return frozenset(
+        worker["name"] for rack in spec["racks"] for worker in rack["workers"]
+    )
--- /dev/null
+++ b/tests/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Test the scheduler with the real worker stand-in."""
