Tell handlers of clients that go away, and close bodies in parts

Cause: a handler could not learn that its client had gone, an answer in parts kept what it held when the sending broke off, and an HTTP/1.0 client could not tell a cut stream from its end. Change: Request.disconnected, Response bodies are closed in every case, a body of unknown length is not sent to HTTP/1.0 clients. Ruled out: a watching task for every request (a nursery each, and it would cancel handlers in the middle of a write). Seen: the three new tests failed before the change and pass after it.

--- a/src/damaskstall/http/messages.py
+++ b/src/damaskstall/http/messages.py
@@ -5,6 +5,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
+from trio import sleep_forever
+
 from damaskstall.errors import BodyTooLargeError
 
 JSON_TYPE = "application/json"
@@ -33,13 +35,19 @@
 
 
 class Request(NamedTuple):
-    """Carry one request; header names are in lower case."""
+    """Carry one request; header names are in lower case.
+
+    ``disconnected`` returns once the client has closed its connection. It
+    may be awaited only after the body was read to its end.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: Body
+    disconnected: Callable[[], Awaitable[None]] = sleep_forever
+    http_version: str = "1.1"
 
 
 class Response(NamedTuple):
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -37,6 +37,7 @@
     current_time,
     fail_after,
     move_on_after,
+    sleep_forever,
 )
 from trio.abc import HalfCloseableStream
 
@@ -174,7 +175,10 @@
         self.drain.requests += 1
         try:
             response = await self._handle(handler, head)
-            await self._send(response)
+            try:
+                await self._send(response)
+            finally:
+                await close_body(response)
         finally:
             self.drain.requests -= 1
         return await self._recycle()
@@ -247,12 +251,32 @@
             else:
                 raise ConnectionLostError("The request's body was cut off.")
 
+    async def _wait_disconnected(self) -> None:
+        """Return once the client has closed, and keep what it sends."""
+        ahead_bytes = 0
+        while ahead_bytes < RECEIVE_BYTES:
+            try:
+                data = bytes(await self.stream.receive_some(RECEIVE_BYTES))
+            except (BrokenResourceError, ClosedResourceError):
+                return
+            if not data:
+                return
+            self.http.receive_data(data)
+            ahead_bytes += len(data)
+        await sleep_forever()
+
     async def _handle(self, handler: Handler, head: RequestHead) -> Response:
         path, query = split_target(head.target.decode("ascii", "replace"))
         headers = decode_headers(head)
         async with aclosing(self._body_parts()) as parts:
             request = Request(
-                head.method.decode("ascii"), path, query, headers, Body(parts)
+                head.method.decode("ascii"),
+                path,
+                query,
+                headers,
+                Body(parts),
+                self._wait_disconnected,
+                head.http_version.decode("ascii"),
             )
             try:
                 return await handler(request)
@@ -277,6 +301,10 @@
         headers = list(response.headers)
         if isinstance(response.body, bytes):
             headers.append(("content-length", str(len(response.body))))
+        elif self._needs_length() and not names_length(response):
+            raise ConnectionLostError(
+                "An HTTP/1.0 client could not tell the answer's end."
+            )
         if response.close or self.drain.draining or self._unread():
             headers.append(("connection", "close"))
         head = ResponseHead(
@@ -307,6 +335,9 @@
             with fail_after(self.limits.write_timeout_s):
                 await self.stream.send_all(data)
 
+    def _needs_length(self) -> bool:
+        return self.http.their_http_version == b"1.0"
+
     def _unread(self) -> bool:
         """Return whether the handler left part of the body unread."""
         return (
@@ -338,6 +369,20 @@
         return True
 
 
+def names_length(response: Response) -> bool:
+    """Return whether an answer's headers say how long its body is."""
+    return any(name == "content-length" for name, _ in response.headers)
+
+
+async def close_body(response: Response) -> None:
+    """Free what a body in parts holds, however its sending went."""
+    aclose = getattr(response.body, "aclose", None)
+    if aclose is None:
+        return
+    with CancelScope(shield=True), move_on_after(LINGER_S):
+        await aclose()
+
+
 def decode_headers(head: RequestHead) -> dict[str, str]:
     """Return the headers by lower-case name; repeated ones are joined."""
     headers: dict[str, str] = {}
--- /dev/null
+++ b/tests/test_http_clients.py
@@ -0,0 +1,105 @@
+"""Test what the HTTP server does about clients that go away."""
+
+from collections.abc import AsyncIterator
+
+from trio import Event, fail_after, open_nursery, open_tcp_stream, run
+
+from damaskstall.addresses import Address
+from damaskstall.http.messages import Request, Response
+from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.network import TcpNetwork
+
+ANY = Address("127.0.0.1", 0)
+LIMITS = ServerLimits()
+TIMEOUT_S = 10
+REQUEST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"
+OLD_REQUEST = b"GET / HTTP/1.0\r\n\r\n"
+
+
+class EndlessBody:
+    """Yield parts for ever and tell when it is closed."""
+
+    def __init__(self) -> None:
+        """Start open."""
+        self.closed = Event()
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the parts."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return one more part."""
+        return b"x" * 65536
+
+    async def aclose(self) -> None:
+        """Note the end."""
+        self.closed.set()
+
+
+def test_handler_learns_that_its_client_went_away() -> None:
+    async def check() -> None:
+        started, gone = Event(), Event()
+
+        async def handle(request: Request) -> Response:
+            await request.body.read(10)
+            started.set()
+            await request.disconnected()
+            gone.set()
+            return Response(200)
+
+        async with open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
+            )
+            stream = await open_tcp_stream(address.host, address.port)
+            await stream.send_all(REQUEST)
+            with fail_after(TIMEOUT_S):
+                await started.wait()
+                await stream.aclose()
+                await gone.wait()
+            nursery.cancel_scope.cancel()
+
+    run(check)
+
+
+def test_body_is_closed_when_its_client_goes_away() -> None:
+    async def check() -> None:
+        body = EndlessBody()
+
+        async def handle(request: Request) -> Response:
+            return Response(200, body)
+
+        async with open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
+            )
+            stream = await open_tcp_stream(address.host, address.port)
+            await stream.send_all(REQUEST)
+            with fail_after(TIMEOUT_S):
+                await stream.receive_some(100)
+                await stream.aclose()
+                await body.closed.wait()
+            nursery.cancel_scope.cancel()
+
+    run(check)
+
+
+def test_old_client_gets_no_answer_whose_end_it_cannot_see() -> None:
+    async def check() -> None:
+        body = EndlessBody()
+
+        async def handle(request: Request) -> Response:
+            return Response(200, body)
+
+        async with open_nursery() as nursery:
+            address = await nursery.start(
+                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
+            )
+            stream = await open_tcp_stream(address.host, address.port)
+            await stream.send_all(OLD_REQUEST)
+            with fail_after(TIMEOUT_S):
+                assert await stream.receive_some(100) == b""
+                await body.closed.wait()
+            nursery.cancel_scope.cancel()
+
+    run(check)
