--- a/schema/standins.capnp
+++ b/schema/standins.capnp
@@ -40,4 +40,7 @@
     $help("mean run time of a request that names none");
   platform @5 :Text $unit("host:port") $help("address of the instance list");
   seed @6 :Int64 = 1 $minimum(0) $maximum(1000000000) $help("seed of the faults");
+  queueLimit @7 :Int64 = 4 $unit("requests") $minimum(0) $maximum(4096)
+    $help("requests that wait for a slot before more are refused");
+  failureDomain @8 :Text $help("failure domain that the instance list names");
 }
--- /dev/null
+++ b/src/damaskstall/entry/call.py
@@ -0,0 +1,146 @@
+"""Read what a caller asks for from its request."""
+
+from collections.abc import Awaitable, Callable
+from math import isfinite
+from typing import NamedTuple, cast
+from urllib.parse import urlencode
+
+from damaskstall.entry.body import CallerBody
+from damaskstall.entry.words import (
+    DEADLINE_HEADER,
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+    OWN_REQUEST_HEADERS,
+    TEAM_HEADER,
+    forwarded,
+)
+from damaskstall.errors import RequestRejectedError
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.messages import Headers, Request
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.resources.records import BackendServiceSpec
+
+REQUESTS_PREFIX = "/v1/requests/"
+DEADLINE_LIMIT_S = 86400.0
+KEY_LIMIT_CHARACTERS = 200
+
+
+class Call(NamedTuple):
+    """Hold one request as the entry carries it out.
+
+    ``deadline_s`` is a monotonic time. ``idempotent`` is the stricter of the
+    service's declaration and the caller's word.
+    """
+
+    request_id: str
+    service: str
+    spec: BackendServiceSpec
+    team: str
+    deadline_s: float
+    key: str
+    idempotent: bool
+    target: str
+    headers: Headers
+    body: CallerBody
+    caller_gone: Callable[[], Awaitable[None]]
+
+
+def read_call(
+    request: Request,
+    request_id: str,
+    config: ConfigStore,
+    settings: EntrySettings,
+    now_s: float,
+) -> Call:
+    """Return the call; raise RequestRejectedError where it is wrong."""
+    service = request.path.removeprefix(REQUESTS_PREFIX)
+    spec = cast(
+        BackendServiceSpec | None, config.spec("backend_service", service)
+    )
+    if spec is None:
+        raise RequestRejectedError(404, f"There is no service {service!r}.")
+    if request.method != "POST":
+        raise RequestRejectedError(405, "A request to a service is a POST.")
+    if request.http_version == "1.0":
+        # Its end of a long answer could not be told from a cut.
+        raise RequestRejectedError(505, "A request takes HTTP/1.1.")
+    limit_bytes = settings.request_body_limit_bytes
+    check_length(request.headers, limit_bytes)
+    may_repeat = allows_repeats(request.headers)
+    query = f"?{urlencode(request.query)}" if request.query else ""
+    return Call(
+        request_id=request_id,
+        service=service,
+        spec=spec,
+        team=read_team(request.headers, config),
+        deadline_s=now_s + read_time_limit_s(request.headers, settings),
+        key=read_key(request.headers),
+        idempotent=spec["idempotent"] and may_repeat,
+        target=f"/{service}{query}",
+        headers=forwarded(request.headers, OWN_REQUEST_HEADERS),
+        body=CallerBody(request.body, limit_bytes),
+        caller_gone=request.disconnected,
+    )
+
+
+def check_length(headers: dict[str, str], limit_bytes: int) -> None:
+    """Raise RequestRejectedError for a body that is known to be too long."""
+    text = headers.get("content-length", "")
+    if text.isdecimal() and int(text) > limit_bytes:
+        raise RequestRejectedError(
+            413, f"The body is longer than {limit_bytes} bytes."
+        )
+
+
+def read_team(headers: dict[str, str], config: ConfigStore) -> str:
+    """Return the team, which must be declared."""
+    team = headers.get(TEAM_HEADER, "")
+    if not team:
+        raise RequestRejectedError(400, "The header Damaskstall-Team is due.")
+    if config.spec("team", team) is None:
+        raise RequestRejectedError(403, f"There is no team {team!r}.")
+    return team
+
+
+def read_time_limit_s(
+    headers: dict[str, str], settings: EntrySettings
+) -> float:
+    """Return how many seconds the caller allows."""
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return settings.default_deadline_s
+    try:
+        limit_s = float(text)
+    except ValueError:
+        limit_s = -1.0
+    if not isfinite(limit_s) or limit_s <= 0:
+        raise RequestRejectedError(
+            400, f"The header Damaskstall-Deadline-S cannot be {text!r}."
+        )
+    return min(limit_s, DEADLINE_LIMIT_S)
+
+
+def read_key(headers: dict[str, str]) -> str:
+    """Return the idempotency key, or an empty text where there is none."""
+    key = headers.get(KEY_HEADER)
+    if key is None:
+        return ""
+    if not key or len(key) > KEY_LIMIT_CHARACTERS or not key.isprintable():
+        raise RequestRejectedError(
+            400,
+            "The header Idempotency-Key takes 1 to "
+            f"{KEY_LIMIT_CHARACTERS} printable characters.",
+        )
+    return key
+
+
+def allows_repeats(headers: dict[str, str]) -> bool:
+    """Return whether the caller lets the service's declaration stand."""
+    text = headers.get(IDEMPOTENT_HEADER)
+    if text is None or text.lower() == "true":
+        return True
+    if text.lower() == "false":
+        return False
+    raise RequestRejectedError(
+        400, f"The header Damaskstall-Idempotent cannot be {text!r}."
+    )
--- /dev/null
+++ b/src/damaskstall/entry/claims.py
@@ -0,0 +1,329 @@
+"""Run a keyed request at most once by claiming its key in the table.
+
+The claim is written before anything is sent and removed only when it is sure
+that nothing has run. The outcome is written into the claim's row. A claim
+without an outcome means that the request may have run; it is never run again.
+A row is kept for the retention time and then swept.
+"""
+
+from base64 import b64decode, b64encode
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from math import ceil
+from random import Random
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from trio import Nursery, current_time, move_on_at, open_nursery, sleep
+from trio.lowlevel import checkpoint_if_cancelled
+
+from damaskstall.entry.body import read_for_replay
+from damaskstall.entry.call import Call
+from damaskstall.entry.claim_sweep import sweep_claims
+from damaskstall.entry.events import (
+    CLAIM_NOT_RELEASED,
+    OUTCOME_NOT_RECORDED,
+)
+from damaskstall.entry.exchange import Answer, StreamedAnswer
+from damaskstall.entry.words import (
+    ANSWERED,
+    REPEAT_HEADER,
+    RETRY_AFTER_HEADER,
+    UNKNOWN,
+    identity,
+)
+from damaskstall.errors import (
+    PlatformError,
+    RequestNotRunError,
+    RequestRejectedError,
+    TableConflictError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
+from damaskstall.events import Event, log
+from damaskstall.http.messages import Response, error_response
+from damaskstall.platform.keys import idempotency_key
+from damaskstall.platform.settle import commit_settled
+from damaskstall.platform.types import ABSENT, Row, TableService, Value, Write
+
+KEYED_BODY_LIMIT_BYTES = 1024 * 1024
+KEPT_BODY_LIMIT_BYTES = 16384
+RETENTION_S = 86400.0
+CLAIM_TIMEOUT_S = 2.0
+RECORD_WAIT_S = 1.0
+LATER_LIMIT = 256
+LATER_TRIES = 8
+LATER_DELAY_S = 1.0
+TABLE_RETRY_AFTER_S = 2
+STATUS_NOT_RUN = 503
+STATUS_OTHER_BODY = 422
+STATUS_REPEAT = 409
+STATUS_LOST = 502
+
+STATE_CLAIMED = "claimed"
+STATE_ANSWERED = "answered"
+
+
+class Claim(NamedTuple):
+    """Hold the row that keeps others from running a request."""
+
+    key: str
+    revision: int
+    value: Value
+
+
+CarryOut = Callable[[Call], Awaitable[Answer]]
+
+
+class ClaimKeeper:
+    """Claim keys, record outcomes and answer repeats."""
+
+    def __init__(
+        self,
+        table: TableService,
+        random: Random,
+        unix_now: Callable[[], float],
+    ) -> None:
+        """Name the table and the clock that claims are dated by."""
+        self.table = table
+        self.random = random
+        self.unix_now = unix_now
+        self.pending = 0
+        self._nursery: Nursery | None = None
+
+    async def run(self) -> None:
+        """Finish writes in the background and sweep until cancelled."""
+        async with open_nursery() as nursery:
+            self._nursery = nursery
+            await sweep_claims(self.table, self.random, self.unix_now)
+
+    async def run_once(self, call: Call, carry_out: CarryOut) -> Response:
+        """Carry out a keyed request, or answer a repeat of it."""
+        await read_for_replay(call.body, KEYED_BODY_LIMIT_BYTES)
+        if not call.body.complete:
+            raise RequestRejectedError(
+                413,
+                "The body of a request with a key is longer than "
+                f"{KEYED_BODY_LIMIT_BYTES} bytes.",
+            )
+        digest = sha256(call.body.start).hexdigest()
+        claim = await self._claim(call, digest)
+        if isinstance(claim, Row):
+            return repeat_response(call, claim, digest, self.unix_now())
+        try:
+            answer = await carry_out(call)
+        except RequestNotRunError:
+            await self._soon(self._release, claim)
+            raise
+        if isinstance(answer.body, StreamedAnswer):
+            self._record_at_end(claim, answer.status, answer.body)
+        else:
+            value = outcome_value(claim.value, answer)
+            recorded = claim._replace(value=value)
+            await self._soon(self._record, recorded)
+        headers = answer.headers + identity(call.request_id, ANSWERED)
+        return Response(answer.status, answer.body, headers)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {"pending_writes": self.pending}
+
+    async def _claim(self, call: Call, digest: str) -> Claim | Row:
+        """Return our new claim, or the row of an earlier one."""
+        key = idempotency_key(
+            call.service, call.team, quote(call.key, safe="")
+        )
+        value = self._claim_value(call, digest)
+        write = Write(key, value, ABSENT)
+        limit_s = min(call.deadline_s, current_time() + CLAIM_TIMEOUT_S)
+        with move_on_at(limit_s):
+            try:
+                revision = await commit_settled(
+                    self.table, (write,), call.request_id
+                )
+                return Claim(key, revision, value)
+            except TableConflictError:
+                return await self._earlier(key)
+            except TableUnavailableError as error:
+                raise table_refusal() from error
+            except TableOutcomeUnknownError:
+                # The refusal below is true: nothing was sent.
+                pass
+        self._later(self._withdraw, Claim(key, ABSENT, value))
+        raise table_refusal()
+
+    def _claim_value(self, call: Call, digest: str) -> Value:
+        now_s = self.unix_now()
+        left_s = call.deadline_s - current_time()
+        return {
+            "state": STATE_CLAIMED,
+            "request_id": call.request_id,
+            "body_sha256": digest,
+            "claimed_unix_s": now_s,
+            "deadline_unix_s": now_s + left_s,
+            "expires_unix_s": now_s + RETENTION_S,
+        }
+
+    async def _earlier(self, key: str) -> Row:
+        try:
+            row = await self.table.read(key)
+        except TableUnavailableError as error:
+            raise table_refusal() from error
+        if row is None:
+            # The earlier claim was removed just now, since it had not run.
+            raise table_refusal()
+        return row
+
+    def _record_at_end(
+        self, claim: Claim, status: int, body: StreamedAnswer
+    ) -> None:
+        async def end(whole: bool) -> None:
+            if whole:
+                value = {**claim.value, "state": STATE_ANSWERED}
+                value.update(status=status, body_kept=False)
+                self._later(self._record, claim._replace(value=value))
+
+        body.on_end.append(end)
+
+    async def _release(self, claim: Claim) -> None:
+        """Remove a claim whose request has surely not run."""
+        write = Write(claim.key, None, claim.revision)
+        mutation_id = f"{claim.value['request_id']}-release"
+        try:
+            await commit_settled(self.table, (write,), mutation_id)
+        except TableConflictError:
+            return
+
+    async def _withdraw(self, claim: Claim) -> None:
+        """Remove a claim that may or may not have been written."""
+        row = await self.table.read(claim.key)
+        if row is None or row.value is None:
+            return
+        if row.value["request_id"] != claim.value["request_id"]:
+            return
+        await self._release(claim._replace(revision=row.revision))
+
+    async def _record(self, claim: Claim) -> None:
+        """Write the outcome into the claim's row."""
+        write = Write(claim.key, claim.value, claim.revision)
+        mutation_id = f"{claim.value['request_id']}-outcome"
+        await commit_settled(self.table, (write,), mutation_id)
+
+    async def _soon(
+        self, step: Callable[[Claim], Awaitable[None]], claim: Claim
+    ) -> None:
+        """Take a step now if the table is quick, and else in a while."""
+        done = False
+        with move_on_at(current_time() + RECORD_WAIT_S):
+            try:
+                await step(claim)
+                done = True
+            except PlatformError:
+                pass
+        await checkpoint_if_cancelled()
+        if not done:
+            self._later(step, claim)
+
+    def _later(
+        self, step: Callable[[Claim], Awaitable[None]], claim: Claim
+    ) -> None:
+        if self._nursery is None or self.pending >= LATER_LIMIT:
+            log(event_of(step.__name__), key=claim.key)
+            return
+        self.pending += 1
+        self._nursery.start_soon(self._try_later, step, claim)
+
+    async def _try_later(
+        self, step: Callable[[Claim], Awaitable[None]], claim: Claim
+    ) -> None:
+        try:
+            for attempt in range(LATER_TRIES):
+                try:
+                    await step(claim)
+                    return
+                except TableConflictError:
+                    return
+                except PlatformError:
+                    await sleep(LATER_DELAY_S * 2**attempt)
+            log(event_of(step.__name__), key=claim.key)
+        finally:
+            self.pending -= 1
+
+
+def event_of(step_name: str) -> Event:
+    """Return the event that says that a step was not taken."""
+    if step_name == "_record":
+        return OUTCOME_NOT_RECORDED
+    return CLAIM_NOT_RELEASED
+
+
+def table_refusal() -> RequestNotRunError:
+    """Return the refusal of a request whose key could not be claimed."""
+    return RequestNotRunError(
+        STATUS_NOT_RUN,
+        "The idempotency key could not be claimed.",
+        TABLE_RETRY_AFTER_S,
+    )
+
+
+def outcome_value(claimed: Value, answer: Answer) -> Value:
+    """Return the row's value once a whole answer has come."""
+    assert isinstance(answer.body, bytes)
+    value = {**claimed, "state": STATE_ANSWERED, "status": answer.status}
+    value["body_kept"] = len(answer.body) <= KEPT_BODY_LIMIT_BYTES
+    if value["body_kept"]:
+        value["body_base64"] = b64encode(answer.body).decode()
+        value["headers"] = [list(header) for header in answer.headers]
+    return value
+
+
+def repeat_response(
+    call: Call, row: Row, digest: str, now_unix_s: float
+) -> Response:
+    """Answer a repeat from the row of the earlier request."""
+    value = row.value or {}
+    if value["body_sha256"] != digest:
+        raise RequestRejectedError(
+            STATUS_OTHER_BODY,
+            "The idempotency key was used with another body.",
+        )
+    if value["state"] == STATE_ANSWERED and value["body_kept"]:
+        headers = tuple((name, text) for name, text in value["headers"])
+        headers += identity(value["request_id"], ANSWERED)
+        headers += ((REPEAT_HEADER, "true"),)
+        return Response(
+            value["status"], b64decode(value["body_base64"]), headers
+        )
+    if value["state"] == STATE_ANSWERED:
+        return error_response(
+            STATUS_REPEAT,
+            "The request has run once; its answer was too long to keep.",
+            identity(value["request_id"], ANSWERED)
+            + ((REPEAT_HEADER, "true"),),
+            outcome=ANSWERED,
+            recorded_status=value["status"],
+        )
+    return unknown_repeat(value, now_unix_s)
+
+
+def unknown_repeat(value: Value, now_unix_s: float) -> Response:
+    """Say that an earlier request may have run, and whether it still may."""
+    headers = identity(value["request_id"], UNKNOWN)
+    headers += ((REPEAT_HEADER, "true"),)
+    left_s = value["deadline_unix_s"] - now_unix_s
+    if left_s <= 0:
+        return error_response(
+            STATUS_LOST,
+            "An earlier request with this key may have run.",
+            headers,
+            outcome=UNKNOWN,
+        )
+    retry_after_s = max(1, min(5, ceil(left_s)))
+    headers += ((RETRY_AFTER_HEADER, str(retry_after_s)),)
+    return error_response(
+        STATUS_REPEAT,
+        "An earlier request with this key is not yet answered.",
+        headers,
+        outcome=UNKNOWN,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/src/damaskstall/entry/ejection.py
@@ -0,0 +1,54 @@
+"""Put slow and failing servers out of use, but never too many of them."""
+
+from damaskstall.entry.events import SERVER_EJECTED
+from damaskstall.entry.server import ServerState
+from damaskstall.events import log
+
+EJECTED_SHARE = 0.3
+SLOW_RATIO = 3.0
+SLOW_LATENCY_S = 0.01
+PEERS_TO_COMPARE = 3
+
+
+def update_ejections(
+    service: str, servers: list[ServerState], now_s: float
+) -> None:
+    """Eject the servers that deserve it, within the bounded share."""
+    ejected = sum(server.is_ejected(now_s) for server in servers)
+    allowed = int(len(servers) * EJECTED_SHARE)
+    slow_s = slow_latency_s(servers, now_s)
+    for server in servers:
+        reason = reason_to_eject(server, slow_s, now_s)
+        if not reason or ejected >= allowed:
+            continue
+        server.eject(now_s)
+        ejected += 1
+        log(SERVER_EJECTED, service=service, server=server.name, reason=reason)
+
+
+def reason_to_eject(server: ServerState, slow_s: float, now_s: float) -> str:
+    """Return why a server is to be put out of use, or an empty text."""
+    if server.is_ejected(now_s):
+        return ""
+    if server.wants_ejection():
+        return "failing"
+    if not server.has_proved_itself():
+        return ""
+    latency_s = server.limit.latency_s
+    if latency_s is not None and latency_s > slow_s:
+        return "slow"
+    if server.probing:
+        server.end_probing()
+    return ""
+
+
+def slow_latency_s(servers: list[ServerState], now_s: float) -> float:
+    """Return the latency from which a server is slow beside the others."""
+    seen = sorted(
+        server.limit.latency_s
+        for server in servers
+        if server.limit.latency_s is not None and not server.is_ejected(now_s)
+    )
+    if len(seen) < PEERS_TO_COMPARE:
+        return float("inf")
+    return max(SLOW_LATENCY_S, SLOW_RATIO * seen[(len(seen) - 1) // 2])
--- /dev/null
+++ b/src/damaskstall/entry/gateway.py
@@ -0,0 +1,245 @@
+"""Answer callers' requests: the front door to the backend servers."""
+
+from collections.abc import Callable
+from random import Random
+from time import time
+from typing import Any
+
+from trio import (
+    CancelScope,
+    Event,
+    Nursery,
+    current_time,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.entry.attempts import RequestRun
+from damaskstall.entry.body import REPLAY_LIMIT_BYTES, read_for_replay
+from damaskstall.entry.budget import RetryBudget
+from damaskstall.entry.call import Call, read_call
+from damaskstall.entry.claims import ClaimKeeper
+from damaskstall.entry.events import (
+    DRAIN_ENDED,
+    DRAIN_STARTED,
+    OUTCOME_UNKNOWN,
+)
+from damaskstall.entry.exchange import Answer, StreamedAnswer
+from damaskstall.entry.health import InstanceWatch, watch_server
+from damaskstall.entry.router import ServiceRouter
+from damaskstall.entry.server import ServerState
+from damaskstall.entry.words import (
+    ANSWERED,
+    identity,
+    not_run_response,
+    rejected_response,
+    unknown_response,
+)
+from damaskstall.errors import (
+    CallerLostError,
+    ConnectionLostError,
+    RequestNotRunError,
+    RequestOutcomeUnknownError,
+    RequestRejectedError,
+)
+from damaskstall.events import log
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.messages import Request, Response
+from damaskstall.network import Network
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.platform.types import InstanceList, TableService
+
+TICK_S = 0.1
+DRAIN_RETRY_AFTER_S = 1
+STATUS_NOT_RUN = 503
+
+
+class RequestGateway:
+    """Route requests to the servers of the declared services."""
+
+    def __init__(
+        self,
+        network: Network,
+        table: TableService,
+        instances: InstanceList,
+        config: ConfigStore,
+        settings: EntrySettings,
+        random: Random | None = None,
+        unix_now: Callable[[], float] = time,
+    ) -> None:
+        """Start without servers until the configuration is followed."""
+        self.network = network
+        self.config = config
+        self.settings = settings
+        self.random = random or Random()
+        self.routers: dict[str, ServiceRouter] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.claims = ClaimKeeper(table, self.random, unix_now)
+        self.watch = InstanceWatch(instances, settings)
+        self.draining = False
+        self.in_flight = 0
+        self._numbers = 0
+        self._run_id = f"{self.random.getrandbits(32):08x}"
+        self._idle = Event()
+        self._nursery: Nursery | None = None
+        self._watches: dict[ServerState, CancelScope] = {}
+
+    async def run(self) -> None:
+        """Watch servers and keep claims until cancelled."""
+        async with open_nursery() as nursery:
+            self._nursery = nursery
+            self.follow_config()
+            nursery.start_soon(self._follow_changes)
+            nursery.start_soon(self.watch.run, self.routers)
+            nursery.start_soon(self.claims.run)
+            while True:
+                for router in self.routers.values():
+                    router.tick(current_time())
+                await sleep(TICK_S)
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request of a caller."""
+        self._numbers += 1
+        request_id = f"{self.settings.instance}-{self._run_id}-{self._numbers}"
+        self.in_flight += 1
+        streaming = False
+        try:
+            response = await self._answer(request, request_id)
+            if isinstance(response.body, StreamedAnswer):
+                streaming = True
+                response.body.on_end.append(self._end_stream)
+            return response
+        except CallerLostError as error:
+            raise ConnectionLostError(str(error)) from error
+        finally:
+            if not streaming:
+                self._end()
+
+    async def drain(self) -> None:
+        """Refuse new requests and return once none is in flight.
+
+        Gives up after the settings' drain timeout.
+        """
+        log(DRAIN_STARTED, in_flight=self.in_flight)
+        self.draining = True
+        with move_on_after(self.settings.drain_timeout_s):
+            while self.in_flight:
+                await self._idle.wait()
+        log(DRAIN_ENDED, in_flight=self.in_flight)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the full state as JSON values."""
+        now_s = current_time()
+        return {
+            "draining": self.draining,
+            "in_flight": self.in_flight,
+            "services": {
+                name: router.dump(now_s)
+                for name, router in self.routers.items()
+            },
+            "retry_budgets": {
+                name: budget.available for name, budget in self.budgets.items()
+            },
+            "claims": self.claims.dump(),
+        }
+
+    def follow_config(self) -> None:
+        """Bring routers and their servers in line with the declarations."""
+        services = self.config.resources("backend_service")
+        teams = self.config.resources("team")
+        weights = {
+            name: float(team["spec"].get("weight", 1.0))
+            for name, team in teams.items()
+        }
+        for name in list(self.routers):
+            if name not in services:
+                self._update(name, {"servers": []}, weights)
+                del self.routers[name]
+                del self.budgets[name]
+        for name, value in services.items():
+            if name not in self.routers:
+                self._add(name)
+            self._update(name, value["spec"], weights)
+
+    async def _follow_changes(self) -> None:
+        while True:
+            await self.config.wait_change()
+            self.follow_config()
+
+    def _add(self, name: str) -> None:
+        self.routers[name] = ServiceRouter(
+            name, self.network, self.settings, self.random
+        )
+        self.budgets[name] = RetryBudget(self.settings.retry_budget_ratio)
+
+    def _update(self, name: str, spec: Any, weights: dict[str, float]) -> None:
+        router = self.routers[name]
+        for server in router.update(spec, weights):
+            self._watches.pop(server).cancel()
+        self.watch.mark(router)
+        for server in router.servers.values():
+            server.out = self.config.is_out(server.failure_domain)
+            if server not in self._watches and self._nursery is not None:
+                scope = CancelScope()
+                self._watches[server] = scope
+                self._nursery.start_soon(self._watch, router, server, scope)
+
+    async def _watch(
+        self, router: ServiceRouter, server: ServerState, scope: CancelScope
+    ) -> None:
+        with scope:
+            await watch_server(
+                router, server, self.network, self.settings, self.random
+            )
+        await server.pool.close()
+
+    async def _answer(self, request: Request, request_id: str) -> Response:
+        try:
+            call = read_call(
+                request,
+                request_id,
+                self.config,
+                self.settings,
+                current_time(),
+            )
+            if self.draining:
+                raise RequestNotRunError(
+                    STATUS_NOT_RUN,
+                    "This entry is stopping.",
+                    DRAIN_RETRY_AFTER_S,
+                )
+            if call.service not in self.routers:
+                self.follow_config()
+            if call.key and not call.idempotent:
+                return await self.claims.run_once(call, self._carry_out)
+            await read_for_replay(call.body, REPLAY_LIMIT_BYTES)
+            return answered(call, await self._carry_out(call))
+        except RequestRejectedError as error:
+            return rejected_response(error, request_id)
+        except RequestNotRunError as error:
+            response = not_run_response(error, request_id)
+            return response._replace(close=self.draining)
+        except RequestOutcomeUnknownError as error:
+            log(OUTCOME_UNKNOWN, request=request_id, error=str(error))
+            return unknown_response(error, request_id)
+
+    async def _carry_out(self, call: Call) -> Answer:
+        router = self.routers[call.service]
+        budget = self.budgets[call.service]
+        return await RequestRun(call, router, budget, self.random).answer()
+
+    async def _end_stream(self, whole: bool) -> None:
+        self._end()
+
+    def _end(self) -> None:
+        self.in_flight -= 1
+        if not self.in_flight:
+            self._idle.set()
+            self._idle = Event()
+
+
+def answered(call: Call, answer: Answer) -> Response:
+    """Return a server's answer as the caller gets it."""
+    headers = answer.headers + identity(call.request_id, ANSWERED)
+    return Response(answer.status, answer.body, headers)
--- /dev/null
+++ b/src/damaskstall/entry/health.py
@@ -0,0 +1,96 @@
+"""Learn which backend servers take work, from themselves and the platform."""
+
+from random import Random
+
+from trio import current_time, sleep
+
+from damaskstall.entry.events import LIST_UNAVAILABLE
+from damaskstall.entry.router import ServiceRouter
+from damaskstall.entry.server import ServerState
+from damaskstall.errors import HttpError, PlatformError
+from damaskstall.events import log
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.client import HttpClient
+from damaskstall.network import Network
+from damaskstall.platform.types import InstanceList, InstanceRecord
+
+HEALTH_PATH = "/health"
+HEALTH_BODY_LIMIT_BYTES = 65536
+HEALTH_TIMEOUT_S = 1.0
+STATE_LEAVING = "leaving"
+ENTRY_ROLE = "entry"
+JITTER_LOW = 0.8
+JITTER_HIGH = 1.0
+
+
+async def watch_server(
+    router: ServiceRouter,
+    server: ServerState,
+    network: Network,
+    settings: EntrySettings,
+    random: Random,
+) -> None:
+    """Ask a server for its health again and again until cancelled."""
+    timeout_s = min(HEALTH_TIMEOUT_S, settings.health_poll_s)
+    async with HttpClient(network, server.address, timeout_s) as client:
+        while True:
+            sent_s = current_time()
+            state = await ask_health(client)
+            if state is not None:
+                router.note_leaving(server, state == STATE_LEAVING)
+                server.note_serving(sent_s)
+                router.dispatch(current_time())
+            await server.pool.close_idle(current_time())
+            pause_s = settings.health_poll_s
+            await sleep(pause_s * random.uniform(JITTER_LOW, JITTER_HIGH))
+
+
+async def ask_health(client: HttpClient) -> str | None:
+    """Return what a server says of itself, or None where it does not."""
+    try:
+        answer = await client.call_json("GET", HEALTH_PATH)
+    except HttpError:
+        return None
+    if answer.status != 200:
+        return None
+    if not isinstance(answer.value, dict):
+        return ""
+    return str(answer.value.get("state", ""))
+
+
+class InstanceWatch:
+    """Follow the platform's lagging list of instances."""
+
+    def __init__(
+        self, instances: InstanceList, settings: EntrySettings
+    ) -> None:
+        """Start without a list."""
+        self.instances = instances
+        self.settings = settings
+        self.leaving: frozenset[str] = frozenset()
+        self.entries = 1
+
+    async def run(self, routers: dict[str, ServiceRouter]) -> None:
+        """Read the list again and again until cancelled."""
+        while True:
+            try:
+                self._take(await self.instances.instances())
+            except PlatformError as error:
+                # Servers' own answers count now; the old list would keep a
+                # replaced server out for as long as the platform is down.
+                self.leaving = frozenset()
+                log(LIST_UNAVAILABLE, error=str(error))
+            for router in routers.values():
+                self.mark(router)
+            await sleep(self.settings.instance_list_poll_s)
+
+    def mark(self, router: ServiceRouter) -> None:
+        """Tell a router's servers what the list says of them."""
+        for server in router.servers.values():
+            server.leaving_list = str(server.address) in self.leaving
+            server.share_connections(self.entries)
+
+    def _take(self, records: tuple[InstanceRecord, ...]) -> None:
+        self.leaving = frozenset(r.address for r in records if r.leaving)
+        entries = [r for r in records if r.role.endswith(ENTRY_ROLE)]
+        self.entries = max(1, len(entries))
--- /dev/null
+++ b/src/damaskstall/entry/limits.py
@@ -0,0 +1,75 @@
+"""Adapt how many requests an entry has at one server at once.
+
+All entries share a server's slots without talking to each other. Each one
+raises its limit slowly while the limit is what holds it back, and lowers it
+when the server refuses or its answers slow down, so the entries come to
+share the slots as connections share a link.
+"""
+
+LOWEST = 1.0
+REFUSAL_FACTOR = 0.7
+SLOW_FACTOR = 0.9
+SLOW_RATIO = 2.0
+STEP = 0.5
+RECENT_WEIGHT = 0.2
+BASELINE_RISE = 0.01
+CHANGE_INTERVAL_S = 0.1
+
+
+class AdaptiveLimit:
+    """Hold the limit for one server; at most its slots."""
+
+    def __init__(self, slots: int) -> None:
+        """Start at half of the slots."""
+        self.slots = slots
+        self.value = max(LOWEST, slots / 2)
+        self.latency_s: float | None = None
+        self.baseline_s: float | None = None
+        self.lowered_s = float("-inf")
+
+    def room(self, in_flight: int) -> bool:
+        """Return whether one more request fits."""
+        return in_flight < int(self.value)
+
+    def load(self, in_flight: int) -> float:
+        """Return how loaded the server would look with one more."""
+        latency_s = self.latency_s or 0.0
+        return (in_flight + 1) / self.value * (latency_s + 1e-3)
+
+    def note_answer(
+        self, latency_s: float, in_flight: int, now_s: float
+    ) -> None:
+        """Learn from a whole answer; ``in_flight`` counts it."""
+        self._note_latency(latency_s)
+        assert self.latency_s is not None and self.baseline_s is not None
+        if self.latency_s > SLOW_RATIO * self.baseline_s:
+            self._lower(SLOW_FACTOR, now_s)
+        elif in_flight >= int(self.value):
+            step = STEP / self.value
+            self.value = min(float(self.slots), self.value + step)
+
+    def note_refusal(self, now_s: float) -> None:
+        """Learn from a refusal."""
+        self._lower(REFUSAL_FACTOR, now_s)
+
+    def reset(self) -> None:
+        """Start again carefully, after the server was out of use."""
+        self.value = max(LOWEST, min(self.value, self.slots / 4))
+        self.latency_s = None
+
+    def _note_latency(self, latency_s: float) -> None:
+        if self.latency_s is None or self.baseline_s is None:
+            self.latency_s = latency_s
+            self.baseline_s = self.baseline_s or latency_s
+            return
+        self.latency_s += RECENT_WEIGHT * (latency_s - self.latency_s)
+        # The baseline follows a lower latency soon and a higher one slowly.
+        rise = BASELINE_RISE if self.latency_s > self.baseline_s else 0.2
+        self.baseline_s += rise * (self.latency_s - self.baseline_s)
+
+    def _lower(self, factor: float, now_s: float) -> None:
+        # One burst of refusals is one signal.
+        if now_s - self.lowered_s < CHANGE_INTERVAL_S:
+            return
+        self.lowered_s = now_s
+        self.value = max(LOWEST, self.value * factor)
--- /dev/null
+++ b/src/damaskstall/entry/queue.py
@@ -0,0 +1,112 @@
+"""Queue requests that wait for a slot, fairly between teams.
+
+Each team has its own bounded queue. The next slot goes to the team with the
+least use of its share (start-time fair queueing), so a burst of one team
+makes that team wait and no other.
+"""
+
+from collections import deque
+from typing import Any
+
+from trio import Event
+
+from damaskstall.entry.server import ServerState
+from damaskstall.errors import DamaskstallError
+
+DEFAULT_WEIGHT = 1.0
+LOWEST_WEIGHT = 1e-6
+
+
+class Waiter:
+    """Wait for a server or a refusal."""
+
+    def __init__(
+        self, team: str, deadline_s: float, avoid: frozenset[str]
+    ) -> None:
+        """Name the team, the request's deadline and servers not to use."""
+        self.team = team
+        self.deadline_s = deadline_s
+        self.avoid = avoid
+        self.decided = Event()
+        self.server: ServerState | None = None
+        self.refusal: DamaskstallError | None = None
+
+    def grant(self, server: ServerState) -> None:
+        """Hand over a slot of a server."""
+        self.server = server
+        self.decided.set()
+
+    def refuse(self, refusal: DamaskstallError) -> None:
+        """End the wait without a server."""
+        self.refusal = refusal
+        self.decided.set()
+
+
+class FairQueue:
+    """Hold the waiting requests of all teams for one service."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.waiting: dict[str, deque[Waiter]] = {}
+        self.weights: dict[str, float] = {}
+        self.finish: dict[str, float] = {}
+        self.virtual = 0.0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue) for queue in self.waiting.values())
+
+    def weight(self, team: str) -> float:
+        """Return a team's weight."""
+        return max(LOWEST_WEIGHT, self.weights.get(team, DEFAULT_WEIGHT))
+
+    def length(self, team: str) -> int:
+        """Return how many requests of a team wait."""
+        return len(self.waiting.get(team, ()))
+
+    def share(self, team: str) -> float:
+        """Return the part of the slots a team gets while others wait."""
+        total = sum(self.weight(name) for name in {*self.waiting, team})
+        return self.weight(team) / total
+
+    def push(self, waiter: Waiter) -> None:
+        """Put a request at the end of its team's queue."""
+        self.waiting.setdefault(waiter.team, deque()).append(waiter)
+
+    def next(self) -> Waiter | None:
+        """Return the request whose turn it is, without taking it out."""
+        if not self.waiting:
+            return None
+        team = min(self.waiting, key=lambda name: (self._start(name), name))
+        return self.waiting[team][0]
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a request out; does nothing if it is not there."""
+        queue = self.waiting.get(waiter.team)
+        if queue is None or waiter not in queue:
+            return
+        queue.remove(waiter)
+        if not queue:
+            del self.waiting[waiter.team]
+
+    def count_use(self, team: str) -> None:
+        """Count one slot against a team's share."""
+        start = self._start(team)
+        self.virtual = max(self.virtual, start)
+        self.finish[team] = start + 1 / self.weight(team)
+        if len(self.finish) > len(self.weights) + len(self.waiting) + 1:
+            self._forget_idle()
+
+    def dump(self) -> dict[str, Any]:
+        """Return how many requests of each team wait."""
+        return {team: len(queue) for team, queue in self.waiting.items()}
+
+    def _start(self, team: str) -> float:
+        return max(self.virtual, self.finish.get(team, 0.0))
+
+    def _forget_idle(self) -> None:
+        self.finish = {
+            team: finish
+            for team, finish in self.finish.items()
+            if finish > self.virtual or team in self.waiting
+        }
--- /dev/null
+++ b/src/damaskstall/entry/server.py
@@ -0,0 +1,152 @@
+"""Hold what an entry knows of one backend server.
+
+A server gets new work only for a short time after it was last seen serving,
+so an entry that was paused or cut off stops by itself.
+"""
+
+from typing import Any
+
+from damaskstall.addresses import parse_address
+from damaskstall.entry.limits import AdaptiveLimit
+from damaskstall.entry.pool import ConnectionPool
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.network import Network
+from damaskstall.resources.records import ServerSpec
+
+NEVER = float("-inf")
+SERVING_POLLS = 3.0
+FAILURES_TO_EJECT = 5
+EJECT_S = 5.0
+EJECT_LIMIT_S = 60.0
+PROBE_ANSWERS = 3
+
+
+class ServerState:
+    """Count the requests at one server and judge whether it takes more."""
+
+    def __init__(
+        self, spec: ServerSpec, network: Network, settings: EntrySettings
+    ) -> None:
+        """Start with a server that was not yet seen serving."""
+        self.spec = spec
+        self.name = spec["name"]
+        self.address = parse_address(spec["address"])
+        self.failure_domain = spec["failure_domain"]
+        self.limit = AdaptiveLimit(spec["slots"])
+        self.connection_limit = settings.server_connection_limit
+        self.pool = ConnectionPool(network, self.address)
+        self.share_connections(1)
+        self.serving_ttl_s = SERVING_POLLS * settings.health_poll_s
+        self.in_flight = 0
+        self.serving_s = NEVER
+        self.leaving_health = False
+        self.leaving_list = False
+        self.out = False
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until_s = NEVER
+        self.probing = False
+        self.answers = 0
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether any source says that the server leaves."""
+        return self.leaving_health or self.leaving_list or self.out
+
+    def is_serving(self, now_s: float) -> bool:
+        """Return whether the server was lately seen taking work."""
+        if self.leaving:
+            return False
+        return now_s - self.serving_s <= self.serving_ttl_s
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Return whether the server is out of use for its failures."""
+        return now_s < self.ejected_until_s
+
+    def has_room(self, now_s: float) -> bool:
+        """Return whether one more request may go to the server."""
+        if not self.is_serving(now_s) or self.is_ejected(now_s):
+            return False
+        if self.probing and self.in_flight:
+            return False
+        if self.in_flight >= self.pool.limit:
+            return False
+        return self.limit.room(self.in_flight)
+
+    def share_connections(self, entries: int) -> None:
+        """Keep to a part of the server's connections.
+
+        One connection of the part is the health check's.
+        """
+        part = self.spec["connections"] // entries
+        self.pool.limit = max(1, min(self.connection_limit, part) - 1)
+
+    def note_serving(self, sent_s: float) -> None:
+        """Learn that the server took work that was sent at a time."""
+        self.serving_s = max(self.serving_s, sent_s)
+
+    def load(self) -> float:
+        """Return how loaded the server would look with one more request."""
+        return self.limit.load(self.in_flight)
+
+    def note_answer(self, sent_s: float, now_s: float) -> None:
+        """Learn from a whole answer to a request sent at a time."""
+        self.note_serving(sent_s)
+        if sent_s < self.ejected_until_s:
+            # It tells of the time before the server was put out of use.
+            return
+        self.failures = 0
+        self.answers += 1
+        self.limit.note_answer(now_s - sent_s, self.in_flight, now_s)
+
+    def note_failure(self, sent_s: float) -> None:
+        """Learn from a lost, late or wrong answer."""
+        if sent_s >= self.ejected_until_s:
+            self.failures += 1
+
+    def note_refusal(self, now_s: float) -> None:
+        """Learn that the server refused a request unread."""
+        self.limit.note_refusal(now_s)
+
+    def note_unreachable(self) -> None:
+        """Learn that no connection came about; health polls go on."""
+        self.serving_s = NEVER
+
+    def wants_ejection(self) -> bool:
+        """Return whether the server has failed too often in a row."""
+        return self.failures >= (1 if self.probing else FAILURES_TO_EJECT)
+
+    def eject(self, now_s: float) -> None:
+        """Put the server out of use, longer each time."""
+        self.ejections += 1
+        pause_s = EJECT_S * 2 ** (self.ejections - 1)
+        self.ejected_until_s = now_s + min(EJECT_LIMIT_S, pause_s)
+        self.failures = 0
+        self.probing = True
+        self.answers = 0
+        self.limit.reset()
+
+    def has_proved_itself(self) -> bool:
+        """Return whether enough answers came since the last ejection."""
+        return self.answers >= PROBE_ANSWERS
+
+    def end_probing(self) -> None:
+        """Use the server as any other again."""
+        self.probing = False
+        self.ejections = 0
+
+    def dump(self, now_s: float) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            "name": self.name,
+            "address": str(self.address),
+            "failure_domain": self.failure_domain,
+            "in_flight": self.in_flight,
+            "limit": round(self.limit.value, 2),
+            "latency_s": self.limit.latency_s,
+            "serving": self.is_serving(now_s),
+            "leaving": self.leaving,
+            "ejected": self.is_ejected(now_s),
+            "probing": self.probing,
+            "connections": self.pool.open_count,
+        }
--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -110,3 +110,34 @@
         """Keep the HTTP status that the caller is told."""
         self.status = status
         super().__init__(message)
+
+
+class ServerRefusedError(HttpError):
+    """A backend server refused a request unread: it has not run."""
+
+    def __init__(self, retry_after_s: int, leaving: bool) -> None:
+        """Keep when the server would take it, and whether it leaves."""
+        self.retry_after_s = retry_after_s
+        self.leaving = leaving
+        super().__init__("The server refused the request unread.")
+
+
+class AnswerMismatchError(ConnectionLostError):
+    """An answer does not name the request that it is taken for."""
+
+
+class AnswerTimeoutError(ConnectionLostError):
+    """An answer did not come within its time limit."""
+
+
+class CallerLostError(HttpError):
+    """A caller went away or sent a malformed body."""
+
+
+class RequestRejectedError(DamaskstallError):
+    """A request asks for something that cannot be; nothing has run."""
+
+    def __init__(self, status: int, message: str) -> None:
+        """Keep the HTTP status that the caller is told."""
+        self.status = status
+        super().__init__(message)
--- /dev/null
+++ b/standins/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for a backend server that answers callers' requests."""
--- /dev/null
+++ b/standins/backend/core.py
@@ -0,0 +1,136 @@
+"""Run requests in slots and keep a record of each run.
+
+A request's body may be a JSON object: ``run_s`` names its run time, ``tag``
+goes into the record and the answer, ``answer_bytes`` pads the answer.
+"""
+
+from collections import deque
+from random import Random
+from typing import Any, NamedTuple
+
+from trio import Event, current_time, sleep
+
+from damaskstall.http.messages import parse_json
+from standins.backend.faults import SLOW, FaultRule, Faults
+from standins.settings import BackendStandinSettings
+
+SPREAD_LOW = 0.5
+SPREAD_HIGH = 1.5
+
+
+class Job(NamedTuple):
+    """Describe one request as the server read it."""
+
+    request_id: str
+    service: str
+    team: str
+    body: bytes
+
+
+class RunRecord:
+    """Tell of one run; the checkers' truth of what ran."""
+
+    def __init__(self, job: Job, fields: dict[str, Any], now_s: float):
+        """Start the record when the run starts."""
+        self.request_id = job.request_id
+        self.service = job.service
+        self.team = job.team
+        self.tag = str(fields.get("tag", ""))
+        self.started_s = now_s
+        self.finished_s: float | None = None
+        self.answered = ""
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the record as JSON values."""
+        return dict(vars(self))
+
+
+class BackendCore:
+    """Hold the slots, the waiting requests, the records and the faults."""
+
+    def __init__(self, settings: BackendStandinSettings) -> None:
+        """Start idle and serving."""
+        self.settings = settings
+        self.faults = Faults(settings.seed)
+        self.random = Random(settings.seed)
+        self.records: list[RunRecord] = []
+        self.leaving = False
+        self.running = 0
+        self.waiting: deque[Event] = deque()
+        self.refused = 0
+        self.refused_leaving = 0
+        self.arrivals_s: list[float] = []
+        self.last_answer: tuple[str, bytes] | None = None
+
+    def refuses(self, now_s: float) -> bool:
+        """Return whether a request is refused unread, and count it."""
+        self.arrivals_s.append(now_s)
+        if self.leaving:
+            self.refused_leaving += 1
+            return True
+        full = self.running >= self.settings.slots
+        if full and len(self.waiting) >= self.settings.queue_limit:
+            self.refused += 1
+            return True
+        return False
+
+    async def run(
+        self, job: Job, fault: FaultRule | None
+    ) -> tuple[RunRecord, bytes]:
+        """Run a request in a slot; return its record and its answer."""
+        await self._take_slot()
+        try:
+            fields = fields_of(job.body)
+            record = RunRecord(job, fields, current_time())
+            self.records.append(record)
+            await sleep(self._run_s(fields, fault))
+            record.finished_s = current_time()
+            return record, answer_body(job, fields)
+        finally:
+            self._free_slot()
+
+    def _run_s(self, fields: dict[str, Any], fault: FaultRule | None) -> float:
+        spread = self.random.uniform(SPREAD_LOW, SPREAD_HIGH)
+        named = fields.get("run_s")
+        mean_s = self.settings.service_time_s
+        run_s = mean_s * spread if named is None else float(named)
+        if fault is not None and fault.kind == SLOW:
+            return run_s * fault.factor
+        return run_s
+
+    async def _take_slot(self) -> None:
+        if self.running < self.settings.slots:
+            self.running += 1
+            return
+        turn = Event()
+        self.waiting.append(turn)
+        try:
+            await turn.wait()
+        except BaseException:
+            if turn.is_set():
+                self._free_slot()
+            else:
+                self.waiting.remove(turn)
+            raise
+
+    def _free_slot(self) -> None:
+        if self.waiting:
+            self.waiting.popleft().set()
+            return
+        self.running -= 1
+
+
+def fields_of(body: bytes) -> dict[str, Any]:
+    """Return the fields of a JSON object, or none for other bodies."""
+    try:
+        value = parse_json(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def answer_body(job: Job, fields: dict[str, Any]) -> bytes:
+    """Return an answer that tells whose it is, padded if asked."""
+    start = f"{job.service}:{fields.get('tag', '')}:".encode()
+    length = int(fields.get("answer_bytes", 0))
+    return start + b"." * max(0, length - len(start))
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -129,6 +129,8 @@
     service_time_s: float = 0.05
     platform: str = ""
     seed: int = 1
+    queue_limit: int = 4
+    failure_domain: str = ""
 
 
 BACKEND_STANDIN_SETTINGS = ProgramFields(
@@ -177,5 +179,23 @@
         SettingField(
             "seed", int, 1, "", 0.0, 1000000000.0, "seed of the faults"
         ),
+        SettingField(
+            "queue_limit",
+            int,
+            4,
+            "requests",
+            0.0,
+            4096.0,
+            "requests that wait for a slot before more are refused",
+        ),
+        SettingField(
+            "failure_domain",
+            str,
+            "",
+            "",
+            None,
+            None,
+            "failure domain that the instance list names",
+        ),
     ),
 )
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the entries' request side by its behaviour."""
--- /dev/null
+++ b/tests/requests/world.py
@@ -0,0 +1,333 @@
+"""Run entries, backend servers and callers in one process."""
+
+from collections.abc import Awaitable, Callable
+from json import dumps
+from random import Random
+from typing import Any, NamedTuple
+
+from trio import (
+    TASK_STATUS_IGNORED,
+    CancelScope,
+    Nursery,
+    TaskStatus,
+    TooSlowError,
+    current_time,
+    fail_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.addresses import Address
+from damaskstall.entry.gateway import RequestGateway
+from damaskstall.errors import HttpError
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.client import HttpConnection
+from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.platform.types import ChangePage, InstanceRecord, Row
+from standins.backend.core import BackendCore
+from standins.backend.faults import FaultRule
+from standins.backend.server import BackendServer
+from standins.network import MemoryNetwork, NetworkEnd
+from standins.platform.memory import MemoryInstances, MemoryTable, Platform
+from standins.settings import BackendStandinSettings
+from tests.request_checker import (
+    BROKEN,
+    CallerRecord,
+    ServerRecord,
+    check_requests,
+)
+from tests.virtual_time import run_virtual
+
+ANY = Address("127.0.0.1", 0)
+UNIX_START_S = 1_700_000_000.0
+GRACE_S = 2.0
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+CONNECTION_LIMIT = 5000
+
+
+class Ask(NamedTuple):
+    """Describe one call."""
+
+    tag: str
+    service: str = "minutes"
+    team: str = "press"
+    deadline_s: float = 5.0
+    key: str = ""
+    run_s: float | None = None
+    answer_bytes: int = 0
+    padding_bytes: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def body(self) -> bytes:
+        """Return the body that the stand-in understands."""
+        fields: dict[str, Any] = {"tag": self.tag}
+        if self.run_s is not None:
+            fields["run_s"] = self.run_s
+        if self.answer_bytes:
+            fields["answer_bytes"] = self.answer_bytes
+        if self.padding_bytes:
+            fields["padding"] = "x" * self.padding_bytes
+        return dumps(fields).encode()
+
+    def expected(self) -> bytes:
+        """Return the answer that belongs to this call."""
+        start = f"{self.service}:{self.tag}:".encode()
+        return start + b"." * max(0, self.answer_bytes - len(start))
+
+
+class Backend:
+    """Hold one running backend server."""
+
+    def __init__(self, settings: BackendStandinSettings) -> None:
+        """Name it by its settings."""
+        self.name = settings.name
+        self.failure_domain = settings.failure_domain
+        self.core = BackendCore(settings)
+        self.server = BackendServer(self.core)
+        self.scope = CancelScope()
+        self.address = ANY
+
+    def break_answers(self, *rules: FaultRule) -> None:
+        """Set the fault rules."""
+        self.core.faults.rules = list(rules)
+
+
+class Entry:
+    """Hold one running entry."""
+
+    def __init__(self, name: str, gateway: RequestGateway) -> None:
+        """Name it."""
+        self.name = name
+        self.gateway = gateway
+        self.config = gateway.config
+        self.drain = DrainState()
+        self.scope = CancelScope()
+        self.address = ANY
+
+
+class World:
+    """Hold the processes of one test and what callers were told."""
+
+    def __init__(self, nursery: Nursery, seed: int = 1) -> None:
+        """Start with a platform only."""
+        self.nursery = nursery
+        self.seed = seed
+        self.network = MemoryNetwork()
+        self.platform = Platform(seed)
+        self.backends: dict[str, Backend] = {}
+        self.entries: dict[str, Entry] = {}
+        self.callers: list[CallerRecord] = []
+        self.idempotent = {"index": True, "minutes": False}
+        self.weights: dict[str, float] = {"press": 1.0, "clerks": 1.0}
+        self.timeout_s = 10.0
+        self.revision = 0
+
+    async def add_backend(
+        self, name: str, failure_domain: str = "fd1", **settings: Any
+    ) -> Backend:
+        """Start a backend server."""
+        chosen = {"slots": 8, "service_time_s": 0.05, **settings}
+        backend = Backend(
+            BackendStandinSettings(
+                name=name, failure_domain=failure_domain, **chosen
+            )
+        )
+        await self.start_backend(backend, ANY)
+        return backend
+
+    async def start_backend(self, backend: Backend, address: Address) -> None:
+        """Serve a backend at an address."""
+        backend.scope = CancelScope()
+
+        backend.address = await self.nursery.start(
+            serve_backend, backend, self.network.end(backend.name), address
+        )
+        self.backends[backend.name] = backend
+
+    async def add_entry(
+        self, name: str, failure_domain: str = "fd1", **settings: Any
+    ) -> Entry:
+        """Start an entry with its gateway."""
+        end = self.network.end(name)
+        gateway = RequestGateway(
+            end,
+            MemoryTable(self.platform, name),
+            MemoryInstances(self.platform, name),
+            ConfigStore(),
+            EntrySettings(
+                instance=name, failure_domain=failure_domain, **settings
+            ),
+            random=Random(f"{self.seed}/{name}"),
+            unix_now=unix_now,
+        )
+        entry = Entry(name, gateway)
+        self.entries[name] = entry
+        self.platform.instances[name] = InstanceRecord(
+            name, "entry", failure_domain, "", False
+        )
+        self.configure()
+        entry.address = await self.nursery.start(serve_entry, entry, end)
+        return entry
+
+    def configure(self) -> None:
+        """Give all entries the declarations of the present servers."""
+        self.revision += 1
+        servers = [
+            {
+                "name": backend.name,
+                "address": str(backend.address),
+                "failure_domain": backend.failure_domain,
+                "slots": backend.core.settings.slots,
+                "connections": backend.core.settings.connection_limit,
+            }
+            for backend in self.backends.values()
+        ]
+        rows = [
+            self._row(
+                f"backend_service/{name}",
+                {
+                    "idempotent": idempotent,
+                    "timeout_s": self.timeout_s,
+                    "servers": servers,
+                },
+            )
+            for name, idempotent in self.idempotent.items()
+        ]
+        for team, weight in self.weights.items():
+            spec = {"weight": weight, "guarantees": []}
+            rows.append(self._row(f"team/{team}", spec))
+        page = ChangePage(tuple(rows), self.revision, True)
+        for entry in self.entries.values():
+            entry.config.apply(page, current_time())
+
+    def _row(self, name: str, spec: Any) -> Row:
+        value = {"spec": spec, "status": {}}
+        return Row(f"config/{name}", self.revision, "m", value)
+
+    async def settle(self) -> None:
+        """Let the first health checks come back."""
+        await sleep(0.5)
+
+    async def ask(self, entry: Entry, ask: Ask) -> CallerRecord:
+        """Make one call on a connection of its own and record it."""
+        answer = await self.raw_ask(entry, ask)
+        self.callers.append(answer)
+        return answer
+
+    async def raw_ask(self, entry: Entry, ask: Ask) -> CallerRecord:
+        """Make one call; a broken or missing answer is told as broken."""
+        record = CallerRecord(
+            ask.tag,
+            self.idempotent.get(ask.service, True)
+            and ("damaskstall-idempotent", "false") not in ask.headers,
+            bool(ask.key),
+            BROKEN,
+            False,
+            0,
+            "",
+            b"",
+            ask.expected(),
+        )
+        connection: HttpConnection | None = None
+        try:
+            with fail_after(ask.deadline_s + GRACE_S):
+                connection = await HttpConnection.open(
+                    self.network.end(f"caller-{ask.tag}"), entry.address
+                )
+                return await exchange_call(connection, ask, record)
+        except (HttpError, TooSlowError):
+            return record
+        finally:
+            if connection is not None:
+                await connection.close()
+
+    def runs(self) -> list[ServerRecord]:
+        """Return what all backend servers ran."""
+        return [
+            ServerRecord(b.name, r.request_id, r.tag, r.started_s)
+            for b in self.backends.values()
+            for r in b.core.records
+        ]
+
+    def check(self) -> None:
+        """Fail on every broken promise."""
+        problems = check_requests(self.callers, self.runs())
+        assert not problems, "\n".join(problems)
+
+
+async def serve_backend(
+    backend: Backend,
+    end: NetworkEnd,
+    address: Address,
+    task_status: TaskStatus[Address] = TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a backend until its scope is cancelled."""
+    with backend.scope:
+        await backend.server.serve(end, address, task_status=task_status)
+
+
+async def serve_entry(
+    entry: Entry,
+    end: NetworkEnd,
+    task_status: TaskStatus[Address] = TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an entry until its scope is cancelled."""
+    limits = ServerLimits(connections=CONNECTION_LIMIT)
+    with entry.scope:
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.gateway.run)
+            await serve_http(
+                entry.gateway.handle,
+                end,
+                ANY,
+                limits,
+                entry.drain,
+                task_status=task_status,
+            )
+
+
+def unix_now() -> float:
+    """Return a wall clock that runs with virtual time."""
+    return UNIX_START_S + current_time()
+
+
+async def exchange_call(
+    connection: HttpConnection, ask: Ask, record: CallerRecord
+) -> CallerRecord:
+    """Send a call on a connection and return what came of it."""
+    headers = (
+        ("damaskstall-team", ask.team),
+        ("damaskstall-deadline-s", str(ask.deadline_s)),
+        *ask.headers,
+    )
+    if ask.key:
+        headers += (("idempotency-key", ask.key),)
+    await connection.send(
+        "POST", f"/v1/requests/{ask.service}", headers, ask.body()
+    )
+    head = await connection.receive_head()
+    body = await connection.read_body(BODY_LIMIT_BYTES)
+    return record._replace(
+        told=head.headers.get("damaskstall-outcome", ""),
+        not_run=head.headers.get("damaskstall-not-run") == "true",
+        status=head.status,
+        request_id=head.headers.get("damaskstall-request-id", ""),
+        body=body,
+    )
+
+
+Scenario = Callable[[World], Awaitable[None]]
+
+
+def run_world(scenario: Scenario, seed: int = 1) -> None:
+    """Run a scenario under virtual time and check all promises."""
+
+    async def main() -> None:
+        async with open_nursery() as nursery:
+            world = World(nursery, seed)
+            await scenario(world)
+            world.check()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main, seed=seed)
