Decide over a cell: slots for guarantees, queue, reclaim, reservation

Cause: nothing decided where a job starts. Each guarantee is now a slot that always has a block of its own, held by its team's jobs or kept reachable by preempting borrowers; fixed home blocks and late binding are two ways of moving an unused slot. Searches remember each rack's best block per shape and look again only at racks that changed.

Ruled out: checking reclaimability by a fresh packing of the whole cell at each start, which costs the cell's size; the kept witness costs what it moves.

--- /dev/null
+++ b/src/damaskstall/placement/books.py
@@ -0,0 +1,163 @@
+"""Keep who holds, awaits and has reserved which accelerators of a cell."""
+
+from collections.abc import Callable
+from math import inf
+
+from damaskstall.placement.block_index import BlockIndex, Score
+from damaskstall.placement.layout import Layout, overlap
+from damaskstall.placement.masks import Masks
+from damaskstall.placement.model import Block, RunningJob
+from damaskstall.placement.slots import Slots
+
+GROUP_HOSTS = (1, 2, 4)
+
+
+class Books:
+    """Hold running jobs and the three searches over a cell's blocks.
+
+    ``free`` finds blocks that nobody holds, fullest surroundings first.
+    ``reclaim`` finds blocks held at most by jobs that may be preempted, with
+    the least loss first. ``drain`` finds blocks that empty soonest.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        slots: Slots,
+        end_s: Callable[[RunningJob], float],
+    ) -> None:
+        """Start empty; ``end_s`` tells when a job is expected to end."""
+        self.layout = layout
+        self.slots = slots
+        self.end_s = end_s
+        self.running: dict[str, RunningJob] = {}
+        self.jobs_on: dict[int, list[str]] = {}
+        self.held = Masks(layout.workers)
+        self.promised = Masks(layout.workers)
+        self.reserved = Masks(layout.workers)
+        self.free = BlockIndex(layout, self.free_score)
+        self.reclaim = BlockIndex(layout, self.reclaim_score)
+        self.drain = BlockIndex(layout, self.drain_score)
+
+    def hold(self, running: RunningJob) -> None:
+        """Count a job as holding its block."""
+        block = running.block
+        self.running[running.job.name] = running
+        for worker in range(
+            block.first_worker, block.first_worker + block.hosts
+        ):
+            self.jobs_on.setdefault(worker, []).append(running.job.name)
+        self.mark(self.held, block, True)
+
+    def replace(self, running: RunningJob) -> None:
+        """Change what is known of a job that keeps its block."""
+        self.running[running.job.name] = running
+        self.changed(running.block)
+
+    def release(self, name: str) -> RunningJob | None:
+        """Free a job's block; return the job, or None if it is unknown."""
+        running = self.running.pop(name, None)
+        if running is None:
+            return None
+        block = running.block
+        for worker in range(
+            block.first_worker, block.first_worker + block.hosts
+        ):
+            self.jobs_on[worker].remove(name)
+            if not self.jobs_on[worker]:
+                del self.jobs_on[worker]
+        self.mark(self.held, block, False)
+        return running
+
+    def mark(self, masks: Masks, block: Block, present: bool) -> None:
+        """Put a block into one of the sets, or take it out."""
+        if present:
+            masks.add(block)
+        else:
+            masks.remove(block)
+        self.changed(block)
+
+    def changed(self, block: Block) -> None:
+        """Note that a block's accelerators changed hands."""
+        self.free.changed(block)
+        self.reclaim.changed(block)
+        self.drain.changed(block)
+
+    def jobs_in(self, block: Block) -> list[RunningJob]:
+        """Return the jobs that hold accelerators of a block."""
+        names: dict[str, None] = {}
+        for worker in range(
+            block.first_worker, block.first_worker + block.hosts
+        ):
+            names.update(dict.fromkeys(self.jobs_on.get(worker, ())))
+        jobs = [self.running[name] for name in names]
+        return [job for job in jobs if overlap(job.block, block)]
+
+    def vacant(self, block: Block) -> bool:
+        """Return whether nobody holds or awaits a block that is usable."""
+        if self.held.meets(block) or self.promised.meets(block):
+            return False
+        return not self.slots.closed.meets(block)
+
+    def preemptible(self, running: RunningJob) -> bool:
+        """Return whether a job may be made to leave."""
+        if running.guaranteed:
+            return False
+        return running.job.name not in self.slots.shields
+
+    def free_score(self, block: Block) -> Score | None:
+        """Score a free block by what is left free around it."""
+        if not self.vacant(block) or self.reserved.meets(block):
+            return None
+        return (*self.surroundings(block), float(block.first_worker))
+
+    def surroundings(self, block: Block) -> list[float]:
+        """Return the free accelerators of ever larger groups around."""
+        span = self.layout.racks[self.layout.rack_of[block.first_worker]]
+        counts = []
+        for hosts in GROUP_HOSTS:
+            if hosts < block.hosts:
+                continue
+            offset = block.first_worker - span.first
+            first = span.first + offset // hosts * hosts
+            counts.append(
+                self._free_count(first, min(first + hosts, span.end))
+            )
+        counts.append(self._free_count(span.first, span.end))
+        return counts
+
+    def _free_count(self, first: int, end: int) -> float:
+        taken = 0
+        for worker in range(first, end):
+            taken += (
+                self.held.bits[worker] | self.promised.bits[worker]
+            ).bit_count()
+        return float(sum(self.layout.accelerators[first:end]) - taken)
+
+    def reclaim_score(self, block: Block) -> Score | None:
+        """Score a block by the work lost when its jobs are preempted.
+
+        The parts are accelerators whose work starts over, accelerators that
+        are asked to leave, and whether a reservation is disturbed.
+        """
+        if self.promised.meets(block) or self.slots.closed.meets(block):
+            return None
+        restarted = 0
+        stopped = 0
+        for running in self.jobs_in(block):
+            if not self.preemptible(running):
+                return None
+            if running.stopping:
+                continue
+            stopped += running.job.shape.accelerators
+            if running.job.urgent or not running.job.checkpointable:
+                restarted += running.job.shape.accelerators
+        disturbed = self.reserved.meets(block)
+        return (float(restarted), float(stopped), float(disturbed))
+
+    def drain_score(self, block: Block) -> Score | None:
+        """Score a block by when the last of its jobs is expected to end."""
+        if self.promised.meets(block) or self.slots.closed.meets(block):
+            return None
+        ends_s = [self.end_s(running) for running in self.jobs_in(block)]
+        return (max(ends_s, default=-inf), float(block.first_worker))
--- /dev/null
+++ b/src/damaskstall/placement/estimates.py
@@ -0,0 +1,46 @@
+"""Correct declared run times by what each team's jobs really took."""
+
+from math import exp, log
+from typing import NamedTuple
+
+SHORTEST_S = 1.0
+NEW_SHARE = 0.2
+SPREAD_FACTOR = 1.0
+EXPONENT_LIMIT = 7.0
+
+
+class Correction(NamedTuple):
+    """Hold mean and variance of the logarithm of real to declared time."""
+
+    mean: float
+    variance: float
+
+
+class Estimates:
+    """Learn per team how far its declared run times are off."""
+
+    def __init__(self) -> None:
+        """Start by taking every declaration at its word."""
+        self.corrections: dict[str, Correction] = {}
+
+    def learn(self, team: str, declared_s: float, ran_s: float) -> None:
+        """Take in one finished job."""
+        seen = log(max(ran_s, SHORTEST_S) / max(declared_s, SHORTEST_S))
+        known = self.corrections.get(team)
+        if known is None:
+            self.corrections[team] = Correction(seen, 0.0)
+            return
+        distance = seen - known.mean
+        mean = known.mean + NEW_SHARE * distance
+        kept = known.variance + NEW_SHARE * distance * distance
+        self.corrections[team] = Correction(mean, (1 - NEW_SHARE) * kept)
+
+    def expect_s(self, team: str, declared_s: float) -> float:
+        """Return a run time that most such jobs stay within, in seconds."""
+        declared_s = max(declared_s, SHORTEST_S)
+        known = self.corrections.get(team)
+        if known is None:
+            return declared_s
+        exponent = known.mean + SPREAD_FACTOR * known.variance**0.5
+        limited = max(-EXPONENT_LIMIT, min(EXPONENT_LIMIT, exponent))
+        return declared_s * exp(limited)
--- /dev/null
+++ b/src/damaskstall/placement/explain.py
@@ -0,0 +1,84 @@
+"""Say in words why a job waits and what would let it start."""
+
+from damaskstall.placement.books import Books
+from damaskstall.placement.model import Block, Explanation, QueuedJob, Shape
+from damaskstall.placement.reservations import Reservation
+
+NAMES_SHOWN = 4
+
+NOT_HERE = Explanation("It does not wait in this cell.", "Nothing.")
+TAKEN_OUT = Explanation(
+    "The failure domain is taken out.",
+    "It is put back in, or another cell claims the job.",
+)
+NEXT_DECISION = Explanation(
+    "It came after the last decision.", "The next decision."
+)
+
+
+def explain_claim(books: Books, block: Block) -> Explanation:
+    """Explain a job whose block is being cleared of borrowers."""
+    leaving = [running.job.name for running in books.jobs_in(block)]
+    return Explanation(
+        f"Its block is held for it until {len(leaving)} jobs have left.",
+        f"The end of {listed(leaving)}.",
+    )
+
+
+def explain_reserved(reservation: Reservation, now_s: float) -> Explanation:
+    """Explain a job that has the reservation."""
+    wait_s = max(0.0, reservation.empty_s - now_s)
+    return Explanation(
+        "A block is reserved for it and empties as its jobs end.",
+        f"The end of those jobs, expected in {wait_s:.0f} s by corrected "
+        "estimates.",
+    )
+
+
+def explain_blocked(books: Books, job: QueuedJob, now_s: float) -> Explanation:
+    """Explain a job that found no place."""
+    shape = describe(job.shape)
+    if not books.layout.possible(job.shape):
+        return Explanation(
+            f"No block of {shape} accelerators exists in this cell.",
+            "A cell with larger racks or workers.",
+        )
+    soonest = books.drain.find(job.shape)
+    if soonest is None:
+        return Explanation(
+            f"No block of {shape} accelerators has only usable workers.",
+            "Workers that come back from quarantine.",
+        )
+    if books.free.find(job.shape) is not None:
+        return explain_kept(job)
+    wait_s = max(0.0, soonest.score[0] - now_s)
+    holders = [running.job.name for running in books.jobs_in(soonest.block)]
+    return Explanation(
+        f"No block of {shape} adjacent accelerators is free, and the "
+        "guarantee of its team gives it none.",
+        f"The end of {listed(holders)}, expected in {wait_s:.0f} s by "
+        "corrected estimates, or a guarantee that fits.",
+    )
+
+
+def explain_kept(job: QueuedJob) -> Explanation:
+    """Explain a job that waits beside a free block."""
+    if job.restartable:
+        return NEXT_DECISION
+    return Explanation(
+        "The free blocks are needed for guarantees. The job may start only "
+        "once, so it must not be reclaimed and cannot borrow them.",
+        "A free block that no guarantee needs, or a guarantee that fits.",
+    )
+
+
+def listed(names: list[str]) -> str:
+    """Return the first of some names and how many more there are."""
+    shown = ", ".join(names[:NAMES_SHOWN])
+    more = len(names) - NAMES_SHOWN
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+def describe(shape: Shape) -> str:
+    """Return a shape in words."""
+    return f"{shape.hosts} x {shape.accelerators_per_host}"
--- a/src/damaskstall/placement/model.py
+++ b/src/damaskstall/placement/model.py
@@ -2,7 +2,8 @@
 
 A cell's workers are numbered through its racks in order; a block is a range
 of adjacent workers and the same range of accelerator indices on each. A
-block lies within one rack, or covers whole adjacent racks when it is larger.
+block lies within one rack. A larger one starts at the start of a rack and
+covers whole adjacent racks, but for the end of the last one.
 """
 
 from typing import NamedTuple, Protocol
@@ -65,7 +66,12 @@
 
 
 class QueuedJob(NamedTuple):
-    """Describe a job that waits; ``queued_s`` is on the caller's clock."""
+    """Describe a job that waits; ``queued_s`` is on the caller's clock.
+
+    ``restartable`` False means that the work may start at most once. Such a
+    job starts only under its team's guarantee or on accelerators that no
+    guarantee needs, so that nobody has to reclaim them.
+    """
 
     name: str
     team: str
@@ -74,6 +80,7 @@
     urgent: bool
     checkpointable: bool
     queued_s: float
+    restartable: bool = True
 
 
 class RunningJob(NamedTuple):
@@ -157,3 +164,6 @@
 
     def running(self) -> tuple[RunningJob, ...]:
         """Return the jobs that hold blocks."""
+
+    def unmet(self) -> tuple[Guarantee, ...]:
+        """Return the guarantees that the usable workers cannot hold."""
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Test where jobs start and which must leave."""
--- /dev/null
+++ b/tests/placement/test_invariants.py
@@ -0,0 +1,217 @@
+"""Test what must hold after every step of a cell's decisions."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from damaskstall.placement.model import (
+    Guarantee,
+    QueuedJob,
+    RunningJob,
+    Shape,
+    Start,
+)
+from damaskstall.placement.policy import CellPolicy
+from damaskstall.placement.slots import Binding, FixedHomes, LateBinding
+from tests.placement.cells import make_cell
+from tests.placement.reclaim_check import accelerators_of, reclaimable
+
+CELL = make_cell(racks=2, workers=2, accelerators=4)
+TEAMS = ("council", "lasts", "press")
+SHAPES = st.sampled_from(
+    [Shape(1, 1), Shape(1, 2), Shape(1, 4), Shape(2, 2), Shape(2, 4)]
+)
+GUARANTEES = st.lists(
+    st.builds(Guarantee, st.sampled_from(TEAMS), SHAPES), max_size=4
+).filter(lambda found: reclaimable(CELL, tuple(found), (), frozenset()))
+
+
+class CellMachine(RuleBasedStateMachine):
+    """Drive a policy by random events and check its books."""
+
+    def __init__(self) -> None:
+        """Start with an empty cell."""
+        super().__init__()
+        self.policy = CellPolicy(CELL, self.binding())
+        self.guarantees: tuple[Guarantee, ...] = ()
+        self.now_s = 0.0
+        self.count = 0
+        self.running: dict[str, RunningJob] = {}
+        self.queued: dict[str, QueuedJob] = {}
+        self.unusable: frozenset[int] = frozenset()
+        self.is_open = True
+
+    def binding(self) -> Binding:
+        """Return the way of binding under test."""
+        return LateBinding()
+
+    @initialize(found=GUARANTEES)
+    def promise(self, found: list[Guarantee]) -> None:
+        """Declare the first guarantees."""
+        self.guarantees = tuple(found)
+        self.policy.set_guarantees(self.guarantees)
+        self.read_flags()
+
+    def read_flags(self) -> None:
+        """Take over which jobs the policy counts as borrowing."""
+        for running in self.policy.running():
+            name = running.job.name
+            known = self.running[name]
+            assert known.guaranteed or not running.guaranteed
+            self.running[name] = running
+
+    @precondition(lambda self: not self.unusable)
+    @rule(found=GUARANTEES)
+    def promise_others(self, found: list[Guarantee]) -> None:
+        """Change the guarantees where those in use leave room."""
+        kept = tuple(j for j in self.policy.running() if j.guaranteed)
+        if reclaimable(CELL, tuple(found), kept, frozenset()):
+            self.promise(found)
+
+    @rule(
+        team=st.sampled_from(TEAMS),
+        shape=SHAPES,
+        estimate_s=st.sampled_from([10.0, 1000.0]),
+        flags=st.tuples(*[st.sampled_from([False, True, True])] * 3),
+    )
+    def submit(
+        self,
+        team: str,
+        shape: Shape,
+        estimate_s: float,
+        flags: tuple[bool, ...],
+    ) -> None:
+        """Queue a job."""
+        self.count += 1
+        calm, checkpointable, restartable = flags
+        job = QueuedJob(
+            f"job-{self.count}",
+            team,
+            shape,
+            estimate_s,
+            not calm,
+            checkpointable,
+            self.now_s,
+            restartable,
+        )
+        self.queued[job.name] = job
+        self.policy.add(job)
+
+    @rule()
+    def decide(self) -> None:
+        """Take decisions and check each start."""
+        self.now_s += 1.0
+        for decision in self.policy.decide(self.now_s):
+            if isinstance(decision, Start):
+                self.check_start(decision)
+            else:
+                victim = self.running[decision.job]
+                assert not victim.guaranteed
+                self.running[decision.job] = victim._replace(stopping=True)
+
+    def check_start(self, start: Start) -> None:
+        """Check that a start is whole, on free and usable accelerators."""
+        job = self.queued.pop(start.job)
+        block = start.block
+        assert self.is_open
+        assert (block.hosts, block.accelerators_per_host) == job.shape
+        taken = accelerators_of(block)
+        assert len({worker // 2 for worker, _ in taken}) == 1
+        assert not {worker for worker, _ in taken} & self.unusable
+        for other in self.running.values():
+            assert not taken & accelerators_of(other.block)
+        self.running[job.name] = RunningJob(
+            job, block, self.now_s, start.guaranteed, False
+        )
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), finished=st.booleans())
+    def end(self, data: st.DataObject, finished: bool) -> None:
+        """End a job, or requeue one that was preempted or failed."""
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        job = self.running.pop(name).job
+        self.policy.release(name, self.now_s, 20.0 if finished else None)
+        if not finished and job.restartable:
+            self.queued[name] = job
+            self.policy.add(job)
+
+    @precondition(lambda self: self.queued)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        """Cancel a queued job."""
+        name = data.draw(st.sampled_from(sorted(self.queued)))
+        del self.queued[name]
+        self.policy.withdraw(name)
+
+    @rule(worker=st.integers(0, 3), usable=st.booleans())
+    def quarantine(self, worker: int, usable: bool) -> None:
+        """Close a worker or open it again."""
+        change = {worker}
+        self.unusable = (
+            self.unusable - change if usable else self.unusable | change
+        )
+        self.policy.set_usable(worker, usable)
+
+    @rule(is_open=st.booleans())
+    def take_out(self, is_open: bool) -> None:
+        """Take the cell out or bring it back."""
+        self.is_open = is_open
+        self.policy.set_open(is_open)
+
+    @precondition(lambda self: not self.unusable)
+    @rule()
+    def change_holder(self) -> None:
+        """Build a new policy from what runs, as a new holder does."""
+        adopted = self.policy.running()
+        self.policy = CellPolicy(CELL, self.binding())
+        self.policy.set_guarantees(self.guarantees)
+        for running in adopted:
+            self.policy.adopt(running)
+        self.read_flags()
+        for job in self.queued.values():
+            self.policy.add(job)
+        self.policy.set_open(self.is_open)
+
+    @invariant()
+    def books_agree(self) -> None:
+        """Check that the policy holds what it has started."""
+        held = {job.job.name: job.block for job in self.policy.running()}
+        assert held == {n: job.block for n, job in self.running.items()}
+
+    @invariant()
+    def guarantees_are_reclaimable(self) -> None:
+        """Check by trying everything that every guarantee can be had."""
+        unmet = self.policy.unmet()
+        if unmet:
+            assert self.unusable
+        promised = list(self.guarantees)
+        for guarantee in unmet:
+            promised.remove(guarantee)
+        assert reclaimable(
+            CELL, tuple(promised), self.policy.running(), self.unusable
+        )
+
+
+class FixedHomesMachine(CellMachine):
+    """Drive the policy with fixed home blocks."""
+
+    def binding(self) -> Binding:
+        """Return the way of binding under test."""
+        return FixedHomes()
+
+
+STEPS = settings(
+    max_examples=30,
+    stateful_step_count=40,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
+)
+TestLateBinding = CellMachine.TestCase
+TestLateBinding.settings = STEPS
+TestFixedHomes = FixedHomesMachine.TestCase
+TestFixedHomes.settings = STEPS
