Prove that the configuration never reverts, and bound what peers may do

An accepted configuration must be in force within 3 s at every process that reaches the table or a peer that does, and must never go back.

A question to the peer server is at most 4 KB, a silent connection ends after 30 s, and anything that is no frame of ours closes that connection only. A follower asks six peers at target size, on a ring with doubling steps, and `survey` hears the others once for an operator.

A take-out carries its issuer's time: a row whose state was decided earlier does not end it, one decided later does. Ruled out: comparing only revisions, since a change of racks that crossed the take-out would end it.

--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -62,6 +62,8 @@
   # The row of the failure domain that the issuer knew.
   sequence @5 :Int64;
   # Grows with each take-out or restore that its issuer knew of.
+  issuedUnixS @6 :Float64;
+  # When it was issued, on the issuer's clock; 0: not told.
 }
 
 struct TakeOutAck {
--- a/src/damaskstall/frames.py
+++ b/src/damaskstall/frames.py
@@ -103,9 +103,12 @@
     Sending is safe from several tasks; receiving is for one task.
     """
 
-    def __init__(self, stream: Stream) -> None:
-        """Wrap a connected stream."""
+    def __init__(
+        self, stream: Stream, limit_bytes: int = FRAME_LIMIT_BYTES
+    ) -> None:
+        """Wrap a connected stream; longer frames are not received."""
         self.stream = stream
+        self.limit_bytes = limit_bytes
         self._send_lock = Lock()
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -125,7 +128,7 @@
         if header is None:
             return None
         (length,) = LENGTH.unpack(header)
-        if length > FRAME_LIMIT_BYTES:
+        if length > self.limit_bytes:
             raise FrameError(f"The frame of {length} bytes is too long.")
         data = await self._receive_exactly(length, at_start=False)
         self.received_bytes += LENGTH.size + length
--- a/src/damaskstall/peers/config_store.py
+++ b/src/damaskstall/peers/config_store.py
@@ -54,8 +54,9 @@
 class ConfigStore:
     """Hold configuration rows, their revision and their freshness."""
 
-    def __init__(self) -> None:
-        """Start without any configuration."""
+    def __init__(self, tombstone_limit: int = TOMBSTONE_LIMIT) -> None:
+        """Start without any configuration; bound the deletions kept."""
+        self.tombstone_limit = tombstone_limit
         self.entries: dict[str, ConfigEntry] = {}
         self.revision = 0
         self.config_revision = 0
@@ -192,8 +193,8 @@
         key = config_key("failure_domain", name)
         entry = self.entries.get(key)
         revision = 0 if entry is None else entry.revision
-        spec = self.spec("failure_domain", name)
-        held = self.take_outs.hold(pending, revision, spec)
+        value = None if entry is None else entry.value
+        held = self.take_outs.hold(pending, revision, value)
         if held:
             self.wake()
         return held
@@ -248,8 +249,7 @@
     def _settle_by_row(self, row: Row) -> None:
         kind, name = split_config_key(row.key)
         if kind == "failure_domain":
-            spec = None if row.value is None else row.value["spec"]
-            self.take_outs.settle_by_row(name, row.revision, spec)
+            self.take_outs.settle_by_row(name, row.revision, row.value)
 
     def _forget(self, key: str) -> None:
         entry = self.entries.pop(key)
@@ -264,7 +264,7 @@
 
     def _drop_old_tombstones(self) -> None:
         """Bound the memory of deletions; who lacks them gets a snapshot."""
-        if self._tombstones <= TOMBSTONE_LIMIT:
+        if self._tombstones <= self.tombstone_limit:
             return
         found = sorted(
             (entry.revision, key)
--- a/src/damaskstall/peers/fanout.py
+++ b/src/damaskstall/peers/fanout.py
@@ -13,10 +13,14 @@
 RING_STEPS = (1, 2, 4, 8)
 FAR_STEPS = (1, 2)
 SMALL_COUNT = 8
+UNKNOWN_FAILURE_DOMAIN = ""
 
 
 class Candidate(NamedTuple):
-    """Name a process that could be asked; no failure domain: not known."""
+    """Name a process that could be asked.
+
+    One whose failure domain is not known counts as near.
+    """
 
     address: Address
     failure_domain: str
@@ -29,7 +33,8 @@
     others = {c for c in candidates if c.address != own.address}
     if len(others) <= SMALL_COUNT:
         return frozenset(c.address for c in others)
-    near = [c for c in others if c.failure_domain == own.failure_domain]
+    near_names = (own.failure_domain, UNKNOWN_FAILURE_DOMAIN)
+    near = [c for c in others if c.failure_domain in near_names]
     ring = sorted([own, *near])
     place = ring.index(own)
     chosen = {ring[(place + step) % len(ring)] for step in RING_STEPS}
@@ -43,6 +48,7 @@
 ) -> set[Candidate]:
     """Return one process in each of the next failure domains."""
     names = sorted({c.failure_domain for c in others} | {own.failure_domain})
+    names = [name for name in names if name != UNKNOWN_FAILURE_DOMAIN]
     start = names.index(own.failure_domain)
     chosen = set()
     for step in FAR_STEPS:
--- a/src/damaskstall/peers/follower.py
+++ b/src/damaskstall/peers/follower.py
@@ -10,6 +10,7 @@
     TaskStatus,
     current_time,
     open_nursery,
+    sleep,
 )
 
 from damaskstall.addresses import Address, parse_address, parse_addresses
@@ -17,17 +18,28 @@
 from damaskstall.generated.settings import EntrySettings, SchedulerSettings
 from damaskstall.network import Network
 from damaskstall.peers.config_store import ConfigStore
-from damaskstall.peers.events import CONFIG_CHANGED
-from damaskstall.peers.fanout import Candidate, choose_peers
+from damaskstall.peers.events import CONFIG_CHANGED, TAKE_OUT_ENDED
+from damaskstall.peers.fanout import (
+    SMALL_COUNT,
+    UNKNOWN_FAILURE_DOMAIN,
+    Candidate,
+    choose_peers,
+)
 from damaskstall.peers.liveness import InstanceRow, PeerIdentity
+from damaskstall.peers.metrics import set_metrics
 from damaskstall.peers.node import PeerNode
 from damaskstall.peers.peer_client import PeerClient
 from damaskstall.peers.peer_server import PeerServer
+from damaskstall.peers.survey import ask_all
 from damaskstall.peers.table_poller import TablePoller
 from damaskstall.platform.types import InstanceRecord, TableService
 
 __all__ = ["ConfigFollower", "PeerIdentity"]
 
+METRICS_INTERVAL_S = 5.0
+SURVEY_TTL_S = 3.0
+FAILURE_LIMIT = 5
+
 Settings = EntrySettings | SchedulerSettings
 
 
@@ -76,6 +88,7 @@
             self._own = Candidate(address, domain)
             nursery.start_soon(self.poller.run)
             nursery.start_soon(self._log_changes)
+            nursery.start_soon(self._keep_metrics)
             self._connect_chosen()
             task_status.started(address)
 
@@ -110,6 +123,19 @@
         heard = self.node.liveness.instances(now_s)
         return (own, *(r for r in heard if r.instance != own.instance))
 
+    async def survey(self) -> tuple[InstanceRow, ...]:
+        """Return all processes, after asking those not heard lately.
+
+        Takes a few seconds at most; who does not answer is left as last
+        heard, or out when never heard.
+        """
+        now_s = current_time()
+        heard = self.node.liveness.heard_addresses(now_s, SURVEY_TTL_S)
+        own = {self._own.address} if self._own else set()
+        asked = {c.address for c in self._known_candidates()} - heard - own
+        await ask_all(self.network, self.node, frozenset(asked))
+        return self.instances()
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the exchange as JSON values."""
         traffic = self.node.traffic
@@ -157,21 +183,43 @@
             )
 
     def _candidates(self) -> frozenset[Candidate]:
+        """Return whom to choose from; one that fails makes room if it can."""
+        found = self._known_candidates()
+        failing = {
+            address
+            for address, client in self.clients.items()
+            if client.failures >= FAILURE_LIMIT
+        }
+        working = frozenset(c for c in found if c.address not in failing)
+        return working if len(working) > SMALL_COUNT else found
+
+    def _known_candidates(self) -> frozenset[Candidate]:
         known = {c.address for c in self._listed}
         configured = parse_addresses(self.settings.peers)
         return self._listed | {
-            Candidate(address, "")
+            Candidate(address, UNKNOWN_FAILURE_DOMAIN)
             for address in configured
             if address not in known
         }
 
     async def _log_changes(self) -> None:
         logged = self.store.config_revision
+        held: set[str] = set()
         while True:
             await self.store.wait_change()
             if self.store.config_revision > logged:
                 logged = self.store.config_revision
                 log(CONFIG_CHANGED, config_revision=logged)
+            now_held = {p.issued_id for p in self.store.pending.values()}
+            for issued_id in sorted(held - now_held):
+                log(TAKE_OUT_ENDED, issued_id=issued_id)
+            held = now_held
+
+    async def _keep_metrics(self) -> None:
+        while True:
+            connected = sum(c.connected for c in self.clients.values())
+            set_metrics(self.store, connected, current_time())
+            await sleep(METRICS_INTERVAL_S)
 
 
 async def run_in_scope(client: PeerClient, scope: CancelScope) -> None:
--- a/src/damaskstall/peers/liveness.py
+++ b/src/damaskstall/peers/liveness.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
+from damaskstall.addresses import Address
 from damaskstall.generated.messages import Heartbeat
 
-FORGET_AFTER_S = 3600.0
 PEER_ROW_LIMIT = 4096
 
 
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         """Start knowing nobody."""
         self.rows: dict[str, PeerRow] = {}
+        self._answered_s: dict[Address, float] = {}
 
     def heard(self, heartbeat: Heartbeat, since_s: float) -> None:
         """Note a heartbeat; its age counts from a time on our clock."""
@@ -63,6 +64,18 @@
         )
         self._forget_silent(since_s)
 
+    def answered(self, address: Address, now_s: float) -> None:
+        """Note that a process answered at an address."""
+        self._answered_s[address] = now_s
+
+    def heard_addresses(self, now_s: float, ttl_s: float) -> set[Address]:
+        """Return where processes answered within a time."""
+        return {
+            address
+            for address, answered_s in self._answered_s.items()
+            if now_s - answered_s <= ttl_s
+        }
+
     def live(self, failure_domain: str, now_s: float, ttl_s: float) -> int:
         """Return how many peers of a failure domain were heard lately."""
         return sum(
--- /dev/null
+++ b/src/damaskstall/peers/metrics.py
@@ -0,0 +1,38 @@
+"""Keep the metrics of the configuration and the peers."""
+
+from damaskstall.metrics import Counter, Gauge
+from damaskstall.peers.config_store import NEVER, ConfigStore
+
+CONFIG_REVISION = Gauge(
+    "damaskstall_config_revision", "Revision this process runs by."
+)
+CONFIG_AGE_S = Gauge(
+    "damaskstall_config_age_seconds",
+    "Seconds since the configuration was surely current; -1: never.",
+)
+PENDING_TAKE_OUTS = Gauge(
+    "damaskstall_pending_take_outs",
+    "Take-outs obeyed in memory that the table has not kept.",
+)
+CONNECTED_PEERS = Gauge(
+    "damaskstall_connected_peers", "Peers that answered the last exchange."
+)
+TABLE_POLL_FAILURES = Counter(
+    "damaskstall_table_poll_failures_total",
+    "Polls that the table did not answer.",
+)
+REFUSED_FRAMES = Counter(
+    "damaskstall_refused_frames_total",
+    "Connections closed for a malformed or unexpected frame.",
+)
+
+NO_LABELS: dict[str, str] = {}
+
+
+def set_metrics(store: ConfigStore, connected: int, now_s: float) -> None:
+    """Set the gauges to what a process runs by."""
+    age_s = -1.0 if store.confirmed_s == NEVER else store.age_s(now_s)
+    CONFIG_REVISION.set(NO_LABELS, store.revision)
+    CONFIG_AGE_S.set(NO_LABELS, age_s)
+    PENDING_TAKE_OUTS.set(NO_LABELS, len(store.pending))
+    CONNECTED_PEERS.set(NO_LABELS, connected)
--- a/src/damaskstall/peers/peer_client.py
+++ b/src/damaskstall/peers/peer_client.py
@@ -172,6 +172,7 @@
         peer = answer[0].heartbeat
         check_heartbeat(peer)
         self.node.liveness.heard(peer, sent_s)
+        self.node.liveness.answered(self.client.address, sent_s)
         self.client.count_success(peer)
         confirmed_s = confirmed_time(sent_s, peer.confirmed_age_s)
         self.node.store.confirm(peer.revision, confirmed_s)
@@ -265,4 +266,5 @@
         pending.issued_id,
         pending.base_revision,
         pending.sequence,
+        pending.issued_unix_s,
     )
--- a/src/damaskstall/peers/peer_server.py
+++ b/src/damaskstall/peers/peer_server.py
@@ -3,7 +3,9 @@
 from trio import (
     BrokenResourceError,
     ClosedResourceError,
+    TooSlowError,
     current_time,
+    fail_after,
     open_nursery,
 )
 from trio.abc import HalfCloseableStream
@@ -22,11 +24,14 @@
 )
 from damaskstall.peers.deltas import age_to_send, answer_pull
 from damaskstall.peers.events import PEER_FRAME_REFUSED
+from damaskstall.peers.metrics import NO_LABELS, REFUSED_FRAMES
 from damaskstall.peers.node import PeerNode
 from damaskstall.peers.pending import PendingTakeOut
 
 CONNECTION_LIMIT = 256
 NAME_LIMIT = 256
+QUESTION_LIMIT_BYTES = 4096
+SILENCE_LIMIT_S = 30.0
 HINT_REQUEST_ID = 0
 
 
@@ -47,11 +52,12 @@
         self.connections += 1
         try:
             async with stream:
-                await self._converse(FrameStream(stream))
+                await self._converse(FrameStream(stream, QUESTION_LIMIT_BYTES))
         except* FrameError as group:
             self.refused_frames += 1
+            REFUSED_FRAMES.inc(NO_LABELS)
             log(PEER_FRAME_REFUSED, error=str(group.exceptions[0]))
-        except* (BrokenResourceError, ClosedResourceError):
+        except* (BrokenResourceError, ClosedResourceError, TooSlowError):
             pass
         finally:
             self.connections -= 1
@@ -60,12 +66,17 @@
         try:
             async with open_nursery() as nursery:
                 nursery.start_soon(self._send_hints, frames)
-                while frame := await frames.receive():
-                    await self._answer(frames, frame)
+                while frame := await self._receive(frames):
+                    with fail_after(SILENCE_LIMIT_S):
+                        await self._answer(frames, frame)
                 nursery.cancel_scope.cancel()
         finally:
             self.node.traffic.add(frames)
 
+    async def _receive(self, frames: FrameStream) -> Frame | None:
+        with fail_after(SILENCE_LIMIT_S):
+            return await frames.receive()
+
     async def _answer(self, frames: FrameStream, frame: Frame) -> None:
         body = frame.body
         if isinstance(body, ConfigPull):
@@ -121,7 +132,8 @@
     names = (body.failure_domain, body.issued_id)
     if not all(names) or max(map(len, names)) > NAME_LIMIT:
         raise FrameError("A take-out names no failure domain or no id.")
-    if not 0 <= body.issued_age_s < float("inf"):
+    times = (body.issued_age_s, body.issued_unix_s)
+    if not all(0 <= time_s < float("inf") for time_s in times):
         raise FrameError("A take-out names no age.")
     if body.base_revision < 0 or body.sequence < 1:
         raise FrameError("A take-out names no revision or no sequence.")
@@ -132,4 +144,5 @@
         now_s - body.issued_age_s,
         body.base_revision,
         body.sequence,
+        body.issued_unix_s,
     )
--- a/src/damaskstall/peers/pending.py
+++ b/src/damaskstall/peers/pending.py
@@ -5,8 +5,9 @@
 """
 
 from collections import deque
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from damaskstall.platform.types import Value
 from damaskstall.resources.records import STATE_OUT
 
 CLOSED_LIMIT = 256
@@ -18,7 +19,8 @@
 
     ``base_revision`` is the row's revision and ``sequence`` one more than
     that of the last such change the issuer knew of; both are filled in where
-    the take-out is first held.
+    the take-out is first held. ``issued_unix_s`` is on the issuer's clock and
+    compares with the row's ``decided_unix_s``; 0 means that it is not told.
     """
 
     failure_domain: str
@@ -27,6 +29,7 @@
     issued_s: float
     base_revision: int = UNKNOWN_REVISION
     sequence: int = 0
+    issued_unix_s: float = 0.0
 
 
 class PendingTakeOuts:
@@ -36,14 +39,11 @@
         """Start with none."""
         self.held: dict[str, PendingTakeOut] = {}
         self._sequences: dict[str, int] = {}
-        self._base_specs: dict[str, dict[str, Any] | None] = {}
+        self._base_rows: dict[str, Value | None] = {}
         self._closed: deque[str] = deque(maxlen=CLOSED_LIMIT)
 
     def hold(
-        self,
-        pending: PendingTakeOut,
-        row_revision: int,
-        spec: dict[str, Any] | None,
+        self, pending: PendingTakeOut, row_revision: int, row: Value | None
     ) -> bool:
         """Hold a change; return False when it is known or overtaken."""
         name = pending.failure_domain
@@ -54,12 +54,16 @@
             pending = pending._replace(
                 base_revision=row_revision, sequence=known + 1
             )
-        if pending.sequence < known or row_revision > pending.base_revision:
-            return False
         earlier = self.held.get(name)
+        if pending.sequence < known:
+            return False
         if earlier is not None and not comes_after(pending, earlier):
             return False
-        self._replace(earlier, pending, spec)
+        if row_revision > pending.base_revision:
+            if is_overtaken(pending, None, row):
+                return False
+            pending = pending._replace(base_revision=row_revision)
+        self._replace(earlier, pending, row)
         return True
 
     def settle(self, failure_domain: str, issued_id: str) -> bool:
@@ -71,48 +75,61 @@
         return True
 
     def settle_by_row(
-        self, failure_domain: str, revision: int, spec: dict[str, Any] | None
+        self, failure_domain: str, revision: int, row: Value | None
     ) -> None:
-        """Drop a change that a newer row of its failure domain overtakes.
-
-        A row that is in and changes only the racks is no restore: it may be
-        older than the take-out, which its issuer still has to write.
-        """
+        """Drop a change that a newer row of its failure domain overtakes."""
         pending = self.held.get(failure_domain)
         if pending is None:
             return
+        base = self._base_rows.get(failure_domain)
+        self._base_rows[failure_domain] = row
         if revision <= pending.base_revision:
-            self._base_specs[failure_domain] = spec
             return
-        if spec is not None and spec.get("state") != STATE_OUT:
-            base = self._base_specs.get(failure_domain)
-            if base is not None and base.get("racks") != spec.get("racks"):
-                self._base_specs[failure_domain] = spec
-                self.held[failure_domain] = pending._replace(
-                    base_revision=revision
-                )
-                return
-        self._close(pending)
+        if is_overtaken(pending, base, row):
+            self._close(pending)
+            return
+        self.held[failure_domain] = pending._replace(base_revision=revision)
 
     def _replace(
         self,
         earlier: PendingTakeOut | None,
         pending: PendingTakeOut,
-        spec: dict[str, Any] | None,
+        row: Value | None,
     ) -> None:
         if earlier is not None:
             self._close(earlier)
         name = pending.failure_domain
         self.held[name] = pending
-        self._base_specs[name] = spec
+        self._base_rows[name] = row
         self._sequences[name] = pending.sequence
 
     def _close(self, pending: PendingTakeOut) -> None:
         del self.held[pending.failure_domain]
-        self._base_specs.pop(pending.failure_domain, None)
+        self._base_rows.pop(pending.failure_domain, None)
         self._closed.append(pending.issued_id)
 
 
+def is_overtaken(
+    pending: PendingTakeOut, base: Value | None, row: Value | None
+) -> bool:
+    """Return whether a newer row of the failure domain ends a change.
+
+    A row that is out has it, or makes it needless. One that is in ends it
+    when its state was decided later. Where the times are not told, a change
+    of the racks alone is no decision about the state: it may be older than
+    the take-out, which its issuer still has to write.
+    """
+    if row is None or row["spec"].get("state") == STATE_OUT:
+        return True
+    status = row.get("status") or {}
+    decided_unix_s = status.get("decided_unix_s", 0.0)
+    if decided_unix_s and pending.issued_unix_s:
+        return bool(decided_unix_s >= pending.issued_unix_s)
+    if base is None:
+        return True
+    return bool(base["spec"].get("racks") == row["spec"].get("racks"))
+
+
 def comes_after(pending: PendingTakeOut, earlier: PendingTakeOut) -> bool:
     """Return whether a change overrides an earlier one, the same anywhere."""
     mine = (pending.sequence, pending.issued_id)
--- a/src/damaskstall/peers/table_poller.py
+++ b/src/damaskstall/peers/table_poller.py
@@ -13,6 +13,7 @@
     TABLE_POLL_FAILED,
     TABLE_POLL_RECOVERED,
 )
+from damaskstall.peers.metrics import NO_LABELS, TABLE_POLL_FAILURES
 from damaskstall.platform.keys import CONFIG_PREFIX
 from damaskstall.platform.types import Row, TableService
 
@@ -108,6 +109,7 @@
         if not self.failures:
             log(TABLE_POLL_FAILED, error=str(error))
         self.failures += 1
+        TABLE_POLL_FAILURES.inc(NO_LABELS)
 
     def _count_success(self) -> None:
         if self.failures:
--- /dev/null
+++ b/tests/peers/test_config_store.py
@@ -0,0 +1,279 @@
+"""Test that a store never goes back, whatever arrives in whatever order."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from damaskstall.errors import RevisionTooOldError
+from damaskstall.generated.messages import ConfigDelta
+from damaskstall.peers.config_store import NEVER, ConfigStore
+from damaskstall.peers.deltas import answer_pull, apply_answer
+from damaskstall.platform.keys import CONFIG_PREFIX, config_key
+from damaskstall.platform.types import (
+    ABSENT,
+    ChangePage,
+    Row,
+    ScanPage,
+    Write,
+)
+from standins.platform.table import TableCore
+from tests.peers.cluster import team_value
+
+STORES = st.integers(0, 3)
+NAMES = st.sampled_from(("a", "b", "c", "d", "e"))
+PAGE_LIMITS = st.integers(1, 3)
+SMALL_TOMBSTONE_LIMIT = 2
+
+
+def commit(table: TableCore, name: str, present: bool, now_s: float) -> Row:
+    """Write or delete one team at the table."""
+    key = config_key("team", name)
+    row = table.read(key)
+    current = row.revision if row else ABSENT
+    value = team_value(now_s) if present else None
+    revision = table.commit((Write(key, value, current),), "m", now_s)
+    return Row(key, revision, "m", value)
+
+
+def new_store() -> ConfigStore:
+    """Return an empty store that soon forgets deletions."""
+    return ConfigStore(SMALL_TOMBSTONE_LIMIT)
+
+
+class TableAnswer:
+    """Hold a changes page on its way to one store."""
+
+    def __init__(self, store: int, after: int, sent_s: float) -> None:
+        """Name who asked, after what, and when."""
+        self.store = store
+        self.after = after
+        self.sent_s = sent_s
+        self.page: ChangePage | None = None
+
+
+class PeerAnswer:
+    """Hold a peer's frames on their way."""
+
+    def __init__(self, parts: tuple[ConfigDelta, ...], sent_s: float) -> None:
+        """Name the frames, and when the question was sent."""
+        self.parts = parts
+        self.sent_s = sent_s
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Move information between a table and stores in any order."""
+
+    def __init__(self) -> None:
+        """Start with an empty table and four empty stores."""
+        super().__init__()
+        self.now_s = 1.0
+        self.table = TableCore()
+        self.stores = [new_store() for _ in range(4)]
+        self.seen: list[tuple[int, dict[str, int]]] = [(0, {})] * 4
+        self.table_answers: list[TableAnswer] = []
+        self.peer_answers: list[PeerAnswer] = []
+        self.writes: list[Row] = []
+        self.scan: ScanPage | None = None
+        self.scan_rows: tuple[Row, ...] = ()
+        self.scan_revision = 0
+        self.scan_sent_s = 0.0
+
+    @rule(name=NAMES, present=st.booleans())
+    def write(self, name: str, present: bool) -> None:
+        """Change one row at the table; time passes with each commit."""
+        self.now_s += 1
+        self.writes.append(commit(self.table, name, present, self.now_s))
+
+    @rule()
+    def write_other(self) -> None:
+        """Let the revision grow without any configuration."""
+        self.now_s += 1
+        key = f"job/{self.now_s}"
+        self.table.commit((Write(key, {}, ABSENT),), "m", self.now_s)
+
+    @rule()
+    def forget_changes(self) -> None:
+        """Let the table drop its old changes."""
+        self.table.forget_changes(1)
+
+    @rule(store=STORES)
+    def ask_table(self, store: int) -> None:
+        """Send a question to the table."""
+        after = self.stores[store].revision
+        self.table_answers.append(TableAnswer(store, after, self.now_s))
+
+    @precondition(lambda self: self.table_answers)
+    @rule(data=st.data(), limit=PAGE_LIMITS)
+    def table_reads(self, data: Any, limit: int) -> None:
+        """Read at the table now, some time after the question was sent."""
+        answer = data.draw(st.sampled_from(self.table_answers))
+        try:
+            answer.page = self.table.changes(
+                CONFIG_PREFIX, answer.after, limit
+            )
+        except RevisionTooOldError:
+            answer.page = None
+
+    @precondition(lambda self: self.table_answers)
+    @rule(data=st.data(), keep=st.booleans())
+    def deliver_table_answer(self, data: Any, keep: bool) -> None:
+        """Deliver an answer; a kept one comes again."""
+        answer = data.draw(st.sampled_from(self.table_answers))
+        if answer.page is not None:
+            store = self.stores[answer.store]
+            store.apply(answer.page, answer.sent_s, answer.after)
+        if not keep:
+            self.table_answers.remove(answer)
+
+    @rule(store=STORES, other=STORES)
+    def ask_peer(self, store: int, other: int) -> None:
+        """Let one store answer another; the answer is on its way."""
+        parts = answer_pull(
+            self.stores[other], self.stores[store].revision, self.now_s
+        )
+        self.peer_answers.append(PeerAnswer(parts, self.now_s))
+
+    @precondition(lambda self: self.peer_answers)
+    @rule(data=st.data(), store=STORES, keep=st.booleans())
+    def deliver_peer_answer(self, data: Any, store: int, keep: bool) -> None:
+        """Deliver a peer's answer to anyone, as a relay loop might."""
+        answer = data.draw(st.sampled_from(self.peer_answers))
+        apply_answer(self.stores[store], answer.parts, answer.sent_s)
+        if not keep:
+            self.peer_answers.remove(answer)
+
+    @rule(store=STORES, other=STORES)
+    def heartbeat(self, store: int, other: int) -> None:
+        """Let one store hear how fresh another is."""
+        peer = self.stores[other]
+        self.stores[store].confirm(peer.revision, peer.confirmed_s)
+
+    @rule()
+    def begin_scan(self) -> None:
+        """Read the first page of all rows."""
+        self.scan = self.table.scan(CONFIG_PREFIX, "", 2)
+        self.scan_rows = self.scan.rows
+        self.scan_revision = self.scan.revision
+        self.scan_sent_s = self.now_s
+
+    @precondition(lambda self: self.scan is not None and self.scan.next_after)
+    @rule()
+    def go_on_scanning(self) -> None:
+        """Read the next page of all rows."""
+        assert self.scan is not None
+        self.scan = self.table.scan(CONFIG_PREFIX, self.scan.next_after, 2)
+        self.scan_rows += self.scan.rows
+
+    @precondition(
+        lambda self: self.scan is not None and not self.scan.next_after
+    )
+    @rule(store=STORES)
+    def end_scan(self, store: int) -> None:
+        """Hand a whole scan to a store, maybe to several."""
+        self.stores[store].apply_snapshot(
+            self.scan_rows, self.scan_revision, self.scan_sent_s
+        )
+
+    @precondition(lambda self: self.writes)
+    @rule(data=st.data(), store=STORES)
+    def learn(self, data: Any, store: int) -> None:
+        """Let a store take in one write, as the one who made it does."""
+        self.stores[store].learn(data.draw(st.sampled_from(self.writes)))
+
+    @rule(store=STORES)
+    def restart(self, store: int) -> None:
+        """Replace a process; it has nothing, and its questions are lost."""
+        self.stores[store] = new_store()
+        self.seen[store] = (0, {})
+        self.table_answers = [
+            answer for answer in self.table_answers if answer.store != store
+        ]
+
+    @invariant()
+    def nothing_goes_back(self) -> None:
+        """Compare each store with what it held before."""
+        for index, store in enumerate(self.stores):
+            revision, rows = self.seen[index]
+            assert store.revision >= revision
+            held = {k: e.revision for k, e in store.entries.items()}
+            for key, row_revision in rows.items():
+                # A forgotten row is a deletion at or below the revision.
+                assert held.get(key, store.revision) >= row_revision
+            live = {
+                k: e.revision
+                for k, e in store.entries.items()
+                if e.value is not None
+            }
+            for key, row_revision in live.items():
+                deleted = self.deleted_revision(key, revision)
+                assert row_revision > deleted or key in rows
+            self.seen[index] = (store.revision, held)
+
+    @invariant()
+    def freshness_is_true(self) -> None:
+        """Compare each store with what stood in the table at its time."""
+        for store in self.stores:
+            if store.confirmed_s == NEVER:
+                continue
+            for key, revision, live in self.rows_at(store.confirmed_s):
+                entry = store.entries.get(key)
+                if live:
+                    assert entry is not None and entry.revision >= revision
+                elif entry is not None:
+                    assert entry.value is None or entry.revision > revision
+
+    def deleted_revision(self, key: str, revision: int) -> int:
+        """Return the last deletion of a row up to a revision, or 0."""
+        return max(
+            (
+                row.revision
+                for row in self.writes
+                if row.key == key
+                and row.value is None
+                and row.revision <= revision
+            ),
+            default=0,
+        )
+
+    def rows_at(self, time_s: float) -> list[tuple[str, int, bool]]:
+        """Return each row's revision and whether it lived at a time."""
+        found = {}
+        for done in self.table.commits:
+            for write in done.writes:
+                if done.time_s <= time_s and write.key.startswith("config/"):
+                    live = write.value is not None
+                    found[write.key] = (write.key, done.revision, live)
+        return list(found.values())
+
+
+TestStore = StoreMachine.TestCase
+TestStore.settings = settings(max_examples=150, stateful_step_count=40)
+
+
+def test_answer_that_skips_commits_is_refused() -> None:
+    store = ConfigStore()
+    row = Row(config_key("team", "a"), 9, "m", team_value(1.0))
+    assert not store.apply(ChangePage((row,), 9, True), 1.0, 5)
+    assert store.revision == 0 and store.confirmed_s == NEVER
+
+
+def test_stale_table_answer_confirms_nothing() -> None:
+    store = ConfigStore()
+    store.apply(ChangePage((), 9, True), 1.0)
+    assert not store.apply(ChangePage((), 7, True), 5.0, 9)
+    assert store.revision == 9 and store.confirmed_s == 1.0
+
+
+def test_own_write_moves_neither_revision_nor_freshness() -> None:
+    store = ConfigStore()
+    store.apply(ChangePage((), 5, True), 1.0)
+    store.learn(Row(config_key("team", "a"), 7, "m", team_value(1.0)))
+    assert store.spec("team", "a") is not None
+    assert store.revision == 5 and store.confirmed_s == 1.0
--- /dev/null
+++ b/tests/peers/test_take_outs.py
@@ -0,0 +1,185 @@
+"""Test that a take-out holds at once, and never outlives a restore."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from trio import sleep
+
+from damaskstall.peers.pending import PendingTakeOut, PendingTakeOuts
+from tests.peers.cluster import Cluster, cluster, failure_domain_value
+from tests.virtual_time import run_virtual
+
+NAMES = ("a", "b", "c")
+IN_FORCE_LIMIT_S = 3.0
+TAKE_OUT = PendingTakeOut("fd1", True, "x", 0.0)
+RESTORE = PendingTakeOut("fd1", False, "y", 0.0)
+
+
+async def start_all(net: Cluster) -> None:
+    """Start three processes that know a failure domain as in."""
+    net.write("failure_domain", "fd1", failure_domain_value("in"))
+    for name in NAMES:
+        await net.start(name, NAMES)
+    await sleep(3)
+
+
+def outs(net: Cluster) -> list[bool]:
+    """Return where the failure domain counts as out."""
+    return [p.store.is_out("fd1") for _, p in sorted(net.processes.items())]
+
+
+def test_take_out_is_in_force_while_the_table_is_down() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            await start_all(net)
+            net.cut_from_table(*NAMES)
+            net.processes["a"].store.hold(TAKE_OUT)
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [True] * 3
+            net.kill("c")
+            await net.start("c", NAMES)
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [True] * 3
+
+    run_virtual(scenario)
+
+
+def test_written_take_out_ends_with_its_restore() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            await start_all(net)
+            net.cut_from_table(*NAMES)
+            net.processes["a"].store.hold(TAKE_OUT)
+            await sleep(1)
+            net.cut_from_table()
+            net.write("failure_domain", "fd1", failure_domain_value("out"))
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [True] * 3
+            assert not any(p.store.pending for p in net.processes.values())
+            net.write("failure_domain", "fd1", failure_domain_value("in"))
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [False] * 3
+
+    run_virtual(scenario)
+
+
+def test_restore_ends_a_take_out_whose_issuer_died() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            await start_all(net)
+            net.cut_from_table(*NAMES)
+            net.processes["a"].store.hold(TAKE_OUT)
+            await sleep(1)
+            net.kill("a")
+            net.cut("b", "c")
+            # Only b hears of the restore; c still holds the take-out.
+            net.cut_from_table("c")
+            net.write("failure_domain", "fd1", failure_domain_value("in"))
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [False, True]
+            net.heal("b", "c")
+            await net.start("a", ("c",))
+            await sleep(IN_FORCE_LIMIT_S + 2)
+            assert outs(net) == [False] * 3
+
+    run_virtual(scenario)
+
+
+def test_change_of_racks_does_not_end_a_take_out() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            await start_all(net)
+            net.cut_from_table(*NAMES)
+            net.processes["a"].store.hold(TAKE_OUT)
+            await sleep(1)
+            net.write("failure_domain", "fd1", failure_domain_value("in", 2))
+            net.cut_from_table()
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [True] * 3
+            net.write("failure_domain", "fd1", failure_domain_value("in", 2))
+            await sleep(IN_FORCE_LIMIT_S)
+            assert outs(net) == [False] * 3
+
+    run_virtual(scenario)
+
+
+def test_restore_during_the_outage_overrides_everywhere() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            await start_all(net)
+            net.cut_from_table(*NAMES)
+            net.processes["a"].store.hold(TAKE_OUT)
+            await sleep(1)
+            net.cut("b", "c")
+            net.cut("a", "c")
+            net.processes["b"].store.hold(RESTORE)
+            await sleep(1)
+            assert outs(net) == [False, False, True]
+            net.heal("b", "c")
+            net.heal("a", "c")
+            await sleep(IN_FORCE_LIMIT_S + 2)
+            assert outs(net) == [False] * 3
+
+    run_virtual(scenario)
+
+
+@given(st.permutations(range(5)), st.lists(st.integers(0, 4), max_size=5))
+def test_any_order_of_messages_ends_alike(
+    order: list[int], repeated: list[int]
+) -> None:
+    """Take-out, restore and take-out in one outage, then a restore row."""
+    issuer = PendingTakeOuts()
+    issued = []
+    for number, out in enumerate((True, False, True)):
+        pending = PendingTakeOut("fd1", out, f"id{number}", 0.0)
+        assert issuer.hold(pending, 4, failure_domain_value("in"))
+        issued.append(issuer.held["fd1"])
+    held = PendingTakeOuts()
+    revision = 4
+    for step in order + repeated:
+        if step < 3:
+            held.hold(issued[step], revision, failure_domain_value("in"))
+        elif step + 2 > revision:
+            revision = step + 2
+            held.settle_by_row("fd1", revision, failure_domain_value("in"))
+    if revision == 6:
+        assert not held.held
+
+
+@given(st.permutations(range(3)), st.lists(st.integers(0, 2), max_size=5))
+def test_the_latest_of_one_outage_wins(
+    order: list[int], repeated: list[int]
+) -> None:
+    issuer = PendingTakeOuts()
+    issued = []
+    for number, out in enumerate((True, False, True)):
+        pending = PendingTakeOut("fd1", out, f"id{number}", 0.0)
+        issuer.hold(pending, 4, failure_domain_value("in"))
+        issued.append(issuer.held["fd1"])
+    held = PendingTakeOuts()
+    for step in order + repeated:
+        held.hold(issued[step], 4, failure_domain_value("in"))
+    assert held.held["fd1"].issued_id == "id2"
+
+
+def test_time_of_a_decision_tells_a_restore_from_an_older_row() -> None:
+    for decided_unix_s, ended in ((99.0, False), (101.0, True)):
+        held = PendingTakeOuts()
+        pending = TAKE_OUT._replace(issued_unix_s=100.0)
+        held.hold(pending, 4, failure_domain_value("in"))
+        row = failure_domain_value("in")
+        row["status"] = {"decided_unix_s": decided_unix_s}
+        held.settle_by_row("fd1", 5, row)
+        assert (not held.held) == ended
+
+
+def test_late_take_out_is_not_held_after_its_restore() -> None:
+    issuer = PendingTakeOuts()
+    pending = TAKE_OUT._replace(issued_unix_s=100.0)
+    issuer.hold(pending, 4, failure_domain_value("in"))
+    restored = failure_domain_value("in")
+    restored["status"] = {"decided_unix_s": 101.0}
+    late = PendingTakeOuts()
+    assert not late.hold(issuer.held["fd1"], 6, restored)
+    older = failure_domain_value("in", 2)
+    older["status"] = {"decided_unix_s": 99.0}
+    assert late.hold(issuer.held["fd1"], 5, older)
