Join the parts: entry, scheduler, planner, demonstration, scenarios

The demonstration starts every part as a process, acts through damaskstallctl and HTTP, and judges by the workers', the platform's and the backend servers' records. Worker records are compared by Unix time there, since each process counts monotonic time from an origin of its own: with monotonic time the checker reported five overlaps of attempts that the Unix times do not show. Scenarios are not yet all green.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,62 @@
+"""Run the main job: ``python -m demo [--keep] [--logs=DIRECTORY]``."""
+
+from pathlib import Path
+from sys import argv, exit
+from tempfile import TemporaryDirectory
+
+from trio import run
+
+from damaskstall.program import stop_signal
+from demo.cluster import start_cluster
+from demo.processes import Processes
+from demo.story import Story
+
+KEEP_FLAG = "--keep"
+LOGS_FLAG = "--logs="
+SUCCEEDED = 0
+BROKEN = 1
+
+
+async def demonstrate(log_directory: Path, keep: bool) -> int:
+    """Tell the story with real processes; return the exit code."""
+    processes = Processes(log_directory)
+    try:
+        print("Starting the stand-ins and the product ...", flush=True)
+        cluster = await start_cluster(processes)
+        story = Story(cluster)
+        broken = await story.tell()
+        if keep:
+            await wait_for_signal(story)
+    finally:
+        codes = await processes.stop_all()
+    failed = {name: code for name, code in codes.items() if code}
+    if failed:
+        broken.append(f"Processes did not stop gracefully: {failed}.")
+    print("\nSummary")
+    for sentence in broken or ["Every promise that was checked held."]:
+        print(f"  {sentence}")
+    return BROKEN if broken else SUCCEEDED
+
+
+async def wait_for_signal(story: Story) -> None:
+    """Say how to go on by hand, and wait for ^C."""
+    print(f"\nLeft running. Operator address: {story.server}")
+    print("Press ^C to end it.", flush=True)
+    async with stop_signal() as stop:
+        await stop.wait()
+
+
+def main() -> None:
+    """Start the program."""
+    keep = KEEP_FLAG in argv[1:]
+    for argument in argv[1:]:
+        if argument.startswith(LOGS_FLAG):
+            logs = Path(argument.removeprefix(LOGS_FLAG))
+            logs.mkdir(parents=True, exist_ok=True)
+            exit(run(demonstrate, logs, keep))
+    with TemporaryDirectory(prefix="damaskstall-demo-") as directory:
+        exit(run(demonstrate, Path(directory), keep))
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -127,7 +127,7 @@
 
 def worker_addresses(processes: Processes, domain: str) -> list[Address]:
     """Return the addresses of one failure domain's workers in order."""
-    announced = processes.running[f"workers-{domain}"].addresses["listen"]
+    announced = processes.running[f"workers-{domain}"].addresses["workers"]
     return [parse_address(text) for text in announced.split(",")]
 
 
@@ -148,7 +148,7 @@
                                 "address": str(address),
                                 "accelerators": ACCELERATORS,
                             }
-                            for number, address in enumerate(addresses, 1)
+                            for number, address in enumerate(addresses)
                         ],
                     }
                 ],
--- /dev/null
+++ b/demo/story.py
@@ -0,0 +1,147 @@
+"""Tell the main job: declare, run, take out, bring back, check."""
+
+from json import dumps
+from pathlib import Path
+from tempfile import NamedTemporaryFile
+from time import time
+from typing import Any
+
+from trio import (
+    TooSlowError,
+    current_time,
+    fail_after,
+    open_nursery,
+    sleep,
+)
+from yaml import safe_dump_all
+
+from damaskstall.resources.records import JOB_ENDED
+from demo.checks import RequestRecord, check_records, check_requests
+from demo.cluster import (
+    ACCELERATORS,
+    Cluster,
+    domain_declarations,
+    service_declarations,
+)
+from demo.operators import (
+    apply,
+    damaskstallctl,
+    read_jobs,
+    read_json,
+    send_request,
+)
+from demo.picture import (
+    guarantee_table,
+    job_table,
+    rack_pictures,
+    state_line,
+)
+
+DECLARATIONS = Path(__file__).resolve().parent / "declarations"
+TAKEN_OUT = "b"
+SETTLE_S = 3.0
+PICTURE_S = 3.0
+OUT_S = 8.0
+JOBS_TIMEOUT_S = 90
+REQUESTS = 24
+
+
+class Story:
+    """Carry out the demonstration on a running cluster."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Act on a cluster."""
+        self.cluster = cluster
+        self.server = cluster.operators["a"]
+        self.requests: list[RequestRecord] = []
+        self.teams: list[dict[str, Any]] = []
+        self.take_out_unix_s = 0.0
+        self.return_unix_s = 0.0
+
+    async def tell(self) -> list[str]:
+        """Run everything; return the promises that were broken."""
+        await self.declare()
+        async with open_nursery() as nursery:
+            nursery.start_soon(self.send_requests)
+            nursery.start_soon(self.take_out_and_return)
+            finished = await self.watch_jobs()
+        print(job_table(await read_jobs(self.server), time()))
+        broken = await check_records(
+            self.cluster, TAKEN_OUT, self.take_out_unix_s, self.return_unix_s
+        )
+        broken += await check_requests(self.cluster, self.requests)
+        if not finished:
+            broken.append("Some jobs did not end in time.")
+        return broken
+
+    async def declare(self) -> None:
+        """Declare places, services, teams and jobs by the operators' tool."""
+        places = domain_declarations(self.cluster)
+        services = service_declarations(self.cluster)
+        with NamedTemporaryFile("w", suffix=".yaml") as file:
+            safe_dump_all(places + services, file)
+            file.flush()
+            await apply(self.server, Path(file.name))
+        await apply(self.server, DECLARATIONS / "teams.yaml")
+        await sleep(SETTLE_S)
+        await apply(self.server, DECLARATIONS / "jobs.yaml")
+        page = await read_json(self.server, "/v1/resources/team")
+        self.teams = page["items"]
+        print("Declared the failure domains, services, teams and jobs.\n")
+
+    async def watch_jobs(self) -> bool:
+        """Print pictures until all jobs have ended; False on a timeout."""
+        started_s = current_time()
+        try:
+            with fail_after(JOBS_TIMEOUT_S):
+                while True:
+                    jobs = await read_jobs(self.server)
+                    self.print_jobs(jobs, current_time() - started_s)
+                    if all(j["status"]["state"] in JOB_ENDED for j in jobs):
+                        return True
+                    await sleep(PICTURE_S)
+        except TooSlowError:
+            return False
+
+    def print_jobs(self, jobs: list[dict[str, Any]], passed_s: float) -> None:
+        """Print states, racks and guarantees."""
+        workers = {
+            domain: [
+                f"{domain}-worker-{index}" for index in range(len(addresses))
+            ]
+            for domain, addresses in self.cluster.workers.items()
+        }
+        print(f"after {passed_s:.0f} s: {state_line(jobs)}")
+        print(rack_pictures(jobs, workers, ACCELERATORS))
+        print(guarantee_table(jobs, self.teams), end="\n\n", flush=True)
+
+    async def take_out_and_return(self) -> None:
+        """Take a failure domain out for a while."""
+        await sleep(PICTURE_S)
+        await damaskstallctl(self.server, "drain", TAKEN_OUT)
+        self.take_out_unix_s = time()
+        print(f"--- failure domain {TAKEN_OUT} is taken out", flush=True)
+        await sleep(OUT_S)
+        self.return_unix_s = time()
+        await damaskstallctl(self.server, "restore", TAKEN_OUT)
+        print(f"--- failure domain {TAKEN_OUT} is back", flush=True)
+
+    async def send_requests(self) -> None:
+        """Send requests of clerks and cutters through every entry."""
+        entries = list(self.cluster.entries.values())
+        async with open_nursery() as nursery:
+            for number in range(REQUESTS):
+                entry = entries[number % len(entries)]
+                nursery.start_soon(self.send_one, entry, number)
+        print(f"--- {REQUESTS} requests were answered", flush=True)
+
+    async def send_one(self, entry: Any, number: int) -> None:
+        """Send one request and remember what its sender was told."""
+        keyed = number % 3 == 0
+        service = "publish-minutes" if keyed else "fit-check"
+        team = "vote-summaries" if keyed else "last-design"
+        tag = f"{service}-{number}"
+        body = dumps({"tag": tag}).encode()
+        key = f"minutes-{number}" if keyed else ""
+        status, answer = await send_request(entry, service, team, body, key)
+        self.requests.append(RequestRecord(tag, keyed, status, answer))
--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -126,6 +126,8 @@
     $help("time between two health checks of a backend server");
   instanceListPollS @22 :Float64 = 2.0 $unit("s") $minimum(0.05) $maximum(60)
     $help("time between two reads of the platform's instance list");
+  cellWorkerLimit @23 :Int64 = 128 $unit("workers") $minimum(1) $maximum(4096)
+    $help("largest number of workers in one cell, as the schedulers have it");
 }
 
 struct SchedulerSettings $program("damaskstall-scheduler") {
--- a/src/damaskstall/cli/main.py
+++ b/src/damaskstall/cli/main.py
@@ -139,3 +139,7 @@
 def main() -> None:
     """Start the program."""
     sys.exit(run_ctl(sys.argv[1:], environ))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/damaskstall/placement/planner.py
@@ -0,0 +1,110 @@
+"""Derive cells, guarantees and claims from the configuration.
+
+Everything here is a pure function of the configuration, so every process
+that knows a revision derives the same without agreeing with the others.
+"""
+
+from typing import NamedTuple, cast
+
+from damaskstall.errors import FieldProblem
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.placement.cells import cells_of
+from damaskstall.placement.claims import claim_rank
+from damaskstall.placement.model import Cell, Guarantee, Policy, Shape
+from damaskstall.placement.plan import GuaranteePlan, plan_guarantees
+from damaskstall.placement.policy import make_policy
+from damaskstall.resources.checks import ConfigView, memory_view
+from damaskstall.resources.records import FailureDomainSpec, JobSpec, TeamSpec
+
+
+class Derived(NamedTuple):
+    """Hold what was derived from one state of the configuration."""
+
+    revision: int
+    out: frozenset[str]
+    cells: dict[str, Cell]
+    plan: GuaranteePlan
+
+
+class ConfigPlanner:
+    """Plan over the failure domains that a process knows."""
+
+    def __init__(self, cell_worker_limit: int) -> None:
+        """Divide failure domains into cells of at most so many workers."""
+        self.cell_worker_limit = cell_worker_limit
+        self._derived: Derived | None = None
+
+    def cells(self, config: ConfigStore) -> dict[str, Cell]:
+        """Return all cells of all failure domains by name."""
+        return self._derive(config).cells
+
+    def guarantees(
+        self, config: ConfigStore
+    ) -> dict[str, tuple[Guarantee, ...]]:
+        """Return what each cell promises now."""
+        return self._derive(config).plan.assigned
+
+    def plan(self, config: ConfigStore) -> GuaranteePlan:
+        """Return the plan, with what finds no room while cells are out."""
+        return self._derive(config).plan
+
+    def claim_order(
+        self, name: str, spec: JobSpec, config: ConfigStore
+    ) -> tuple[str, ...]:
+        """Return the cells that may claim a job, the preferred one first."""
+        derived = self._derive(config)
+        wanted = spec["failure_domain"]
+        cells = tuple(
+            cell
+            for cell in derived.cells.values()
+            if wanted in ("", cell.failure_domain)
+            and cell.failure_domain not in derived.out
+        )
+        shape = Shape(spec["hosts"], spec["accelerators_per_host"])
+        return claim_rank(name, spec["team"], shape, cells, derived.plan)
+
+    def make_policy(self, cell: Cell) -> Policy:
+        """Return a new policy that decides over a cell."""
+        return make_policy(cell)
+
+    def check_view(self, view: ConfigView) -> tuple[FieldProblem, ...]:
+        """Return what of the guarantees the failure domains cannot pack."""
+        cells = self._cells_of(view)
+        plan = plan_guarantees(
+            tuple(cells.values()), team_specs(view), frozenset()
+        )
+        return tuple(
+            FieldProblem(
+                f"team {missing.team}: spec.guarantees", missing.reason
+            )
+            for missing in plan.missing
+        )
+
+    def _derive(self, config: ConfigStore) -> Derived:
+        view = memory_view(config)
+        out = frozenset(d for d in view.failure_domains if config.is_out(d))
+        known = self._derived
+        if known is not None:
+            if (known.revision, known.out) == (config.config_revision, out):
+                return known
+        cells = self._cells_of(view)
+        closed = frozenset(
+            name for name, cell in cells.items() if cell.failure_domain in out
+        )
+        plan = plan_guarantees(tuple(cells.values()), team_specs(view), closed)
+        self._derived = Derived(config.config_revision, out, cells, plan)
+        return self._derived
+
+    def _cells_of(self, view: ConfigView) -> dict[str, Cell]:
+        return {
+            cell.name: cell
+            for name, spec in view.failure_domains.items()
+            for cell in cells_of(
+                name, cast(FailureDomainSpec, spec), self.cell_worker_limit
+            )
+        }
+
+
+def team_specs(view: ConfigView) -> dict[str, TeamSpec]:
+    """Return the specs of all teams."""
+    return {name: cast(TeamSpec, spec) for name, spec in view.teams.items()}
--- a/src/damaskstall/program.py
+++ b/src/damaskstall/program.py
@@ -7,8 +7,15 @@
 from typing import Any, Protocol
 
 from trio import TASK_STATUS_IGNORED as IGNORED
-from trio import Event, TaskStatus, open_nursery, open_signal_receiver
-
+from trio import Event, Nursery, TaskStatus, open_nursery, open_signal_receiver
+
+from damaskstall.addresses import Address
+from damaskstall.events import (
+    PROGRAM_STARTED,
+    PROGRAM_STOPPED,
+    PROGRAM_STOPPING,
+    log,
+)
 from damaskstall.http.messages import (
     Handler,
     Request,
@@ -29,6 +36,16 @@
         """Return the full state as JSON values, without secrets."""
 
 
+class Program(ProcessState, Protocol):
+    """Run the parts of a long-running program."""
+
+    async def start(self, nursery: Nursery) -> dict[str, Address]:
+        """Start all tasks and listeners; return the bound addresses."""
+
+    async def drain(self) -> None:
+        """Finish what has begun, within the time the settings give."""
+
+
 def probe_handler(state: ProcessState, fallback: Handler) -> Handler:
     """Answer probes, metrics and dumps; hand other paths to the fallback."""
 
@@ -100,3 +117,18 @@
         await nursery.start(watch)
         yield stop
         nursery.cancel_scope.cancel()
+
+
+async def serve_until_stopped(
+    name: str, instance: str, program: Program
+) -> None:
+    """Run a program until a signal comes, then stop it gracefully."""
+    async with stop_signal() as stop, open_nursery() as nursery:
+        addresses = await program.start(nursery)
+        log(PROGRAM_STARTED, program=name, instance=instance)
+        announce(**addresses)
+        await stop.wait()
+        log(PROGRAM_STOPPING, program=name, instance=instance)
+        await program.drain()
+        nursery.cancel_scope.cancel()
+    log(PROGRAM_STOPPED, program=name, instance=instance)
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Run scripted scenarios over the real processes' code."""
--- /dev/null
+++ b/tests/scenarios/runner.py
@@ -0,0 +1,300 @@
+"""Carry out the steps of a scenario and judge what was recorded."""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from itertools import product
+from typing import Any
+
+from trio import (
+    TooSlowError,
+    current_time,
+    fail_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.errors import HttpError
+from damaskstall.http.client import HttpClient, JsonAnswer
+from damaskstall.platform.keys import JOB_PREFIX
+from damaskstall.resources.records import JOB_ENDED
+from standins.platform.faults import FaultRule
+from standins.worker.tasks import WorkerFaults
+from tests.job_checker import check_jobs
+from tests.scenarios.language import Scenario
+from tests.scenarios.world import World
+
+OPERATOR = "operator"
+CALL_TIMEOUT_S = 10.0
+CALL_RETRY_S = 1.0
+CALL_LIMIT = 20
+POLL_S = 0.25
+SETTLE_S = 3.0
+LATE_START_S = 5.0
+
+
+class ScenarioFailureError(AssertionError):
+    """A scenario did not go as it has to."""
+
+
+async def run_scenario(scenario: Scenario) -> list[str]:
+    """Run a scenario; return what it broke, in full sentences."""
+    async with open_nursery() as nursery:
+        world = World(scenario.layout, scenario.seed, nursery)
+        await world.start()
+        runner = Runner(world)
+        await runner.declare(world.failure_domain_specs())
+        await sleep(SETTLE_S)
+        for step in scenario.steps:
+            await VERBS[step.verb](runner, step.value)
+        broken = await runner.finish(scenario)
+        nursery.cancel_scope.cancel()
+    return broken
+
+
+class Runner:
+    """Carry out steps in a world."""
+
+    def __init__(self, world: World) -> None:
+        """Act on a world."""
+        self.world = world
+        self.take_outs: list[tuple[str, float]] = []
+        self.returns: list[tuple[str, float]] = []
+
+    async def call(
+        self, method: str, target: str, value: Any = None
+    ) -> JsonAnswer:
+        """Call the resource interface as an operator who tries again."""
+        for _ in range(CALL_LIMIT):
+            try:
+                return await self.call_once(method, target, value)
+            except HttpError:
+                await sleep(CALL_RETRY_S)
+        raise ScenarioFailureError(f"{method} {target} was never answered.")
+
+    async def call_once(
+        self, method: str, target: str, value: Any = None
+    ) -> JsonAnswer:
+        """Call the resource interface once."""
+        network = self.world.network.end(OPERATOR)
+        address = self.world.operator_address()
+        async with HttpClient(network, address, CALL_TIMEOUT_S) as client:
+            return await client.call_json(method, target, value)
+
+    async def declare(self, resources: list[dict[str, Any]]) -> None:
+        """Create resources; each must be accepted."""
+        for resource in resources:
+            target = f"/v1/resources/{resource['kind']}"
+            answer = await self.call("POST", target, resource)
+            if answer.status not in (200, 201):
+                raise ScenarioFailureError(f"Not accepted: {answer}.")
+
+    async def submit(self, value: dict[str, Any]) -> None:
+        """Declare a number of jobs with one spec."""
+        names = [f"{value['prefix']}-{i}" for i in range(value["count"])]
+        await self.declare(
+            [
+                {"kind": "job", "name": name, "spec": value["spec"]}
+                for name in names
+            ]
+        )
+
+    async def wait(self, value: dict[str, Any]) -> None:
+        """Wait until a number of jobs is in a state."""
+        try:
+            with fail_after(value["within_s"]):
+                while self.states()[value["state"]] < value["count"]:
+                    await sleep(POLL_S)
+        except TooSlowError:
+            raise ScenarioFailureError(
+                f"Waited for {value}; the jobs are {self.describe()}."
+            ) from None
+
+    async def advance(self, value: float) -> None:
+        """Let time pass."""
+        await sleep(value)
+
+    async def kill(self, value: str) -> None:
+        """End a process at once."""
+        self.world.kill(self.world.resolve(value))
+
+    async def restart(self, value: str) -> None:
+        """Start a killed process anew."""
+        await self.world.start_process(value)
+
+    async def freeze(self, value: str) -> None:
+        """Stop a process without telling it."""
+        self.world.network.freeze(self.world.resolve(value))
+
+    async def thaw(self, value: str) -> None:
+        """Let a frozen process go on; ``all`` lets every one."""
+        names = [value]
+        if value == "all":
+            names = sorted(self.world.network.frozen)
+        for name in names:
+            self.world.network.thaw(name)
+
+    async def cut(self, value: dict[str, str]) -> None:
+        """Cut two groups of hosts off from each other."""
+        for source, target in self.pairs(value):
+            self.world.network.cut(source, target)
+            self.world.network.cut(target, source)
+
+    async def cut_one_way(self, value: dict[str, str]) -> None:
+        """Lose what one group of hosts sends to another."""
+        for source, target in self.pairs(value):
+            self.world.network.cut(source, target)
+
+    async def heal(self, value: Any) -> None:
+        """Join all hosts again."""
+        for source, target in sorted(self.world.network.cuts):
+            self.world.network.heal(source, target)
+
+    async def set_platform(self, value: dict[str, Any]) -> None:
+        """Set the faults of the platform; an empty mapping ends them."""
+        rule = FaultRule(
+            callers=tuple(value.get("callers", ())),
+            down=value.get("down", False),
+            delay_s=value.get("delay_s", 0.0),
+            lose_answers=value.get("lose_answers", 0.0),
+        )
+        self.world.platform.faults.rules = (rule,)
+
+    async def worker_fault(self, value: dict[str, Any]) -> None:
+        """Set the faults of the workers that match a pattern."""
+        faults = dict(value)
+        for name in self.world.hosts(faults.pop("worker")):
+            self.world.workers[name].set_faults(WorkerFaults(**faults))
+
+    async def drain(self, value: str) -> None:
+        """Take a failure domain out."""
+        await self.order(value, "drain")
+        self.take_outs.append((value, current_time()))
+
+    async def restore(self, value: str) -> None:
+        """Bring a failure domain back."""
+        self.returns.append((value, current_time()))
+        await self.order(value, "restore")
+
+    async def order(self, domain: str, verb: str) -> None:
+        """Give an order until it is accepted."""
+        target = f"/v1/resources/failure_domain/{domain}/{verb}"
+        for _ in range(CALL_LIMIT):
+            answer = await self.call("POST", target)
+            if answer.status in (200, 202):
+                return
+            await sleep(CALL_RETRY_S)
+        raise ScenarioFailureError(f"The order was refused: {answer}.")
+
+    async def cancel(self, value: str) -> None:
+        """Cancel every job that a selector matches."""
+        for _ in range(CALL_LIMIT):
+            body = {"selector": value}
+            answer = await self.call("POST", "/v1/cancellations", body)
+            if answer.status == 200 and answer.value.get("complete", True):
+                return
+            await sleep(CALL_RETRY_S)
+        raise ScenarioFailureError(f"The cancellation did not end: {answer}.")
+
+    async def race(self, value: dict[str, Any]) -> None:
+        """Let operators replace one version at once: one may win."""
+        target = f"/v1/resources/{value['kind']}/{value['name']}"
+        current = (await self.call("GET", target)).value
+        statuses: list[int] = []
+
+        async def replace() -> None:
+            answer = await self.call_once("PUT", target, current)
+            statuses.append(answer.status)
+
+        async with open_nursery() as nursery:
+            for _ in range(value["writers"]):
+                nursery.start_soon(replace)
+        if statuses.count(200) != 1:
+            raise ScenarioFailureError(f"Not one writer won: {statuses}.")
+
+    async def expect(self, value: dict[str, int]) -> None:
+        """Check how many jobs are in each state."""
+        states = self.states()
+        wrong = {s: states[s] for s, n in value.items() if states[s] != n}
+        if wrong:
+            raise ScenarioFailureError(f"Expected {value}: {self.describe()}.")
+
+    async def finish(self, scenario: Scenario) -> list[str]:
+        """Wait for all jobs to end and return what was broken."""
+        try:
+            with fail_after(scenario.end_within_s):
+                while set(self.states()) - JOB_ENDED:
+                    await sleep(POLL_S)
+        except TooSlowError:
+            return [f"Jobs did not end: {self.describe()}."]
+        await self.expect(scenario.end_states)
+        return (
+            check_jobs(
+                self.world.platform.table.commits, self.world.worker_records()
+            )
+            + self.late_starts()
+        )
+
+    def late_starts(self) -> list[str]:
+        """Return the starts that came too long after a take-out."""
+        late = []
+        for domain, out_s in self.take_outs:
+            back_s = min(
+                (t for d, t in self.returns if d == domain and t > out_s),
+                default=float("inf"),
+            )
+            for record in self.world.worker_records():
+                if record["event"] != "run":
+                    continue
+                if not record["worker"].startswith(f"{domain}-"):
+                    continue
+                if out_s + LATE_START_S < record["time_s"] < back_s:
+                    late.append(f"A start came after the take-out: {record}.")
+        return late
+
+    def states(self) -> Counter[str]:
+        """Return how many jobs are in each state, from the table."""
+        rows = self.world.platform.table.rows.values()
+        return Counter(
+            row.value["status"]["state"]
+            for row in rows
+            if row.key.startswith(JOB_PREFIX) and row.value is not None
+        )
+
+    def describe(self) -> str:
+        """Return the unfinished jobs with their reasons."""
+        found = []
+        for row in self.world.platform.table.rows.values():
+            if not row.key.startswith(JOB_PREFIX) or row.value is None:
+                continue
+            status = row.value["status"]
+            if status["state"] not in JOB_ENDED:
+                found.append((row.key, status["state"], status["reason"]))
+        return f"{dict(self.states())}, unfinished {found[:5]}"
+
+    def pairs(self, value: dict[str, str]) -> list[tuple[str, str]]:
+        """Return the pairs of hosts that two patterns name."""
+        sources = self.world.hosts(value["from"])
+        targets = self.world.hosts(value["to"])
+        return [(s, t) for s, t in product(sources, targets) if s != t]
+
+
+VERBS: dict[str, Callable[[Runner, Any], Awaitable[None]]] = {
+    "apply": Runner.declare,
+    "submit": Runner.submit,
+    "wait": Runner.wait,
+    "advance_s": Runner.advance,
+    "kill": Runner.kill,
+    "restart": Runner.restart,
+    "freeze": Runner.freeze,
+    "thaw": Runner.thaw,
+    "cut": Runner.cut,
+    "heal": Runner.heal,
+    "cut_one_way": Runner.cut_one_way,
+    "platform": Runner.set_platform,
+    "worker_fault": Runner.worker_fault,
+    "drain": Runner.drain,
+    "restore": Runner.restore,
+    "cancel": Runner.cancel,
+    "race": Runner.race,
+    "expect": Runner.expect,
+}
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -90,6 +90,10 @@
         """Return the jobs that hold blocks."""
         return tuple(self.held.values())
 
+    def unmet(self) -> tuple[Guarantee, ...]:
+        """Promise nothing, so nothing is unmet."""
+        return ()
+
     def _find(self, job: QueuedJob) -> Block | None:
         hosts, count = job.shape
         for first in range(len(self.cell.workers) - hosts + 1):
