Measure the decisions over streams of jobs; take a job in only once

Found by it: a job offered again while the policy held a block for it was started twice. add() now ignores a job that it knows; the state machine has a step for it that failed before the change.

--- /dev/null
+++ b/bench/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions over whole streams of jobs, under a fake clock."""
--- /dev/null
+++ b/bench/jobs/__main__.py
@@ -0,0 +1,57 @@
+"""Compare the versions of the policy over all streams.
+
+``python -m bench.jobs`` prints a table and writes docs/results/jobs.md.
+``--seeds 3``, ``--scale 0.25``, ``--streams mixed,wrong`` and
+``--versions a,b`` narrow or widen the run; then nothing is written.
+"""
+
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from bench.jobs.measures import Measures, measure
+from bench.jobs.report import page, table
+from bench.jobs.streams import LEAVE_S, RETURN_S, STREAMS, make_stream
+from bench.jobs.versions import VERSIONS
+from bench.jobs.world import World
+
+PAGE = Path("docs/results/jobs.md")
+SEEDS = 3
+
+
+def main() -> None:
+    """Run what the arguments ask for."""
+    arguments = read_arguments()
+    found = []
+    for stream in arguments.streams.split(","):
+        for version in arguments.versions.split(","):
+            for seed in range(arguments.seeds):
+                found.append(run_one(stream, version, seed, arguments.scale))
+    print(table(found))
+    if arguments.write:
+        PAGE.parent.mkdir(parents=True, exist_ok=True)
+        PAGE.write_text(page(found))
+
+
+def read_arguments() -> Namespace:
+    """Return the command line's arguments."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", default=",".join(STREAMS))
+    parser.add_argument("--versions", default=",".join(VERSIONS))
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--write", action="store_true")
+    return parser.parse_args()
+
+
+def run_one(stream: str, version: str, seed: int, scale: float) -> Measures:
+    """Run one version over one stream."""
+    jobs = make_stream(stream, seed, scale)
+    world = World(VERSIONS[version])
+    leave_s = LEAVE_S * scale
+    return_s = RETURN_S * scale
+    world.run_stream(jobs, leave_s, return_s)
+    return measure(stream, version, world, leave_s, return_s)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/jobs/streams.py
@@ -0,0 +1,177 @@
+"""Make seeded streams of jobs as the two users of the brief send them.
+
+The place is today's: three failure domains of one rack of eight workers with
+eight accelerators, and four teams.
+"""
+
+from math import exp
+from random import Random
+from typing import NamedTuple
+
+from damaskstall.placement.model import Cell, Rack, Shape, Worker
+from damaskstall.resources.records import GuaranteeSpec, TeamSpec
+
+HOUR_S = 3600.0
+ARRIVALS_S = 6 * HOUR_S
+LEAVE_S = 2 * HOUR_S
+RETURN_S = 3 * HOUR_S
+LOAD = 0.85
+DOMAINS = 3
+WORKERS = 8
+ACCELERATORS = 8
+USUAL_SPREAD = 0.3
+WRONG_FACTOR = 10.0
+BURST_SMALL = 500
+BURST_LARGE = 10
+
+STREAMS = ("small", "large", "mixed", "wrong", "burst")
+
+
+class Arrival(NamedTuple):
+    """Hold one job of a stream; ``run_s`` is what it really takes."""
+
+    name: str
+    time_s: float
+    team: str
+    shape: Shape
+    run_s: float
+    estimate_s: float
+    urgent: bool
+    checkpointable: bool
+    restartable: bool
+
+    @property
+    def work_s(self) -> float:
+        """Return its accelerator-seconds."""
+        return self.shape.accelerators * self.run_s
+
+
+class Kind(NamedTuple):
+    """Describe one kind of job: who sends it, its shapes and its length."""
+
+    team: str
+    shapes: tuple[Shape, ...]
+    mean_s: float
+    urgent_share: float
+    checkpointable_share: float
+    restartable_share: float
+
+
+SMALL_KINDS = (
+    Kind("indexing", (Shape(1, 1), Shape(1, 2)), 900, 0, 0.5, 1),
+    Kind("votes", (Shape(1, 2), Shape(1, 4)), 300, 0.5, 0.3, 1),
+    Kind("milling", (Shape(1, 1), Shape(1, 4)), 400, 0.2, 0.5, 0.7),
+)
+LARGE_KINDS = (
+    Kind("transcripts", (Shape(2, 8), Shape(4, 8)), 2400, 0, 0.9, 1),
+    Kind("indexing", (Shape(1, 8), Shape(2, 8)), 1800, 0, 0.7, 1),
+    Kind("milling", (Shape(2, 8), Shape(8, 8)), 1200, 0, 0.9, 1),
+)
+SMALL_SHARE = {"small": 0.9, "large": 0.1, "mixed": 0.5}
+
+
+def guarantee(hosts: int, accelerators: int, count: int) -> GuaranteeSpec:
+    """Return a guarantee that any failure domain may hold."""
+    return GuaranteeSpec(
+        hosts=hosts,
+        accelerators_per_host=accelerators,
+        count=count,
+        failure_domain="",
+    )
+
+
+TEAMS: dict[str, TeamSpec] = {
+    "transcripts": TeamSpec(weight=2, guarantees=[guarantee(4, 8, 2)]),
+    "votes": TeamSpec(weight=1, guarantees=[guarantee(1, 8, 2)]),
+    "milling": TeamSpec(
+        weight=1, guarantees=[guarantee(2, 8, 1), guarantee(1, 4, 2)]
+    ),
+    "indexing": TeamSpec(weight=1, guarantees=[]),
+}
+
+
+def make_cells() -> tuple[Cell, ...]:
+    """Return today's three cells."""
+    return tuple(
+        Cell(f"domain-{letter}/0", f"domain-{letter}", (make_rack(letter),))
+        for letter in "abc"[:DOMAINS]
+    )
+
+
+def make_rack(letter: str) -> Rack:
+    """Return one rack of workers."""
+    workers = tuple(
+        Worker(f"worker-{letter}{number}", "127.0.0.1:1", ACCELERATORS)
+        for number in range(WORKERS)
+    )
+    return Rack(f"rack-{letter}", workers)
+
+
+def make_stream(name: str, seed: int, scale: float) -> list[Arrival]:
+    """Return a stream's jobs by arrival; ``scale`` shortens its time."""
+    random = Random(f"{name}/{seed}")
+    span_s = ARRIVALS_S * scale
+    wrong = name == "wrong"
+    small_share = SMALL_SHARE.get(name, 0.5)
+    wanted = DOMAINS * WORKERS * ACCELERATORS * span_s * LOAD
+    small = fill(random, SMALL_KINDS, wanted * small_share, span_s, wrong)
+    large_work = wanted * (1 - small_share)
+    large = fill(random, LARGE_KINDS, large_work, span_s, wrong)
+    jobs = small + large
+    if name == "burst":
+        jobs += burst(random, span_s, scale)
+    jobs.sort(key=lambda job: job.time_s)
+    return [
+        job._replace(name=f"{name}-{number}")
+        for number, job in enumerate(jobs)
+    ]
+
+
+def fill(
+    random: Random,
+    kinds: tuple[Kind, ...],
+    work_s: float,
+    span_s: float,
+    wrong: bool,
+) -> list[Arrival]:
+    """Return jobs at random times that add up to some work."""
+    jobs: list[Arrival] = []
+    while work_s > 0:
+        time_s = random.uniform(0, span_s)
+        job = draw(random, random.choice(kinds), time_s, wrong)
+        work_s -= job.work_s
+        jobs.append(job)
+    return jobs
+
+
+def draw(random: Random, kind: Kind, time_s: float, wrong: bool) -> Arrival:
+    """Draw one job of a kind."""
+    run_s = kind.mean_s * exp(random.gauss(-0.3, 0.8))
+    if wrong:
+        error = random.choice((1 / WRONG_FACTOR, 1.0, WRONG_FACTOR))
+    else:
+        error = exp(random.gauss(0, USUAL_SPREAD))
+    return Arrival(
+        name="",
+        time_s=time_s,
+        team=kind.team,
+        shape=random.choice(kind.shapes),
+        run_s=run_s,
+        estimate_s=run_s * error,
+        urgent=random.random() < kind.urgent_share,
+        checkpointable=random.random() < kind.checkpointable_share,
+        restartable=random.random() < kind.restartable_share,
+    )
+
+
+def burst(random: Random, span_s: float, scale: float) -> list[Arrival]:
+    """Return many small jobs in one minute, and later many large ones."""
+    small = [
+        draw(random, SMALL_KINDS[0], span_s / 4 + random.uniform(0, 60), False)
+        for _ in range(int(BURST_SMALL * scale))
+    ]
+    large = [
+        draw(random, LARGE_KINDS[0], 0.6 * span_s, False)
+        for _ in range(int(BURST_LARGE * scale))
+    ]
+    return small + large
--- /dev/null
+++ b/bench/jobs/world.py
@@ -0,0 +1,307 @@
+"""Run a stream of jobs through the real decision code on a fake clock.
+
+Only what the decisions see is modelled: jobs arrive, run for their real time,
+leave within a grace when preempted, and a failure domain is taken out and
+brought back. A cell hears of a job later the further down the claim rank
+it stands, and the first cell that takes a job has it.
+"""
+
+from collections.abc import Callable
+from functools import partial
+from heapq import heappop, heappush
+from typing import NamedTuple
+
+from bench.jobs.streams import TEAMS, Arrival, make_cells
+from bench.jobs.versions import MakePolicy
+from damaskstall.placement.claims import claim_rank
+from damaskstall.placement.model import Block, Policy, QueuedJob, Start
+from damaskstall.placement.plan import plan_guarantees
+
+GRACE_S = 3.0
+RESTART_S = 10.0
+STAGGER_S = 0.5
+DECISION_S = 0.25
+SAMPLE_S = 60.0
+OUT_DOMAIN = "domain-b"
+
+
+class Run(NamedTuple):
+    """Hold one run of a job in a cell; ``work_s`` is what it has to do."""
+
+    cell: str
+    block: Block
+    started_s: float
+    work_s: float
+    number: int
+
+
+class Outcome(NamedTuple):
+    """Hold what became of one job."""
+
+    arrival: Arrival
+    started_s: float
+    ended_s: float
+    entitled: bool
+    lost: bool
+
+
+class Sample(NamedTuple):
+    """Hold who held what at one time; ``waiting`` lists waiting shapes."""
+
+    time_s: float
+    held: dict[str, tuple[Block, ...]]
+    waiting: tuple[int, ...]
+
+
+class JobState:
+    """Hold what the world knows of one job."""
+
+    def __init__(self, arrival: Arrival) -> None:
+        """Start with all work to do."""
+        self.arrival = arrival
+        self.left_s = arrival.run_s
+        self.started_s = -1.0
+        self.run: Run | None = None
+        self.runs = 0
+        self.entitled = False
+
+
+class World:
+    """Hold the cells, the jobs and the clock."""
+
+    def __init__(self, make_policy: MakePolicy) -> None:
+        """Start with empty cells at time zero."""
+        self.cells = make_cells()
+        self.policies: dict[str, Policy] = {
+            cell.name: make_policy(cell) for cell in self.cells
+        }
+        self.domain_of = {c.name: c.failure_domain for c in self.cells}
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.now_s = 0.0
+        self.jobs: dict[str, JobState] = {}
+        self.outcomes: list[Outcome] = []
+        self.samples: list[Sample] = []
+        self.reclaim_s: list[float] = []
+        self.reclaims: dict[str, float] = {}
+        self.preemptions = 0
+        self.useful: list[tuple[float, float, int]] = []
+        self.closed: frozenset[str] = frozenset()
+        self.due: set[str] = set()
+        self._plan()
+        for policy in self.policies.values():
+            policy.set_weights({t: s["weight"] for t, s in TEAMS.items()})
+
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self.count += 1
+        heappush(self.events, (time_s, self.count, action))
+
+    def run_stream(
+        self, stream: list[Arrival], leave_s: float, return_s: float
+    ) -> None:
+        """Run until every job has ended."""
+        for arrival in stream:
+            self.at(arrival.time_s, partial(self.arrive, arrival))
+        self.at(leave_s, self.take_out)
+        self.at(return_s, self.bring_back)
+        self.at(0.0, self.sample)
+        while self.events and len(self.outcomes) < len(stream):
+            self.now_s, _, action = heappop(self.events)
+            action()
+
+    # ------------------------------------------------------------- events
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Let the cells hear of a new job."""
+        state = JobState(arrival)
+        state.entitled = self._entitled(arrival)
+        self.jobs[arrival.name] = state
+        self.offer(state)
+
+    def offer(self, state: JobState) -> None:
+        """Offer a job to the cells in the order of its claim rank."""
+        arrival = state.arrival
+        ranked = claim_rank(
+            arrival.name, arrival.team, arrival.shape, self.cells, self.plan
+        )
+        ranked = tuple(name for name in ranked if name not in self.closed)
+        job = QueuedJob(
+            arrival.name,
+            arrival.team,
+            arrival.shape,
+            arrival.estimate_s,
+            arrival.urgent,
+            arrival.checkpointable,
+            arrival.time_s,
+            arrival.restartable,
+        )
+        for place, name in enumerate(ranked):
+            offered = job._replace(preferred=place == 0)
+            self.at(
+                self.now_s + place * STAGGER_S,
+                partial(self.hear, name, offered, state.runs),
+            )
+
+    def hear(self, cell: str, job: QueuedJob, runs: int) -> None:
+        """Put a job into a cell's queue unless another cell has it."""
+        state = self.jobs.get(job.name)
+        if state is None or state.run is not None or state.runs != runs:
+            return
+        if cell in self.closed:
+            return
+        self.policies[cell].add(job)
+        self.wake(cell)
+
+    def wake(self, cell: str) -> None:
+        """Let a cell decide within the decision interval."""
+        if cell not in self.due:
+            self.due.add(cell)
+            self.at(self.now_s + DECISION_S, partial(self.decide, cell))
+
+    def decide(self, cell: str) -> None:
+        """Let a cell decide and carry it out."""
+        self.due.discard(cell)
+        for decision in self.policies[cell].decide(self.now_s):
+            if isinstance(decision, Start):
+                self.start(cell, decision)
+                continue
+            self.preemptions += 1
+            self.reclaims.setdefault(decision.beneficiary, self.now_s)
+            state = self.jobs[decision.job]
+            assert state.run is not None
+            run = state.run
+            self.at(self.now_s + GRACE_S, partial(self.stop, state, run))
+
+    def start(self, cell: str, start: Start) -> None:
+        """Start a job and take it from the other cells."""
+        state = self.jobs[start.job]
+        if state.run is not None:
+            self.policies[cell].release(start.job, self.now_s, None)
+            self.wake(cell)
+            return
+        if start.job in self.reclaims:
+            self.reclaim_s.append(self.now_s - self.reclaims.pop(start.job))
+        for name, policy in self.policies.items():
+            if name != cell:
+                policy.withdraw(start.job)
+                self.wake(name)
+        overhead_s = RESTART_S if state.runs else 0.0
+        if state.started_s < 0:
+            state.started_s = self.now_s
+        work_s = overhead_s + state.left_s
+        state.runs += 1
+        run = Run(cell, start.block, self.now_s, work_s, state.runs)
+        state.run = run
+        self.at(self.now_s + work_s, partial(self.finish, state, run))
+
+    def finish(self, state: JobState, run: Run) -> None:
+        """End a job that has done its work."""
+        if state.run != run:
+            return
+        name = state.arrival.name
+        ran_s = self.now_s - run.started_s
+        self._count(state, run, state.left_s)
+        state.run = None
+        self.policies[run.cell].release(name, self.now_s, ran_s)
+        self.wake(run.cell)
+        self._end(state, lost=False)
+
+    def stop(self, state: JobState, run: Run) -> None:
+        """Make a job leave; keep its progress if it wrote a checkpoint."""
+        if state.run != run:
+            return
+        arrival = state.arrival
+        overhead_s = run.work_s - state.left_s
+        done_s = max(0.0, self.now_s - run.started_s - overhead_s)
+        if arrival.checkpointable:
+            self._count(state, run, done_s)
+            state.left_s -= done_s
+        state.run = None
+        self.policies[run.cell].release(arrival.name, self.now_s, None)
+        self.wake(run.cell)
+        if arrival.restartable:
+            self.offer(state)
+        else:
+            self._end(state, lost=True)
+
+    def take_out(self) -> None:
+        """Take a failure domain out: its jobs stop and move."""
+        for cell in self.cells:
+            if cell.failure_domain == OUT_DOMAIN:
+                self.policies[cell.name].set_open(False)
+                self._set_closed(cell.name)
+        for state in list(self.jobs.values()):
+            if state.run is None:
+                self.offer(state)
+            elif state.run.cell in self.closed:
+                run = state.run
+                self.at(
+                    self.now_s + GRACE_S,
+                    partial(self.stop, state, run),
+                )
+
+    def bring_back(self) -> None:
+        """Bring the failure domain back."""
+        back = self.closed
+        self.closed = frozenset()
+        self._plan()
+        for name in back:
+            self.policies[name].set_open(True)
+        for state in list(self.jobs.values()):
+            if state.run is None:
+                self.offer(state)
+
+    def sample(self) -> None:
+        """Note who holds what, once a minute."""
+        held = {
+            name: tuple(running.block for running in policy.running())
+            for name, policy in self.policies.items()
+            if name not in self.closed
+        }
+        waiting = tuple(
+            state.arrival.shape.accelerators
+            for state in self.jobs.values()
+            if state.run is None
+        )
+        self.samples.append(Sample(self.now_s, held, waiting))
+        self.at(self.now_s + SAMPLE_S, self.sample)
+
+    # -------------------------------------------------------------- books
+
+    def _set_closed(self, cell: str) -> None:
+        self.closed |= {cell}
+        self._plan()
+
+    def _plan(self) -> None:
+        self.plan = plan_guarantees(self.cells, TEAMS, self.closed)
+        for name, policy in self.policies.items():
+            policy.set_guarantees(self.plan.assigned.get(name, ()))
+            self.wake(name)
+
+    def _entitled(self, arrival: Arrival) -> bool:
+        """Return whether a job is within what its team was promised."""
+        promised = sum(
+            spec["hosts"] * spec["accelerators_per_host"] * spec["count"]
+            for spec in TEAMS[arrival.team]["guarantees"]
+            if spec["hosts"] >= arrival.shape.hosts
+            and spec["accelerators_per_host"]
+            >= arrival.shape.accelerators_per_host
+        )
+        used = sum(
+            state.arrival.shape.accelerators
+            for state in self.jobs.values()
+            if state.arrival.team == arrival.team
+        )
+        return used + arrival.shape.accelerators <= promised
+
+    def _count(self, state: JobState, run: Run, done_s: float) -> None:
+        size = state.arrival.shape.accelerators
+        self.useful.append((self.now_s - done_s, self.now_s, size))
+
+    def _end(self, state: JobState, lost: bool) -> None:
+        arrival = state.arrival
+        del self.jobs[arrival.name]
+        self.outcomes.append(
+            Outcome(arrival, state.started_s, self.now_s, state.entitled, lost)
+        )
--- a/src/damaskstall/placement/model.py
+++ b/src/damaskstall/placement/model.py
@@ -70,7 +70,9 @@
 
     ``restartable`` False means that the work may start at most once. Such a
     job starts only under its team's guarantee or on accelerators that no
-    guarantee needs, so that nobody has to reclaim them.
+    guarantee needs, so that nobody has to reclaim them. ``preferred`` tells
+    that this cell is the first in the job's claim rank: only there is a block
+    reserved for it, so that it does not empty several cells.
     """
 
     name: str
@@ -81,6 +83,7 @@
     checkpointable: bool
     queued_s: float
     restartable: bool = True
+    preferred: bool = True
 
 
 class RunningJob(NamedTuple):
--- a/src/damaskstall/placement/policy.py
+++ b/src/damaskstall/placement/policy.py
@@ -116,7 +116,9 @@
         self._all_stale()
 
     def add(self, job: QueuedJob) -> None:
-        """Put a job into the queue."""
+        """Put a job into the queue unless it is known already."""
+        if job.name in self.claims or job.name in self.books.running:
+            return
         self.queue.add(job)
         self.guarantee_stale.add(job.team)
         self.changed = True
--- a/src/damaskstall/placement/queue.py
+++ b/src/damaskstall/placement/queue.py
@@ -21,6 +21,7 @@
     shape: Shape
     urgent: bool
     restartable: bool
+    preferred: bool
     estimate_bits: int
 
 
@@ -35,7 +36,9 @@
 def class_of(job: QueuedJob) -> JobClass:
     """Return the class of a job."""
     bits = frexp(max(job.estimate_s, 0.0))[1]
-    return JobClass(job.shape, job.urgent, job.restartable, bits)
+    return JobClass(
+        job.shape, job.urgent, job.restartable, job.preferred, bits
+    )
 
 
 class JobQueue:
--- a/tests/placement/test_invariants.py
+++ b/tests/placement/test_invariants.py
@@ -149,6 +149,13 @@
         del self.queued[name]
         self.policy.withdraw(name)
 
+    @precondition(lambda self: self.queued or self.running)
+    @rule(data=st.data())
+    def submit_again(self, data: st.DataObject) -> None:
+        """Queue a job that waits or runs already."""
+        known = self.queued | {n: r.job for n, r in self.running.items()}
+        self.policy.add(known[data.draw(st.sampled_from(sorted(known)))])
+
     @rule(worker=st.integers(0, 3), usable=st.booleans())
     def quarantine(self, worker: int, usable: bool) -> None:
         """Close a worker or open it again."""
