--- a/src/damaskstall/entry/claims.py
+++ b/src/damaskstall/entry/claims.py
@@ -33,6 +33,7 @@
     identity,
 )
 from damaskstall.errors import (
+    CallerLostError,
     PlatformError,
     RequestNotRunError,
     RequestRejectedError,
@@ -112,7 +113,8 @@
             return repeat_response(call, claim, digest, self.unix_now())
         try:
             answer = await carry_out(call)
-        except RequestNotRunError:
+        except (RequestNotRunError, CallerLostError):
+            # With the whole body here, a caller is lost only in the queue.
             await self._soon(self._release, claim)
             raise
         if isinstance(answer.body, StreamedAnswer):
