--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -27,6 +27,12 @@
   confirmedAgeS @1 :Float64;
   # Seconds since the table last confirmed this revision; negative: never.
   rows @2 :List(ConfigRow);
+  afterRevision @3 :Int64;
+  # The revision the rows come after.
+  snapshot @4 :Bool;
+  # The rows are all there are: what is missing was deleted.
+  more @5 :Bool;
+  # Another frame of this answer follows; none counts before the last.
 }
 
 struct Heartbeat {
@@ -37,6 +43,8 @@
   revision @3 :Int64;
   confirmedAgeS @4 :Float64;
   leaving @5 :Bool;
+  configRevision @6 :Int64;
+  # The newest row known, which may be newer than the revision.
 }
 
 struct HeartbeatAck {
@@ -50,6 +58,12 @@
   out @1 :Bool;
   issuedAgeS @2 :Float64;
   issuedId @3 :Text;
+  baseRevision @4 :Int64;
+  # The row of the failure domain that the issuer knew.
+  sequence @5 :Int64;
+  # Grows with each take-out or restore that its issuer knew of.
+  issuedUnixS @6 :Float64;
+  # When it was issued, on the issuer's clock; 0: not told.
 }
 
 struct TakeOutAck {
@@ -112,6 +126,8 @@
     $help("time between two health checks of a backend server");
   instanceListPollS @22 :Float64 = 2.0 $unit("s") $minimum(0.05) $maximum(60)
     $help("time between two reads of the platform's instance list");
+  cellWorkerLimit @23 :Int64 = 128 $unit("workers") $minimum(1) $maximum(4096)
+    $help("largest number of workers in one cell, as the schedulers have it");
 }
 
 struct SchedulerSettings $program("damaskstall-scheduler") {
@@ -157,6 +173,8 @@
   logLevel @22 :Text = "INFO" $help("lowest level of log events written");
   quarantineProbationS @23 :Float64 = 600.0 $unit("s") $minimum(1) $maximum(86400)
     $help("time a failing worker gets no task before it is tried again");
+  outageRenewLimitS @24 :Float64 = 14400.0 $unit("s") $minimum(0) $maximum(604800)
+    $help("time past a lapsed cell lease in which running tasks live on");
 }
 
 struct CtlSettings $program("damaskstallctl") {
