Keep docs/API.md and docs/EVENTS.md against the code

The fields, paths, status codes and exit codes of the API reference and the catalogue of events are generated from the tables in the code, and make test fails when they are stale. Checking the fuzzed answers against the listed status codes found that 400 was missing for most paths, and the catalogue found a name that two events shared; both are corrected.

A request target that names a malformed host ('GET //[') ended the whole process; it is answered with 400 now, with a test that failed first.

A creation that took effect is no longer told as a conflict when a scheduler has rewritten the job's row since.

--- a/Makefile
+++ b/Makefile
@@ -29,12 +29,16 @@
 
 generated-check: $(READY)
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python -m tools.generate_events --check
+	$(BIN)/python -m tools.generate_api --check
 
 unit: $(READY)
 	$(BIN)/python -m pytest
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
+	$(BIN)/python -m tools.generate_events
+	$(BIN)/python -m tools.generate_api
 
 format: $(READY)
 	$(BIN)/black --quiet $(SOURCES)
--- a/src/damaskstall/http/messages.py
+++ b/src/damaskstall/http/messages.py
@@ -63,7 +63,10 @@
 
 
 def split_target(target: str) -> tuple[str, dict[str, str]]:
-    """Return the path and the query of a request target."""
+    """Return the path and the query of a request target.
+
+    Raises ValueError when the target names a malformed host.
+    """
     parts = urlsplit(target)
     return parts.path, dict(parse_qsl(parts.query, keep_blank_values=True))
 
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -268,7 +268,11 @@
         await sleep_forever()
 
     async def _handle(self, handler: Handler, head: RequestHead) -> Response:
-        path, query = split_target(head.target.decode("ascii", "replace"))
+        try:
+            target = head.target.decode("ascii", "replace")
+            path, query = split_target(target)
+        except ValueError as error:
+            return error_response(400, f"The target is malformed: {error}.")
         headers = decode_headers(head)
         async with aclosing(self._body_parts()) as parts:
             request = Request(
--- a/src/damaskstall/resources/events.py
+++ b/src/damaskstall/resources/events.py
@@ -26,19 +26,19 @@
     "resource_outcome_unknown",
     "A write could not be settled; the operator was told so.",
 )
-TAKE_OUT_HELD = Event(
+DRAIN_HELD = Event(
     2005,
     "WARNING",
-    "take_out_held",
+    "drain_held",
     "A drain is obeyed in memory; the table has not kept it yet.",
 )
-TAKE_OUT_KEPT = Event(
-    2006, "INFO", "take_out_kept", "The table has kept a held drain."
+DRAIN_KEPT = Event(
+    2006, "INFO", "drain_kept", "The table has kept a held drain."
 )
-TAKE_OUT_SUPERSEDED = Event(
+DRAIN_SUPERSEDED = Event(
     2007,
     "WARNING",
-    "take_out_superseded",
+    "drain_superseded",
     "A held drain was dropped, since a later decision is in the table.",
 )
 JOBS_CANCELLED = Event(
--- a/src/damaskstall/resources/routes.py
+++ b/src/damaskstall/resources/routes.py
@@ -15,6 +15,27 @@
     body: tuple[str, ...] = ()
 
 
+STATUS_HELP = {
+    200: "Done and kept, or a dry run that would be.",
+    201: "Created and kept.",
+    202: "In force at this process, and not kept by the table yet.",
+    400: "The path, the query or the JSON is malformed; nothing changed.",
+    404: "There is no such resource or path.",
+    405: "The path does not take the method; `allow` lists those it takes.",
+    409: "A lost race or a state that forbids the change. "
+    "`current_version` is the version now (0: absent). Nothing changed, "
+    "unless `took_effect` says that a copy of the request won before.",
+    410: "The changes after the version are gone: list and watch anew.",
+    413: "The body is longer than `body_limit_bytes`.",
+    422: "The declaration is not valid; `problems` lists every bad field "
+    "(at most 100) with its path. Nothing changed.",
+    429: "Too many watchers; come back after `retry-after`.",
+    503: "Not accepted now: this copy of the request has changed nothing "
+    "(`damaskstall-not-run: true`); come back after `retry-after`.",
+    504: "The outcome is unknown: the change may be made, or may still be. "
+    "Repeat it with the same `idempotency-key`, or read the resource.",
+}
+
 ROUTES = (
     Route(
         "GET",
@@ -39,7 +60,7 @@
         "get_resource",
         "Read one resource.",
         (),
-        (200, 404, 503),
+        (200, 400, 404, 503),
     ),
     Route(
         "PUT",
@@ -64,7 +85,7 @@
         "cancel_job",
         "Cancel one job.",
         (),
-        (200, 404, 503, 504),
+        (200, 400, 404, 503, 504),
     ),
     Route(
         "POST",
@@ -81,7 +102,7 @@
         "drain_failure_domain",
         "Take a failure domain out of service.",
         (),
-        (200, 202, 404, 409, 503, 504),
+        (200, 202, 400, 404, 409, 503, 504),
     ),
     Route(
         "POST",
@@ -89,7 +110,7 @@
         "restore_failure_domain",
         "Bring a failure domain back into service.",
         (),
-        (200, 404, 409, 503, 504),
+        (200, 400, 404, 409, 503, 504),
     ),
     Route(
         "GET",
@@ -105,7 +126,7 @@
         "list_instances",
         "List the product's processes and the configuration they run by.",
         (),
-        (200,),
+        (200, 400),
     ),
 )
 
--- a/src/damaskstall/resources/store.py
+++ b/src/damaskstall/resources/store.py
@@ -144,8 +144,9 @@
     ) -> int:
         """Write a row as it was read (None: absent); return the version.
 
-        Raises ResourceConflictError when the row has moved on, and
-        TableConflictError when only its guard has.
+        Raises ResourceConflictError when the row has moved on,
+        WrittenBeforeError when our write took effect before that, and
+        TableConflictError when only the guard has moved.
         """
         known_id = latest_id(row) if row is not None else ""
         guards = (guard.write(mutation_id),) if guard is not None else ()
@@ -171,8 +172,9 @@
     ) -> int:
         """Return the version our write led to, or say what became of it.
 
-        Raises ResourceConflictError and TableConflictError only when our
-        write had no effect and can have none, and TableOutcomeUnknownError
+        Raises WrittenBeforeError when our write took effect and others have
+        followed it; ResourceConflictError and TableConflictError only when
+        it had no effect and can have none; and TableOutcomeUnknownError
         when that cannot be told.
         """
         fenced = await self._fence(guard, mutation_id)
@@ -180,8 +182,10 @@
         if guard is not None:
             since = max(since, guard.revision)
         row = await self._newest(write, since)
-        if row is not None and is_written_by(row, mutation_id):
+        if row is not None and row.mutation_id == mutation_id:
             return row.revision
+        if row is not None and is_written_by(row, mutation_id):
+            raise written_before(row)
         if guard is not None and await self._has_passed(guard, mutation_id):
             raise written_before(row)
         if is_unchanged(row, write):
--- a/src/damaskstall/resources/take_out.py
+++ b/src/damaskstall/resources/take_out.py
@@ -22,9 +22,9 @@
 from damaskstall.peers.config_store import ConfigStore, PendingTakeOut
 from damaskstall.platform.types import Row
 from damaskstall.resources.events import (
-    TAKE_OUT_HELD,
-    TAKE_OUT_KEPT,
-    TAKE_OUT_SUPERSEDED,
+    DRAIN_HELD,
+    DRAIN_KEPT,
+    DRAIN_SUPERSEDED,
 )
 from damaskstall.resources.records import STATE_IN, STATE_OUT
 from damaskstall.resources.store import (
@@ -109,7 +109,7 @@
             self.config.settle(name, pending.issued_id)
             raise
         if version is None:
-            log(TAKE_OUT_HELD, failure_domain=name, id=pending.issued_id)
+            log(DRAIN_HELD, failure_domain=name, id=pending.issued_id)
         elif known:
             self.kept[pending.issued_id] = version
         return version
@@ -162,10 +162,10 @@
         except (TableUnavailableError, TableOutcomeUnknownError):
             return False
         except (ResourceMissingError, ResourceConflictError) as error:
-            log(TAKE_OUT_SUPERSEDED, failure_domain=name, error=str(error))
+            log(DRAIN_SUPERSEDED, failure_domain=name, error=str(error))
             self._settle(pending)
             return True
-        log(TAKE_OUT_KEPT, failure_domain=name, version=version)
+        log(DRAIN_KEPT, failure_domain=name, version=version)
         self.kept[pending.issued_id] = version
         return True
 
--- a/src/damaskstall/resources/writes.py
+++ b/src/damaskstall/resources/writes.py
@@ -171,7 +171,7 @@
             guard = await read_guard(table, guard_key(kind, name))
             row = await table.read(resource_key(kind, name))
             if is_repeated(row, guard, change.mutation_id):
-                return repeated(kind, row, change.mutation_id)
+                return repeated(kind, row)
             planned = plan(row)
             if planned.write is None:
                 return planned.seen
@@ -182,6 +182,8 @@
                 version = await self.store.commit(
                     planned.write, row, guard, change.mutation_id
                 )
+            except WrittenBeforeError:
+                return repeated(kind, await table.read(planned.write.key))
             except TableConflictError:
                 # Another's write moved the guard: check again with it.
                 continue
@@ -221,14 +223,14 @@
     return row is not None and is_written_by(row, mutation_id)
 
 
-def repeated(kind: str, row: Row | None, mutation_id: str) -> Resource:
-    """Return what a repeated request came to the first time.
+def repeated(kind: str, row: Row | None) -> Resource:
+    """Return what a request that took effect before has come to by now.
 
-    Raises WrittenBeforeError when others have followed it.
+    Raises WrittenBeforeError when its row is gone.
     """
-    if row is not None and is_written_by(row, mutation_id):
-        return resource_of(kind, row)
-    raise written_before(row)
+    if row is None:
+        raise written_before(row)
+    return resource_of(kind, row)
 
 
 def present(kind: str, name: str, row: Row | None) -> Row:
--- a/tests/resources/test_fuzz.py
+++ b/tests/resources/test_fuzz.py
@@ -12,6 +12,7 @@
 from damaskstall.errors import BadRequestError, ValidationError
 from damaskstall.resources.fields import SPEC_FIELDS, FieldRule
 from damaskstall.resources.records import KINDS
+from damaskstall.resources.routes import Match, find_route
 from damaskstall.resources.selector import parse_selector
 from damaskstall.resources.validate import validate_resource
 from standins.platform.memory import Platform
@@ -120,7 +121,11 @@
         await entry.set_up()
         before = len(platform.table.commits)
         answer = await entry.request(method, path, query, body)
-        assert answer.status < 500
+        match = find_route(method, path)
+        if isinstance(match, Match):
+            assert answer.status in match.route.statuses
+        else:
+            assert answer.status == (405 if match else 404)
         if answer.status >= 400:
             assert len(platform.table.commits) == before
             assert answer.value["error"].endswith((".", "0", "9"))
--- a/tests/resources/test_races.py
+++ b/tests/resources/test_races.py
@@ -183,7 +183,7 @@
                     break
                 await sleep(0.1)
             status = {**row.value["status"], "state": "placed"}
-            value = {**row.value, "status": status}
+            value = {"spec": row.value["spec"], "status": status}
             write = Write(row.key, value, row.revision)
             platform.table.commit((write,), "scheduler-1", 0)
 
@@ -191,6 +191,7 @@
             nursery.start_soon(claim)
             made = await entry.declare("job", "j1", {"team": "t1"})
         assert made.status == 201
+        assert made.value["status"]["state"] == "placed"
 
     run_virtual(scenario)
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -118,6 +118,7 @@
     ("sent", "status"),
     [
         (b"nonsense\r\n\r\n", b"400"),
+        (b"GET //[ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", b"400"),
         (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 20000, b"431"),
         (
             b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
