Bound the writes of cancellation waves and never lose a watcher

A watcher that joined while its kind's log was idle could wait for ever, since the log replaced the event it waited on; the log is now cleared before the wait. Streams end clearly when they fall behind or the entry stops.

An operator's write is in force in its own process before the next poll, and a held drain ends by the row that keeps it.

--- a/src/damaskstall/cli/main.py
+++ b/src/damaskstall/cli/main.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from fire import Fire
+from fire.decorators import SetParseFns
 from trio import run
 
 from damaskstall.cli import commands
@@ -34,7 +35,7 @@
         The selector is for jobs: team=a,state=queued,label.x=y.
         """
         output = self._settings.output
-        self._run(commands.get, kind, str(name), str(selector), output)
+        self._run(commands.get, kind, name, selector, output)
 
     def apply(self, *files: str, f: str = "", dry_run: bool = False) -> None:
         """Create or replace the declarations of YAML or JSON files."""
@@ -49,7 +50,7 @@
         dry_run: bool = False,
     ) -> None:
         """Delete a resource, at its present version if none is named."""
-        self._run(commands.delete, kind, str(name), resource_version, dry_run)
+        self._run(commands.delete, kind, name, resource_version, dry_run)
 
     def watch(self, kind: str, from_version: int | None = None) -> None:
         """Print the changes of a kind as they come."""
@@ -58,15 +59,15 @@
 
     def drain(self, failure_domain: str) -> None:
         """Take a failure domain out of service."""
-        self._run(commands.drain, str(failure_domain))
+        self._run(commands.drain, failure_domain)
 
     def restore(self, failure_domain: str) -> None:
         """Bring a failure domain back into service."""
-        self._run(commands.restore, str(failure_domain))
+        self._run(commands.restore, failure_domain)
 
     def cancel(self, name: str = "", selector: str = "") -> None:
         """Cancel a job by name, or all that a selector matches."""
-        self._run(commands.cancel, str(name), str(selector))
+        self._run(commands.cancel, name, selector)
 
     def dump(self) -> None:
         """Print the full state of the process at the server's address."""
@@ -91,6 +92,19 @@
         await client.close()
 
 
+# A name such as 1e5 is a text, although it also reads as a number.
+for command, names in (
+    (Ctl.get, ("kind", "name", "selector")),
+    (Ctl.delete, ("kind", "name")),
+    (Ctl.watch, ("kind",)),
+    (Ctl.drain, ("failure_domain",)),
+    (Ctl.restore, ("failure_domain",)),
+    (Ctl.cancel, ("name", "selector")),
+    (Ctl.apply, ("f",)),
+):
+    SetParseFns(**dict.fromkeys(names, str))(command)
+
+
 def split_arguments(
     arguments: Sequence[str],
 ) -> tuple[list[str], list[str]]:
--- a/src/damaskstall/cli/output.py
+++ b/src/damaskstall/cli/output.py
@@ -4,6 +4,8 @@
 from json import dumps
 from typing import Any
 
+from damaskstall.resources.records import JOB_QUEUED
+
 Row = Sequence[str]
 
 JOB_COLUMNS = ("NAME", "TEAM", "STATE", "SHAPE", "ATTEMPT", "CELL", "REASON")
@@ -130,7 +132,7 @@
 
 def details_text(item: dict[str, Any]) -> str:
     """Return one resource with all its fields, one a line."""
-    lines = [f"{item['kind']} {item['name']}"]
+    lines = [f"{item['kind']} {item['name']}", *waiting_lines(item)]
     lines.append(f"  resource_version: {item['resource_version']}")
     for part in ("spec", "status"):
         lines.append(f"  {part}:")
@@ -138,3 +140,19 @@
             text = value if isinstance(value, str) else dumps(value)
             lines.append(f"    {name}: {text}")
     return "\n".join(lines)
+
+
+def waiting_lines(item: dict[str, Any]) -> list[str]:
+    """Return why a job waits and what would let it start, where told."""
+    status = item["status"]
+    if item["kind"] != "job" or status.get("state") != JOB_QUEUED:
+        return []
+    found = {"reason": status.get("reason", "")}
+    if isinstance(status.get("explanation"), dict):
+        found.update(status["explanation"])
+    lines = []
+    if found.get("reason"):
+        lines.append(f"  waits: {found['reason']}")
+    if found.get("unblocked_by"):
+        lines.append(f"  starts with: {found['unblocked_by']}")
+    return lines
--- a/src/damaskstall/resources/cancel.py
+++ b/src/damaskstall/resources/cancel.py
@@ -1,7 +1,7 @@
 """Cancel jobs, one by name or thousands by selector.
 
-A wave is written in batches of rows. Rows that lost a race in their batch
-are read again and written one by one, a bounded number of times.
+A wave is written in batches of rows. A batch that lost a race is read again
+as a whole, and after a few rounds its rows are written one by one.
 """
 
 from typing import NamedTuple
@@ -17,7 +17,7 @@
 from damaskstall.events import log
 from damaskstall.platform.keys import JOB_PREFIX, job_key
 from damaskstall.platform.settle import commit_settled
-from damaskstall.platform.types import Row, TableService, Write
+from damaskstall.platform.types import Row, ScanPage, TableService, Write
 from damaskstall.resources.events import JOBS_CANCELLED
 from damaskstall.resources.records import (
     JOB_CANCELLED,
@@ -131,7 +131,7 @@
                 rows = [r for r in page.rows if row_matches(r, selector)]
                 for start in range(0, len(rows), BATCH_ROWS):
                     batch = rows[start : start + BATCH_ROWS]
-                    outcomes += await self._cancel_rows(
+                    outcomes += await self._cancel_batch(
                         batch, now_unix_s, deadline_s
                     )
                     after = batch[-1].key
@@ -146,55 +146,61 @@
             # Part of the wave is written: tell it and where to go on.
         return count_outcomes(outcomes, after)
 
-    async def _cancel_rows(
-        self, rows: list[Row], now_unix_s: float, deadline_s: float
-    ) -> list[tuple[str, str]]:
-        live = [row for row in rows if needs_write(row)]
-        outcomes = [
-            (row.key, outcome_of(row)) for row in rows if not needs_write(row)
-        ]
-        if live:
-            outcomes += await self._cancel_batch(live, now_unix_s, deadline_s)
-        return outcomes
-
     async def _cancel_batch(
         self, rows: list[Row], now_unix_s: float, deadline_s: float
     ) -> list[tuple[str, str]]:
-        """Write rows together; those that lost a race go one by one."""
-        remaining = list(rows)
-        single: list[Row] = []
-        written = False
+        """Write rows together; what keeps losing races goes one by one."""
+        unsettled = False
         for _ in range(BATCH_ATTEMPTS):
-            if not remaining:
+            live = [row for row in rows if needs_write(row)]
+            if not live:
                 break
-            writes = tuple(cancel_write(row, now_unix_s) for row in remaining)
+            writes = tuple(cancel_write(row, now_unix_s) for row in live)
             mutation_id = new_mutation_id(self.instance)
             try:
                 await commit_settled(self.table, writes, mutation_id)
-            except TableConflictError as error:
-                single += [r for r in remaining if r.key == error.key]
-                remaining = [r for r in remaining if r.key != error.key]
+                return [(row.key, outcome_of(row)) for row in rows]
+            except TableConflictError:
+                pass
             except TableOutcomeUnknownError:
+                unsettled = True
+            except TableUnavailableError:
+                if not unsettled:
+                    raise
                 break
-            else:
-                written = True
-                break
-        outcomes: list[tuple[str, str]] = []
-        if written:
-            outcomes += [(row.key, outcome_of(row)) for row in remaining]
-        else:
-            single += remaining
-        for row in single:
-            if current_time() < deadline_s:
-                outcome = await self._cancel_single(row.key, now_unix_s)
-            else:
-                outcome = FAILED
-            outcomes.append((row.key, outcome))
-        return outcomes
-
-    async def _cancel_single(self, key: str, now_unix_s: float) -> str:
+            rows = await self._read_again(rows)
+        return [
+            (row.key, await self._cancel_single(row, now_unix_s, deadline_s))
+            for row in rows
+        ]
+
+    async def _read_again(self, rows: list[Row]) -> list[Row]:
+        """Return rows as they are now, by one read; those deleted are gone.
+
+        Rows beyond what the read returns stay as they are.
+        """
+        # The name before the last character sorts before the whole one.
+        after = rows[0].key[:-1]
+        try:
+            page = await self.table.scan(JOB_PREFIX, after, SCAN_ROWS)
+        except TableUnavailableError:
+            return rows
+        newest = {row.key: row for row in page.rows}
+        return [
+            newest.get(row.key, row)
+            for row in rows
+            if row.key in newest or is_beyond(row, page)
+        ]
+
+    async def _cancel_single(
+        self, row: Row, now_unix_s: float, deadline_s: float
+    ) -> str:
+        if not needs_write(row):
+            return outcome_of(row)
+        if current_time() >= deadline_s:
+            return FAILED
         try:
-            name = key.removeprefix(JOB_PREFIX)
+            name = row.key.removeprefix(JOB_PREFIX)
             return await self.cancel(name, now_unix_s)
         except ResourceMissingError:
             return ENDED
@@ -202,6 +208,11 @@
             return FAILED
 
 
+def is_beyond(row: Row, page: ScanPage) -> bool:
+    """Return whether a row lies after the last one that a page holds."""
+    return bool(page.next_after) and row.key > page.next_after
+
+
 def row_matches(row: Row, selector: Selector) -> bool:
     """Return whether a job's row matches a selector."""
     value = row.value or {}
--- a/src/damaskstall/resources/take_out.py
+++ b/src/damaskstall/resources/take_out.py
@@ -80,8 +80,6 @@
         self.instance = instance
         self.unix_clock = unix_clock
         self.random = Random(instance)
-        # Versions of held decisions that the table has taken, by their id.
-        self.kept: dict[str, int] = {}
 
     async def drain(self, name: str) -> int | None:
         """Take a failure domain out; None where it is only held in memory.
@@ -89,29 +87,29 @@
         Returns the version that says so. Raises ResourceMissingError for an
         unknown failure domain.
         """
-        pending = PendingTakeOut(
-            name, True, new_mutation_id(self.instance), current_time()
-        )
+        mutation_id = new_mutation_id(self.instance)
+        unix_s = self.unix_clock()
         known = self.config.spec(KIND, name) is not None
         if known:
             # In force here at once, also while the table is slow.
+            pending = PendingTakeOut(
+                name, True, mutation_id, current_time(), issued_unix_s=unix_s
+            )
             self.config.hold(pending)
         version: int | None = None
         try:
             with move_on_after(HELD_ANSWER_S if known else inf):
                 version = await self._decide(
-                    name, STATE_OUT, pending.issued_id, self.unix_clock()
+                    name, STATE_OUT, mutation_id, unix_s
                 )
         except (TableUnavailableError, TableOutcomeUnknownError):
-            if not known:
+            if not self.config.is_out(name):
                 raise
         except (ResourceMissingError, ResourceConflictError):
-            self.config.settle(name, pending.issued_id)
+            self.config.settle(name, mutation_id)
             raise
         if version is None:
-            log(DRAIN_HELD, failure_domain=name, id=pending.issued_id)
-        elif known:
-            self.kept[pending.issued_id] = version
+            log(DRAIN_HELD, failure_domain=name, id=mutation_id)
         return version
 
     async def restore(self, name: str) -> int:
@@ -122,7 +120,7 @@
             name, STATE_IN, mutation_id, self.unix_clock()
         )
         if held is not None:
-            self._settle(held)
+            self.config.settle(name, held.issued_id)
         return version
 
     async def run(self) -> None:
@@ -130,48 +128,39 @@
         delay_s = RETRY_FIRST_S
         while True:
             if not self.config.pending:
+                delay_s = RETRY_FIRST_S
                 await self.config.wait_change()
+                continue
             await sleep(delay_s * self.random.uniform(0.5, 1.0))
             delay_s = min(RETRY_LIMIT_S, 2 * delay_s)
-            if await self._write_all_held():
-                delay_s = RETRY_FIRST_S
-
-    async def _write_all_held(self) -> bool:
-        """Return whether the table took every call."""
-        answered = True
-        for pending in list(self.config.pending.values()):
-            answered &= await self._write_held(pending)
-        return answered
+            for pending in list(self.config.pending.values()):
+                await self._write_held(pending)
 
-    async def _write_held(self, pending: PendingTakeOut) -> bool:
-        """Write one held decision; return whether the table took the call."""
+    async def _write_held(self, pending: PendingTakeOut) -> None:
+        """Write one held decision, and settle it if the table has it."""
         name = pending.failure_domain
-        version = self.kept.get(pending.issued_id)
-        if version is not None:
-            # Held until the configuration here says the same.
-            if self.config.revision >= version:
-                self._settle(pending)
-            return True
         state = STATE_OUT if pending.out else STATE_IN
-        age_s = current_time() - pending.issued_s
-        issued_unix_s = self.unix_clock() - age_s
         try:
             version = await self._decide(
-                name, state, pending.issued_id, issued_unix_s, held=True
+                name,
+                state,
+                pending.issued_id,
+                self._issued_unix_s(pending),
+                held=True,
             )
         except (TableUnavailableError, TableOutcomeUnknownError):
-            return False
+            return
         except (ResourceMissingError, ResourceConflictError) as error:
             log(DRAIN_SUPERSEDED, failure_domain=name, error=str(error))
-            self._settle(pending)
-            return True
-        log(DRAIN_KEPT, failure_domain=name, version=version)
-        self.kept[pending.issued_id] = version
-        return True
+        else:
+            log(DRAIN_KEPT, failure_domain=name, version=version)
+        self.config.settle(name, pending.issued_id)
 
-    def _settle(self, pending: PendingTakeOut) -> None:
-        self.config.settle(pending.failure_domain, pending.issued_id)
-        self.kept.pop(pending.issued_id, None)
+    def _issued_unix_s(self, pending: PendingTakeOut) -> float:
+        """Return when a decision was issued, by its issuer's clock if told."""
+        if pending.issued_unix_s:
+            return pending.issued_unix_s
+        return self.unix_clock() - (current_time() - pending.issued_s)
 
     async def _decide(
         self,
@@ -189,8 +178,10 @@
         for _ in range(WRITE_ATTEMPTS):
             row = await self.store.read_row(KIND, name)
             if is_written_by(row, mutation_id):
+                self.config.learn(row)
                 return row.revision
             if held and decided_unix_s(row) > unix_s:
+                self.config.learn(row)
                 raise ResourceConflictError(
                     f"A later decision about {name!r} is in the table.",
                     row.revision,
@@ -202,10 +193,13 @@
             status = decided_status(row, unix_s)
             value = row_value(spec, status, mutation_id, row)
             try:
-                return await self.store.replace(row, value, mutation_id)
+                version = await self.store.replace(row, value, mutation_id)
             except ResourceConflictError:
                 # Another wrote the row: what it says now decides.
                 continue
+            # In force here before the next poll.
+            self.config.learn(Row(row.key, version, mutation_id, value))
+            return version
         raise TableOutcomeUnknownError(
             f"The decision about {name!r} lost every race."
         )
--- a/src/damaskstall/resources/watch.py
+++ b/src/damaskstall/resources/watch.py
@@ -79,9 +79,10 @@
         """Read changes while there is a watcher."""
         while True:
             if not self.watchers:
+                # Before the wait, since a watcher waits for the start.
+                self._forget()
                 self._wanted = Event()
                 await self._wanted.wait()
-                self._forget()
             await self.poll()
             await sleep(self.poll_s)
 
--- a/src/damaskstall/resources/writes.py
+++ b/src/damaskstall/resources/writes.py
@@ -19,6 +19,7 @@
     WrittenBeforeError,
 )
 from damaskstall.peers.config_store import ConfigStore
+from damaskstall.platform.keys import CONFIG_PREFIX
 from damaskstall.platform.types import ABSENT, Row, Write
 from damaskstall.resources.checks import (
     Planner,
@@ -187,9 +188,16 @@
             except TableConflictError:
                 # Another's write moved the guard: check again with it.
                 continue
+            self._learn(planned.write, version, change.mutation_id)
             return planned.seen._replace(resource_version=version)
         raise TableUnavailableError("Too many operators write at once.")
 
+    def _learn(self, write: Write, version: int, mutation_id: str) -> None:
+        """Put an own write in force here before the next poll."""
+        if write.key.startswith(CONFIG_PREFIX):
+            row = Row(write.key, version, mutation_id, write.value)
+            self.config.learn(row)
+
     async def _check(
         self, kind: str, name: str, spec: dict[str, Any] | None
     ) -> None:
--- a/tests/resources/test_cli.py
+++ b/tests/resources/test_cli.py
@@ -83,13 +83,17 @@
     with_server(check)
 
 
-def test_exit_codes_tell_a_script_what_happened(tmp_path: Path) -> None:
+def test_exit_codes_tell_a_script_what_happened(
+    tmp_path: Path, capsys: CaptureFixture[str]
+) -> None:
     file = tmp_path / "declarations.yaml"
     file.write_text(DECLARATIONS)
 
     def check(ctl: Ctl, platform: Platform) -> None:
         assert ctl("apply", str(file)) == 0
         assert ctl("get", "job", "absent") == 1
+        assert ctl("get", "job", "1e5") == 1
+        assert "1e5" in capsys.readouterr().err
         assert ctl("delete", "failure_domain", "fd1") == 1
         assert ctl("delete", "team", "t1", "--resource-version", "1") == 1
         assert ctl("get", "planet") == 2
--- a/tests/resources/test_watch.py
+++ b/tests/resources/test_watch.py
@@ -4,10 +4,13 @@
 from json import loads
 from typing import Any
 
+from pytest import MonkeyPatch
 from trio import fail_after, open_nursery, sleep
 
 from damaskstall.http.messages import Body, Request
 from damaskstall.resources.api import ResourceApi
+from damaskstall.resources.watch import WATCHERS_LIMIT
+from standins.platform.faults import FaultRule
 from standins.platform.memory import Platform
 from tests.resources.calls import Entry, replace
 from tests.virtual_time import run_virtual
@@ -103,3 +106,124 @@
             nursery.cancel_scope.cancel()
 
     run_virtual(scenario)
+
+
+def test_watcher_that_falls_behind_is_ended_and_can_go_on() -> None:
+    async def scenario() -> None:
+        platform = Platform(seed=1)
+        entry = Entry(platform)
+        await entry.declare("team", "t1", {})
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            lines = await open_watch(entry.api, {"from_version": "0"})
+            await take(lines, 1)
+            for number in range(20):
+                await entry.declare("team", f"x{number}", {})
+                await sleep(1)
+            # The slow watcher's place is gone from the log and the table.
+            kind_log = entry.api.hub.logs["team"]
+            kind_log.entries.clear()
+            kind_log.floor = kind_log.revision
+            platform.table.forget_changes(keep=1)
+            (event,) = await take(lines, 1)
+            assert event["type"] == "end"
+            assert event["resource_version"] < platform.table.revision
+            assert [line async for line in lines] == []
+            assert not kind_log.watchers
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_watcher_behind_the_log_catches_up_from_the_table() -> None:
+    async def scenario() -> None:
+        platform = Platform(seed=1)
+        entry = Entry(platform)
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            lines = await open_watch(entry.api, {"from_version": "0"})
+            await entry.declare("team", "first", {})
+            await take(lines, 1)
+            names = [f"x{number}" for number in range(20)]
+            for name in names:
+                await entry.declare("team", name, {})
+            await sleep(2)
+            kind_log = entry.api.hub.logs["team"]
+            kind_log.entries.clear()
+            kind_log.floor = kind_log.revision
+            found = await take(lines, len(names))
+            assert [event["resource"]["name"] for event in found] == names
+            await lines.aclose()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_log_of_changes_is_bounded(monkeypatch: MonkeyPatch) -> None:
+    monkeypatch.setattr("damaskstall.resources.watch.LOG_LIMIT_BYTES", 1000)
+
+    async def scenario() -> None:
+        entry = Entry(Platform(seed=1))
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            lines = await open_watch(entry.api, {"from_version": "0"})
+            for number in range(30):
+                await entry.declare("team", f"x{number:02}", {})
+            found = await take(lines, 30)
+            names = {event["resource"]["name"] for event in found}
+            assert len(names) == 30
+            assert entry.api.hub.logs["team"].bytes <= 1000
+            await lines.aclose()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_watch_goes_on_after_an_outage_and_says_how_old_it_is() -> None:
+    async def scenario() -> None:
+        platform = Platform(seed=1)
+        entry, other = Entry(platform), Entry(platform, "e2")
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            lines = await open_watch(entry.api, {})
+            assert loads(await anext(lines))["type"] == "bookmark"
+            platform.faults.rules = (FaultRule(("e1",), down=True),)
+            await other.declare("team", "t1", {})
+            ages = [loads(await anext(lines))["age_s"] for _ in range(4)]
+            assert ages == sorted(ages) and ages[-1] > 10
+            platform.faults.rules = ()
+            (event,) = await take(lines, 1)
+            assert event["resource"]["name"] == "t1"
+            await lines.aclose()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
+
+
+def test_watchers_are_bounded_and_end_on_a_graceful_stop() -> None:
+    async def scenario() -> None:
+        entry = Entry(Platform(seed=1))
+        ends: list[str] = []
+
+        async def follow(lines: AsyncGenerator[bytes, None]) -> None:
+            last = b""
+            async for line in lines:
+                last = line
+            ends.append(loads(last)["type"])
+
+        async with open_nursery() as nursery:
+            nursery.start_soon(entry.api.run)
+            for _ in range(WATCHERS_LIMIT):
+                lines = await open_watch(entry.api, {})
+                nursery.start_soon(follow, lines)
+                await sleep(0.01)
+            refused = await entry.call("GET", "/v1/watch/team")
+            assert refused.status == 429
+            assert "retry-after" in refused.headers
+            entry.api.close_watches()
+            await sleep(1)
+            assert ends == ["end"] * WATCHERS_LIMIT
+            assert not entry.api.hub.logs["team"].watchers
+            nursery.cancel_scope.cancel()
+
+    run_virtual(scenario)
