--- a/src/damaskstall/resources/store.py
+++ b/src/damaskstall/resources/store.py
@@ -31,7 +31,6 @@
 WRITTEN_IDS_LIMIT = 8
 
 CHANGES_LIMIT = 10
-FENCE_SUFFIX = "-fence"
 
 
 class ResourcePage(NamedTuple):
@@ -177,7 +176,8 @@
         it had no effect and can have none; and TableOutcomeUnknownError
         when that cannot be told.
         """
-        fenced = await self._fence(guard, mutation_id)
+        # The guard is read first: a copy that it stops is stopped for good.
+        moved = None if guard is None else await self._read_moved(guard)
         since = write.if_revision
         if guard is not None:
             since = max(since, guard.revision)
@@ -186,15 +186,15 @@
             return row.revision
         if row is not None and is_written_by(row, mutation_id):
             raise written_before(row)
-        if guard is not None and await self._has_passed(guard, mutation_id):
+        if moved is not None and mutation_id in moved.passed:
             raise written_before(row)
         if is_unchanged(row, write):
-            if fenced is not None:
-                raise fenced
+            if moved is not None:
+                raise TableConflictError(moved.key, moved.revision)
             raise TableOutcomeUnknownError(
                 f"The write of {write.key!r} may still take effect."
             )
-        stopped = fenced is not None or write.if_revision != ABSENT
+        stopped = moved is not None or write.if_revision != ABSENT
         if stopped and row is not None and remembers(row, known_id):
             raise lost_race(write, row.revision)
         raise TableOutcomeUnknownError(
@@ -202,36 +202,15 @@
             "cannot be told."
         )
 
-    async def _has_passed(self, guard: Guard, mutation_id: str) -> bool:
-        """Return whether a mutation moved a guard on."""
+    async def _read_moved(self, guard: Guard) -> Guard | None:
+        """Return a guard that has moved on, or None where it has not."""
         try:
             newest = await read_guard(self.table, guard.key)
         except TableUnavailableError as error:
             raise TableOutcomeUnknownError(
                 f"The guard {guard.key!r} could not be read back."
             ) from error
-        return mutation_id in newest.passed
-
-    async def _fence(
-        self, guard: Guard | None, mutation_id: str
-    ) -> TableConflictError | None:
-        """Move a guard on, so that no copy of our write passes any more.
-
-        Returns the conflict such a copy now meets, or None where the table
-        does not settle it.
-        """
-        if guard is None:
-            return None
-        fence_id = f"{mutation_id}{FENCE_SUFFIX}"
-        try:
-            revision = await self.table.commit(
-                (guard.write(fence_id),), fence_id
-            )
-        except TableConflictError as error:
-            return error
-        except (TableOutcomeUnknownError, TableUnavailableError):
-            return None
-        return TableConflictError(guard.key, revision)
+        return newest if newest.revision != guard.revision else None
 
     async def _newest(self, write: Write, since: int) -> Row | None:
         """Return a live row, or its deletion after a revision."""
--- a/tests/resources/test_watch.py
+++ b/tests/resources/test_watch.py
@@ -167,8 +167,10 @@
         async with open_nursery() as nursery:
             nursery.start_soon(entry.api.run)
             lines = await open_watch(entry.api, {"from_version": "0"})
+            assert loads(await anext(lines))["type"] == "bookmark"
             for number in range(30):
                 await entry.declare("team", f"x{number:02}", {})
+                await sleep(0.1)
             found = await take(lines, 30)
             names = {event["resource"]["name"] for event in found}
             assert len(names) == 30
