--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -7,7 +7,7 @@
 from trio import run
 
 from damaskstall.program import stop_signal
-from demo.cluster import start_cluster
+from demo.cluster import ClusterSize, start_cluster
 from demo.processes import Processes
 from demo.story import Story
 
@@ -22,7 +22,7 @@
     processes = Processes(log_directory)
     try:
         print("Starting the stand-ins and the product ...", flush=True)
-        cluster = await start_cluster(processes)
+        cluster = await start_cluster(processes, ClusterSize())
         story = Story(cluster)
         broken = await story.tell()
         if keep:
--- a/demo/checks.py
+++ b/demo/checks.py
@@ -6,7 +6,9 @@
 from trio import open_nursery
 
 from damaskstall.addresses import Address
+from damaskstall.platform.keys import JOB_PREFIX
 from damaskstall.platform.types import Write
+from damaskstall.resources.records import JOB_SUCCEEDED
 from demo.cluster import Cluster
 from demo.operators import read_json
 from standins.platform.table import Commit
@@ -34,6 +36,7 @@
     # Each process counts time_s on a clock of its own.
     comparable = [{**r, "time_s": r["unix_s"]} for r in records]
     broken = check_jobs(commits, comparable)
+    broken += unfinished(commits)
     for record in records:
         if record["event"] != "run":
             continue
@@ -46,6 +49,20 @@
     return broken
 
 
+def unfinished(commits: list[Commit]) -> list[str]:
+    """Return the jobs that did not end with success, by the table's log."""
+    states: dict[str, dict[str, Any]] = {}
+    for commit in commits:
+        for write in commit.writes:
+            if write.key.startswith(JOB_PREFIX) and write.value is not None:
+                states[write.key] = write.value["status"]
+    return [
+        f"The row {key} ended {status['state']}: {status['reason']}."
+        for key, status in states.items()
+        if status["state"] != JOB_SUCCEEDED
+    ]
+
+
 def as_commit(value: dict[str, Any]) -> Commit:
     """Return a commit of the platform's log."""
     writes = tuple(Write(**write) for write in value["writes"])
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -7,11 +7,7 @@
 from damaskstall.addresses import Address, parse_address
 from demo.processes import HOST, Processes, free_ports
 
-FAILURE_DOMAINS = ("a", "b", "c")
-WORKERS_PER_RACK = 8
 ACCELERATORS = 8
-SCHEDULERS_PER_DOMAIN = 2
-BACKENDS_PER_DOMAIN = 2
 SLOTS = 8
 PLATFORM_OPERATIONS_PER_S = 3000
 
@@ -20,6 +16,16 @@
 SERVICES = {"fit-check": True, "publish-minutes": False}
 
 
+class ClusterSize(NamedTuple):
+    """Size a cluster; the settings go to every scheduler."""
+
+    failure_domains: tuple[str, ...] = ("a", "b", "c")
+    workers: int = 8
+    schedulers: int = 2
+    backends: int = 2
+    scheduler_settings: dict[str, object] = {}
+
+
 class Cluster(NamedTuple):
     """Hold the addresses that the demonstration talks to."""
 
@@ -30,7 +36,7 @@
     operators: dict[str, Address]
 
 
-async def start_cluster(processes: Processes) -> Cluster:
+async def start_cluster(processes: Processes, size: ClusterSize) -> Cluster:
     """Start every process; return once all have announced."""
     started = await processes.start(
         "platform",
@@ -41,27 +47,29 @@
         },
     )
     platform = parse_address(started.addresses["listen"])
-    await start_outside(processes, platform)
-    await start_product(processes, platform)
-    return describe(processes, platform)
+    await start_outside(processes, platform, size)
+    await start_product(processes, platform, size)
+    return describe(processes, platform, size)
 
 
-async def start_outside(processes: Processes, platform: Address) -> None:
+async def start_outside(
+    processes: Processes, platform: Address, size: ClusterSize
+) -> None:
     """Start the workers and the backend servers."""
     async with open_nursery() as nursery:
-        for domain in FAILURE_DOMAINS:
+        for domain in size.failure_domains:
             processes.start_in(
                 nursery,
                 f"workers-{domain}",
                 "standins.worker",
                 {
                     "name": f"{domain}-worker",
-                    "workers": WORKERS_PER_RACK,
+                    "workers": size.workers,
                     "accelerators": ACCELERATORS,
                     "platform": platform,
                 },
             )
-            for number in range(1, BACKENDS_PER_DOMAIN + 1):
+            for number in range(1, size.backends + 1):
                 name = f"backend-{domain}-{number}"
                 processes.start_in(
                     nursery,
@@ -75,43 +83,54 @@
                 )
 
 
-async def start_product(processes: Processes, platform: Address) -> None:
+async def start_product(
+    processes: Processes, platform: Address, size: ClusterSize
+) -> None:
     """Start the entries and the schedulers; all are peers of each other."""
-    names = [f"entry-{domain}" for domain in FAILURE_DOMAINS]
-    for domain in FAILURE_DOMAINS:
-        for number in range(1, SCHEDULERS_PER_DOMAIN + 1):
+    names = [f"entry-{domain}" for domain in size.failure_domains]
+    for domain in size.failure_domains:
+        for number in range(1, size.schedulers + 1):
             names.append(f"scheduler-{domain}-{number}")
     ports = dict(zip(names, free_ports(len(names)), strict=True))
     async with open_nursery() as nursery:
         for name in names:
-            module = (
-                ENTRY_MODULE if name.startswith("entry") else SCHEDULER_MODULE
-            )
-            peers = [f"{HOST}:{p}" for n, p in ports.items() if n != name]
-            processes.start_in(
-                nursery,
-                name,
-                module,
-                {
-                    "instance": name,
-                    "failure_domain": name.split("-")[1],
-                    "platform": platform,
-                    "peer_listen": f"{HOST}:{ports[name]}",
-                    "peers": ",".join(peers),
-                },
-            )
+            settings = product_settings(name, ports, platform)
+            module = ENTRY_MODULE
+            if name.startswith("scheduler"):
+                module = SCHEDULER_MODULE
+                settings |= size.scheduler_settings
+            processes.start_in(nursery, name, module, settings)
+
+
+def product_settings(
+    name: str, ports: dict[str, int], platform: Address
+) -> dict[str, object]:
+    """Return the settings of one process; the others are its peers."""
+    peers = [f"{HOST}:{port}" for n, port in ports.items() if n != name]
+    return {
+        "instance": name,
+        "failure_domain": name.split("-")[1],
+        "platform": platform,
+        "peer_listen": f"{HOST}:{ports[name]}",
+        "peers": ",".join(peers),
+    }
 
 
-def describe(processes: Processes, platform: Address) -> Cluster:
+def describe(
+    processes: Processes, platform: Address, size: ClusterSize
+) -> Cluster:
     """Return the addresses of what runs."""
 
     def address(name: str, part: str) -> Address:
         text = processes.running[name].addresses[part]
         return parse_address(text)
 
-    entries = {d: address(f"entry-{d}", "listen") for d in FAILURE_DOMAINS}
+    entries = {
+        d: address(f"entry-{d}", "listen") for d in size.failure_domains
+    }
     operators = {
-        d: address(f"entry-{d}", "operator_listen") for d in FAILURE_DOMAINS
+        d: address(f"entry-{d}", "operator_listen")
+        for d in size.failure_domains
     }
     backends = {
         name: address(name, "listen")
@@ -120,7 +139,7 @@
     }
     workers = {
         domain: worker_addresses(processes, domain)
-        for domain in FAILURE_DOMAINS
+        for domain in size.failure_domains
     }
     return Cluster(platform, workers, backends, entries, operators)
 
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Test real processes under real signals."""
