Pack guarantees into few cells, order by waiting ratio, drain by slices

Change: the plan fills cells one after the other, so that some have no guarantees; the claim rank sends jobs without a guarantee where they fit beside all guarantees; a team's jobs go in the order of waiting time to corrected run time; a reservation takes its block from checkpointing borrowers that had 900 s; jobs that would lose their work start beside guarantees.

--- a/bench/jobs/__main__.py
+++ b/bench/jobs/__main__.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from bench.jobs.measures import Measures, measure
-from bench.jobs.report import page, table
+from bench.jobs.report import page, table, team_table
 from bench.jobs.streams import LEAVE_S, RETURN_S, STREAMS, make_stream
 from bench.jobs.versions import VERSIONS
 from bench.jobs.world import World
@@ -27,6 +27,7 @@
             for seed in range(arguments.seeds):
                 found.append(run_one(stream, version, seed, arguments.scale))
     print(table(found))
+    print(team_table(found))
     if arguments.write:
         PAGE.parent.mkdir(parents=True, exist_ok=True)
         PAGE.write_text(page(found))
--- a/bench/jobs/measures.py
+++ b/bench/jobs/measures.py
@@ -31,6 +31,7 @@
     stranded: float
     leave_work: float
     preemptions: int
+    redone_h: float
     makespan_s: float
 
 
@@ -78,6 +79,7 @@
         stranded=mean([stranded(s) for s in samples]),
         leave_work=work_between(world, leave_s, return_s + WINDOW_AFTER_S),
         preemptions=world.preemptions,
+        redone_h=world.redone_s / 3600.0,
         makespan_s=max(o.ended_s for o in world.outcomes),
     )
 
--- a/bench/jobs/report.py
+++ b/bench/jobs/report.py
@@ -26,6 +26,7 @@
     Column("stranded", lambda m: m.stranded, 1),
     Column("leave work h", lambda m: m.leave_work, 0),
     Column("preempted", lambda m: m.preemptions, 0),
+    Column("redone h", lambda m: m.redone_h, 0),
     Column("lost", lambda m: m.lost, 1),
     Column("makespan h", lambda m: m.makespan_s / 3600, 2),
 )
--- a/bench/jobs/versions.py
+++ b/bench/jobs/versions.py
@@ -1,17 +1,57 @@
 """Name the versions of the policy that are compared."""
 
 from collections.abc import Callable
+from math import inf
+from typing import NamedTuple
 
 from bench.jobs.baselines import FirstFit
-from damaskstall.placement.model import Cell, Policy
-from damaskstall.placement.policy import CellPolicy
+from bench.jobs.first_rank import claim_rank as first_rank
+from damaskstall.placement.claims import claim_rank
+from damaskstall.placement.model import Cell, Policy, Shape
+from damaskstall.placement.plan import GuaranteePlan
+from damaskstall.placement.policy import CURRENT, CellPolicy, Options
 from damaskstall.placement.slots import FixedHomes, LateBinding
 
-MakePolicy = Callable[[Cell], Policy]
+FIRST = Options(
+    slice_s=inf, by_ratio=False, reserve_after_s=0.0, shield_first=False
+)
+RATIO = FIRST._replace(by_ratio=True)
+SLICE = RATIO._replace(slice_s=900.0, reserve_after_s=120.0)
 
-VERSIONS: dict[str, MakePolicy] = {
-    "fifo-strict": lambda cell: FirstFit(cell, strict=True),
-    "fifo-first-fit": lambda cell: FirstFit(cell, strict=False),
-    "v1-fixed-homes": lambda cell: CellPolicy(cell, FixedHomes()),
-    "v1-late-binding": lambda cell: CellPolicy(cell, LateBinding()),
+
+Rank = Callable[
+    [str, str, Shape, tuple[Cell, ...], GuaranteePlan], tuple[str, ...]
+]
+
+
+class Version(NamedTuple):
+    """Hold how a version decides and how it spreads guarantees."""
+
+    make_policy: Callable[[Cell], Policy]
+    rank: Rank = claim_rank
+    spread: bool = False
+
+
+def fixed(options: Options) -> Callable[[Cell], Policy]:
+    """Return a maker of policies with fixed home blocks."""
+    return lambda cell: CellPolicy(cell, FixedHomes(), options)
+
+
+def late(options: Options) -> Callable[[Cell], Policy]:
+    """Return a maker of policies that bind late."""
+    return lambda cell: CellPolicy(cell, LateBinding(), options)
+
+
+VERSIONS = {
+    "fifo-strict": Version(lambda cell: FirstFit(cell, strict=True)),
+    "fifo-first-fit": Version(lambda cell: FirstFit(cell, strict=False)),
+    "v1-fixed-homes": Version(fixed(FIRST), first_rank, spread=True),
+    "v1-late-binding": Version(late(FIRST), first_rank, spread=True),
+    "v2-pack": Version(late(FIRST), first_rank),
+    "v2-ratio": Version(late(RATIO), first_rank),
+    "v2-slice": Version(late(SLICE), first_rank),
+    "v3-rank": Version(late(SLICE)),
+    "v3-shield": Version(late(CURRENT)),
+    "v3-no-slice": Version(late(CURRENT._replace(slice_s=inf))),
+    "v3-fixed": Version(fixed(CURRENT)),
 }
--- a/bench/jobs/world.py
+++ b/bench/jobs/world.py
@@ -12,8 +12,7 @@
 from typing import NamedTuple
 
 from bench.jobs.streams import TEAMS, Arrival, make_cells
-from bench.jobs.versions import MakePolicy
-from damaskstall.placement.claims import claim_rank
+from bench.jobs.versions import Version
 from damaskstall.placement.model import Block, Policy, QueuedJob, Start
 from damaskstall.placement.plan import plan_guarantees
 
@@ -69,11 +68,12 @@
 class World:
     """Hold the cells, the jobs and the clock."""
 
-    def __init__(self, make_policy: MakePolicy) -> None:
+    def __init__(self, version: Version) -> None:
         """Start with empty cells at time zero."""
         self.cells = make_cells()
+        self.version = version
         self.policies: dict[str, Policy] = {
-            cell.name: make_policy(cell) for cell in self.cells
+            cell.name: version.make_policy(cell) for cell in self.cells
         }
         self.domain_of = {c.name: c.failure_domain for c in self.cells}
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -85,6 +85,7 @@
         self.reclaim_s: list[float] = []
         self.reclaims: dict[str, float] = {}
         self.preemptions = 0
+        self.redone_s = 0.0
         self.useful: list[tuple[float, float, int]] = []
         self.closed: frozenset[str] = frozenset()
         self.due: set[str] = set()
@@ -122,7 +123,7 @@
     def offer(self, state: JobState) -> None:
         """Offer a job to the cells in the order of its claim rank."""
         arrival = state.arrival
-        ranked = claim_rank(
+        ranked = self.version.rank(
             arrival.name, arrival.team, arrival.shape, self.cells, self.plan
         )
         ranked = tuple(name for name in ranked if name not in self.closed)
@@ -217,6 +218,8 @@
         if arrival.checkpointable:
             self._count(state, run, done_s)
             state.left_s -= done_s
+        else:
+            self.redone_s += done_s * arrival.shape.accelerators
         state.run = None
         self.policies[run.cell].release(arrival.name, self.now_s, None)
         self.wake(run.cell)
@@ -264,6 +267,8 @@
             for state in self.jobs.values()
             if state.run is None
         )
+        for name in self.policies:
+            self.wake(name)
         self.samples.append(Sample(self.now_s, held, waiting))
         self.at(self.now_s + SAMPLE_S, self.sample)
 
@@ -274,7 +279,9 @@
         self._plan()
 
     def _plan(self) -> None:
-        self.plan = plan_guarantees(self.cells, TEAMS, self.closed)
+        self.plan = plan_guarantees(
+            self.cells, TEAMS, self.closed, self.version.spread
+        )
         for name, policy in self.policies.items():
             policy.set_guarantees(self.plan.assigned.get(name, ()))
             self.wake(name)
--- a/src/damaskstall/placement/books.py
+++ b/src/damaskstall/placement/books.py
@@ -6,16 +6,18 @@
 from damaskstall.placement.block_index import BlockIndex, Score
 from damaskstall.placement.layout import Layout, overlap
 from damaskstall.placement.masks import Masks
-from damaskstall.placement.model import Block, RunningJob
+from damaskstall.placement.model import Block, RunningJob, Shape
 from damaskstall.placement.slots import Slots
 
 GROUP_HOSTS = (1, 2, 4)
+RACKS_COMPARED = 4
 
 
 class Books:
-    """Hold running jobs and the three searches over a cell's blocks.
+    """Hold running jobs and the searches over a cell's blocks.
 
     ``free`` finds blocks that nobody holds, fullest surroundings first.
+    ``spare`` finds such blocks where a reservation waits for others to end.
     ``reclaim`` finds blocks held at most by jobs that may be preempted, with
     the least loss first. ``drain`` finds blocks that empty soonest.
     """
@@ -26,16 +28,18 @@
         slots: Slots,
         end_s: Callable[[RunningJob], float],
     ) -> None:
-        """Start empty; ``end_s`` tells when a job is expected to end."""
+        """Start empty; ``end_s`` tells when a job may be expected to go."""
         self.layout = layout
         self.slots = slots
         self.end_s = end_s
         self.running: dict[str, RunningJob] = {}
+        self.protected: set[str] = set()
         self.jobs_on: dict[int, list[str]] = {}
         self.held = Masks(layout.workers)
         self.promised = Masks(layout.workers)
         self.reserved = Masks(layout.workers)
         self.free = BlockIndex(layout, self.free_score)
+        self.spare = BlockIndex(layout, self.spare_score)
         self.reclaim = BlockIndex(layout, self.reclaim_score)
         self.drain = BlockIndex(layout, self.drain_score)
 
@@ -59,6 +63,7 @@
         running = self.running.pop(name, None)
         if running is None:
             return None
+        self.protected.discard(name)
         block = running.block
         for worker in range(
             block.first_worker, block.first_worker + block.hosts
@@ -80,6 +85,7 @@
     def changed(self, block: Block) -> None:
         """Note that a block's accelerators changed hands."""
         self.free.changed(block)
+        self.spare.changed(block)
         self.reclaim.changed(block)
         self.drain.changed(block)
 
@@ -103,7 +109,10 @@
         """Return whether a job may be made to leave."""
         if running.guaranteed:
             return False
-        return running.job.name not in self.slots.shields
+        name = running.job.name
+        if name not in self.slots.shields:
+            return True
+        return running.job.restartable and name not in self.protected
 
     def free_score(self, block: Block) -> Score | None:
         """Score a free block by what is left free around it."""
@@ -111,6 +120,12 @@
             return None
         return (*self.surroundings(block), float(block.first_worker))
 
+    def spare_score(self, block: Block) -> Score | None:
+        """Score a free block that a reservation covers, at least in part."""
+        if not self.reserved.meets(block) or not self.vacant(block):
+            return None
+        return (float(block.first_worker),)
+
     def surroundings(self, block: Block) -> list[float]:
         """Return the free accelerators of ever larger groups around."""
         span = self.layout.racks[self.layout.rack_of[block.first_worker]]
@@ -155,6 +170,34 @@
         disturbed = self.reserved.meets(block)
         return (float(restarted), float(stopped), float(disturbed))
 
+    def loss(self, block: Block, now_s: float) -> Score | None:
+        """Return what clearing a block costs, as reclaim_score but exact.
+
+        The first part is the accelerator-seconds of work that starts over.
+        """
+        score = self.reclaim_score(block)
+        if score is None:
+            return None
+        lost_s = 0.0
+        for running in self.jobs_in(block):
+            if running.stopping or running.job.checkpointable:
+                continue
+            ran_s = now_s - running.started_s
+            lost_s += ran_s * running.job.shape.accelerators
+        urgent = any(r.job.urgent for r in self.jobs_in(block))
+        return (float(urgent), lost_s, *score[1:])
+
+    def cheapest(self, shape: Shape, now_s: float) -> Block | None:
+        """Return the block whose clearing loses least, of a few racks."""
+        best: tuple[Score, Block] | None = None
+        racks = list(self.reclaim.ranked(shape, RACKS_COMPARED))
+        for found in racks:
+            for block in self.layout.blocks_from(found.rack, shape):
+                loss = self.loss(block, now_s)
+                if loss is not None and (best is None or loss < best[0]):
+                    best = (loss, block)
+        return best[1] if best else None
+
     def drain_score(self, block: Block) -> Score | None:
         """Score a block by when the last of its jobs is expected to end."""
         if self.promised.meets(block) or self.slots.closed.meets(block):
--- a/src/damaskstall/placement/options.py
+++ b/src/damaskstall/placement/options.py
@@ -22,14 +22,14 @@
 
 
 def take_guaranteed(
-    books: Books, slots: Slots, job: QueuedJob
+    books: Books, slots: Slots, job: QueuedJob, now_s: float
 ) -> Block | None:
     """Put a job under its team's guarantee; return its block.
 
     None means that the guarantee is in use or that no slot fits.
     """
     options = sorted(
-        guaranteed_options(books, slots, job),
+        guaranteed_options(books, slots, job, now_s),
         key=lambda option: (option.cost, option.order),
     )
     for option in options[:OPTIONS_TRIED]:
@@ -39,7 +39,7 @@
 
 
 def guaranteed_options(
-    books: Books, slots: Slots, job: QueuedJob
+    books: Books, slots: Slots, job: QueuedJob, now_s: float
 ) -> list[Option]:
     """Return the places that the team's slots offer to a job."""
     found: list[Option] = []
@@ -50,32 +50,32 @@
         outers = [slot.block]
         if not slot.jobs and slot.shape not in unused:
             unused.add(slot.shape)
-            outers += other_places(books, slot, job)
+            outers += other_places(books, slot, job, now_s)
         for outer in outers:
-            for cost, block in places_within(books, outer, job):
+            for cost, block in places_within(books, outer, job, now_s):
                 order = len(found)
                 found.append(Option(cost, order, slot, outer, block))
     return found
 
 
-def other_places(books: Books, slot: Slot, job: QueuedJob) -> Iterator[Block]:
+def other_places(
+    books: Books, slot: Slot, job: QueuedJob, now_s: float
+) -> Iterator[Block]:
     """Yield blocks that an unused slot might move to for a job."""
-    for index in (books.free, books.reclaim):
-        whole = index.find(slot.shape)
-        if whole is not None:
-            yield whole.block
-        part = index.find(job.shape)
-        if part is not None:
-            yield from books.layout.blocks_around(part.block, slot.shape)
+    for shape in dict.fromkeys((slot.shape, job.shape)):
+        free = books.free.find(shape)
+        block = free.block if free else books.cheapest(shape, now_s)
+        if block is not None:
+            yield from books.layout.blocks_around(block, slot.shape)
 
 
 def places_within(
-    books: Books, outer: Block, job: QueuedJob
+    books: Books, outer: Block, job: QueuedJob, now_s: float
 ) -> Iterator[tuple[Score, Block]]:
     """Yield the blocks of a job's shape within a slot, with their cost."""
     if books.slots.closed.meets(outer):
         return
     for block in books.layout.blocks_within(outer, job.shape):
-        cost = books.reclaim_score(block)
+        cost = books.loss(block, now_s)
         if cost is not None:
             yield cost, block
--- a/src/damaskstall/placement/plan.py
+++ b/src/damaskstall/placement/plan.py
@@ -82,17 +82,21 @@
     cells: tuple[Cell, ...],
     teams: dict[str, TeamSpec],
     closed_cells: frozenset[str],
+    spread: bool = False,
 ) -> GuaranteePlan:
-    """Return which cell holds which guarantee."""
+    """Return which cell holds which guarantee.
+
+    Cells are filled one after the other, or evenly with ``spread``.
+    """
     rooms = [CellRoom(cell) for cell in sorted(cells)]
-    homeless = assign(rooms, wishes_of(teams))
+    homeless = assign(rooms, wishes_of(teams), spread)
     displaced: list[Wish] = []
     for room in rooms:
         if room.cell.name in closed_cells:
             displaced += returned_wishes(room, teams)
             room.guarantees = []
     open_rooms = [r for r in rooms if r.cell.name not in closed_cells]
-    homeless = assign(open_rooms, homeless + displaced)
+    homeless = assign(open_rooms, homeless + displaced, spread)
     return GuaranteePlan(
         {room.cell.name: tuple(room.guarantees) for room in rooms},
         tuple(explain_missing(wish, rooms, closed_cells) for wish in homeless),
@@ -113,12 +117,16 @@
     ]
 
 
-def assign(rooms: list[CellRoom], wishes: Iterable[Wish]) -> list[Wish]:
+def assign(
+    rooms: list[CellRoom], wishes: Iterable[Wish], spread: bool
+) -> list[Wish]:
     """Give each wish a cell; return those that found none.
 
     Wishes for one failure domain go first, then the largest, and each
-    takes the cell with the most room.
+    takes the cell with the least room that has a block left, or with the
+    most.
     """
+    sign = -1 if spread else 1
     order = sorted(
         wishes,
         key=lambda w: (
@@ -131,7 +139,7 @@
     homeless = []
     for wish in order:
         fitting = [r for r in rooms if accepts(wish, r.cell)]
-        fitting.sort(key=lambda room: (-room.free, room.cell.name))
+        fitting.sort(key=lambda room: (sign * room.free, room.cell.name))
         if not any(room.take(wish) for room in fitting):
             homeless.append(wish)
     return homeless
--- a/src/damaskstall/placement/policy.py
+++ b/src/damaskstall/placement/policy.py
@@ -7,6 +7,7 @@
 """
 
 from heapq import heappop, heappush
+from math import inf
 from typing import NamedTuple
 
 from damaskstall.placement.books import Books
@@ -33,10 +34,11 @@
 )
 from damaskstall.placement.options import take_guaranteed
 from damaskstall.placement.queue import JobQueue
-from damaskstall.placement.reservations import Reservations
+from damaskstall.placement.reservations import Reservation, Reservations
 from damaskstall.placement.slots import Binding, LateBinding, Slots
 
 AGING_S = 3600.0
+RETRY_S = 5.0
 SHIELD_CANDIDATES = 8
 PREEMPTIONS_LIMIT = 2
 
@@ -44,9 +46,30 @@
 URGENT = "urgent, on accelerators that no guarantee uses"
 RESERVED = "on the block that was reserved for it"
 BORROWED = "on free accelerators, by fair share"
+BESIDE = "on free accelerators that no guarantee needs, by fair share"
 BACKFILLED = "ends before the reserved block around it is empty"
 
 
+class Options(NamedTuple):
+    """Choose between ways of deciding that are compared in bench.jobs.
+
+    ``slice_s`` is the time after which a borrowed job that keeps its progress
+    may be preempted for a reservation; infinite means never. ``by_ratio``
+    orders a team's jobs by waiting time to run time, else by age.
+    ``reserve_after_s`` is how long a large job waits for its reservation.
+    ``shield_first`` starts jobs that would lose their work where no guarantee
+    needs the block, if there is such a place.
+    """
+
+    slice_s: float = 900.0
+    by_ratio: bool = True
+    reserve_after_s: float = 120.0
+    shield_first: bool = True
+
+
+CURRENT = Options()
+
+
 class Claim(NamedTuple):
     """Hold a block for a job while borrowed jobs leave it."""
 
@@ -64,8 +87,11 @@
 class CellPolicy:
     """Keep one cell's books and decide over it."""
 
-    def __init__(self, cell: Cell, binding: Binding) -> None:
+    def __init__(
+        self, cell: Cell, binding: Binding, options: Options = CURRENT
+    ) -> None:
         """Start with an empty, open cell without guarantees."""
+        self.options = options
         self.layout = Layout(cell)
         self.slots = Slots(self.layout, binding)
         self.estimates = Estimates()
@@ -79,6 +105,7 @@
         self.guarantee_stale: set[str] = set()
         self.is_open = True
         self.changed = True
+        self.wake_s = inf
 
     # ------------------------------------------------------------- events
 
@@ -175,9 +202,12 @@
 
     def decide(self, now_s: float) -> tuple[Decision, ...]:
         """Return what to do now; the policy's books already count it."""
-        if not self.changed or not self.is_open:
+        if not self.is_open:
+            return ()
+        if not self.changed and now_s < self.wake_s:
             return ()
         self.changed = False
+        self.wake_s = inf
         decisions: list[Decision] = []
         self._start_claimed(now_s, decisions)
         self._start_guaranteed(now_s, decisions)
@@ -185,7 +215,7 @@
         self._start_reserved(now_s, decisions)
         blocked = self._start_by_share(now_s, decisions)
         if self.reservations.current is None:
-            self.reservations.choose(blocked, now_s)
+            self._reserve(blocked, now_s)
         return tuple(decisions)
 
     def _start_claimed(self, now_s: float, decisions: list[Decision]) -> None:
@@ -208,7 +238,7 @@
         """Start a job and the jobs behind it while the guarantee lasts."""
         following: QueuedJob | None = job
         while following is not None:
-            block = take_guaranteed(self.books, self.slots, following)
+            block = take_guaranteed(self.books, self.slots, following, now_s)
             if block is None:
                 return
             claim = Claim(following, block, True, UNDER_GUARANTEE)
@@ -221,23 +251,23 @@
         for job in urgent:
             following: QueuedJob | None = job
             while following is not None:
-                block = self._urgent_block(following)
+                block = self._urgent_block(following, now_s)
                 if block is None:
                     break
                 claim = Claim(following, block, False, URGENT)
                 self._take(claim, now_s, decisions)
                 following = self.queue.next_like(job)
 
-    def _urgent_block(self, job: QueuedJob) -> Block | None:
+    def _urgent_block(self, job: QueuedJob, now_s: float) -> Block | None:
         if not job.restartable:
             return self._shielded_block(job)
         free = self.books.free.find(job.shape)
         if free is not None:
             return free.block
-        reclaimed = self.books.reclaim.find(job.shape)
-        if reclaimed is None or self._has_urgent(reclaimed.block):
+        block = self.books.cheapest(job.shape, now_s)
+        if block is None or self._has_urgent(block):
             return None
-        return reclaimed.block
+        return block
 
     def _has_urgent(self, block: Block) -> bool:
         return any(r.job.urgent for r in self.books.jobs_in(block))
@@ -250,11 +280,33 @@
             self.reservations.drop()
             return
         if not self.books.vacant(current.block):
+            self._slice(current, now_s, decisions)
             return
         self.reservations.drop(keep_shield=True)
         claim = Claim(current.job, current.block, False, RESERVED)
         self._take(claim, now_s, decisions)
 
+    def _slice(
+        self,
+        current: Reservation,
+        now_s: float,
+        decisions: list[Decision],
+    ) -> None:
+        """Preempt who has had a slice of time in the reserved block."""
+        slice_s = self.options.slice_s
+        claim = Claim(current.job, current.block, False, RESERVED)
+        for victim in self.reservations.slice_victims(slice_s, now_s):
+            decisions.append(self._preempt(victim, claim))
+        self.wake_s = min(self.wake_s, now_s + RETRY_S)
+
+    def _reserve(self, blocked: list[QueuedJob], now_s: float) -> None:
+        """Reserve a block for the oldest large job that waited enough."""
+        after_s = self.options.reserve_after_s
+        due = [job for job in blocked if now_s - job.queued_s >= after_s]
+        if len(due) < len(blocked):
+            self.wake_s = min(self.wake_s, now_s + RETRY_S)
+        self.reservations.choose(due, now_s)
+
     def _start_by_share(
         self, now_s: float, decisions: list[Decision]
     ) -> list[QueuedJob]:
@@ -275,6 +327,8 @@
     def _start_one(
         self, heads: list[QueuedJob], now_s: float, decisions: list[Decision]
     ) -> bool:
+        if self.options.by_ratio:
+            heads.sort(key=lambda job: -self._ratio(job, now_s))
         for job in heads:
             claim = self._borrow(job, now_s)
             if claim is not None:
@@ -282,15 +336,20 @@
                 return True
         return False
 
+    def _ratio(self, job: QueuedJob, now_s: float) -> float:
+        """Return a job's waiting time in multiples of its run time."""
+        expected_s = self.estimates.expect_s(job.team, job.estimate_s)
+        return (now_s - job.queued_s) / expected_s
+
     def _borrow(self, job: QueuedJob, now_s: float) -> Claim | None:
         """Find free accelerators for a job."""
         if not job.restartable:
             block = self._shielded_block(job)
-            return Claim(job, block, False, BORROWED) if block else None
-        if self._protect(job):
+            return Claim(job, block, False, BESIDE) if block else None
+        if self._shields(job):
             block = self._shielded_block(job)
             if block is not None:
-                return Claim(job, block, False, BORROWED)
+                return Claim(job, block, False, BESIDE)
         free = self.books.free.find(job.shape)
         if free is not None:
             return Claim(job, free.block, False, BORROWED)
@@ -298,6 +357,12 @@
         block = self.reservations.backfill_block(job.shape, expected_s, now_s)
         return Claim(job, block, False, BACKFILLED) if block else None
 
+    def _shields(self, job: QueuedJob) -> bool:
+        """Return whether a job is kept clear of what guarantees need."""
+        if job.checkpointable:
+            return False
+        return self.options.shield_first or self._protect(job)
+
     def _protect(self, job: QueuedJob) -> bool:
         """Return whether a job lost its work too often to lose it again."""
         if job.checkpointable:
@@ -309,6 +374,8 @@
         found = self.books.free.ranked(job.shape, SHIELD_CANDIDATES)
         for block in [candidate.block for candidate in found]:
             if self.slots.shield(job.name, block):
+                if self._protect(job):
+                    self.books.protected.add(job.name)
                 return block
         return None
 
@@ -416,8 +483,11 @@
         self.changed = True
 
     def _expected_end_s(self, running: RunningJob) -> float:
+        """Return when a job has ended or may be preempted by slices."""
         job = running.job
         expected_s = self.estimates.expect_s(job.team, job.estimate_s)
+        if job.checkpointable and not running.guaranteed and not job.urgent:
+            expected_s = min(expected_s, self.options.slice_s)
         return running.started_s + expected_s
 
     def explain(self, name: str, now_s: float) -> Explanation:
--- a/src/damaskstall/placement/reservations.py
+++ b/src/damaskstall/placement/reservations.py
@@ -6,11 +6,16 @@
 for the jobs that hold the block and for no others.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from damaskstall.placement.books import Books
-from damaskstall.placement.model import Block, QueuedJob, Shape
+from damaskstall.placement.model import (
+    Block,
+    QueuedJob,
+    RunningJob,
+    Shape,
+)
 
 BACKFILL_LIMIT_S = 1800.0
 CANDIDATE_RACKS = 8
@@ -75,10 +80,8 @@
             return None
         if now_s + expected_s > current.empty_s:
             return None
-        for block in self._blocks_meeting(current.block, shape):
-            if self.books.vacant(block):
-                return block
-        return None
+        found = self.books.spare.find(shape)
+        return found.block if found else None
 
     def _reserve(self, job: QueuedJob, now_s: float) -> bool:
         found = self.books.drain.ranked(job.shape, CANDIDATE_RACKS)
@@ -91,9 +94,28 @@
             return True
         return False
 
-    def _blocks_meeting(self, block: Block, shape: Shape) -> Iterator[Block]:
-        layout = self.books.layout
-        first = layout.rack_of[block.first_worker]
-        last = layout.rack_of[block.first_worker + block.hosts - 1]
-        for rack in range(first, last + 1):
-            yield from layout.blocks_from(rack, shape)
+    def slice_victims(self, slice_s: float, now_s: float) -> list[RunningJob]:
+        """Return whom to preempt so that the reserved block is empty.
+
+        Only borrowed jobs that keep their progress and have had their slice
+        of time leave for a reservation, and only when nobody else is left
+        in the block. So each of their runs gets on, and two large jobs cannot
+        keep preempting each other.
+        """
+        if self.current is None:
+            return []
+        jobs = self.books.jobs_in(self.current.block)
+        staying = [job for job in jobs if not job.stopping]
+        if all(self.may_slice(job, slice_s, now_s) for job in staying):
+            return staying
+        return []
+
+    def may_slice(
+        self, running: RunningJob, slice_s: float, now_s: float
+    ) -> bool:
+        """Return whether a job has to make way for a reservation."""
+        if running.job.urgent or not running.job.checkpointable:
+            return False
+        if now_s - running.started_s < slice_s:
+            return False
+        return self.books.preemptible(running)
