--- a/src/damaskstall/scheduler/cell.py
+++ b/src/damaskstall/scheduler/cell.py
@@ -71,8 +71,9 @@
         self.attempts: dict[str, Attempt] = {}
         self.draining = False
         self.is_open = True
-        self._dirty: set[str] = set()
-        self._config_entries: Any = None
+        # A dictionary keeps the order in which the rows changed.
+        self._dirty: dict[str, None] = {}
+        self._config_changed = True
         self._pause_until_s = 0.0
         self._pauses = 0
         self._wake = Event()
@@ -87,11 +88,11 @@
             await self.workers.load_quarantines()
             async with open_nursery() as nursery:
                 self._nursery = nursery
-                self._dirty.update(book.entries)
                 self._apply_config()
                 self._take_jobs()
                 self.workers.start(nursery)
                 nursery.start_soon(self.ends.run)
+                nursery.start_soon(self._watch_config)
                 await self._decide_forever()
         finally:
             book.listeners.remove(self)
@@ -99,7 +100,7 @@
 
     def on_job(self, name: str) -> None:
         """Take note that a job's entry changed or went away."""
-        self._dirty.add(name)
+        self._dirty[name] = None
         self._wake.set()
 
     def on_worker(self, session: WorkerSession) -> None:
@@ -142,6 +143,12 @@
             },
         }
 
+    async def _watch_config(self) -> None:
+        while True:
+            await self.context.config.wait_change()
+            self._config_changed = True
+            self._wake.set()
+
     async def _decide_forever(self) -> None:
         while True:
             self._wake = Event()
@@ -178,11 +185,11 @@
 
     def _apply_config(self) -> None:
         """Tell the policy what the cell promises, when that has changed."""
+        if not self._config_changed:
+            return
+        self._config_changed = False
         config = self.context.config
         guarantees = self.context.planner.guarantees(config)
-        if guarantees is self._config_entries:
-            return
-        self._config_entries = guarantees
         self.policy.set_guarantees(guarantees.get(self.cell.name, ()))
         weights = {
             name: float(value["spec"]["weight"])
@@ -190,7 +197,7 @@
         }
         self.policy.set_weights(weights)
         # The claim order may have changed for every waiting job.
-        self._dirty.update(self.context.book.entries)
+        self._dirty.update(dict.fromkeys(self.context.book.entries))
 
     def _apply_take_out(self, now_s: float) -> None:
         """Close a cell whose failure domain is out, and move its work."""
@@ -210,7 +217,7 @@
                 )
 
     def _take_jobs(self) -> None:
-        dirty, self._dirty = self._dirty, set()
+        dirty, self._dirty = self._dirty, {}
         for name in dirty:
             self._take_job(name)
 
@@ -386,7 +393,7 @@
             now_s = current_time()
             ran_s = now_s - attempt.started_s if attempt.started_s else None
             self.policy.release(attempt.name, now_s, ran_s)
-        self._dirty.add(attempt.name)
+        self._dirty[attempt.name] = None
         self._wake.set()
 
     def _pause(self) -> None:
--- /dev/null
+++ b/tests/scheduler/conftest.py
@@ -0,0 +1,5 @@
+"""Keep the scheduler's log out of the tests' output."""
+
+from loguru import logger
+
+logger.disable("damaskstall")
--- a/tests/scheduler/fakes.py
+++ b/tests/scheduler/fakes.py
@@ -14,6 +14,7 @@
     QueuedJob,
     Rack,
     RunningJob,
+    Shape,
     Start,
     Worker,
 )
@@ -72,9 +73,11 @@
             decisions.append(Preempt(name, "someone", "It was reclaimed."))
         if not self.is_open:
             return tuple(decisions)
+        full: set[Shape] = set()
         for job in list(self.queue.values()):
-            block = self._find(job)
+            block = None if job.shape in full else self._find(job)
             if block is None:
+                full.add(job.shape)
                 continue
             del self.queue[job.name]
             running = RunningJob(job, block, now_s, False, False)
--- /dev/null
+++ b/tests/scheduler/steps.py
@@ -0,0 +1,103 @@
+"""Act on a process at a chosen step of a job's life."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from trio import Event
+
+from damaskstall.platform.keys import job_key
+from damaskstall.platform.types import Write
+from tests.scheduler.world import SchedulerProcess, World
+
+JOB = "a"
+
+
+class Step(NamedTuple):
+    """Name a step: a commit of a state, or a record of a worker's task."""
+
+    when: str
+    what: str
+    task: int = 0
+
+
+STEPS = (
+    Step("before commit", "placed"),
+    Step("after commit", "placed"),
+    Step("record", "prepared", 0),
+    Step("record", "prepared", 1),
+    Step("before commit", "running"),
+    Step("after commit", "running"),
+    Step("record", "run", 0),
+    Step("record", "run", 1),
+    Step("record", "finished", 0),
+    Step("record", "finished", 1),
+    Step("before commit", "succeeded"),
+    Step("after commit", "succeeded"),
+)
+
+
+def step_name(step: Step) -> str:
+    """Return a step as pytest shows it."""
+    return f"{step.when}-{step.what}-{step.task}".replace(" ", "-")
+
+
+def at_step(
+    world: World,
+    process: SchedulerProcess,
+    step: Step,
+    act: Callable[[], None],
+) -> Event:
+    """Act once when a process of a world comes to a step of JOB.
+
+    Returns an event that tells whether it came to that.
+    """
+    acted = Event()
+
+    def act_once() -> None:
+        if not acted.is_set():
+            acted.set()
+            act()
+
+    def on_commit(writes: tuple[Write, ...]) -> None:
+        if any(state_of(write) == step.what for write in writes):
+            act_once()
+
+    if step.when == "before commit":
+        process.table.before_commit = on_commit
+    elif step.when == "after commit":
+        process.table.after_commit = on_commit
+    else:
+        watch_records(world, step, act_once)
+    return acted
+
+
+def state_of(write: Write) -> str:
+    """Return the state that a write gives JOB, or nothing."""
+    if write.key != job_key(JOB) or write.value is None:
+        return ""
+    state: str = write.value["status"]["state"]
+    return state
+
+
+def watch_records(world: World, step: Step, act: Callable[[], None]) -> None:
+    """Act when a worker records an event of a task."""
+    for worker in world.workers.values():
+        worker.core.records = WatchedRecords(step, act)
+
+
+class WatchedRecords(list[dict[str, Any]]):
+    """Hold a worker's records and act on one of them."""
+
+    def __init__(self, step: Step, act: Callable[[], None]) -> None:
+        """Act on the event of a step."""
+        super().__init__()
+        self.step = step
+        self.act = act
+
+    def append(self, record: dict[str, Any]) -> None:
+        """Keep a record; act if it is the one waited for."""
+        super().append(record)
+        if record["event"] != self.step.what or record["job"] != JOB:
+            return
+        if record["task"] == self.step.task:
+            self.act()
--- /dev/null
+++ b/tests/scheduler/test_waves.py
@@ -0,0 +1,151 @@
+"""Test waves of cancellations, impossible jobs, reclaim and drain."""
+
+from trio import current_time, sleep
+
+from tests.scheduler.fakes import FakePlanner
+from tests.scheduler.world import World, run_world
+
+LONG = {"run_s": 100.0, "outcome": "succeed", "output": ""}
+
+
+def test_cancellation_wave_costs_few_commits() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=2)
+        world.add_scheduler("s1", "north")
+        for number in range(1000):
+            await world.submit(f"job-{number}", hosts=1, work=LONG)
+        await world.wait_state("job-0", "running")
+        await sleep(10)
+        for number in range(1000):
+            await world.cancel(f"job-{number}")
+        before = scheduler_commits(world)
+        begin_s = current_time()
+        await world.wait_ended(120)
+        assert current_time() - begin_s < 30
+        assert scheduler_commits(world) - before < 60
+        assert world.problems() == []
+        for number in range(1000):
+            assert world.status(f"job-{number}")["state"] == "cancelled"
+
+    run_world(scenario)
+
+
+def scheduler_commits(world: World) -> int:
+    """Return how many commits were not the operator's."""
+    return sum(
+        not c.mutation_id.startswith(("cancel", "submit", "config"))
+        for c in world.platform.table.commits
+    )
+
+
+def test_impossible_job_ends_with_the_reason() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=4)
+        world.add_scheduler("s1", "north")
+        await world.submit("huge", hosts=5)
+        await world.submit("wide", hosts=1, accelerators_per_host=9)
+        await world.wait_ended(30)
+        for name in ("huge", "wide"):
+            status = world.status(name)
+            assert status["state"] == "unschedulable"
+            assert "even if it were empty" in status["reason"]
+
+    run_world(scenario)
+
+
+def test_waiting_job_says_why_and_reasons_cost_few_writes() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=2)
+        world.add_scheduler("s1", "north")
+        await world.submit("first", work=LONG)
+        await world.wait_state("first", "running")
+        for number in range(50):
+            await world.submit(f"job-{number}", work=LONG)
+        await sleep(20)
+        before = scheduler_commits(world)
+        reasons = [world.status(f"job-{n}")["reason"] for n in range(50)]
+        assert all("No block is free." in reason for reason in reasons)
+        await sleep(30)
+        # Only the cell lease was renewed meanwhile.
+        assert scheduler_commits(world) - before <= 11
+
+    run_world(scenario)
+
+
+def test_reclaimed_job_keeps_its_progress() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=2)
+        holder = world.add_scheduler("s1", "north")
+        await world.submit("a", work=LONG)
+        await world.submit("blunt", hosts=1, checkpointable=False)
+        await world.wait(lambda: len(world.events("run", "a")) == 2)
+        await sleep(60)
+        planner = holder.planner
+        assert isinstance(planner, FakePlanner)
+        planner.policies["north/0"].to_preempt.append("a")
+        asked_s = current_time()
+        await world.wait(lambda: len(world.events("stopped", "a")) == 2)
+        grace_s = world.settings.reclaim_grace_s
+        assert current_time() - asked_s < grace_s + 2
+        await world.wait_ended()
+        assert world.problems() == []
+        run_s = world.events("run", "a")[-1]["time_s"]
+        assert world.events("finished", "a")[-1]["time_s"] - run_s < 50
+
+    run_world(scenario)
+
+
+def test_reclaim_stops_a_worker_that_does_not_answer_the_checkpoint() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=2)
+        holder = world.add_scheduler("s1", "north")
+        await world.submit("a", work=LONG)
+        await world.wait(lambda: len(world.events("run", "a")) == 2)
+        world.network.cut("s1", "north-0-1")
+        planner = holder.planner
+        assert isinstance(planner, FakePlanner)
+        planner.policies["north/0"].to_preempt.append("a")
+        await world.wait_ended(400)
+        assert world.problems(must_end=False) == []
+        world.network.heal("s1", "north-0-1")
+        await world.wait_ended()
+        assert world.problems() == []
+
+    run_world(scenario)
+
+
+def test_graceful_stop_hands_over_without_waiting() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_domain("north", hosts=2)
+        first = world.add_scheduler("s1", "north")
+        await world.wait(lambda: bool(first.service.keeper.held))
+        second = world.add_scheduler("s2", "north")
+        await world.submit("a", work=LONG)
+        await world.wait(lambda: len(world.events("run", "a")) == 2)
+        stop_s = current_time()
+        await first.stop()
+        assert current_time() - stop_s < 2
+        await world.wait(lambda: bool(second.service.keeper.held))
+        assert current_time() - stop_s < 5
+        await world.wait_ended()
+        assert world.problems() == []
+        assert world.status("a")["attempt"] == 1
+
+    run_world(scenario)
+
+
+def test_cells_spread_over_the_processes() -> None:
+    async def scenario(world: World) -> None:
+        for name in ("north", "south", "west"):
+            await world.add_domain(name, hosts=2)
+        for number, name in enumerate(("north", "south", "west")):
+            world.add_scheduler(f"s{number}", name)
+        await sleep(5)
+        for process in world.schedulers.values():
+            assert len(process.service.keeper.held) == 1
+        for number in range(6):
+            await world.submit(f"job-{number}")
+        await world.wait_ended()
+        assert world.problems() == []
+
+    run_world(scenario)
--- a/tests/scheduler/world.py
+++ b/tests/scheduler/world.py
@@ -41,6 +41,7 @@
 
 CONFIG_POLL_S = 0.5
 WAIT_STEP_S = 0.25
+WAIT_LIMIT_S = 1000.0
 LIMITS = ServerLimits(connections=64, idle_timeout_s=36000)
 
 
@@ -304,8 +305,10 @@
         )
 
     async def wait(self, holds: Callable[[], bool]) -> None:
-        """Return once something holds."""
+        """Return once something holds; fail after a long time."""
+        limit_s = current_time() + WAIT_LIMIT_S
         while not holds():
+            assert current_time() < limit_s, "This never came about."
             await sleep(WAIT_STEP_S)
 
     def records(self) -> list[dict[str, Any]]:
