--- a/tests/request_checker.py
+++ b/tests/request_checker.py
@@ -4,6 +4,7 @@
 of how an entry works.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 ANSWERED = "answered"
@@ -44,50 +45,60 @@
     started_s: float
 
 
+class RunIndex:
+    """Find runs by the tag of their work and by the request's id."""
+
+    def __init__(self, runs: list[ServerRecord]) -> None:
+        """Index all runs."""
+        self.by_tag: dict[str, list[ServerRecord]] = {}
+        self.by_request: dict[str, list[ServerRecord]] = {}
+        for run in runs:
+            own_id, _, _ = run.request_id.rpartition(".")
+            self.by_tag.setdefault(run.tag, []).append(run)
+            self.by_request.setdefault(own_id, []).append(run)
+
+    def of_call(self, caller: CallerRecord) -> list[ServerRecord]:
+        """Return the runs of this very call, and of no repeat of it."""
+        if caller.keyed:
+            return self.by_request.get(caller.request_id, [])
+        return self.by_tag.get(caller.tag, [])
+
+
 def check_requests(
     callers: list[CallerRecord], runs: list[ServerRecord]
 ) -> list[str]:
     """Return every broken promise in a full sentence."""
+    index = RunIndex(runs)
     problems = []
     for caller in callers:
-        problems += check_caller(caller, runs)
-    once = {c.tag for c in callers if not c.idempotent}
-    for tag in sorted(once):
-        count = sum(run.tag == tag for run in runs)
+        problems += check_caller(caller, index)
+    for tag in sorted({c.tag for c in callers if not c.idempotent}):
+        count = len(index.by_tag.get(tag, ()))
         if count > 1:
             problems.append(f"The work {tag!r} ran {count} times.")
-    ids = [run.request_id for run in runs]
-    for request_id in sorted({i for i in ids if ids.count(i) > 1}):
-        problems.append(f"The attempt {request_id!r} ran more than once.")
+    attempts = Counter(run.request_id for run in runs)
+    for request_id, count in attempts.items():
+        if count > 1:
+            problems.append(f"The attempt {request_id!r} ran {count} times.")
     return problems
 
 
-def check_caller(caller: CallerRecord, runs: list[ServerRecord]) -> list[str]:
+def check_caller(caller: CallerRecord, index: RunIndex) -> list[str]:
     """Return what is wrong with one caller's answer."""
     problems = []
-    mine = [run for run in runs if concerns(run, caller)]
     said = f"The caller of {caller.tag!r} was told {caller.told!r}"
     if caller.not_run != (caller.told == NOT_RUN):
         problems.append(f"{said} with a header that says otherwise.")
     if caller.told == ANSWERED and caller.status == 200:
         if caller.body != caller.expected:
             problems.append(f"{said} with another body: {caller.body[:60]!r}.")
-        if not any(run.tag == caller.tag for run in runs):
+        if caller.tag not in index.by_tag:
             problems.append(f"{said} but nothing ran.")
     if caller.told == NOT_RUN:
         if caller.status not in NOT_RUN_STATUSES:
             problems.append(f"{said} with status {caller.status}.")
-        if mine:
-            problems.append(f"{said} but it ran on {mine[0].server}.")
+        for run in index.of_call(caller):
+            problems.append(f"{said} but it ran on {run.server}.")
     if caller.told == UNKNOWN and caller.status not in UNKNOWN_STATUSES:
         problems.append(f"{said} with status {caller.status}.")
     return problems
-
-
-def concerns(run: ServerRecord, caller: CallerRecord) -> bool:
-    """Return whether a run was of this very call."""
-    if caller.request_id:
-        own_id, _, _ = run.request_id.rpartition(".")
-        if own_id == caller.request_id:
-            return True
-    return run.tag == caller.tag and not caller.keyed
--- /dev/null
+++ b/tests/requests/test_routing.py
@@ -0,0 +1,201 @@
+"""Test where requests go: near, away from bad servers, within limits."""
+
+from collections import Counter
+
+from pytest import mark
+from trio import current_time, sleep
+
+from damaskstall.platform.types import InstanceRecord
+from standins.backend.faults import FaultRule
+from standins.platform.faults import FaultRule as TableFault
+from tests.request_checker import ANSWERED
+from tests.requests.world import (
+    Ask,
+    Entry,
+    World,
+    offer_load,
+    run_world,
+)
+
+LEAVING_LIMIT_S = 4.0
+
+
+def index(number: int) -> Ask:
+    """Return one idempotent request."""
+    return Ask(f"t{number}", service="index", deadline_s=2.0)
+
+
+def minutes(number: int) -> Ask:
+    """Return one request that may be sent only once."""
+    return Ask(f"m{number}", deadline_s=2.0)
+
+
+async def start(world: World, backends: int, entries: int = 1) -> list[Entry]:
+    """Start backend servers and entries in one failure domain."""
+    for number in range(backends):
+        await world.add_backend(f"b{number}")
+    started = [await world.add_entry(f"e{n}") for n in range(entries)]
+    await world.settle()
+    return started
+
+
+def runs_by_server(world: World) -> Counter[str]:
+    """Return how many requests each server ran."""
+    return Counter(run.server for run in world.runs())
+
+
+def test_requests_stay_in_their_failure_domain() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_backend("near", "fd1")
+        await world.add_backend("far", "fd2")
+        entry = await world.add_entry("e1", "fd1")
+        await world.settle()
+        await offer_load(world, [entry], 20, 3, index)
+        assert set(runs_by_server(world)) == {"near"}
+        world.callers.clear()
+        await offer_load(world, [entry], 160, 3, minutes)
+        assert runs_by_server(world)["far"] > 50
+
+    run_world(scenario)
+
+
+@mark.parametrize("platform_down", [False, True])
+def test_leaving_server_gets_no_new_work(platform_down: bool) -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 3, entries=3)
+        if platform_down:
+            world.platform.faults.rules = (TableFault(down=True),)
+        await offer_load(world, entries, 50, 2, index)
+        core = world.backends["b1"].core
+        core.leaving = True
+        left_s = current_time()
+        await offer_load(world, entries, 50, 8, index)
+        late = [s for s in core.arrivals_s if s > left_s + LEAVING_LIMIT_S]
+        assert core.arrivals_s and not late
+
+    run_world(scenario)
+
+
+def test_listed_as_leaving_gets_no_new_work() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 3)
+        backend = world.backends["b1"]
+        world.platform.instances["b1"] = InstanceRecord(
+            "b1", "backend_server", "fd1", str(backend.address), True
+        )
+        await sleep(LEAVING_LIMIT_S)
+        before = len(backend.core.arrivals_s)
+        await offer_load(world, entries, 50, 2, index)
+        assert len(backend.core.arrivals_s) == before
+
+    run_world(scenario)
+
+
+def test_unseen_server_gets_no_new_work() -> None:
+    """An entry that hears nothing from a server stops by itself."""
+
+    async def scenario(world: World) -> None:
+        entries = await start(world, 2)
+        world.network.cut("b1", "e0")
+        await sleep(LEAVING_LIMIT_S)
+        before = len(world.backends["b1"].core.arrivals_s)
+        await offer_load(world, entries, 50, 2, index)
+        assert len(world.backends["b1"].core.arrivals_s) == before
+        world.network.heal("b1", "e0")
+        await sleep(LEAVING_LIMIT_S)
+        await offer_load(world, entries, 50, 2, minutes)
+        assert len(world.backends["b1"].core.arrivals_s) > before
+
+    run_world(scenario)
+
+
+def test_taken_out_failure_domain_gets_no_new_work() -> None:
+    async def scenario(world: World) -> None:
+        await world.add_backend("near", "fd1")
+        await world.add_backend("far", "fd2")
+        entry = await world.add_entry("e1", "fd1")
+        await world.settle()
+        world.take_out("fd1")
+        await sleep(0.1)
+        records = await offer_load(world, [entry], 20, 2, index)
+        assert {record.told for record in records} == {ANSWERED}
+        assert set(runs_by_server(world)) == {"far"}
+
+    run_world(scenario)
+
+
+@mark.parametrize("kind", ["failing", "slow", "dropped"])
+def test_bad_server_is_put_out_of_use_and_tried_again(kind: str) -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 6)
+        bad = world.backends["b1"]
+        bad.break_answers(FaultRule(kind, factor=20))
+        await offer_load(world, entries, 200, 3, index)
+        before = len(bad.core.arrivals_s)
+        await offer_load(world, entries, 200, 5, minutes)
+        share = (len(bad.core.arrivals_s) - before) / (200 * 5)
+        assert share < 0.02
+        bad.break_answers()
+        await sleep(60)
+        before = len(bad.core.records)
+        await offer_load(world, entries, 200, 2, Late(2).ask)
+        assert len(bad.core.records) - before > 20
+
+    run_world(scenario)
+
+
+class Late:
+    """Name the requests of a later load apart from the earlier ones."""
+
+    def __init__(self, load: int) -> None:
+        """Keep the number of the load."""
+        self.load = load
+
+    def ask(self, number: int) -> Ask:
+        """Return one idempotent request."""
+        return index(number)._replace(tag=f"l{self.load}-{number}")
+
+
+def test_ejection_leaves_most_servers_in_use() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 6)
+        for backend in world.backends.values():
+            backend.break_answers(FaultRule("failing"))
+        await offer_load(world, entries, 100, 4, minutes)
+        dump = entries[0].gateway.dump()["services"]["minutes"]
+        ejected = sum(server["ejected"] for server in dump["servers"])
+        assert ejected == 1
+
+    run_world(scenario)
+
+
+def test_entries_share_slots_without_talking() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 2, entries=6)
+        await offer_load(world, entries, 400, 5, minutes)
+        before = {n: b.core.refused for n, b in world.backends.items()}
+        ran = len(world.runs())
+        await offer_load(world, entries, 400, 5, Late(3).ask)
+        capacity = 2 * 8 / 0.05 * 5
+        refused = sum(
+            b.core.refused - before[n] for n, b in world.backends.items()
+        )
+        done = len(world.runs()) - ran
+        assert done > 0.9 * capacity
+        assert refused < 0.2 * done
+        for backend in world.backends.values():
+            assert backend.server.peak_connections <= 64
+            assert not backend.server.refused_connections
+
+    run_world(scenario)
+
+
+def test_refused_connection_moves_work_at_once() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 2)
+        world.backends["b0"].scope.cancel()
+        await sleep(0.01)
+        records = await offer_load(world, entries, 50, 2, minutes)
+        assert {record.told for record in records} == {ANSWERED}
+
+    run_world(scenario)
--- a/tests/requests/world.py
+++ b/tests/requests/world.py
@@ -201,6 +201,15 @@
         for entry in self.entries.values():
             entry.config.apply(page, current_time())
 
+    def take_out(self, failure_domain: str) -> None:
+        """Take a failure domain out of service."""
+        self.revision += 1
+        spec = {"state": "out", "racks": []}
+        row = self._row(f"failure_domain/{failure_domain}", spec)
+        page = ChangePage((row,), self.revision, True)
+        for entry in self.entries.values():
+            entry.config.apply(page, current_time())
+
     def _row(self, name: str, spec: Any) -> Row:
         value = {"spec": spec, "status": {}}
         return Row(f"config/{name}", self.revision, "m", value)
@@ -256,6 +265,31 @@
         assert not problems, "\n".join(problems)
 
 
+async def offer_load(
+    world: World,
+    entries: list[Entry],
+    rate_per_s: float,
+    duration_s: float,
+    make_ask: Callable[[int], Ask],
+) -> list[CallerRecord]:
+    """Ask at a rate whatever the answers, and return what came back."""
+    random = Random(world.seed)
+    records: list[CallerRecord] = []
+
+    async def one(number: int) -> None:
+        entry = entries[number % len(entries)]
+        records.append(await world.ask(entry, make_ask(number)))
+
+    end_s = current_time() + duration_s
+    async with open_nursery() as nursery:
+        number = 0
+        while current_time() < end_s:
+            nursery.start_soon(one, number)
+            number += 1
+            await sleep(random.expovariate(rate_per_s))
+    return records
+
+
 async def serve_backend(
     backend: Backend,
     end: NetworkEnd,
