Let idle connections live on for a second when a server drains

Cause: draining closed idle connections at once; a request that was on its way to one was thrown away unread and its caller saw a closed connection. Change: they close after their next answer or after one second. Ruled out: keeping them until the end of the drain, which would make every stop take its whole bound. Seen: test_request_that_meets_the_closing_of_its_connection_is_answered failed before the change and passes after it.

--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -61,6 +61,7 @@
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
 LINGER_S = 0.5
+DRAIN_IDLE_S = 1.0
 
 
 class ServerLimits(NamedTuple):
@@ -84,10 +85,15 @@
         self._quiet = Event()
 
     def start(self) -> None:
-        """Close idle connections; the others close after their answer."""
+        """Let every connection close after its next answer.
+
+        An idle one is closed only after a while, since a request may be on
+        its way to it that the client would take for lost.
+        """
         self.draining = True
+        latest_s = current_time() + DRAIN_IDLE_S
         for scope in list(self.idle_scopes):
-            scope.cancel()
+            scope.deadline = min(scope.deadline, latest_s)
         self.check_quiet()
 
     def check_quiet(self) -> None:
@@ -206,7 +212,7 @@
         """Return whether a request began before the idle timeout."""
         if self.drain.draining:
             # A request that is already on its way is still served.
-            scope = CancelScope(deadline=current_time() + LINGER_S)
+            scope = CancelScope(deadline=current_time() + DRAIN_IDLE_S)
         else:
             deadline = current_time() + self.limits.idle_timeout_s
             scope = CancelScope(deadline=deadline)
