Test overload: goodput, early refusal, fair shares, lost callers

Change: tests at 1, 3 and 4 times the capacity under virtual time, with weights, bursts, full queues and callers that go away; the checker also asks that every refusal says when to come back.

--- a/tests/request_checker.py
+++ b/tests/request_checker.py
@@ -13,6 +13,7 @@
 BROKEN = "broken"
 
 NOT_RUN_STATUSES = frozenset({400, 403, 404, 405, 413, 422, 429, 503})
+BUSY_STATUSES = frozenset({429, 503})
 UNKNOWN_STATUSES = frozenset({409, 502, 504})
 
 
@@ -34,6 +35,8 @@
     request_id: str
     body: bytes
     expected: bytes
+    elapsed_s: float = 0.0
+    retry_after: str = ""
 
 
 class ServerRecord(NamedTuple):
@@ -97,6 +100,8 @@
     if caller.told == NOT_RUN:
         if caller.status not in NOT_RUN_STATUSES:
             problems.append(f"{said} with status {caller.status}.")
+        if caller.status in BUSY_STATUSES and not caller.retry_after:
+            problems.append(f"{said} but not when to come back.")
         for run in index.of_call(caller):
             problems.append(f"{said} but it ran on {run.server}.")
     if caller.told == UNKNOWN and caller.status not in UNKNOWN_STATUSES:
--- /dev/null
+++ b/tests/requests/test_overload.py
@@ -0,0 +1,193 @@
+"""Test that overload is refused early and shared fairly."""
+
+from typing import Any
+
+from trio import Event, open_nursery, sleep
+
+from damaskstall.http.client import HttpConnection
+from tests.request_checker import ANSWERED, NOT_RUN, CallerRecord
+from tests.requests.world import (
+    Ask,
+    Entry,
+    World,
+    offer_load,
+    run_world,
+)
+
+DEADLINE_S = 2.0
+SERVICE_TIME_S = 0.2
+CAPACITY_PER_S = 2 * 4 / SERVICE_TIME_S
+
+
+async def start(world: World, **settings: Any) -> list[Entry]:
+    """Start two small servers and two entries."""
+    for number in range(2):
+        await world.add_backend(
+            f"b{number}", slots=4, service_time_s=SERVICE_TIME_S
+        )
+    entries = [await world.add_entry(f"e{n}", **settings) for n in range(2)]
+    await world.settle()
+    return entries
+
+
+def ask_for(team: str, name: str, deadline_s: float = DEADLINE_S) -> Ask:
+    """Return one request of a team."""
+    return Ask(name, team=team, deadline_s=deadline_s)
+
+
+class Load:
+    """Name the requests of one load apart from those of another."""
+
+    def __init__(self, name: str) -> None:
+        """Keep the name."""
+        self.name = name
+
+    def ask(self, number: int) -> Ask:
+        """Return one request."""
+        return ask_for("press", f"{self.name}{number}")
+
+
+def goodput(records: list[CallerRecord]) -> int:
+    """Return how many callers got their answer in time."""
+    return sum(
+        r.told == ANSWERED and r.elapsed_s <= DEADLINE_S for r in records
+    )
+
+
+def test_goodput_stays_near_its_peak() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world)
+        counts = []
+        for times in (1, 3):
+            records = await offer_load(
+                world,
+                entries,
+                times * CAPACITY_PER_S,
+                6,
+                Load(f"x{times}-").ask,
+            )
+            counts.append(goodput(records))
+        assert counts[1] > 0.85 * counts[0]
+
+    run_world(scenario)
+
+
+def test_what_cannot_be_served_is_refused_early() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world)
+        records = await offer_load(
+            world,
+            entries,
+            4 * CAPACITY_PER_S,
+            5,
+            lambda n: ask_for("press", f"t{n}"),
+        )
+        refused = [r.elapsed_s for r in records if r.told == NOT_RUN]
+        late = [s for s in refused if s > DEADLINE_S / 4]
+        assert len(refused) > 300
+        assert len(late) < 0.1 * len(refused)
+
+    run_world(scenario)
+
+
+def test_burst_of_one_team_leaves_the_others_their_share() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world)
+        quiet: list[CallerRecord] = []
+
+        async def ask_quietly() -> None:
+            quiet.extend(
+                await offer_load(
+                    world,
+                    entries,
+                    0.4 * CAPACITY_PER_S,
+                    6,
+                    lambda n: ask_for("clerks", f"c{n}"),
+                )
+            )
+
+        async with open_nursery() as nursery:
+            nursery.start_soon(ask_quietly)
+            await offer_load(
+                world,
+                entries,
+                4 * CAPACITY_PER_S,
+                6,
+                lambda n: ask_for("press", f"p{n}"),
+            )
+        assert goodput(quiet) > 0.9 * len(quiet)
+
+    run_world(scenario)
+
+
+def test_weights_set_the_shares() -> None:
+    async def scenario(world: World) -> None:
+        world.weights = {"press": 3.0, "clerks": 1.0}
+        entries = await start(world)
+        counts = {}
+
+        async def offer(team: str) -> None:
+            records = await offer_load(
+                world,
+                entries,
+                3 * CAPACITY_PER_S,
+                6,
+                lambda n: ask_for(team, f"{team}{n}"),
+            )
+            counts[team] = goodput(records)
+
+        async with open_nursery() as nursery:
+            nursery.start_soon(offer, "press")
+            nursery.start_soon(offer, "clerks")
+        assert 2.2 < counts["press"] / counts["clerks"] < 4.0
+
+    run_world(scenario)
+
+
+def test_full_queue_is_refused_at_once() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, queue_limit=2)
+        async with open_nursery() as nursery:
+            for number in range(30):
+                ask = ask_for("press", f"t{number}", deadline_s=60)
+                nursery.start_soon(world.ask, entries[0], ask)
+        full = [r for r in world.callers if r.status == 429]
+        assert len(full) >= 10
+        assert max(r.elapsed_s for r in full) < 0.1
+
+    run_world(scenario)
+
+
+def test_queued_request_of_a_lost_caller_is_dropped() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world)
+        release = Event()
+
+        async def hold(number: int) -> None:
+            ask = Ask(f"hold{number}", run_s=1.0)
+            await world.ask(entries[0], ask)
+
+        async def ask_and_go() -> None:
+            connection = await HttpConnection.open(
+                world.network.end("gone"), entries[0].address
+            )
+            ask = Ask("gone")
+            headers = (("damaskstall-team", "press"),)
+            await connection.send(
+                "POST", "/v1/requests/minutes", headers, ask.body()
+            )
+            await sleep(0.2)
+            await connection.close()
+            release.set()
+
+        async with open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(hold, number)
+            await sleep(0.1)
+            nursery.start_soon(ask_and_go)
+            await release.wait()
+            await sleep(0.1)
+            assert entries[0].gateway.in_flight == 4
+        assert not any(run.tag == "gone" for run in world.runs())
+
+    run_world(scenario)
--- a/tests/requests/test_routing.py
+++ b/tests/requests/test_routing.py
@@ -171,12 +171,15 @@
 
 def test_entries_share_slots_without_talking() -> None:
     async def scenario(world: World) -> None:
-        entries = await start(world, 2, entries=6)
-        await offer_load(world, entries, 400, 5, minutes)
+        for number in range(2):
+            await world.add_backend(f"b{number}", service_time_s=0.25)
+        entries = [await world.add_entry(f"e{n}") for n in range(6)]
+        await world.settle()
+        await offer_load(world, entries, 130, 4, minutes)
         before = {n: b.core.refused for n, b in world.backends.items()}
         ran = len(world.runs())
-        await offer_load(world, entries, 400, 5, Late(3).ask)
-        capacity = 2 * 8 / 0.05 * 5
+        await offer_load(world, entries, 130, 5, Late(3).ask)
+        capacity = 2 * 8 / 0.25 * 5
         refused = sum(
             b.core.refused - before[n] for n, b in world.backends.items()
         )
--- a/tests/requests/world.py
+++ b/tests/requests/world.py
@@ -220,7 +220,9 @@
 
     async def ask(self, entry: Entry, ask: Ask) -> CallerRecord:
         """Make one call on a connection of its own and record it."""
+        started_s = current_time()
         answer = await self.raw_ask(entry, ask)
+        answer = answer._replace(elapsed_s=current_time() - started_s)
         self.callers.append(answer)
         return answer
 
@@ -346,6 +348,7 @@
         told=head.headers.get("damaskstall-outcome", ""),
         not_run=head.headers.get("damaskstall-not-run") == "true",
         status=head.status,
+        retry_after=head.headers.get("retry-after", ""),
         request_id=head.headers.get("damaskstall-request-id", ""),
         body=body,
     )
