Measure entries against a plain baseline under virtual time

Change: bench/requests runs the real code over the network in memory, with a plain router as the baseline: loads, and one slow, failing or leaving server.

--- /dev/null
+++ b/bench/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the request side of entries against a plain baseline."""
--- /dev/null
+++ b/bench/requests/loads.py
@@ -0,0 +1,190 @@
+"""Run loads against entries under virtual time and count what came back."""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from trio import open_nursery, sleep
+
+from bench.requests.baseline import BaselineGateway
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.network import Network
+from damaskstall.peers.config_store import ConfigStore
+from standins.backend.faults import FaultRule
+from tests.request_checker import (
+    ANSWERED,
+    NOT_RUN,
+    CallerRecord,
+    check_requests,
+)
+from tests.requests.world import Ask, World, offer_load
+from tests.virtual_time import run_virtual
+
+PLAIN = "plain"
+ENTRY = "entry"
+HEALTHY = "healthy"
+SLOW = "one slow"
+FAILING = "one failing fast"
+LEAVING = "one leaving"
+
+
+class Size(NamedTuple):
+    """Describe the servers, the entries and the load's length."""
+
+    failure_domains: int = 3
+    servers_per_domain: int = 8
+    slots: int = 8
+    entries_per_domain: int = 3
+    service_time_s: float = 1.0
+    deadline_s: float = 4.0
+    warm_up_s: float = 3.0
+    duration_s: float = 6.0
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return how many requests a second all slots can run."""
+        servers = self.failure_domains * self.servers_per_domain
+        return servers * self.slots / self.service_time_s
+
+
+class Result(NamedTuple):
+    """Tell what came of one load."""
+
+    mode: str
+    case: str
+    load: float
+    offered: int
+    goodput: float
+    p50_s: float
+    p99_s: float
+    not_run: int
+    other: int
+    refused_p99_s: float
+    runs_per_answer: float
+    bad_server_share: float
+    problems: int
+
+
+def plain_gateway(
+    end: Network, config: ConfigStore, settings: EntrySettings, random: Random
+) -> BaselineGateway:
+    """Return the plain baseline in place of an entry's gateway."""
+    return BaselineGateway(end, config, settings, random)
+
+
+async def run_load(
+    world: World, mode: str, case: str, load: float, size: Size
+) -> Result:
+    """Warm up, offer a load, and return what came of it."""
+    for number in range(size.failure_domains * size.servers_per_domain):
+        await world.add_backend(
+            f"b{number}",
+            f"fd{number % size.failure_domains}",
+            slots=size.slots,
+            service_time_s=size.service_time_s,
+            seed=number + 1,
+        )
+    make = plain_gateway if mode == PLAIN else None
+    for number in range(size.failure_domains * size.entries_per_domain):
+        domain = f"fd{number % size.failure_domains}"
+        await world.add_entry(f"e{number}", domain, make)
+    await world.settle()
+    rate = load * size.capacity_per_s
+    entries = [*world.entries.values()]
+    spoil(world, case)
+    await offer_load(world, entries, rate, size.warm_up_s, maker(size, "w"))
+    bad = world.backends["b0"].core
+    if case == LEAVING:
+        bad.leaving = True
+    warm = len(world.callers)
+    before = len(bad.arrivals_s)
+    runs_before = len(world.runs())
+    records = await offer_load(
+        world, entries, rate, size.duration_s, maker(size, "m")
+    )
+    bad_share = (len(bad.arrivals_s) - before) / len(records)
+    runs = len(world.runs()) - runs_before
+    assert len(world.callers) == warm + len(records)
+    problems = check_requests(world.callers, world.runs())
+    return summarize(
+        mode, case, load, size, records, bad_share, runs, len(problems)
+    )
+
+
+def spoil(world: World, case: str) -> None:
+    """Let the first server be slow or fail."""
+    bad = world.backends["b0"]
+    if case == SLOW:
+        bad.break_answers(FaultRule("slow", factor=10))
+    if case == FAILING:
+        bad.break_answers(FaultRule("failing"))
+
+
+def maker(size: Size, name: str) -> Callable[[int], Ask]:
+    """Return what makes the requests: half of them idempotent."""
+
+    def make(number: int) -> Ask:
+        service = "index" if number % 2 else "minutes"
+        return Ask(
+            f"{name}{number}", service=service, deadline_s=size.deadline_s
+        )
+
+    return make
+
+
+def summarize(
+    mode: str,
+    case: str,
+    load: float,
+    size: Size,
+    records: list[CallerRecord],
+    bad_share: float,
+    runs: int,
+    problems: int,
+) -> Result:
+    """Return the figures of one load; goodput is a share of capacity."""
+    good = sorted(
+        r.elapsed_s
+        for r in records
+        if r.told == ANSWERED
+        and r.status == 200
+        and r.elapsed_s <= size.deadline_s
+    )
+    refused = sorted(r.elapsed_s for r in records if r.told == NOT_RUN)
+    return Result(
+        mode,
+        case,
+        load,
+        len(records),
+        len(good) / size.duration_s / size.capacity_per_s,
+        quantile(good, 0.5),
+        quantile(good, 0.99),
+        len(refused),
+        len(records) - len(good) - len(refused),
+        quantile(refused, 0.99),
+        runs / max(1, len(good)),
+        bad_share,
+        problems,
+    )
+
+
+def quantile(ordered: list[float], part: float) -> float:
+    """Return a quantile of ordered values; 0 where there are none."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def measure(mode: str, case: str, load: float, size: Size) -> Result:
+    """Run one load in a world of its own."""
+
+    async def main() -> Result:
+        async with open_nursery() as nursery:
+            world = World(nursery)
+            world.timeout_s = size.deadline_s
+            result = await run_load(world, mode, case, load, size)
+            nursery.cancel_scope.cancel()
+        await sleep(0)
+        return result
+
+    return run_virtual(main)
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -67,7 +67,7 @@
             )
             if tag == "second":
                 # The request is on its way when the entry starts to stop.
-                entry.gateway.draining = True
+                await entry.gateway.drain()
                 entry.drain.start()
             head = await connection.receive_head()
             await connection.read_body(10_000)
--- a/tests/requests/world.py
+++ b/tests/requests/world.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from json import dumps
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from trio import (
     TASK_STATUS_IGNORED,
@@ -22,7 +22,9 @@
 from damaskstall.errors import HttpError
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.http.client import HttpConnection
+from damaskstall.http.messages import Request, Response
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.network import Network
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.platform.types import ChangePage, InstanceRecord, Row
 from standins.backend.core import BackendCore
@@ -93,10 +95,32 @@
         self.core.faults.rules = list(rules)
 
 
+class Gateway(Protocol):
+    """Answer callers' requests, as entries and baselines do."""
+
+    config: ConfigStore
+    in_flight: int
+
+    async def run(self) -> None:
+        """Do the background work until cancelled."""
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request of a caller."""
+
+    async def drain(self) -> None:
+        """Return once no request is in flight."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+
+
+MakeGateway = Callable[[Network, ConfigStore, EntrySettings, Random], Gateway]
+
+
 class Entry:
     """Hold one running entry."""
 
-    def __init__(self, name: str, gateway: RequestGateway) -> None:
+    def __init__(self, name: str, gateway: Gateway) -> None:
         """Name it."""
         self.name = name
         self.gateway = gateway
@@ -146,21 +170,31 @@
         self.backends[backend.name] = backend
 
     async def add_entry(
-        self, name: str, failure_domain: str = "fd1", **settings: Any
+        self,
+        name: str,
+        failure_domain: str = "fd1",
+        make_gateway: MakeGateway | None = None,
+        **chosen: Any,
     ) -> Entry:
-        """Start an entry with its gateway."""
+        """Start an entry with its gateway, or with one made otherwise."""
         end = self.network.end(name)
-        gateway = RequestGateway(
-            end,
-            MemoryTable(self.platform, name),
-            MemoryInstances(self.platform, name),
-            ConfigStore(),
-            EntrySettings(
-                instance=name, failure_domain=failure_domain, **settings
-            ),
-            random=Random(f"{self.seed}/{name}"),
-            unix_now=unix_now,
+        config = ConfigStore()
+        random = Random(f"{self.seed}/{name}")
+        settings = EntrySettings(
+            instance=name, failure_domain=failure_domain, **chosen
         )
+        if make_gateway is not None:
+            gateway: Gateway = make_gateway(end, config, settings, random)
+        else:
+            gateway = RequestGateway(
+                end,
+                MemoryTable(self.platform, name),
+                MemoryInstances(self.platform, name),
+                config,
+                settings,
+                random=random,
+                unix_now=unix_now,
+            )
         entry = Entry(name, gateway)
         self.entries[name] = entry
         self.platform.instances[name] = InstanceRecord(
