--- /dev/null
+++ b/bench/capacity/imports.py
@@ -0,0 +1,73 @@
+"""Measure what Python and the libraries hold before any state."""
+
+from functools import partial
+from subprocess import PIPE
+from sys import executable
+
+from trio import Process, open_nursery, run_process
+
+from bench.capacity.resident import rollup_bytes
+
+PROGRAMS = {
+    "damaskstall-entry": "damaskstall.entry.main",
+    "damaskstall-scheduler": "damaskstall.scheduler.main",
+}
+STEPS = (
+    ("the interpreter", "sys"),
+    ("trio", "trio"),
+    ("pycapnp", "capnp"),
+    ("h11", "h11"),
+    ("loguru", "loguru"),
+    ("aioprometheus", "damaskstall.metrics"),
+    ("frames and the schema", "damaskstall.frames"),
+    ("configuration and peers", "damaskstall.peers.follower"),
+)
+WAIT = "; print(flush=True); import time; time.sleep(600)"
+
+
+class Held:
+    """Hold what one process holds in memory, in bytes."""
+
+    def __init__(self, process: Process) -> None:
+        """Read it from the kernel."""
+        name = str(process.pid)
+        self.resident = rollup_bytes(name, "Rss")
+        self.proportional = rollup_bytes(name, "Pss")
+
+
+async def held_together(sources: list[str]) -> list[Held]:
+    """Run several pieces of source at once and read what each holds."""
+    processes: list[Process] = []
+    async with open_nursery() as nursery:
+        for source in sources:
+            process = await nursery.start(
+                partial(
+                    run_process,
+                    [executable, "-c", source + WAIT],
+                    stdout=PIPE,
+                    check=False,
+                )
+            )
+            await process.stdout.receive_some(1)
+            processes.append(process)
+        found = [Held(process) for process in processes]
+        nursery.cancel_scope.cancel()
+    return found
+
+
+async def measure_steps() -> list[tuple[str, int]]:
+    """Return the resident bytes after each step, all earlier ones done."""
+    found = []
+    source = "import sys"
+    for label, module in STEPS:
+        source += f"; import {module}"
+        (held,) = await held_together([source])
+        found.append((label, held.resident))
+    return found
+
+
+async def measure_programs() -> dict[str, Held]:
+    """Return what the programs of one instance hold beside each other."""
+    sources = [f"import {module}" for module in PROGRAMS.values()]
+    found = await held_together(sources)
+    return dict(zip(PROGRAMS, found, strict=True))
--- a/src/damaskstall/frames.py
+++ b/src/damaskstall/frames.py
@@ -3,6 +3,7 @@
 A frame on the wire is a 4-byte big-endian length and a capnp message.
 """
 
+from functools import cache
 from importlib.resources import files
 from struct import Struct
 from typing import Any, NamedTuple
@@ -26,6 +27,7 @@
 )
 
 
+@cache
 def camel(name: str) -> str:
     """Return a field name as the schema spells it."""
     first, *rest = name.split("_")
--- a/src/damaskstall/peers/peer_client.py
+++ b/src/damaskstall/peers/peer_client.py
@@ -43,6 +43,8 @@
 BACKOFF_LIMIT_S = 2.0
 JITTER_RATIO = 0.2
 DOUBLING_LIMIT = 8
+FRESH_POLL_RATIO = 3
+FRESH_AGE_S = 1.5
 ANSWER_PARTS_LIMIT = 64
 
 AnswerBody = (
@@ -78,6 +80,7 @@
         self.peer: Heartbeat | None = None
         self.connected = False
         self.failures = 0
+        self.exchanges = 0
         self._random = Random(f"{node.identity.instance} {address}")
 
     async def run(self) -> None:
@@ -114,6 +117,7 @@
         if not self.connected:
             log(PEER_CONNECTED, peer=str(self.address), instance=peer.instance)
         self.peer = peer
+        self.exchanges += 1
         self.connected = True
         self.failures = 0
 
@@ -143,10 +147,19 @@
                 await self._wait_turn()
 
     async def _wait_turn(self) -> None:
+        """Wait for a hint or for the time to ask again.
+
+        While the own table keeps the configuration fresh, a peer is asked
+        less often: it tells of changes by itself.
+        """
         poll_s = self.client.poll_s
-        with move_on_after(poll_s):
-            await self._wanted.wait()
-            self._wanted = Event()
+        for _ in range(FRESH_POLL_RATIO):
+            with move_on_after(poll_s):
+                await self._wanted.wait()
+                self._wanted = Event()
+                return
+            if self.node.store.age_s(current_time()) > FRESH_AGE_S:
+                return
 
     async def _receive(self) -> None:
         while frame := await self.frames.receive():
