Let hints and the plan follow every change, not only the newest row

A row can arrive after a newer one: an entry learns its own write, and the commits before it come with the next page. Hints and the plan were keyed by the newest row, so such a late row was neither told to peers nor planned with until another change came. test_planner_freshness failed so before.

The store now counts its changes in `version`; hints and the plan go by it. The plan is no longer looked up by building a view of all rows each time.

More tests for mechanisms whose removal went unseen: late answers never make the configuration look fresher, changes during a long scan, an accepted row passed on without the table, freshness by a peer while jobs are written.

--- a/src/damaskstall/peers/config_store.py
+++ b/src/damaskstall/peers/config_store.py
@@ -61,6 +61,8 @@
         self.revision = 0
         self.config_revision = 0
         self.confirmed_s = NEVER
+        # Grows with each change, also of a row older than the newest.
+        self.version = 0
         # Deletions up to this revision may be missing from the entries.
         self.tombstone_floor = 0
         self.take_outs = PendingTakeOuts()
@@ -205,7 +207,8 @@
             self.wake()
 
     def wake(self) -> None:
-        """Wake everyone who waits for a change."""
+        """Count a change and wake everyone who waits for one."""
+        self.version += 1
         self._changed.set()
         self._changed = Event()
 
--- a/src/damaskstall/peers/peer_client.py
+++ b/src/damaskstall/peers/peer_client.py
@@ -174,7 +174,7 @@
         body = frame.body
         if not isinstance(body, ConfigDelta):
             raise FrameError("A peer sent a hint of an unknown kind.")
-        if body.revision > self.node.store.config_revision:
+        if body.revision > self.node.store.revision:
             self._wanted.set()
 
     async def _exchange(self) -> None:
--- a/src/damaskstall/peers/peer_server.py
+++ b/src/damaskstall/peers/peer_server.py
@@ -102,14 +102,15 @@
     async def _send_hints(self, frames: FrameStream) -> None:
         """Tell the peer of each change at once; it asks if it wants it."""
         store = self.node.store
-        told = store.config_revision
+        told = store.version
         while True:
-            if store.config_revision <= told:
+            if store.version == told:
                 await store.wait_change()
                 continue
-            told = store.config_revision
+            told = store.version
+            newest = max(store.revision, store.config_revision)
             age_s = age_to_send(store, current_time())
-            hint = ConfigDelta(told, age_s, (), told, False, False)
+            hint = ConfigDelta(newest, age_s, (), newest, False, False)
             await frames.send(Frame(HINT_REQUEST_ID, hint))
 
 
--- a/src/damaskstall/placement/planner.py
+++ b/src/damaskstall/placement/planner.py
@@ -20,7 +20,7 @@
 class Derived(NamedTuple):
     """Hold what was derived from one state of the configuration."""
 
-    revision: int
+    version: int
     out: frozenset[str]
     cells: dict[str, Cell]
     plan: GuaranteePlan
@@ -81,18 +81,17 @@
         )
 
     def _derive(self, config: ConfigStore) -> Derived:
+        known = self._derived
+        if known is not None and known.version == config.version:
+            return known
         view = memory_view(config)
         out = frozenset(d for d in view.failure_domains if config.is_out(d))
-        known = self._derived
-        if known is not None:
-            if (known.revision, known.out) == (config.config_revision, out):
-                return known
         cells = self._cells_of(view)
         closed = frozenset(
             name for name, cell in cells.items() if cell.failure_domain in out
         )
         plan = plan_guarantees(tuple(cells.values()), team_specs(view), closed)
-        self._derived = Derived(config.config_revision, out, cells, plan)
+        self._derived = Derived(config.version, out, cells, plan)
         return self._derived
 
     def _cells_of(self, view: ConfigView) -> dict[str, Cell]:
--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -4,14 +4,14 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from trio import CancelScope, Nursery, current_time, open_nursery
+from trio import CancelScope, Nursery, current_time, open_nursery, sleep
 
 from damaskstall.addresses import Address
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.peers.follower import ConfigFollower, PeerIdentity
 from damaskstall.platform.keys import config_key
-from damaskstall.platform.types import ABSENT, Row, Write
+from damaskstall.platform.types import ABSENT, ChangePage, Row, ScanPage, Write
 from standins.network import MemoryNetwork
 from standins.platform.faults import FaultRule
 from standins.platform.memory import MemoryTable, Platform
@@ -34,12 +34,35 @@
     return {"spec": {"weight": weight, "guarantees": []}, "status": {}}
 
 
+class HeldTable(MemoryTable):
+    """Read at once and answer late, as a paused process sees it."""
+
+    hold_s = 0.0
+
+    async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
+        """Return a page that was read some time ago."""
+        page = await super().scan(prefix, after, limit)
+        await sleep(self.hold_s)
+        return page
+
+    async def changes(
+        self, prefix: str, after_revision: int, limit: int
+    ) -> ChangePage:
+        """Return a page that was read some time ago."""
+        page = await super().changes(prefix, after_revision, limit)
+        await sleep(self.hold_s)
+        return page
+
+
 class Process:
     """Hold one running follower."""
 
-    def __init__(self, name: str, follower: ConfigFollower) -> None:
+    def __init__(
+        self, name: str, follower: ConfigFollower, table: HeldTable
+    ) -> None:
         """Name the process."""
         self.name = name
+        self.table = table
         self.follower = follower
         self.scope = CancelScope()
         self.store = follower.store
@@ -61,7 +84,9 @@
         port = FIRST_PORT + len(self.addresses)
         return self.addresses.setdefault(name, Address("127.0.0.1", port))
 
-    async def start(self, name: str, peers: tuple[str, ...]) -> Process:
+    async def start(
+        self, name: str, peers: tuple[str, ...], hold_s: float = 0.0
+    ) -> Process:
         """Start a process that knows the addresses of some peers."""
         settings = EntrySettings(
             instance=name,
@@ -69,14 +94,16 @@
             peer_listen=str(self.address(name)),
             peers=",".join(str(self.address(peer)) for peer in peers),
         )
+        table = HeldTable(self.platform, name)
+        table.hold_s = hold_s
         follower = ConfigFollower(
             self.network.end(name),
-            MemoryTable(self.platform, name),
+            table,
             ConfigStore(),
             PeerIdentity(name, "fd1", "damaskstall-entry"),
             settings,
         )
-        process = Process(name, follower)
+        process = Process(name, follower, table)
         self.processes[name] = process
         await self.nursery.start(self._run, process)
         return process
--- a/tests/peers/test_cuts.py
+++ b/tests/peers/test_cuts.py
@@ -1,5 +1,6 @@
 """Test convergence and freshness through any cuts, freezes and restarts."""
 
+from random import Random
 from typing import NamedTuple
 
 from hypothesis import example, given, settings
@@ -218,3 +219,29 @@
             await sleep(IN_FORCE_LIMIT_S + CHECK_INTERVAL_S)
 
     run_virtual(scenario)
+
+
+def test_late_answers_never_make_it_look_fresher() -> None:
+    random = Random(5)
+
+    async def cut_for_a_while(net: Cluster) -> None:
+        while True:
+            await sleep(random.uniform(0, 0.5))
+            net.network.cut("a", "b")
+            await sleep(random.uniform(0.1, 0.9))
+            net.network.heal("a", "b")
+
+    async def scenario() -> None:
+        async with cluster() as net:
+            net.cut_from_table("b")
+            checker = Checker(net)
+            net.nursery.start_soon(checker.run)
+            net.nursery.start_soon(cut_for_a_while, net)
+            process = await net.start("a", ("b",))
+            await net.start("b", ("a",))
+            for number in range(300):
+                await sleep(0.1)
+                process.table.hold_s = random.uniform(0, 1)
+                net.write("team", "t", team_value(number))
+
+    run_virtual(scenario)
--- a/tests/peers/test_table_faults.py
+++ b/tests/peers/test_table_faults.py
@@ -10,14 +10,12 @@
     TableConflictError,
     TableOutcomeUnknownError,
 )
-from damaskstall.generated.settings import EntrySettings
-from damaskstall.peers.config_store import ConfigStore
-from damaskstall.peers.follower import ConfigFollower, PeerIdentity
+from damaskstall.peers.table_poller import PAGE_LIMIT_ROWS
 from damaskstall.platform.keys import config_key
 from damaskstall.platform.settle import commit_settled
-from damaskstall.platform.types import ABSENT, ChangePage, Write
+from damaskstall.platform.types import ABSENT, Write
 from standins.platform.faults import FaultRule
-from standins.platform.memory import MemoryTable, Platform
+from standins.platform.memory import MemoryTable
 from tests.peers.cluster import Cluster, cluster, team_value
 from tests.virtual_time import run_virtual
 
@@ -84,51 +82,72 @@
     run_virtual(scenario)
 
 
-class HeldTable(MemoryTable):
-    """Read at once and answer late, as a paused process sees it."""
+def test_paused_process_wakes_with_an_old_age() -> None:
+    pause_s = 20.0
 
-    hold_s = 0.0
+    async def scenario() -> None:
+        async with cluster() as net:
+            process = await net.start("a", ())
+            await sleep(3)
+            process.table.hold_s = pause_s
+            await sleep(pause_s)
+            assert process.store.age_s(current_time()) >= pause_s - 1.1
+            net.write("team", "press", team_value(1.0))
+            process.table.hold_s = 0.0
+            await sleep(IN_FORCE_LIMIT_S)
+            assert KEY in process.store.entries
 
-    async def changes(
-        self, prefix: str, after_revision: int, limit: int
-    ) -> ChangePage:
-        """Return a page that was read some time ago."""
-        page = await super().changes(prefix, after_revision, limit)
-        await sleep(self.hold_s)
-        return page
+    run_virtual(scenario)
 
 
-def test_paused_process_wakes_with_an_old_age() -> None:
-    pause_s = 20.0
+def test_change_during_a_long_scan_is_not_missed() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            for number in range(PAGE_LIMIT_ROWS + 50):
+                net.write("team", f"t{number:04}", team_value(1.0))
+            net.cut_from_table()
+            started = net.start("a", (), hold_s=1.0)
+            await started
+            await sleep(0.5)
+            # The first page is read and on its way.
+            net.write("team", "t0000", None)
+            net.write("team", "t0001", team_value(2.0))
+            await sleep(6)
+            held = net.processes["a"].store.resources("team")
+            assert "t0000" not in held
+            assert held["t0001"]["spec"]["weight"] == 2.0
 
+    run_virtual(scenario)
+
+
+def test_accepted_row_is_passed_on_although_the_table_is_gone() -> None:
     async def scenario() -> None:
-        platform = Platform(0)
-        table = HeldTable(platform, "a")
-        store = ConfigStore()
         async with cluster() as net:
-            follower = ConfigFollower(
-                net.network.end("a"),
-                table,
-                store,
-                PeerIdentity("a", "fd1", "damaskstall-entry"),
-                EntrySettings(instance="a", failure_domain="fd1"),
-            )
-            await net.nursery.start(follower.run)
+            for name in NAMES:
+                await net.start(name, NAMES)
             await sleep(3)
-            table.hold_s = pause_s
-            await sleep(pause_s)
-            platform.table.commit(
-                (Write(KEY, team_value(1.0), ABSENT),), "m", current_time()
-            )
-            assert store.age_s(current_time()) >= pause_s - 1.1
-            table.hold_s = 0.0
-            # The held answer comes now, and is older than the write.
-            await sleep(1.5)
-            assert store.age_s(current_time()) >= pause_s or KEY in (
-                store.entries
-            )
+            net.cut_from_table(*NAMES)
+            row = net.write("team", "press", team_value(1.0))
+            net.processes["a"].store.learn(row)
             await sleep(IN_FORCE_LIMIT_S)
-            assert KEY in store.entries
+            for process in net.processes.values():
+                assert KEY in process.store.entries
+
+    run_virtual(scenario)
+
+
+def test_process_stays_fresh_by_a_peer_while_jobs_are_written() -> None:
+    async def scenario() -> None:
+        async with cluster() as net:
+            net.cut_from_table("b")
+            await net.start("a", ("b",))
+            process = await net.start("b", ("a",))
+            for number in range(60):
+                await sleep(0.5)
+                write = Write(f"job/{number}", {}, ABSENT)
+                net.platform.table.commit((write,), "m", current_time())
+                if number > 10:
+                    assert process.store.age_s(current_time()) < 3
 
     run_virtual(scenario)
 
