--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -22,7 +22,9 @@
     processes = Processes(log_directory)
     try:
         print("Starting the stand-ins and the product ...", flush=True)
-        cluster = await start_cluster(processes, ClusterSize())
+        cluster = await start_cluster(
+            processes, ClusterSize(entry_settings={"drain_notice_s": 1})
+        )
         story = Story(cluster)
         broken = await story.tell()
         if keep:
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -17,13 +17,14 @@
 
 
 class ClusterSize(NamedTuple):
-    """Size a cluster; the settings go to every scheduler."""
+    """Size a cluster; the settings go to every scheduler or entry."""
 
     failure_domains: tuple[str, ...] = ("a", "b", "c")
     workers: int = 8
     schedulers: int = 2
     backends: int = 2
     scheduler_settings: dict[str, object] = {}
+    entry_settings: dict[str, object] = {}
 
 
 class Cluster(NamedTuple):
@@ -96,10 +97,11 @@
         for name in names:
             settings = product_settings(name, ports, platform)
             module = ENTRY_MODULE
+            more = size.entry_settings
             if name.startswith("scheduler"):
                 module = SCHEDULER_MODULE
-                settings |= size.scheduler_settings
-            processes.start_in(nursery, name, module, settings)
+                more = size.scheduler_settings
+            processes.start_in(nursery, name, module, settings | more)
 
 
 def product_settings(
--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -128,6 +128,8 @@
     $help("time between two reads of the platform's instance list");
   cellWorkerLimit @23 :Int64 = 128 $unit("workers") $minimum(1) $maximum(4096)
     $help("largest number of workers in one cell, as the schedulers have it");
+  drainNoticeS @24 :Float64 = 3.0 $unit("s") $minimum(0) $maximum(600)
+    $help("time that the balancer needs to see that readiness is off");
 }
 
 struct SchedulerSettings $program("damaskstall-scheduler") {
--- a/src/damaskstall/entry/main.py
+++ b/src/damaskstall/entry/main.py
@@ -30,7 +30,6 @@
 PROGRAM = ENTRY_SETTINGS.program
 REQUIRED = ("instance", "failure_domain", "platform")
 REQUEST_PREFIX = "/v1/requests/"
-DRAIN_NOTICE_S = 1.0
 
 
 class Entry:
@@ -130,7 +129,7 @@
         with move_on_after(self.settings.drain_timeout_s):
             if self.registration is not None:
                 await self.registration.leave()
-            await sleep(DRAIN_NOTICE_S)
+            await sleep(self.settings.drain_notice_s)
             self.drain_state.start()
             await self.gateway.drain()
             await self.drain_state.wait_quiet()
--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -30,7 +30,7 @@
     backends=2,
     scheduler_settings={"cell_lease_ttl_s": 3, "cell_lease_renew_s": 1},
 )
-WAIT_TIMEOUT_S = 120
+WAIT_TIMEOUT_S = 60
 CALL_TIMEOUT_S = 30
 POLL_S = 0.05
 TEAM = {
