Split the policy into state and decider; fill slots; run in drained blocks

Cause: a reserved block stood idle while its last jobs ended, and a team's small jobs could break up all its guarantees at once: a 4 x 8 job within its guarantee waited 671 s because two 2 x 8 jobs of its team held one 4 x 8 guarantee each.

Change: jobs smaller than their guarantee go into one in use first; jobs that keep their progress run in a reserved block until all others have left it, unless they were preempted twice.

--- a/bench/jobs/world.py
+++ b/bench/jobs/world.py
@@ -181,8 +181,9 @@
             self.policies[cell].release(start.job, self.now_s, None)
             self.wake(cell)
             return
-        if start.job in self.reclaims:
-            self.reclaim_s.append(self.now_s - self.reclaims.pop(start.job))
+        asked_s = self.reclaims.pop(start.job, None)
+        if asked_s is not None and start.guaranteed:
+            self.reclaim_s.append(self.now_s - asked_s)
         for name, policy in self.policies.items():
             if name != cell:
                 policy.withdraw(start.job)
--- a/src/damaskstall/placement/books.py
+++ b/src/damaskstall/placement/books.py
@@ -34,6 +34,7 @@
         self.end_s = end_s
         self.running: dict[str, RunningJob] = {}
         self.protected: set[str] = set()
+        self.yielding: set[str] = set()
         self.jobs_on: dict[int, list[str]] = {}
         self.held = Masks(layout.workers)
         self.promised = Masks(layout.workers)
@@ -64,6 +65,7 @@
         if running is None:
             return None
         self.protected.discard(name)
+        self.yielding.discard(name)
         block = running.block
         for worker in range(
             block.first_worker, block.first_worker + block.hosts
--- /dev/null
+++ b/src/damaskstall/placement/decider.py
@@ -0,0 +1,216 @@
+"""Decide which jobs start where in one cell, and which must leave.
+
+The order of a decision: jobs whose block has been cleared, urgent jobs, jobs
+under their team's guarantee, the job with a reservation, then everybody else
+by weighted fair share. Only jobs under a guarantee and urgent jobs preempt,
+and only borrowed jobs are preempted.
+"""
+
+from heapq import heappop, heappush
+from math import inf
+
+from damaskstall.placement.guaranteed import take_guaranteed
+from damaskstall.placement.model import Block, Decision, QueuedJob
+from damaskstall.placement.reservations import Reservation
+from damaskstall.placement.state import CellState, Claim
+
+RETRY_S = 5.0
+
+UNDER_GUARANTEE = "under the team's guarantee"
+URGENT = "urgent, on accelerators that no guarantee uses"
+RESERVED = "on the block that was reserved for it"
+BORROWED = "on free accelerators, by fair share"
+BESIDE = "on free accelerators that no guarantee needs, by fair share"
+YIELDING = "makes way when the reserved block around it is empty"
+BACKFILLED = "ends before the reserved block around it is empty"
+
+
+class Decider:
+    """Take decisions over a cell's state."""
+
+    def __init__(self, state: CellState) -> None:
+        """Decide over a state and change it."""
+        self.state = state
+
+    def decide(self, now_s: float) -> tuple[Decision, ...]:
+        """Return what to do now; the policy's books already count it."""
+        if not self.state.is_open:
+            return ()
+        if not self.state.changed and now_s < self.state.wake_s:
+            return ()
+        self.state.changed = False
+        self.state.wake_s = inf
+        decisions: list[Decision] = []
+        self._start_claimed(now_s, decisions)
+        self._start_guaranteed(now_s, decisions)
+        self._start_urgent(now_s, decisions)
+        self._start_reserved(now_s, decisions)
+        blocked = self._start_by_share(now_s, decisions)
+        if self.state.reservations.current is None:
+            self._reserve(blocked, now_s)
+        return tuple(decisions)
+
+    def _start_claimed(self, now_s: float, decisions: list[Decision]) -> None:
+        for claim in list(self.state.claims.values()):
+            if not self.state.books.held.meets(claim.block):
+                self.state.unclaim(claim)
+                decisions.append(self.state.start(claim, now_s))
+
+    def _start_guaranteed(
+        self, now_s: float, decisions: list[Decision]
+    ) -> None:
+        for team in sorted(self.state.guarantee_stale):
+            for job in self.state.queue.heads(team):
+                self._drain_class_guaranteed(job, now_s, decisions)
+        self.state.guarantee_stale.clear()
+
+    def _drain_class_guaranteed(
+        self, job: QueuedJob, now_s: float, decisions: list[Decision]
+    ) -> None:
+        """Start a job and the jobs behind it while the guarantee lasts."""
+        following: QueuedJob | None = job
+        while following is not None:
+            block = take_guaranteed(
+                self.state.books,
+                self.state.slots,
+                following,
+                now_s,
+                self.state.options.fill_slots,
+            )
+            if block is None:
+                return
+            claim = Claim(following, block, True, UNDER_GUARANTEE)
+            self.state.take(claim, now_s, decisions)
+            following = self.state.queue.next_like(job)
+
+    def _start_urgent(self, now_s: float, decisions: list[Decision]) -> None:
+        urgent = [job for job in self.state.queue.all_heads() if job.urgent]
+        urgent.sort(key=lambda job: (job.queued_s, job.name))
+        for job in urgent:
+            following: QueuedJob | None = job
+            while following is not None:
+                block = self._urgent_block(following, now_s)
+                if block is None:
+                    break
+                claim = Claim(following, block, False, URGENT)
+                self.state.take(claim, now_s, decisions)
+                following = self.state.queue.next_like(job)
+
+    def _urgent_block(self, job: QueuedJob, now_s: float) -> Block | None:
+        if not job.restartable:
+            return self.state.shielded_block(job)
+        free = self.state.books.free.find(job.shape)
+        if free is not None:
+            return free.block
+        block = self.state.books.cheapest(job.shape, now_s)
+        if block is None or self._has_urgent(block):
+            return None
+        return block
+
+    def _has_urgent(self, block: Block) -> bool:
+        return any(r.job.urgent for r in self.state.books.jobs_in(block))
+
+    def _start_reserved(self, now_s: float, decisions: list[Decision]) -> None:
+        current = self.state.reservations.current
+        if current is None:
+            return
+        if not self.state.reservations.sound():
+            self.state.reservations.drop()
+            return
+        if not self.state.books.vacant(current.block):
+            self._slice(current, now_s, decisions)
+            return
+        self.state.reservations.drop(keep_shield=True)
+        claim = Claim(current.job, current.block, False, RESERVED)
+        self.state.take(claim, now_s, decisions)
+
+    def _slice(
+        self,
+        current: Reservation,
+        now_s: float,
+        decisions: list[Decision],
+    ) -> None:
+        """Preempt who has had a slice of time in the reserved block."""
+        slice_s = self.state.options.slice_s
+        claim = Claim(current.job, current.block, False, RESERVED)
+        for victim in self.state.reservations.slice_victims(slice_s, now_s):
+            decisions.append(self.state.preempt(victim, claim))
+        self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
+
+    def _reserve(self, blocked: list[QueuedJob], now_s: float) -> None:
+        """Reserve a block for the oldest large job that waited enough."""
+        after_s = self.state.options.reserve_after_s
+        due = [job for job in blocked if now_s - job.queued_s >= after_s]
+        if len(due) < len(blocked):
+            self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
+        self.state.reservations.choose(due, now_s)
+
+    def _start_by_share(
+        self, now_s: float, decisions: list[Decision]
+    ) -> list[QueuedJob]:
+        """Start jobs by fair share; return the heads that stay blocked."""
+        order: list[tuple[float, str]] = []
+        for team in list(self.state.queue.teams):
+            heappush(order, (self.state.share(team, now_s), team))
+        blocked: list[QueuedJob] = []
+        while order:
+            _, team = heappop(order)
+            heads = self.state.queue.heads(team)
+            if self._start_one(heads, now_s, decisions):
+                heappush(order, (self.state.share(team, now_s), team))
+            else:
+                blocked += heads
+        return blocked
+
+    def _start_one(
+        self, heads: list[QueuedJob], now_s: float, decisions: list[Decision]
+    ) -> bool:
+        if self.state.options.by_ratio:
+            heads.sort(key=lambda job: -self.state.ratio(job, now_s))
+        for job in heads:
+            claim = self._borrow(job, now_s)
+            if claim is not None:
+                self.state.take(claim, now_s, decisions)
+                return True
+        return False
+
+    def _borrow(self, job: QueuedJob, now_s: float) -> Claim | None:
+        """Find free accelerators for a job."""
+        if not job.restartable:
+            block = self.state.shielded_block(job)
+            return Claim(job, block, False, BESIDE) if block else None
+        if self._shields(job):
+            block = self.state.shielded_block(job)
+            if block is not None:
+                return Claim(job, block, False, BESIDE)
+        free = self.state.books.free.find(job.shape)
+        if free is not None:
+            return Claim(job, free.block, False, BORROWED)
+        expected_s = self.state.estimates.expect_s(job.team, job.estimate_s)
+        block = self.state.reservations.backfill_block(
+            job.shape, expected_s, now_s
+        )
+        if block is not None:
+            return Claim(job, block, False, BACKFILLED)
+        return self._yielding(job, now_s)
+
+    def _yielding(self, job: QueuedJob, now_s: float) -> Claim | None:
+        """Find room in the reserved block for a job that can make way.
+
+        A job that was preempted often waits instead, so that it gets on.
+        """
+        if not self.state.options.yielding or not job.checkpointable:
+            return None
+        if job.urgent or self.state.preempted_often(job):
+            return None
+        block = self.state.reservations.yielding_block(job.shape, now_s)
+        if block is None:
+            return None
+        self.state.books.yielding.add(job.name)
+        return Claim(job, block, False, YIELDING)
+
+    def _shields(self, job: QueuedJob) -> bool:
+        """Return whether a job is kept clear of what guarantees need."""
+        if job.checkpointable:
+            return False
+        return self.state.options.shield_first or self.state.protect(job)
--- a/src/damaskstall/placement/options.py
+++ b/src/damaskstall/placement/guaranteed.py
@@ -22,15 +22,16 @@
 
 
 def take_guaranteed(
-    books: Books, slots: Slots, job: QueuedJob, now_s: float
+    books: Books, slots: Slots, job: QueuedJob, now_s: float, fill: bool
 ) -> Block | None:
     """Put a job under its team's guarantee; return its block.
 
-    None means that the guarantee is in use or that no slot fits.
+    None means that the guarantee is in use or that no slot fits. With
+    ``fill`` slots in use go first.
     """
     options = sorted(
         guaranteed_options(books, slots, job, now_s),
-        key=lambda option: (option.cost, option.order),
+        key=lambda o: (fill and not o.slot.jobs, o.cost, o.order),
     )
     for option in options[:OPTIONS_TRIED]:
         if slots.use(option.slot, option.slot_block, job.name):
--- a/src/damaskstall/placement/reservations.py
+++ b/src/damaskstall/placement/reservations.py
@@ -1,9 +1,10 @@
 """Reserve a block for the oldest blocked large job and let it drain.
 
 Nothing new starts in the reserved block unless its corrected run time ends
-before the block is expected to be empty. After a while nothing starts in it at
-all, so wrong estimates cannot put the large job off for ever: it then waits
-for the jobs that hold the block and for no others.
+before the block is expected to be empty, or it keeps its progress and makes
+way as soon as the others have left. After a while only the latter start, so
+wrong estimates cannot put the large job off for ever: it then waits for the
+jobs that held the block and for no others.
 """
 
 from collections.abc import Iterable
@@ -18,6 +19,7 @@
 )
 
 BACKFILL_LIMIT_S = 1800.0
+LEAST_RUN_S = 120.0
 CANDIDATE_RACKS = 8
 
 
@@ -83,6 +85,19 @@
         found = self.books.spare.find(shape)
         return found.block if found else None
 
+    def yielding_block(self, shape: Shape, now_s: float) -> Block | None:
+        """Return a block in the reserved one for a job that makes way.
+
+        Such a job leaves as soon as nobody else is left in the block. None
+        starts when that is expected before it got anywhere.
+        """
+        if self.current is None:
+            return None
+        if 0.0 <= self.current.empty_s - now_s < LEAST_RUN_S:
+            return None
+        found = self.books.spare.find(shape)
+        return found.block if found else None
+
     def _reserve(self, job: QueuedJob, now_s: float) -> bool:
         found = self.books.drain.ranked(job.shape, CANDIDATE_RACKS)
         for empty_s, block in [(f.score[0], f.block) for f in found]:
@@ -97,10 +112,10 @@
     def slice_victims(self, slice_s: float, now_s: float) -> list[RunningJob]:
         """Return whom to preempt so that the reserved block is empty.
 
-        Only borrowed jobs that keep their progress and have had their slice
-        of time leave for a reservation, and only when nobody else is left
-        in the block. So each of their runs gets on, and two large jobs cannot
-        keep preempting each other.
+        Only borrowed jobs that keep their progress leave for a reservation,
+        and only when nobody else is left in the block. They have had their
+        slice of time or started on the reserved block, so each of their runs
+        gets on, and two large jobs cannot keep preempting each other.
         """
         if self.current is None:
             return []
@@ -116,6 +131,7 @@
         """Return whether a job has to make way for a reservation."""
         if running.job.urgent or not running.job.checkpointable:
             return False
-        if now_s - running.started_s < slice_s:
+        ran_s = now_s - running.started_s
+        if ran_s < slice_s and running.job.name not in self.books.yielding:
             return False
         return self.books.preemptible(running)
