--- a/src/damaskstall/placement/books.py
+++ b/src/damaskstall/placement/books.py
@@ -43,6 +43,7 @@
         self.spare = BlockIndex(layout, self.spare_score)
         self.reclaim = BlockIndex(layout, self.reclaim_score)
         self.drain = BlockIndex(layout, self.drain_score)
+        self.indexes = (self.free, self.spare, self.reclaim, self.drain)
 
     def hold(self, running: RunningJob) -> None:
         """Count a job as holding its block."""
@@ -86,10 +87,8 @@
 
     def changed(self, block: Block) -> None:
         """Note that a block's accelerators changed hands."""
-        self.free.changed(block)
-        self.spare.changed(block)
-        self.reclaim.changed(block)
-        self.drain.changed(block)
+        for index in self.indexes:
+            index.changed(block)
 
     def jobs_in(self, block: Block) -> list[RunningJob]:
         """Return the jobs that hold accelerators of a block."""
--- a/src/damaskstall/placement/decider.py
+++ b/src/damaskstall/placement/decider.py
@@ -10,7 +10,7 @@
 from math import inf
 
 from damaskstall.placement.guaranteed import take_guaranteed
-from damaskstall.placement.model import Block, Decision, QueuedJob
+from damaskstall.placement.model import Block, Decision, QueuedJob, Shape
 from damaskstall.placement.reservations import Reservation
 from damaskstall.placement.state import CellState, Claim
 
@@ -45,9 +45,9 @@
         self._start_guaranteed(now_s, decisions)
         self._start_urgent(now_s, decisions)
         self._start_reserved(now_s, decisions)
-        blocked = self._start_by_share(now_s, decisions)
+        self._start_by_share(now_s, decisions)
         if self.state.reservations.current is None:
-            self._reserve(blocked, now_s)
+            self._reserve(now_s)
         return tuple(decisions)
 
     def _start_claimed(self, now_s: float, decisions: list[Decision]) -> None:
@@ -84,9 +84,7 @@
             following = self.state.queue.next_like(job)
 
     def _start_urgent(self, now_s: float, decisions: list[Decision]) -> None:
-        urgent = [job for job in self.state.queue.all_heads() if job.urgent]
-        urgent.sort(key=lambda job: (job.queued_s, job.name))
-        for job in urgent:
+        for job in self.state.queue.urgent_heads():
             following: QueuedJob | None = job
             while following is not None:
                 block = self._urgent_block(following, now_s)
@@ -137,30 +135,47 @@
             decisions.append(self.state.preempt(victim, claim))
         self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
 
-    def _reserve(self, blocked: list[QueuedJob], now_s: float) -> None:
+    def _reserve(self, now_s: float) -> None:
         """Reserve a block for the oldest large job that waited enough."""
+        queue = self.state.queue
+        large = set(filter(self.state.reservations.is_large, queue.shapes))
+        heads = [
+            job
+            for team in queue.teams_with(large)
+            for job in queue.heads(team)
+            if job.shape in large
+        ]
         after_s = self.state.options.reserve_after_s
-        due = [job for job in blocked if now_s - job.queued_s >= after_s]
-        if len(due) < len(blocked):
+        due = [job for job in heads if now_s - job.queued_s >= after_s]
+        if len(due) < len(heads):
             self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
         self.state.reservations.choose(due, now_s)
 
-    def _start_by_share(
-        self, now_s: float, decisions: list[Decision]
-    ) -> list[QueuedJob]:
-        """Start jobs by fair share; return the heads that stay blocked."""
+    def _start_by_share(self, now_s: float, decisions: list[Decision]) -> None:
+        """Start jobs by fair share on what is free."""
+        shapes = set(filter(self._has_room, self.state.queue.shapes))
         order: list[tuple[float, str]] = []
-        for team in list(self.state.queue.teams):
-            heappush(order, (self.state.share(team, now_s), team))
-        blocked: list[QueuedJob] = []
-        while order:
+        for team in self.state.queue.teams_with(shapes):
+            self._push_team(order, team, now_s)
+        while order and any(map(self._has_room, shapes)):
             _, team = heappop(order)
             heads = self.state.queue.heads(team)
+            heads = [job for job in heads if job.shape in shapes]
             if self._start_one(heads, now_s, decisions):
-                heappush(order, (self.state.share(team, now_s), team))
-            else:
-                blocked += heads
-        return blocked
+                self._push_team(order, team, now_s)
+
+    def _push_team(
+        self, order: list[tuple[float, str]], team: str, now_s: float
+    ) -> None:
+        heads = self.state.queue.heads(team)
+        if heads:
+            heappush(order, (self.state.share(team, heads, now_s), team))
+
+    def _has_room(self, shape: Shape) -> bool:
+        """Return whether any block of a shape is free, reserved or not."""
+        if self.state.books.free.find(shape) is not None:
+            return True
+        return self.state.books.spare.find(shape) is not None
 
     def _start_one(
         self, heads: list[QueuedJob], now_s: float, decisions: list[Decision]
--- a/src/damaskstall/placement/policy.py
+++ b/src/damaskstall/placement/policy.py
@@ -109,10 +109,13 @@
             self.state.preemptions.pop(name, None)
         if running.guaranteed:
             self.state.slots.leave(name)
+            self.state.guarantee_stale.add(job.team)
         else:
             self.state.slots.unshield(name)
             self.state.count_borrowed(job, -1)
-        self.state.all_stale()
+        self.state.changed = True
+        if self.state.slots.has_unmet or self.state.slots.unshielded:
+            self.state.all_stale()
 
     def running(self) -> tuple[RunningJob, ...]:
         """Return the jobs that hold blocks."""
--- a/src/damaskstall/placement/queue.py
+++ b/src/damaskstall/placement/queue.py
@@ -4,13 +4,15 @@
 at the oldest of each class alone.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 from heapq import heappop, heappush
 from math import frexp
 from typing import NamedTuple
 
 from damaskstall.placement.model import QueuedJob, Shape
 
+REMOVED_SPARE = 64
+
 
 class JobClass(NamedTuple):
     """Name what jobs of one class have in common.
@@ -21,6 +23,7 @@
     shape: Shape
     urgent: bool
     restartable: bool
+    checkpointable: bool
     preferred: bool
     estimate_bits: int
 
@@ -37,18 +40,30 @@
     """Return the class of a job."""
     bits = frexp(max(job.estimate_s, 0.0))[1]
     return JobClass(
-        job.shape, job.urgent, job.restartable, job.preferred, bits
+        job.shape,
+        job.urgent,
+        job.restartable,
+        job.checkpointable,
+        job.preferred,
+        bits,
     )
 
 
 class JobQueue:
-    """Hold the waiting jobs of all teams."""
+    """Hold the waiting jobs of all teams.
+
+    ``shapes`` counts the waiting jobs of each shape by team, and ``urgent``
+    the urgent jobs by team, so that a decision finds who is concerned.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
         self.entries: dict[str, Entry] = {}
         self.teams: dict[str, dict[JobClass, list[Entry]]] = {}
+        self.shapes: dict[Shape, dict[str, int]] = {}
+        self.urgent: dict[str, int] = {}
         self.numbers = 0
+        self.removed = 0
 
     def __len__(self) -> int:
         """Return how many jobs wait."""
@@ -61,16 +76,23 @@
 
     def add(self, job: QueuedJob) -> None:
         """Put a job in at its age; one of the same name is replaced."""
+        self.remove(job.name)
         self.numbers += 1
         entry = Entry(job.queued_s, self.numbers, job)
         self.entries[job.name] = entry
-        classes = self.teams.setdefault(job.team, {})
-        heappush(classes.setdefault(class_of(job), []), entry)
+        self._push(entry)
+        self._count(job, 1)
 
     def remove(self, name: str) -> QueuedJob | None:
         """Take a job out and return it, or None if it does not wait."""
         entry = self.entries.pop(name, None)
-        return entry.job if entry else None
+        if entry is None:
+            return None
+        self._count(entry.job, -1)
+        self.removed += 1
+        if self.removed > len(self.entries) + REMOVED_SPARE:
+            self._rebuild()
+        return entry.job
 
     def heads(self, team: str) -> list[QueuedJob]:
         """Return the oldest job of each class, urgent and oldest first."""
@@ -95,10 +117,19 @@
         entry = self._head(entries)
         return entry.job if entry else None
 
-    def all_heads(self) -> Iterator[QueuedJob]:
-        """Yield the oldest jobs of every team's classes."""
-        for team in sorted(self.teams):
-            yield from self.heads(team)
+    def urgent_heads(self) -> list[QueuedJob]:
+        """Return the oldest urgent jobs of each class, oldest first."""
+        heads = [job for team in self.urgent for job in self.heads(team)]
+        urgent = [job for job in heads if job.urgent]
+        urgent.sort(key=lambda job: (job.queued_s, job.name))
+        return urgent
+
+    def teams_with(self, shapes: Iterable[Shape]) -> list[str]:
+        """Return the teams that have jobs of any of the shapes."""
+        teams: set[str] = set()
+        for shape in shapes:
+            teams.update(self.shapes.get(shape, ()))
+        return sorted(teams)
 
     def _head(self, entries: list[Entry]) -> Entry | None:
         while entries:
@@ -107,3 +138,30 @@
                 return entry
             heappop(entries)
         return None
+
+    def _push(self, entry: Entry) -> None:
+        classes = self.teams.setdefault(entry.job.team, {})
+        heappush(classes.setdefault(class_of(entry.job), []), entry)
+
+    def _count(self, job: QueuedJob, change: int) -> None:
+        add_count(self.shapes.setdefault(job.shape, {}), job.team, change)
+        if not self.shapes[job.shape]:
+            del self.shapes[job.shape]
+        if job.urgent:
+            add_count(self.urgent, job.team, change)
+
+    def _rebuild(self) -> None:
+        """Forget removed jobs that are not at the head of their class."""
+        self.removed = 0
+        self.teams = {}
+        for entry in self.entries.values():
+            self._push(entry)
+
+
+def add_count(counts: dict[str, int], key: str, change: int) -> None:
+    """Change a count and drop it at zero."""
+    count = counts.get(key, 0) + change
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
--- a/src/damaskstall/placement/reservations.py
+++ b/src/damaskstall/placement/reservations.py
@@ -43,7 +43,7 @@
     def choose(self, jobs: Iterable[QueuedJob], now_s: float) -> None:
         """Reserve a block for the oldest of the blocked large jobs."""
         large = sorted(
-            (j for j in jobs if j.preferred and self.is_large(j.shape)),
+            (job for job in jobs if job.preferred),
             key=lambda job: (not job.urgent, job.queued_s, job.name),
         )
         for job in large:
--- a/src/damaskstall/placement/slots.py
+++ b/src/damaskstall/placement/slots.py
@@ -88,6 +88,7 @@
         self.slot_of: dict[str, Slot] = {}
         self.shields: dict[str, Block] = {}
         self.unshielded: list[Block] = []
+        self.has_unmet = False
         self.pinned = Masks(layout.workers)
         self.shielded = Masks(layout.workers)
         self.closed = Masks(layout.workers)
@@ -221,10 +222,10 @@
             return
         for slot in bad:
             self._bind(slot, None)
-        if self._place(bad) or self._repack(self._unused()):
-            return
-        if self.shields:
+        placed = self._place(bad) or self._repack(self._unused())
+        if not placed and self.shields:
             self._drop_shields()
+        self.has_unmet = any(slot.block is None for slot in self.all())
 
     def _drop_shields(self) -> None:
         """Let guarantees go before jobs that should not be preempted."""
--- a/src/damaskstall/placement/state.py
+++ b/src/damaskstall/placement/state.py
@@ -150,6 +150,7 @@
         """Stop holding a block for a job."""
         del self.claims[claim.job.name]
         self.books.mark(self.books.promised, claim.block, False)
+        self.guarantee_stale.update(self.queue.teams)
 
     def give_up(self, claim: Claim) -> None:
         """Put a job that waits for borrowers to leave back into the queue."""
@@ -198,9 +199,8 @@
         self.guarantee_stale.update(self.queue.teams)
         self.changed = True
 
-    def share(self, team: str, now_s: float) -> float:
+    def share(self, team: str, heads: list[QueuedJob], now_s: float) -> float:
         """Return a team's place in the order: low share and age go first."""
-        heads = self.queue.heads(team)
         oldest_s = min((job.queued_s for job in heads), default=now_s)
         weight = max(self.weights.get(team, 1.0), LEAST_WEIGHT)
         total = max(self.accelerators, 1)
