--- a/src/damaskstall/placement/books.py
+++ b/src/damaskstall/placement/books.py
@@ -34,6 +34,7 @@
         self.end_s = end_s
         self.running: dict[str, RunningJob] = {}
         self.protected: set[str] = set()
+        self.yielding: set[str] = set()
         self.jobs_on: dict[int, list[str]] = {}
         self.held = Masks(layout.workers)
         self.promised = Masks(layout.workers)
@@ -42,6 +43,7 @@
         self.spare = BlockIndex(layout, self.spare_score)
         self.reclaim = BlockIndex(layout, self.reclaim_score)
         self.drain = BlockIndex(layout, self.drain_score)
+        self.indexes = (self.free, self.spare, self.reclaim, self.drain)
 
     def hold(self, running: RunningJob) -> None:
         """Count a job as holding its block."""
@@ -64,6 +66,7 @@
         if running is None:
             return None
         self.protected.discard(name)
+        self.yielding.discard(name)
         block = running.block
         for worker in range(
             block.first_worker, block.first_worker + block.hosts
@@ -84,10 +87,8 @@
 
     def changed(self, block: Block) -> None:
         """Note that a block's accelerators changed hands."""
-        self.free.changed(block)
-        self.spare.changed(block)
-        self.reclaim.changed(block)
-        self.drain.changed(block)
+        for index in self.indexes:
+            index.changed(block)
 
     def jobs_in(self, block: Block) -> list[RunningJob]:
         """Return the jobs that hold accelerators of a block."""
