End impossible jobs, test handovers and random faults together

Cause: with the real planner a job that fits no cell was never offered to any cell, so nobody ended it; the fake planner hid that. Its claim order is empty. Now the cells look after such a job in the order of their names, and the first one that lives ends it as unschedulable.

--- a/src/damaskstall/scheduler/cell.py
+++ b/src/damaskstall/scheduler/cell.py
@@ -196,6 +196,8 @@
             for name, value in config.resources("team").items()
         }
         self.policy.set_weights(weights)
+        self.queue.forget_ranks()
+        self.ends.forget_shapes()
         # The claim order may have changed for every waiting job.
         self._dirty.update(dict.fromkeys(self.context.book.entries))
 
--- a/src/damaskstall/scheduler/ends.py
+++ b/src/damaskstall/scheduler/ends.py
@@ -6,6 +6,7 @@
 from trio import Event, move_on_after, open_nursery
 
 from damaskstall.errors import TableUnavailableError
+from damaskstall.placement.model import Shape
 from damaskstall.resources.records import (
     JOB_CANCELLED,
     JOB_QUEUED,
@@ -33,6 +34,7 @@
         self.context = context
         self.cell = cell
         self._changes: dict[str, tuple[str, str]] = {}
+        self._problems: dict[tuple[str, Shape], str] = {}
         self._wake = Event()
         self._next_reasons_s = 0.0
 
@@ -48,6 +50,15 @@
         """Return why no cell can ever hold a job, or an empty text."""
         wanted = entry.spec["failure_domain"]
         shape = shape_of(entry.spec)
+        if (wanted, shape) not in self._problems:
+            self._problems[wanted, shape] = self._shape_problem(wanted, shape)
+        return self._problems[wanted, shape]
+
+    def forget_shapes(self) -> None:
+        """Look at all shapes anew, after the configuration changed."""
+        self._problems.clear()
+
+    def _shape_problem(self, wanted: str, shape: Shape) -> str:
         cells = self.context.planner.cells(self.context.config).values()
         for cell in cells:
             if wanted in ("", cell.failure_domain) and fits_cell(shape, cell):
--- a/src/damaskstall/scheduler/queue.py
+++ b/src/damaskstall/scheduler/queue.py
@@ -43,13 +43,35 @@
         self.policy = policy
         self.due_s: dict[str, float] = {}
         self.admitted: set[str] = set()
+        self._ranks: dict[str, int | None] = {}
 
     def rank(self, entry: JobEntry) -> int | None:
         """Return how many cells go before this one, or None if it may not."""
-        order = self.context.planner.claim_order(
-            entry.name, entry.spec, self.context.config
+        if entry.name not in self._ranks:
+            order = self._order(entry)
+            rank = order.index(self.cell) if self.cell in order else None
+            self._ranks[entry.name] = rank
+        return self._ranks[entry.name]
+
+    def forget_ranks(self) -> None:
+        """Ask for the claim orders anew, after the configuration changed."""
+        self._ranks.clear()
+
+    def _order(self, entry: JobEntry) -> tuple[str, ...]:
+        """Return the cells that look after a job, the preferred one first.
+
+        Where none can run it, one of them still has to say so.
+        """
+        planner, config = self.context.planner, self.context.config
+        order = planner.claim_order(entry.name, entry.spec, config)
+        if order:
+            return order
+        wanted = entry.spec["failure_domain"]
+        return tuple(
+            name
+            for name, cell in sorted(planner.cells(config).items())
+            if wanted in ("", cell.failure_domain)
         )
-        return order.index(self.cell) if self.cell in order else None
 
     def offer(self, entry: JobEntry) -> None:
         """Take note of a queued job."""
@@ -63,6 +85,7 @@
 
     def forget(self, name: str) -> None:
         """Drop a job that no longer waits."""
+        self._ranks.pop(name, None)
         self.due_s.pop(name, None)
         if name in self.admitted:
             self.admitted.discard(name)
--- /dev/null
+++ b/tests/scheduler/test_chaos.py
@@ -0,0 +1,161 @@
+"""Test random faults, several at once, against the checker."""
+
+from random import Random
+
+from pytest import mark
+from trio import current_time, sleep
+
+from standins.platform.faults import FaultRule
+from tests.scheduler.fakes import FakePlanner
+from tests.scheduler.world import World, real_planner, run_world
+
+ROUNDS = 14
+SEEDS = range(6)
+
+
+class Chaos:
+    """Bring random faults about in a world and end them again."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        """Seed the choice."""
+        self.world = world
+        self.random = Random(seed)
+        self.spare = 0
+
+    async def round(self) -> None:
+        """Bring one to three faults about, wait, and end most of them."""
+        faults = [
+            self.kill,
+            self.freeze,
+            self.cut_worker,
+            self.cut_table,
+            self.lose_answers,
+            self.lose_worker_answers,
+            self.restart_worker,
+            self.take_out,
+            self.cut_one_way,
+        ]
+        for fault in self.random.sample(faults, self.random.randint(1, 3)):
+            await fault()
+        await sleep(self.random.uniform(0, 40))
+        await self.heal()
+
+    async def heal(self) -> None:
+        """End all faults."""
+        self.world.platform.faults.rules = ()
+        for source, target in list(self.world.network.cuts):
+            self.world.network.heal(source, target)
+        for process in self.world.schedulers.values():
+            if process.name in self.world.network.frozen:
+                process.thaw()
+        for domain in ("north", "south"):
+            await self.world.set_state(domain, "in")
+
+    def any_scheduler(self) -> str:
+        """Return the name of a scheduler that lives."""
+        return self.random.choice(sorted(self.world.schedulers))
+
+    def any_worker(self) -> str:
+        """Return the name of a worker."""
+        return self.random.choice(sorted(self.world.workers))
+
+    async def kill(self) -> None:
+        """Kill a scheduler and start one under another name."""
+        name = self.any_scheduler()
+        process = self.world.schedulers.pop(name)
+        domain = process.service.keeper.context.settings.failure_domain
+        process.kill()
+        self.spare += 1
+        self.world.add_scheduler(f"x{self.spare}", domain)
+
+    async def freeze(self) -> None:
+        """Freeze a scheduler."""
+        self.world.schedulers[self.any_scheduler()].freeze()
+
+    async def cut_worker(self) -> None:
+        """Cut a worker from a scheduler, both ways."""
+        scheduler, worker = self.any_scheduler(), self.any_worker()
+        self.world.network.cut(scheduler, worker)
+        self.world.network.cut(worker, scheduler)
+
+    async def cut_one_way(self) -> None:
+        """Hold back what a scheduler sends to its workers."""
+        scheduler = self.any_scheduler()
+        for worker in self.world.workers:
+            if self.random.random() < 0.5:
+                self.world.network.cut(scheduler, worker)
+
+    async def cut_table(self) -> None:
+        """Cut one or all schedulers off from the table."""
+        callers = () if self.random.random() < 0.3 else (self.any_scheduler(),)
+        self._add_rule(FaultRule(callers=callers, down=True))
+
+    async def lose_answers(self) -> None:
+        """Lose answers of the table."""
+        self._add_rule(FaultRule(callers=("s", "x"), lose_answers=0.4))
+
+    async def lose_worker_answers(self) -> None:
+        """Lose the next answers of a worker."""
+        server = self.world.workers[self.any_worker()].server
+        faults = server.core.faults._replace(lose_answers=2)
+        server.set_faults(faults)
+
+    async def restart_worker(self) -> None:
+        """Reset a worker."""
+        core = self.world.workers[self.any_worker()].core
+        core.restart(current_time())
+
+    async def take_out(self) -> None:
+        """Take a failure domain out."""
+        if not self.world.platform.faults.down("operator"):
+            domain = self.random.choice(["north", "south"])
+            await self.world.set_state(domain, "out")
+
+    def _add_rule(self, rule: FaultRule) -> None:
+        if not rule.callers:
+            rule = rule._replace(callers=("s", "x"))
+        self.world.platform.faults.rules += (rule,)
+
+
+@mark.parametrize("seed", SEEDS)
+def test_random_faults_break_no_promise(seed: int) -> None:
+    async def scenario(world: World) -> None:
+        random = Random(seed)
+        for domain in ("north", "south"):
+            await world.add_domain(domain, hosts=3)
+            world.add_scheduler(f"s-{domain}-1", domain)
+            world.add_scheduler(f"s-{domain}-2", domain)
+        chaos = Chaos(world, seed)
+        count = 0
+        for _ in range(ROUNDS):
+            for _ in range(random.randint(1, 4)):
+                count += 1
+                await world.submit(
+                    f"job-{count}",
+                    hosts=random.randint(1, 3),
+                    accelerators_per_host=random.choice([2, 4, 8]),
+                    restartable=random.random() < 0.7,
+                    checkpointable=random.random() < 0.5,
+                    max_attempts=10,
+                    work={
+                        "run_s": random.uniform(1, 60),
+                        "outcome": "succeed",
+                        "output": "x",
+                    },
+                )
+            await chaos.round()
+        await world.wait_ended(900)
+        assert world.problems() == []
+        for number in range(1, count + 1):
+            status = world.status(f"job-{number}")
+            assert status["state"] in ("succeeded", "failed")
+            if status["state"] == "failed":
+                assert "not restartable" in status["reason"]
+
+    run_world(
+        scenario,
+        seed=seed,
+        make_planner=real_planner if seed % 2 else FakePlanner,
+        cell_lease_ttl_s=6.0,
+        cell_lease_renew_s=2.0,
+    )
--- a/tests/scheduler/test_waves.py
+++ b/tests/scheduler/test_waves.py
@@ -1,9 +1,13 @@
 """Test waves of cancellations, impossible jobs, reclaim and drain."""
 
+from collections.abc import Callable
+
+from pytest import mark
 from trio import current_time, sleep
 
+from damaskstall.scheduler.planner import Planner
 from tests.scheduler.fakes import FakePlanner
-from tests.scheduler.world import World, run_world
+from tests.scheduler.world import World, real_planner, run_world
 
 LONG = {"run_s": 100.0, "outcome": "succeed", "output": ""}
 
@@ -38,7 +42,10 @@
     )
 
 
-def test_impossible_job_ends_with_the_reason() -> None:
+@mark.parametrize("make_planner", [FakePlanner, real_planner])
+def test_impossible_job_ends_with_the_reason(
+    make_planner: Callable[[], Planner],
+) -> None:
     async def scenario(world: World) -> None:
         await world.add_domain("north", hosts=4)
         world.add_scheduler("s1", "north")
@@ -50,7 +57,7 @@
             assert status["state"] == "unschedulable"
             assert "even if it were empty" in status["reason"]
 
-    run_world(scenario)
+    run_world(scenario, make_planner=make_planner)
 
 
 def test_waiting_job_says_why_and_reasons_cost_few_writes() -> None:
--- a/tests/scheduler/world.py
+++ b/tests/scheduler/world.py
@@ -22,6 +22,7 @@
 from damaskstall.generated.settings import SchedulerSettings
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
 from damaskstall.peers.config_store import ConfigStore
+from damaskstall.placement.planner import ConfigPlanner
 from damaskstall.platform.keys import CONFIG_PREFIX, config_key, job_key
 from damaskstall.platform.types import ABSENT, ChangePage, Row, ScanPage, Write
 from damaskstall.resources.records import (
@@ -340,6 +341,11 @@
         )
 
 
+def real_planner() -> Planner:
+    """Return the product's planner, with the policy that it makes."""
+    return ConfigPlanner(SchedulerSettings().cell_worker_limit)
+
+
 async def follow_config(table: GatedTable, config: ConfigStore) -> None:
     """Poll the configuration, as the follower of peers does."""
     while True:
--- /dev/null
+++ b/tests/test_worker_standin.py
@@ -0,0 +1,148 @@
+"""Test that the stand-in worker keeps the rules of its interface."""
+
+from typing import Any
+
+from standins.worker.core import WorkerCore
+
+KEY = {"job": "a", "attempt": 1, "task": 0}
+
+
+class Caller:
+    """Send exchanges to a worker as a holder does."""
+
+    def __init__(self, core: WorkerCore, epoch: int) -> None:
+        """Speak under an epoch."""
+        self.core = core
+        self.epoch = epoch
+        self.sequence = 0
+
+    def request(self, *commands: dict[str, Any], **fields: Any) -> Any:
+        """Return the next request of this holder."""
+        self.sequence += 1
+        return {
+            "cell": "north/0",
+            "epoch": self.epoch,
+            "sequence": self.sequence,
+            "renew_until_s": self.core.clock_s(100.0),
+            "commands": list(commands),
+            **fields,
+        }
+
+    def send(self, now_s: float, *commands: dict[str, Any]) -> Any:
+        """Send commands and return the answer."""
+        return self.core.exchange(self.request(*commands), now_s)
+
+
+def prepare(core: WorkerCore, **changes: Any) -> dict[str, Any]:
+    """Return a command that holds accelerators until the 20th second."""
+    return {
+        "do": "prepare",
+        **KEY,
+        "first": 0,
+        "count": 4,
+        "work": {"run_s": 5.0},
+        "hold_until_s": core.clock_s(20.0),
+        "not_after_s": core.clock_s(10.0),
+        **changes,
+    }
+
+
+def run(core: WorkerCore, not_after_s: float = 10.0) -> dict[str, Any]:
+    """Return a command that runs the prepared task."""
+    return {"do": "run", **KEY, "not_after_s": core.clock_s(not_after_s)}
+
+
+def new_core() -> WorkerCore:
+    """Return a worker."""
+    return WorkerCore("w", 8, seed=3)
+
+
+def test_late_run_is_refused() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    caller.send(0, prepare(core))
+    answer = caller.send(11, run(core))
+    assert answer["refused"] == [{"index": 0, "reason": "late"}]
+    assert [r["event"] for r in core.records] == ["prepared", "refused"]
+
+
+def test_old_holder_is_refused_and_new_one_sees_the_tasks() -> None:
+    core = new_core()
+    old, new = Caller(core, 5), Caller(core, 6)
+    old.send(0, prepare(core), run(core))
+    answer = new.send(1)
+    assert [task["state"] for task in answer["tasks"]] == ["running"]
+    assert old.send(2, {"do": "stop", **KEY})["problem"] == "stale epoch"
+    assert core.tasks[("a", 1, 0)].state == "running"
+
+
+def test_exchange_that_was_overtaken_is_refused() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    late = caller.request(prepare(core), run(core))
+    caller.send(0, {"do": "stop", **KEY})
+    assert core.exchange(late, 1)["problem"] == "stale sequence"
+    assert not core.tasks
+
+
+def test_accelerators_are_held_once() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    caller.send(0, prepare(core))
+    answer = caller.send(1, prepare(core, job="b", first=3))
+    assert answer["refused"][0]["reason"] == "accelerators in use"
+    assert not caller.send(2, prepare(core, job="c", first=4)).get("refused")
+
+
+def test_hold_and_lease_expire_alone() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    caller.send(0, prepare(core))
+    core.advance(21)
+    assert core.records[-1]["event"] == "expired"
+    again = prepare(
+        core,
+        job="b",
+        work={"run_s": 1000.0},
+        hold_until_s=core.clock_s(50),
+        not_after_s=core.clock_s(50),
+    )
+    caller.send(22, again)
+    caller.send(22, {**run(core, 1e6), "job": "b"})
+    core.advance(101)
+    assert core.records[-1]["event"] == "expired"
+
+
+def test_result_is_held_until_acknowledged() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    caller.send(0, prepare(core), run(core))
+    for now_s in (10, 5000):
+        states = [task["state"] for task in caller.send(now_s)["tasks"]]
+        assert states == ["succeeded"]
+    assert caller.send(5001, {"do": "ack", **KEY})["tasks"] == []
+
+
+def test_unchanged_tasks_are_not_repeated() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    version = caller.send(0, prepare(core))["version"]
+    answer = core.exchange(caller.request(seen_version=version), 1)
+    assert "tasks" not in answer
+
+
+def test_checkpoint_lets_the_work_go_on_elsewhere() -> None:
+    core = new_core()
+    caller = Caller(core, 5)
+    caller.send(0, prepare(core), run(core))
+    answer = caller.send(3, {"do": "checkpoint", **KEY}, {"do": "stop", **KEY})
+    (report,) = answer["tasks"]
+    again = prepare(
+        core,
+        attempt=2,
+        checkpoint=report["checkpoint"],
+        not_after_s=core.clock_s(50),
+    )
+    caller.send(4, again, {**run(core), "attempt": 2})
+    core.advance(6.1)
+    assert core.records[-1]["event"] == "finished"
