--- a/tests/requests/world.py
+++ b/tests/requests/world.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from json import dumps
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from trio import (
     TASK_STATUS_IGNORED,
@@ -22,7 +22,9 @@
 from damaskstall.errors import HttpError
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.http.client import HttpConnection
+from damaskstall.http.messages import Request, Response
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.network import Network
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.platform.types import ChangePage, InstanceRecord, Row
 from standins.backend.core import BackendCore
@@ -93,10 +95,32 @@
         self.core.faults.rules = list(rules)
 
 
+class Gateway(Protocol):
+    """Answer callers' requests, as entries and baselines do."""
+
+    config: ConfigStore
+    in_flight: int
+
+    async def run(self) -> None:
+        """Do the background work until cancelled."""
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request of a caller."""
+
+    async def drain(self) -> None:
+        """Return once no request is in flight."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+
+
+MakeGateway = Callable[[Network, ConfigStore, EntrySettings, Random], Gateway]
+
+
 class Entry:
     """Hold one running entry."""
 
-    def __init__(self, name: str, gateway: RequestGateway) -> None:
+    def __init__(self, name: str, gateway: Gateway) -> None:
         """Name it."""
         self.name = name
         self.gateway = gateway
@@ -146,21 +170,31 @@
         self.backends[backend.name] = backend
 
     async def add_entry(
-        self, name: str, failure_domain: str = "fd1", **settings: Any
+        self,
+        name: str,
+        failure_domain: str = "fd1",
+        make_gateway: MakeGateway | None = None,
+        **chosen: Any,
     ) -> Entry:
-        """Start an entry with its gateway."""
+        """Start an entry with its gateway, or with one made otherwise."""
         end = self.network.end(name)
-        gateway = RequestGateway(
-            end,
-            MemoryTable(self.platform, name),
-            MemoryInstances(self.platform, name),
-            ConfigStore(),
-            EntrySettings(
-                instance=name, failure_domain=failure_domain, **settings
-            ),
-            random=Random(f"{self.seed}/{name}"),
-            unix_now=unix_now,
+        config = ConfigStore()
+        random = Random(f"{self.seed}/{name}")
+        settings = EntrySettings(
+            instance=name, failure_domain=failure_domain, **chosen
         )
+        if make_gateway is not None:
+            gateway: Gateway = make_gateway(end, config, settings, random)
+        else:
+            gateway = RequestGateway(
+                end,
+                MemoryTable(self.platform, name),
+                MemoryInstances(self.platform, name),
+                config,
+                settings,
+                random=random,
+                unix_now=unix_now,
+            )
         entry = Entry(name, gateway)
         self.entries[name] = entry
         self.platform.instances[name] = InstanceRecord(
@@ -201,6 +235,15 @@
         for entry in self.entries.values():
             entry.config.apply(page, current_time())
 
+    def take_out(self, failure_domain: str) -> None:
+        """Take a failure domain out of service."""
+        self.revision += 1
+        spec = {"state": "out", "racks": []}
+        row = self._row(f"failure_domain/{failure_domain}", spec)
+        page = ChangePage((row,), self.revision, True)
+        for entry in self.entries.values():
+            entry.config.apply(page, current_time())
+
     def _row(self, name: str, spec: Any) -> Row:
         value = {"spec": spec, "status": {}}
         return Row(f"config/{name}", self.revision, "m", value)
@@ -211,7 +254,9 @@
 
     async def ask(self, entry: Entry, ask: Ask) -> CallerRecord:
         """Make one call on a connection of its own and record it."""
+        started_s = current_time()
         answer = await self.raw_ask(entry, ask)
+        answer = answer._replace(elapsed_s=current_time() - started_s)
         self.callers.append(answer)
         return answer
 
@@ -256,6 +301,31 @@
         assert not problems, "\n".join(problems)
 
 
+async def offer_load(
+    world: World,
+    entries: list[Entry],
+    rate_per_s: float,
+    duration_s: float,
+    make_ask: Callable[[int], Ask],
+) -> list[CallerRecord]:
+    """Ask at a rate whatever the answers, and return what came back."""
+    random = Random(world.seed)
+    records: list[CallerRecord] = []
+
+    async def one(number: int) -> None:
+        entry = entries[number % len(entries)]
+        records.append(await world.ask(entry, make_ask(number)))
+
+    end_s = current_time() + duration_s
+    async with open_nursery() as nursery:
+        number = 0
+        while current_time() < end_s:
+            nursery.start_soon(one, number)
+            number += 1
+            await sleep(random.expovariate(rate_per_s))
+    return records
+
+
 async def serve_backend(
     backend: Backend,
     end: NetworkEnd,
@@ -312,6 +382,7 @@
         told=head.headers.get("damaskstall-outcome", ""),
         not_run=head.headers.get("damaskstall-not-run") == "true",
         status=head.status,
+        retry_after=head.headers.get("retry-after", ""),
         request_id=head.headers.get("damaskstall-request-id", ""),
         body=body,
     )
