Bound memory, count metrics, and test with killed and stopped processes

Cause: 512 callers with long bodies and answers could take 64 MB and keyed ones 512 MB; connections of a removed server were kept; a removed service left its queue waiting; nothing was counted. Two tests were too weak and are stricter now: with the leaving mark ignored, or servers never ageing, they passed (the limits kept work away by themselves). An earlier attempt that may have run was untested and is now.

--- a/bench/requests/loads.py
+++ b/bench/requests/loads.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from trio import open_nursery, sleep
+from trio import current_time, open_nursery, sleep
 
 from bench.requests.baseline import BaselineGateway
 from damaskstall.generated.settings import EntrySettings
@@ -92,22 +92,35 @@
     rate = load * size.capacity_per_s
     entries = [*world.entries.values()]
     spoil(world, case)
-    await offer_load(world, entries, rate, size.warm_up_s, maker(size, "w"))
     bad = world.backends["b0"].core
-    if case == LEAVING:
-        bad.leaving = True
-    warm = len(world.callers)
-    before = len(bad.arrivals_s)
-    runs_before = len(world.runs())
-    records = await offer_load(
-        world, entries, rate, size.duration_s, maker(size, "m")
-    )
-    bad_share = (len(bad.arrivals_s) - before) / len(records)
-    runs = len(world.runs()) - runs_before
-    assert len(world.callers) == warm + len(records)
+    async with open_nursery() as nursery:
+        length_s = size.warm_up_s + size.duration_s
+        nursery.start_soon(
+            offer_load, world, entries, rate, length_s, maker(size)
+        )
+        await sleep(size.warm_up_s)
+        if case == LEAVING:
+            bad.leaving = True
+        began_s = current_time()
+        before = len(bad.arrivals_s)
+        runs = -len(world.runs())
+        await sleep(size.duration_s)
+        arrivals = len(bad.arrivals_s) - before
+        runs += len(world.runs())
+    records = [r for r in world.callers if r.asked_s >= began_s]
+    in_window = [
+        r
+        for r in world.callers
+        if 0 <= r.asked_s + r.elapsed_s - began_s < size.duration_s
+    ]
     problems = check_requests(world.callers, world.runs())
     return summarize(
-        mode, case, load, size, records, bad_share, runs, len(problems)
+        Measured(mode, case, load, size),
+        records,
+        sum(is_good(record, size) for record in in_window),
+        arrivals / len(records),
+        runs,
+        len(problems),
     )
 
 
@@ -120,49 +133,56 @@
         bad.break_answers(FaultRule("failing"))
 
 
-def maker(size: Size, name: str) -> Callable[[int], Ask]:
+def maker(size: Size) -> Callable[[int], Ask]:
     """Return what makes the requests: half of them idempotent."""
 
     def make(number: int) -> Ask:
         service = "index" if number % 2 else "minutes"
-        return Ask(
-            f"{name}{number}", service=service, deadline_s=size.deadline_s
-        )
+        return Ask(f"r{number}", service=service, deadline_s=size.deadline_s)
 
     return make
 
 
+class Measured(NamedTuple):
+    """Name what a load measures."""
+
+    mode: str
+    case: str
+    load: float
+    size: Size
+
+
+def is_good(record: CallerRecord, size: Size) -> bool:
+    """Return whether a caller got its answer in time."""
+    if record.told != ANSWERED or record.status != 200:
+        return False
+    return record.elapsed_s <= size.deadline_s
+
+
 def summarize(
-    mode: str,
-    case: str,
-    load: float,
-    size: Size,
+    measured: Measured,
     records: list[CallerRecord],
+    good_in_window: int,
     bad_share: float,
     runs: int,
     problems: int,
 ) -> Result:
     """Return the figures of one load; goodput is a share of capacity."""
-    good = sorted(
-        r.elapsed_s
-        for r in records
-        if r.told == ANSWERED
-        and r.status == 200
-        and r.elapsed_s <= size.deadline_s
-    )
+    size = measured.size
+    good = sorted(r.elapsed_s for r in records if is_good(r, size))
     refused = sorted(r.elapsed_s for r in records if r.told == NOT_RUN)
     return Result(
-        mode,
-        case,
-        load,
+        measured.mode,
+        measured.case,
+        measured.load,
         len(records),
-        len(good) / size.duration_s / size.capacity_per_s,
+        good_in_window / size.duration_s / size.capacity_per_s,
         quantile(good, 0.5),
         quantile(good, 0.99),
         len(refused),
         len(records) - len(good) - len(refused),
         quantile(refused, 0.99),
-        runs / max(1, len(good)),
+        runs / max(1, good_in_window),
         bad_share,
         problems,
     )
--- a/src/damaskstall/entry/attempts.py
+++ b/src/damaskstall/entry/attempts.py
@@ -17,6 +17,7 @@
     StreamedAnswer,
     exchange,
 )
+from damaskstall.entry.measures import ATTEMPT_FAILURES, RETRIES
 from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
 from damaskstall.entry.words import DEADLINE_HEADER
@@ -72,6 +73,8 @@
             except RequestNotRunError as error:
                 return self._conclude(error)
             self.attempts += 1
+            if self.attempts > 1:
+                RETRIES.inc({"service": self.call.service})
             try:
                 answer = await self._attempt(server)
             except ConnectFailedError as error:
@@ -139,8 +142,10 @@
             return answer
         except ConnectFailedError:
             server.note_unreachable()
+            self._count(server, "unreachable")
             raise
         except ServerRefusedError as error:
+            self._count(server, "refused")
             server.note_refusal(current_time())
             if error.leaving:
                 self.router.note_leaving(server, True)
@@ -149,6 +154,7 @@
             raise
         except ConnectionLostError as error:
             server.note_failure(sent_s)
+            self._count(server, cause_of(error))
             if isinstance(error, AnswerMismatchError):
                 log(ANSWER_MISMATCHED, server=server.name, error=str(error))
             raise
@@ -188,9 +194,14 @@
         answer.body.on_end.append(end)
         return True
 
+    def _count(self, server: ServerState, cause: str) -> None:
+        labels = {"service": self.call.service, "server": server.name}
+        ATTEMPT_FAILURES.inc({**labels, "cause": cause})
+
     def _learn(self, status: int, server: ServerState, sent_s: float) -> None:
         if status >= FAILED_STATUS:
             server.note_failure(sent_s)
+            self._count(server, "status")
             return
         server.note_answer(sent_s, current_time())
         self.budget.earn()
@@ -203,6 +214,15 @@
     return answer.status >= FAILED_STATUS
 
 
+def cause_of(error: ConnectionLostError) -> str:
+    """Return the word by which metrics tell lost answers apart."""
+    if isinstance(error, AnswerMismatchError):
+        return "mismatched"
+    if isinstance(error, AnswerTimeoutError):
+        return "late"
+    return "lost"
+
+
 def unknown_error(error: ConnectionLostError) -> RequestOutcomeUnknownError:
     """Return what the caller is told of a lost answer."""
     late = isinstance(error, AnswerTimeoutError)
--- a/src/damaskstall/entry/body.py
+++ b/src/damaskstall/entry/body.py
@@ -6,7 +6,8 @@
 such a request can go to another server only until the rest was touched.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 
 from trio import TooSlowError
 
@@ -14,11 +15,12 @@
     BodyTooLargeError,
     CallerLostError,
     ConnectionLostError,
+    RequestNotRunError,
     RequestRejectedError,
 )
 from damaskstall.http.messages import Body
 
-REPLAY_LIMIT_BYTES = 65536
+REPLAY_LIMIT_BYTES = 16384
 
 
 class CallerBody:
@@ -87,3 +89,25 @@
         await body.read_start(limit_bytes)
     except BodyTooLargeError as error:
         raise RequestRejectedError(413, str(error)) from error
+
+
+class MemoryBudget:
+    """Bound what the bodies of keyed requests take together."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Start with nothing taken."""
+        self.limit_bytes = limit_bytes
+        self.taken_bytes = 0
+
+    @contextmanager
+    def hold(self, length_bytes: int) -> Iterator[None]:
+        """Take bytes for a while; raise RequestNotRunError past the limit."""
+        if self.taken_bytes + length_bytes > self.limit_bytes:
+            raise RequestNotRunError(
+                503, "Too many long requests with keys are under way.", 1
+            )
+        self.taken_bytes += length_bytes
+        try:
+            yield
+        finally:
+            self.taken_bytes -= length_bytes
--- a/src/damaskstall/entry/call.py
+++ b/src/damaskstall/entry/call.py
@@ -29,7 +29,8 @@
     """Hold one request as the entry carries it out.
 
     ``deadline_s`` is a monotonic time. ``idempotent`` is the stricter of the
-    service's declaration and the caller's word.
+    service's declaration and the caller's word. ``length_bytes`` is None
+    where the caller does not say how long its body is.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     target: str
     headers: Headers
     body: CallerBody
+    length_bytes: int | None
     caller_gone: Callable[[], Awaitable[None]]
 
 
@@ -65,7 +67,7 @@
         # Its end of a long answer could not be told from a cut.
         raise RequestRejectedError(505, "A request takes HTTP/1.1.")
     limit_bytes = settings.request_body_limit_bytes
-    check_length(request.headers, limit_bytes)
+    length_bytes = read_length(request.headers, limit_bytes)
     may_repeat = allows_repeats(request.headers)
     query = f"?{urlencode(request.query)}" if request.query else ""
     return Call(
@@ -79,17 +81,21 @@
         target=f"/{service}{query}",
         headers=forwarded(request.headers, OWN_REQUEST_HEADERS),
         body=CallerBody(request.body, limit_bytes),
+        length_bytes=length_bytes,
         caller_gone=request.disconnected,
     )
 
 
-def check_length(headers: dict[str, str], limit_bytes: int) -> None:
-    """Raise RequestRejectedError for a body that is known to be too long."""
+def read_length(headers: dict[str, str], limit_bytes: int) -> int | None:
+    """Return the body's length if it is known and within the limit."""
     text = headers.get("content-length", "")
-    if text.isdecimal() and int(text) > limit_bytes:
+    if not text.isdecimal():
+        return None
+    if int(text) > limit_bytes:
         raise RequestRejectedError(
             413, f"The body is longer than {limit_bytes} bytes."
         )
+    return int(text)
 
 
 def read_team(headers: dict[str, str], config: ConfigStore) -> str:
--- a/src/damaskstall/entry/claims.py
+++ b/src/damaskstall/entry/claims.py
@@ -17,7 +17,7 @@
 from trio import Nursery, current_time, move_on_at, open_nursery, sleep
 from trio.lowlevel import checkpoint_if_cancelled
 
-from damaskstall.entry.body import read_for_replay
+from damaskstall.entry.body import MemoryBudget, read_for_replay
 from damaskstall.entry.call import Call
 from damaskstall.entry.claim_sweep import sweep_claims
 from damaskstall.entry.events import (
@@ -48,6 +48,7 @@
 from damaskstall.platform.types import ABSENT, Row, TableService, Value, Write
 
 KEYED_BODY_LIMIT_BYTES = 1024 * 1024
+KEYED_TOTAL_LIMIT_BYTES = 16 * 1024 * 1024
 KEPT_BODY_LIMIT_BYTES = 16384
 RETENTION_S = 86400.0
 CLAIM_TIMEOUT_S = 2.0
@@ -90,6 +91,7 @@
         self.random = random
         self.unix_now = unix_now
         self.pending = 0
+        self.memory = MemoryBudget(KEYED_TOTAL_LIMIT_BYTES)
         self._nursery: Nursery | None = None
 
     async def run(self) -> None:
@@ -100,6 +102,13 @@
 
     async def run_once(self, call: Call, carry_out: CarryOut) -> Response:
         """Carry out a keyed request, or answer a repeat of it."""
+        length_bytes = min(
+            KEYED_BODY_LIMIT_BYTES, call.length_bytes or KEYED_BODY_LIMIT_BYTES
+        )
+        with self.memory.hold(length_bytes):
+            return await self._run_once(call, carry_out)
+
+    async def _run_once(self, call: Call, carry_out: CarryOut) -> Response:
         await read_for_replay(call.body, KEYED_BODY_LIMIT_BYTES)
         if not call.body.complete:
             raise RequestRejectedError(
@@ -128,7 +137,10 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON values."""
-        return {"pending_writes": self.pending}
+        return {
+            "pending_writes": self.pending,
+            "body_bytes": self.memory.taken_bytes,
+        }
 
     async def _claim(self, call: Call, digest: str) -> Claim | Row:
         """Return our new claim, or the row of an earlier one."""
--- a/src/damaskstall/entry/ejection.py
+++ b/src/damaskstall/entry/ejection.py
@@ -1,6 +1,7 @@
 """Put slow and failing servers out of use, but never too many of them."""
 
 from damaskstall.entry.events import SERVER_EJECTED
+from damaskstall.entry.measures import EJECTIONS
 from damaskstall.entry.server import ServerState
 from damaskstall.events import log
 
@@ -23,6 +24,8 @@
             continue
         server.eject(now_s)
         ejected += 1
+        labels = {"service": service, "server": server.name}
+        EJECTIONS.inc({**labels, "reason": reason})
         log(SERVER_EJECTED, service=service, server=server.name, reason=reason)
 
 
--- a/src/damaskstall/entry/exchange.py
+++ b/src/damaskstall/entry/exchange.py
@@ -31,7 +31,7 @@
 from damaskstall.http.client import HttpConnection, ResponseStart
 from damaskstall.http.messages import NOT_RUN_HEADER, Headers
 
-BUFFER_BYTES = 65536
+BUFFER_BYTES = 16384
 REFUSAL_STATUS = 503
 REFUSAL_WAIT_S = 0.2
 
--- a/src/damaskstall/entry/gateway.py
+++ b/src/damaskstall/entry/gateway.py
@@ -18,7 +18,7 @@
 from damaskstall.entry.attempts import RequestRun
 from damaskstall.entry.body import REPLAY_LIMIT_BYTES, read_for_replay
 from damaskstall.entry.budget import RetryBudget
-from damaskstall.entry.call import Call, read_call
+from damaskstall.entry.call import REQUESTS_PREFIX, Call, read_call
 from damaskstall.entry.claims import ClaimKeeper
 from damaskstall.entry.events import (
     DRAIN_ENDED,
@@ -27,10 +27,18 @@
 )
 from damaskstall.entry.exchange import Answer, StreamedAnswer
 from damaskstall.entry.health import InstanceWatch, watch_server
+from damaskstall.entry.measures import (
+    CLAIM_WRITES_PENDING,
+    IN_FLIGHT,
+    REQUEST_SECONDS,
+    REQUESTS,
+)
 from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
 from damaskstall.entry.words import (
     ANSWERED,
+    OUTCOME_HEADER,
+    TEAM_HEADER,
     identity,
     not_run_response,
     rejected_response,
@@ -96,6 +104,9 @@
             while True:
                 for router in self.routers.values():
                     router.tick(current_time())
+                    router.measure(current_time())
+                IN_FLIGHT.set({}, self.in_flight)
+                CLAIM_WRITES_PENDING.set({}, self.claims.pending)
                 await sleep(TICK_S)
 
     async def handle(self, request: Request) -> Response:
@@ -103,9 +114,11 @@
         self._numbers += 1
         request_id = f"{self.settings.instance}-{self._run_id}-{self._numbers}"
         self.in_flight += 1
+        started_s = current_time()
         streaming = False
         try:
             response = await self._answer(request, request_id)
+            self._measure(request, response, current_time() - started_s)
             if isinstance(response.body, StreamedAnswer):
                 streaming = True
                 response.body.on_end.append(self._end_stream)
@@ -155,6 +168,7 @@
         for name in list(self.routers):
             if name not in services:
                 self._update(name, {"servers": []}, weights)
+                self.routers[name].close()
                 del self.routers[name]
                 del self.budgets[name]
         for name, value in services.items():
@@ -229,6 +243,27 @@
         budget = self.budgets[call.service]
         return await RequestRun(call, router, budget, self.random).answer()
 
+    def _measure(
+        self, request: Request, response: Response, elapsed_s: float
+    ) -> None:
+        service = request.path.removeprefix(REQUESTS_PREFIX)
+        if service not in self.routers:
+            service = ""
+        team = request.headers.get(TEAM_HEADER, "")
+        if self.config.spec("team", team) is None:
+            # Callers must not be able to make up labels.
+            team = ""
+        outcome = dict(response.headers).get(OUTCOME_HEADER, "")
+        REQUESTS.inc(
+            {
+                "service": service,
+                "team": team,
+                "outcome": outcome,
+                "status": str(response.status),
+            }
+        )
+        REQUEST_SECONDS.observe({"service": service}, elapsed_s)
+
     async def _end_stream(self, whole: bool) -> None:
         self._end()
 
--- a/src/damaskstall/entry/pool.py
+++ b/src/damaskstall/entry/pool.py
@@ -33,6 +33,7 @@
         self.address = address
         self.limit = 1
         self.open_count = 0
+        self.closed = False
         self.idle: list[IdleConnection] = []
 
     async def take(self, fresh: bool, now_s: float) -> HttpConnection:
@@ -68,7 +69,8 @@
         self, connection: HttpConnection, now_s: float
     ) -> None:
         """Keep a connection whose exchange ended cleanly, or close it."""
-        if self.open_count <= self.limit and connection.recycle():
+        room = self.open_count <= self.limit and not self.closed
+        if room and connection.recycle():
             self.idle.append(IdleConnection(connection, now_s))
             return
         await self.discard(connection)
@@ -84,6 +86,7 @@
             await self.discard(self.idle.pop(0).connection)
 
     async def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections and keep none from now on."""
+        self.closed = True
         while self.idle:
             await self.discard(self.idle.pop().connection)
--- a/src/damaskstall/entry/router.py
+++ b/src/damaskstall/entry/router.py
@@ -14,6 +14,7 @@
 
 from damaskstall.entry.ejection import update_ejections
 from damaskstall.entry.events import SERVER_LEAVING, SERVER_RETURNED
+from damaskstall.entry.measures import QUEUED, SERVERS
 from damaskstall.entry.queue import FairQueue, Waiter
 from damaskstall.entry.server import ServerState
 from damaskstall.errors import CallerLostError, RequestNotRunError
@@ -25,6 +26,7 @@
 STATUS_BUSY = 429
 STATUS_UNAVAILABLE = 503
 RETRY_LIMIT_S = 30
+LOWEST_LATENCY_S = 1e-4
 
 CallerGone = Callable[[], Awaitable[None]]
 
@@ -47,6 +49,8 @@
         self.servers: dict[str, ServerState] = {}
         self.queue = FairQueue()
         self.refused = 0
+        self.usual_latency_s = 0.0
+        self.answers_per_s = 0.0
 
     def update(
         self, spec: BackendServiceSpec, weights: dict[str, float]
@@ -148,9 +152,23 @@
             server.in_flight += 1
             waiter.grant(server)
 
+    def close(self) -> None:
+        """Refuse all waiting requests, since the service is gone."""
+        for queue in list(self.queue.waiting.values()):
+            for waiter in list(queue):
+                self.queue.remove(waiter)
+                waiter.refuse(
+                    self._refusal(
+                        STATUS_UNAVAILABLE,
+                        f"The service {self.name!r} was removed.",
+                        waiter.team,
+                    )
+                )
+
     def tick(self, now_s: float) -> None:
         """Eject, shed and dispatch as time passes."""
         update_ejections(self.name, list(self.servers.values()), now_s)
+        self.estimate(now_s)
         for queue in list(self.queue.waiting.values()):
             for waiter in list(queue):
                 if self._latest_start_s(waiter.deadline_s) > now_s:
@@ -181,32 +199,38 @@
         event = SERVER_LEAVING if leaving else SERVER_RETURNED
         log(event, service=self.name, server=server.name)
 
-    def usual_latency_s(self) -> float:
-        """Return the middle of the servers' recent latencies."""
-        seen = sorted(
-            server.limit.latency_s
-            for server in self.servers.values()
-            if server.limit.latency_s is not None
-        )
-        return seen[len(seen) // 2] if seen else 0.0
-
-    def answers_per_s(self, now_s: float) -> float:
-        """Return how many answers a second the usable servers give."""
-        return sum(
-            int(server.limit.value) / max(server.limit.latency_s, 1e-4)
+    def estimate(self, now_s: float) -> None:
+        """Learn how fast the usable servers answer now."""
+        seen = [
+            (server.limit.latency_s, int(server.limit.value))
             for server in self.servers.values()
             if server.limit.latency_s is not None
             and server.is_serving(now_s)
             and not server.is_ejected(now_s)
+        ]
+        latencies_s = sorted(latency_s for latency_s, _ in seen)
+        self.usual_latency_s = latencies_s[len(seen) // 2] if seen else 0.0
+        self.answers_per_s = sum(
+            limit / max(latency_s, LOWEST_LATENCY_S)
+            for latency_s, limit in seen
         )
 
-    def wait_s(self, team: str, now_s: float) -> float:
+    def wait_s(self, team: str) -> float:
         """Return how long one more request of a team would wait."""
-        rate = self.answers_per_s(now_s)
-        if not rate:
+        if not self.answers_per_s:
             return 0.0
         ahead = self.queue.length(team) + 1
-        return ahead / (rate * self.queue.share(team))
+        return ahead / (self.answers_per_s * self.queue.share(team))
+
+    def measure(self, now_s: float) -> None:
+        """Set the gauges of this service."""
+        labels = {"service": self.name}
+        usable = sum(
+            server.is_serving(now_s) and not server.is_ejected(now_s)
+            for server in self.servers.values()
+        )
+        QUEUED.set(labels, len(self.queue))
+        SERVERS.set(labels, usable)
 
     def dump(self, now_s: float) -> dict[str, Any]:
         """Return the state as JSON values."""
@@ -221,13 +245,13 @@
             raise self._refusal(
                 STATUS_BUSY, f"The queue of team {team!r} is full.", team
             )
-        if now_s + self.wait_s(team, now_s) > self._latest_start_s(deadline_s):
+        if now_s + self.wait_s(team) > self._latest_start_s(deadline_s):
             raise self._refusal(
                 STATUS_BUSY, "The request would miss its deadline.", team
             )
 
     def _latest_start_s(self, deadline_s: float) -> float:
-        return deadline_s - self.usual_latency_s()
+        return deadline_s - self.usual_latency_s
 
     def _shed(self, waiter: Waiter) -> None:
         self.queue.remove(waiter)
@@ -243,6 +267,6 @@
         self, status: int, message: str, team: str
     ) -> RequestNotRunError:
         self.refused += 1
-        wait_s = self.wait_s(team, current_time())
+        wait_s = self.wait_s(team)
         retry_s = min(RETRY_LIMIT_S, max(1, ceil(wait_s)))
         return RequestNotRunError(status, message, retry_s)
--- a/tests/request_checker.py
+++ b/tests/request_checker.py
@@ -35,6 +35,7 @@
     request_id: str
     body: bytes
     expected: bytes
+    asked_s: float = 0.0
     elapsed_s: float = 0.0
     retry_after: str = ""
 
--- /dev/null
+++ b/tests/requests/entry_process.py
@@ -0,0 +1,71 @@
+"""Run an entry's request side as a process of its own, for tests.
+
+``python -m tests.requests.entry_process <host:port>...`` serves one service
+on the named backend servers and prints the address it listens at.
+"""
+
+from sys import argv
+
+from trio import open_nursery, run
+
+from damaskstall.addresses import Address
+from damaskstall.entry.gateway import RequestGateway
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.network import TcpNetwork
+from damaskstall.peers.config_store import ConfigStore
+from damaskstall.platform.types import ChangePage, Row
+from damaskstall.program import announce
+from standins.platform.memory import MemoryInstances, MemoryTable, Platform
+
+ANY = Address("127.0.0.1", 0)
+
+
+def declarations(addresses: list[str]) -> ChangePage:
+    """Return one team and one service on the named servers."""
+    servers = [
+        {
+            "name": f"b{number}",
+            "address": address,
+            "failure_domain": "fd1",
+            "slots": 8,
+            "connections": 64,
+        }
+        for number, address in enumerate(addresses)
+    ]
+    service = {"idempotent": False, "timeout_s": 60.0, "servers": servers}
+    team = {"weight": 1.0, "guarantees": []}
+    rows = (
+        Row("config/backend_service/minutes", 1, "m", {"spec": service}),
+        Row("config/team/press", 1, "m", {"spec": team}),
+    )
+    return ChangePage(rows, 1, True)
+
+
+async def serve(addresses: list[str]) -> None:
+    """Serve until killed."""
+    platform = Platform(seed=1)
+    config = ConfigStore()
+    config.apply(declarations(addresses), 0.0)
+    gateway = RequestGateway(
+        TcpNetwork(),
+        MemoryTable(platform, "e1"),
+        MemoryInstances(platform, "e1"),
+        config,
+        EntrySettings(instance="e1", failure_domain="fd1"),
+    )
+    async with open_nursery() as nursery:
+        nursery.start_soon(gateway.run)
+        address = await nursery.start(
+            serve_http,
+            gateway.handle,
+            TcpNetwork(),
+            ANY,
+            ServerLimits(),
+            DrainState(),
+        )
+        announce(listen=address)
+
+
+if __name__ == "__main__":
+    run(serve, argv[1:])
--- a/tests/requests/test_answers.py
+++ b/tests/requests/test_answers.py
@@ -1,7 +1,7 @@
 """Test that callers get their own whole answers or are told the truth."""
 
 from pytest import mark
-from trio import open_nursery
+from trio import open_nursery, sleep
 
 from standins.backend.faults import FaultRule
 from tests.request_checker import (
@@ -89,6 +89,21 @@
     run_world(scenario)
 
 
+def test_refused_retry_does_not_hide_that_the_first_attempt_ran() -> None:
+    async def scenario(world: World) -> None:
+        await start(world, backends=1)
+        backend = world.backends["b0"]
+        backend.break_answers(FaultRule("dropped", limit=1))
+        ask = Ask("a", service="index", run_s=0.3, deadline_s=2)
+        async with open_nursery() as nursery:
+            nursery.start_soon(world.ask, world.entries["e1"], ask)
+            await sleep(0.1)
+            backend.core.leaving = True
+        assert world.callers[0].told == UNKNOWN
+
+    run_world(scenario)
+
+
 def test_request_is_refused_as_not_run_when_nobody_serves() -> None:
     async def scenario(world: World) -> None:
         await start(world)
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -221,3 +221,22 @@
         assert world.platform.writes <= 12
 
     run_world(scenario)
+
+
+def test_long_keyed_bodies_take_bounded_memory() -> None:
+    async def scenario(world: World) -> None:
+        await start(world)
+        async with open_nursery() as nursery:
+            for number in range(24):
+                ask = Ask(
+                    f"t{number}",
+                    key=f"k{number}",
+                    padding_bytes=1_000_000,
+                    run_s=1.0,
+                )
+                nursery.start_soon(world.ask, world.entries["e1"], ask)
+        refused = [c for c in world.callers if c.told == NOT_RUN]
+        assert len(refused) >= 8
+        assert max(c.elapsed_s for c in refused) < 0.5
+
+    run_world(scenario)
--- a/tests/requests/test_overload.py
+++ b/tests/requests/test_overload.py
@@ -191,3 +191,19 @@
         assert not any(run.tag == "gone" for run in world.runs())
 
     run_world(scenario)
+
+
+def test_removed_service_refuses_what_waits() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world)
+        async with open_nursery() as nursery:
+            for number in range(8):
+                ask = Ask(f"t{number}", run_s=1.0, deadline_s=30)
+                nursery.start_soon(world.ask, entries[0], ask)
+            await sleep(0.2)
+            entries[0].config.apply(world.removal("minutes"), 0)
+        refused = [r for r in world.callers if r.told == NOT_RUN]
+        assert refused
+        assert max(r.elapsed_s for r in refused) < 0.5
+
+    run_world(scenario)
--- /dev/null
+++ b/tests/requests/test_processes.py
@@ -0,0 +1,169 @@
+"""Test with real processes that are killed and stopped in mid-request."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from json import loads
+from signal import SIGCONT, SIGKILL, SIGSTOP
+from subprocess import PIPE
+from sys import executable
+
+from pytest import mark
+from trio import (
+    Process,
+    TooSlowError,
+    fail_after,
+    open_nursery,
+    run,
+    sleep,
+)
+from trio.lowlevel import open_process
+
+from damaskstall.addresses import Address, parse_address
+from damaskstall.errors import HttpError
+from damaskstall.http.client import HttpClient, HttpConnection
+from damaskstall.network import TcpNetwork
+from tests.request_checker import (
+    BROKEN,
+    UNKNOWN,
+    CallerRecord,
+    ServerRecord,
+    check_requests,
+)
+from tests.requests.world import Ask, exchange_call
+
+TIMEOUT_S = 30.0
+POLL_S = 0.02
+ASK = Ask("mill", run_s=1.0, deadline_s=2.0)
+
+
+class Processes:
+    """Hold an entry, a backend server and what the caller was told."""
+
+    def __init__(self, backend: Process, backend_address: Address) -> None:
+        """Start with the backend server only."""
+        self.backend = backend
+        self.backend_address = backend_address
+        self.entry = backend
+        self.entry_address = backend_address
+        self.callers: list[CallerRecord] = []
+
+    async def ask(self) -> None:
+        """Make the one call."""
+        record = CallerRecord(
+            ASK.tag,
+            False,
+            False,
+            BROKEN,
+            False,
+            0,
+            "",
+            b"",
+            ASK.expected(),
+        )
+        connection = await HttpConnection.open(
+            TcpNetwork(), self.entry_address
+        )
+        try:
+            with fail_after(2 * ASK.deadline_s):
+                record = await exchange_call(connection, ASK, record)
+        except (HttpError, TooSlowError):
+            pass
+        finally:
+            self.callers.append(record)
+            await connection.close()
+
+    async def runs(self) -> list[ServerRecord]:
+        """Return what the backend server ran."""
+        client = HttpClient(TcpNetwork(), self.backend_address, TIMEOUT_S)
+        async with client:
+            answer = await client.call_json("GET", "/records")
+        return [
+            ServerRecord("b0", r["request_id"], r["tag"], r["started_s"])
+            for r in answer.value
+        ]
+
+    async def wait_serving(self) -> None:
+        """Return once the entry has seen the server's health."""
+        warm = Ask("warm", run_s=0.0, deadline_s=20.0)
+        record = CallerRecord(
+            "warm", False, False, BROKEN, False, 0, "", b"", warm.expected()
+        )
+        connection = await HttpConnection.open(
+            TcpNetwork(), self.entry_address
+        )
+        with fail_after(TIMEOUT_S):
+            self.callers.append(await exchange_call(connection, warm, record))
+        await connection.close()
+
+    async def wait_mill(self) -> None:
+        """Return once the request under test runs."""
+        with fail_after(TIMEOUT_S):
+            while all(run.tag != ASK.tag for run in await self.runs()):
+                await sleep(POLL_S)
+
+
+async def start(*arguments: str) -> tuple[Process, Address]:
+    """Start a program; return its process and the address it prints."""
+    process = await open_process([executable, "-m", *arguments], stdout=PIPE)
+    assert process.stdout is not None
+    with fail_after(TIMEOUT_S):
+        line = await process.stdout.receive_some()
+    return process, parse_address(loads(line)["listen"])
+
+
+@asynccontextmanager
+async def started() -> AsyncIterator[Processes]:
+    """Start a backend server and an entry, and end them afterwards."""
+    backend, address = await start("standins.backend", "--name=b0")
+    processes = Processes(backend, address)
+    try:
+        processes.entry, processes.entry_address = await start(
+            "tests.requests.entry_process", str(address)
+        )
+        await processes.wait_serving()
+        yield processes
+    finally:
+        for process in {processes.backend, processes.entry}:
+            process.kill()
+            await process.wait()
+
+
+def check(scenario: Callable[[Processes], Awaitable[None]]) -> None:
+    """Run a scenario with processes of its own."""
+
+    async def main() -> None:
+        async with started() as processes:
+            await scenario(processes)
+
+    run(main)
+
+
+@mark.parametrize("signal", [SIGKILL, SIGSTOP])
+def test_dead_or_stopped_entry_leaves_one_run_at_most(signal: int) -> None:
+    async def scenario(processes: Processes) -> None:
+        async with open_nursery() as nursery:
+            nursery.start_soon(processes.ask)
+            await processes.wait_mill()
+            processes.entry.send_signal(signal)
+        assert processes.callers[-1].told == BROKEN
+        if signal == SIGSTOP:
+            processes.entry.send_signal(SIGCONT)
+        runs = await processes.runs()
+        assert not check_requests(processes.callers, runs)
+        assert len(runs) == 2
+
+    check(scenario)
+
+
+@mark.parametrize("signal", [SIGKILL, SIGSTOP])
+def test_dead_or_stopped_server_is_told_as_unknown(signal: int) -> None:
+    async def scenario(processes: Processes) -> None:
+        async with open_nursery() as nursery:
+            nursery.start_soon(processes.ask)
+            await processes.wait_mill()
+            processes.backend.send_signal(signal)
+        told = processes.callers[-1]
+        assert told.told == UNKNOWN
+        assert told.status == (502 if signal == SIGKILL else 504)
+
+    check(scenario)
--- a/tests/requests/test_routing.py
+++ b/tests/requests/test_routing.py
@@ -30,10 +30,12 @@
     return Ask(f"m{number}", deadline_s=2.0)
 
 
-async def start(world: World, backends: int, entries: int = 1) -> list[Entry]:
+async def start(
+    world: World, backends: int, entries: int = 1, service_time_s: float = 0.05
+) -> list[Entry]:
     """Start backend servers and entries in one failure domain."""
     for number in range(backends):
-        await world.add_backend(f"b{number}")
+        await world.add_backend(f"b{number}", service_time_s=service_time_s)
     started = [await world.add_entry(f"e{n}") for n in range(entries)]
     await world.settle()
     return started
@@ -62,14 +64,15 @@
 @mark.parametrize("platform_down", [False, True])
 def test_leaving_server_gets_no_new_work(platform_down: bool) -> None:
     async def scenario(world: World) -> None:
-        entries = await start(world, 3, entries=3)
+        # So much load that the leaving server would be needed.
+        entries = await start(world, 3, entries=3, service_time_s=0.4)
         if platform_down:
             world.platform.faults.rules = (TableFault(down=True),)
-        await offer_load(world, entries, 50, 2, index)
+        await offer_load(world, entries, 55, 2, index)
         core = world.backends["b1"].core
         core.leaving = True
         left_s = current_time()
-        await offer_load(world, entries, 50, 8, index)
+        await offer_load(world, entries, 55, 8, Late(1).ask)
         late = [s for s in core.arrivals_s if s > left_s + LEAVING_LIMIT_S]
         assert core.arrivals_s and not late
 
@@ -96,6 +99,8 @@
 
     async def scenario(world: World) -> None:
         entries = await start(world, 2)
+        # The open connections would still take requests.
+        await offer_load(world, entries, 50, 1, Late(1).ask)
         world.network.cut("b1", "e0")
         await sleep(LEAVING_LIMIT_S)
         before = len(world.backends["b1"].core.arrivals_s)
--- a/tests/requests/world.py
+++ b/tests/requests/world.py
@@ -244,6 +244,13 @@
         for entry in self.entries.values():
             entry.config.apply(page, current_time())
 
+    def removal(self, service: str) -> ChangePage:
+        """Return the change that removes a service."""
+        self.revision += 1
+        key = f"config/backend_service/{service}"
+        row = Row(key, self.revision, "m", None)
+        return ChangePage((row,), self.revision, True)
+
     def _row(self, name: str, spec: Any) -> Row:
         value = {"spec": spec, "status": {}}
         return Row(f"config/{name}", self.revision, "m", value)
@@ -256,7 +263,9 @@
         """Make one call on a connection of its own and record it."""
         started_s = current_time()
         answer = await self.raw_ask(entry, ask)
-        answer = answer._replace(elapsed_s=current_time() - started_s)
+        answer = answer._replace(
+            asked_s=started_s, elapsed_s=current_time() - started_s
+        )
         self.callers.append(answer)
         return answer
 
