Sharpen the scenarios until they fail without the mechanism

Cause: with the start permit, the check of prepared tasks or the order of acknowledgement removed, all 19 scenarios still passed; freezes came too late after the write they aimed at. Ruled out: that the removals were not in force.

--- a/demo/checks.py
+++ b/demo/checks.py
@@ -14,7 +14,7 @@
 from standins.platform.table import Commit
 from tests.job_checker import check_jobs
 
-LATE_START_S = 5.0
+LATE_START_S = 4.0
 
 
 class RequestRecord(NamedTuple):
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,8 +1,10 @@
 """Start the product and the stand-ins as processes, and end them all."""
 
 from collections.abc import Mapping, Sequence
+from errno import ECONNREFUSED
 from json import JSONDecodeError, loads
 from pathlib import Path
+from random import SystemRandom
 from signal import SIGKILL, SIGTERM
 from socket import AF_INET, SOCK_STREAM, socket
 from subprocess import DEVNULL, PIPE
@@ -20,6 +22,8 @@
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 15
 HOST = "127.0.0.1"
+FIRST_PORT = 20000
+LAST_PORT = 30000
 LINE_LIMIT_BYTES = 65536
 
 
@@ -38,16 +42,18 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on; all are distinct.
 
-    Peers must know each other's addresses before any of them runs, so a
-    bound port cannot be asked for afterwards.
+    Peers must know each other's addresses before any of them runs, so the
+    system cannot choose the ports. Its own choices for outgoing connections
+    lie above these, and so take none of them before its process starts.
     """
-    sockets = [socket(AF_INET, SOCK_STREAM) for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    random = SystemRandom()
+    free: set[int] = set()
+    while len(free) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket(AF_INET, SOCK_STREAM) as probe:
+            if probe.connect_ex((HOST, port)) == ECONNREFUSED:
+                free.add(port)
+    return sorted(free)
 
 
 class Processes:
--- a/demo/story.py
+++ b/demo/story.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from trio import (
+    Event,
     TooSlowError,
     current_time,
     fail_after,
@@ -41,7 +42,8 @@
 TAKEN_OUT = "b"
 SETTLE_S = 3.0
 PICTURE_S = 3.0
-OUT_S = 8.0
+OUT_S = 12.0
+EVENING_S = 5.0
 JOBS_TIMEOUT_S = 90
 REQUESTS = 24
 
@@ -55,6 +57,7 @@
         self.server = cluster.operators["a"]
         self.requests: list[RequestRecord] = []
         self.teams: list[dict[str, Any]] = []
+        self.evening_declared = Event()
         self.take_out_unix_s = 0.0
         self.return_unix_s = 0.0
 
@@ -97,7 +100,10 @@
                 while True:
                     jobs = await read_jobs(self.server)
                     self.print_jobs(jobs, current_time() - started_s)
-                    if all(j["status"]["state"] in JOB_ENDED for j in jobs):
+                    ended = all(
+                        j["status"]["state"] in JOB_ENDED for j in jobs
+                    )
+                    if ended and self.evening_declared.is_set():
                         return True
                     await sleep(PICTURE_S)
         except TooSlowError:
@@ -121,7 +127,11 @@
         await damaskstallctl(self.server, "drain", TAKEN_OUT)
         self.take_out_unix_s = time()
         print(f"--- failure domain {TAKEN_OUT} is taken out", flush=True)
-        await sleep(OUT_S)
+        await sleep(EVENING_S)
+        await apply(self.server, DECLARATIONS / "evening.yaml")
+        print("--- the evening's jobs are declared", flush=True)
+        await sleep(OUT_S - EVENING_S)
+        self.evening_declared.set()
         self.return_unix_s = time()
         await damaskstallctl(self.server, "restore", TAKEN_OUT)
         print(f"--- failure domain {TAKEN_OUT} is back", flush=True)
--- a/standins/platform/table.py
+++ b/standins/platform/table.py
@@ -1,6 +1,7 @@
 """Keep the rows of the stand-in table service in memory."""
 
 from bisect import bisect_right
+from collections.abc import Callable
 from typing import NamedTuple
 
 from damaskstall.errors import RevisionTooOldError, TableConflictError
@@ -33,6 +34,7 @@
         self.revision = 0
         self.horizon = 0
         self.commits: list[Commit] = []
+        self.listeners: list[Callable[[Commit], None]] = []
         self._change_revisions: list[int] = []
         self._change_keys: list[str] = []
 
@@ -86,7 +88,10 @@
             self.rows[write.key] = row
             self._change_revisions.append(self.revision)
             self._change_keys.append(write.key)
-        self.commits.append(Commit(now_s, self.revision, mutation_id, writes))
+        commit = Commit(now_s, self.revision, mutation_id, writes)
+        self.commits.append(commit)
+        for listener in self.listeners:
+            listener(commit)
         if len(self._change_keys) > CHANGE_LIMIT:
             self.forget_changes(CHANGE_LIMIT // 2)
         return self.revision
--- a/tests/job_checker.py
+++ b/tests/job_checker.py
@@ -166,6 +166,8 @@
         if spec is None:
             problems.append(f"The job {job} ran and was never declared.")
             continue
+        for number in ran:
+            problems += check_prepared(job, spec, number, attempts[number])
         if not spec["restartable"] and len(ran) > 1:
             problems.append(
                 f"The job {job} must run once and ran in attempts {ran}."
@@ -178,6 +180,20 @@
     return problems
 
 
+def check_prepared(
+    job: str, spec: Mapping[str, Any], number: int, tasks: list[TaskLife]
+) -> list[str]:
+    """Check that every task was prepared before any of them ran."""
+    first_run_s = min(task.run_s for task in tasks)
+    prepared = [t.task for t in tasks if t.prepared_s <= first_run_s]
+    if sorted(prepared) == list(range(spec["hosts"])):
+        return []
+    return [
+        f"Attempt {number} of {job} ran at {first_run_s:.3f} s, when of its "
+        f"{spec['hosts']} tasks only {sorted(prepared)} were prepared."
+    ]
+
+
 def any_ran(tasks: list[TaskLife]) -> bool:
     """Return whether any task of an attempt started."""
     return any(task.run_s < NEVER_S for task in tasks)
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from trio import (
+    Event,
     TooSlowError,
     current_time,
     fail_after,
@@ -18,6 +19,7 @@
 from damaskstall.platform.keys import JOB_PREFIX
 from damaskstall.resources.records import JOB_ENDED, JOB_SUCCEEDED
 from standins.platform.faults import FaultRule
+from standins.platform.table import Commit
 from standins.worker.tasks import WorkerFaults
 from tests.job_checker import check_jobs
 from tests.scenarios.language import Scenario
@@ -28,7 +30,6 @@
 CALL_RETRY_S = 1.0
 CALL_LIMIT = 20
 POLL_S = 0.25
-COMMIT_POLL_S = 0.001
 SETTLE_S = 3.0
 LATE_START_S = 5.0
 
@@ -60,6 +61,13 @@
         self.world = world
         self.take_outs: list[tuple[str, float]] = []
         self.returns: list[tuple[str, float]] = []
+        self.committed = Event()
+        world.platform.table.listeners.append(self.note_commit)
+
+    def note_commit(self, commit: Commit) -> None:
+        """Wake who waits for a commit."""
+        self.committed.set()
+        self.committed = Event()
 
     async def call(
         self, method: str, target: str, value: Any = None
@@ -111,11 +119,12 @@
             ) from None
 
     async def next_commit(self) -> None:
-        """Return soon after the table has taken another commit."""
-        commits = self.world.platform.table.commits
-        before = len(commits)
-        while len(commits) == before:
-            await sleep(COMMIT_POLL_S)
+        """Return at the time of the table's next commit.
+
+        The writer has not had its answer then, so a freeze or a cut that
+        follows comes between the write and the step after it.
+        """
+        await self.committed.wait()
 
     async def advance(self, value: float) -> None:
         """Let time pass."""
