Order drains and restores by what their operators knew

A decision about a failure domain was compared by clocks only once it was held. One whose first read was slow could overwrite a later one. Now a decision overrides what was in memory when it was made, whatever the clocks say, and gives way to a later one that came after.

--- a/src/damaskstall/cli/output.py
+++ b/src/damaskstall/cli/output.py
@@ -126,7 +126,9 @@
     "program",
     "failure_domain",
     "revision",
-    "age_s",
+    "confirmed_age_s",
+    "heard_age_s",
+    "leaving",
 )
 
 
--- a/src/damaskstall/resources/api.py
+++ b/src/damaskstall/resources/api.py
@@ -261,7 +261,7 @@
                 "failure_domain": self.settings.failure_domain,
                 "program": "damaskstall-entry",
                 "revision": self.config.revision,
-                "age_s": (
+                "confirmed_age_s": (
                     None
                     if self.config.confirmed_s == NEVER
                     else round(age_s, 3)
--- a/src/damaskstall/resources/take_out.py
+++ b/src/damaskstall/resources/take_out.py
@@ -20,6 +20,7 @@
 )
 from damaskstall.events import log
 from damaskstall.peers.config_store import ConfigStore, PendingTakeOut
+from damaskstall.platform.keys import config_key
 from damaskstall.platform.types import Row
 from damaskstall.resources.events import (
     DRAIN_HELD,
@@ -89,6 +90,7 @@
         """
         mutation_id = new_mutation_id(self.instance)
         unix_s = self.unix_clock()
+        base = self._known_revision(name)
         known = self.config.spec(KIND, name) is not None
         if known:
             # In force here at once, also while the table is slow.
@@ -100,7 +102,7 @@
         try:
             with move_on_after(HELD_ANSWER_S if known else inf):
                 version = await self._decide(
-                    name, STATE_OUT, mutation_id, unix_s
+                    name, STATE_OUT, mutation_id, unix_s, base
                 )
         except (TableUnavailableError, TableOutcomeUnknownError):
             if not self.config.is_out(name):
@@ -117,7 +119,11 @@
         held = self.config.pending.get(name)
         mutation_id = new_mutation_id(self.instance)
         version = await self._decide(
-            name, STATE_IN, mutation_id, self.unix_clock()
+            name,
+            STATE_IN,
+            mutation_id,
+            self.unix_clock(),
+            self._known_revision(name),
         )
         if held is not None:
             self.config.settle(name, held.issued_id)
@@ -146,7 +152,7 @@
                 state,
                 pending.issued_id,
                 self._issued_unix_s(pending),
-                held=True,
+                pending.base_revision,
             )
         except (TableUnavailableError, TableOutcomeUnknownError):
             return
@@ -156,6 +162,11 @@
             log(DRAIN_KEPT, failure_domain=name, version=version)
         self.config.settle(name, pending.issued_id)
 
+    def _known_revision(self, name: str) -> int:
+        """Return the revision of a failure domain's row in memory."""
+        entry = self.config.entries.get(config_key(KIND, name))
+        return 0 if entry is None else entry.revision
+
     def _issued_unix_s(self, pending: PendingTakeOut) -> float:
         """Return when a decision was issued, by its issuer's clock if told."""
         if pending.issued_unix_s:
@@ -168,27 +179,27 @@
         state: str,
         mutation_id: str,
         unix_s: float,
-        held: bool = False,
+        base_revision: int,
     ) -> int:
         """Write a decision; return the version that has it.
 
-        It gives way to a later decision that is written meanwhile, or that
-        is there already when this one was held: ResourceConflictError.
+        It was made in knowledge of the row up to a revision. It gives way
+        to a later decision that came after: ResourceConflictError.
         """
         for _ in range(WRITE_ATTEMPTS):
             row = await self.store.read_row(KIND, name)
             if is_written_by(row, mutation_id):
                 self.config.learn(row)
                 return row.revision
-            if held and decided_unix_s(row) > unix_s:
+            if row.revision <= base_revision:
+                # The operator knew of it, whatever the writers' clocks say.
+                unix_s = max(unix_s, decided_unix_s(row))
+            elif decided_unix_s(row) > unix_s:
                 self.config.learn(row)
                 raise ResourceConflictError(
                     f"A later decision about {name!r} is in the table.",
                     row.revision,
                 )
-            # An operator decides about what is there, whatever its clock.
-            unix_s = max(unix_s, decided_unix_s(row))
-            held = True
             spec = {**(row.value or {})["spec"], "state": state}
             status = decided_status(row, unix_s)
             value = row_value(spec, status, mutation_id, row)
