--- a/src/damaskstall/placement/decider.py
+++ b/src/damaskstall/placement/decider.py
@@ -48,6 +48,8 @@
         self._start_by_share(now_s, decisions)
         if self.state.reservations.current is None:
             self._reserve(now_s)
+        if self.state.reservations.current is not None:
+            self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
         return tuple(decisions)
 
     def _start_claimed(self, now_s: float, decisions: list[Decision]) -> None:
@@ -133,7 +135,6 @@
         claim = Claim(current.job, current.block, False, RESERVED)
         for victim in self.state.reservations.slice_victims(slice_s, now_s):
             decisions.append(self.state.preempt(victim, claim))
-        self.state.wake_s = min(self.state.wake_s, now_s + RETRY_S)
 
     def _reserve(self, now_s: float) -> None:
         """Reserve a block for the oldest large job that waited enough."""
--- a/src/damaskstall/placement/policy.py
+++ b/src/damaskstall/placement/policy.py
@@ -114,7 +114,7 @@
             self.state.slots.unshield(name)
             self.state.count_borrowed(job, -1)
         self.state.changed = True
-        if self.state.slots.has_unmet or self.state.slots.unshielded:
+        if self.state.slots.unbound or self.state.slots.unshielded:
             self.state.all_stale()
 
     def running(self) -> tuple[RunningJob, ...]:
--- a/src/damaskstall/placement/slots.py
+++ b/src/damaskstall/placement/slots.py
@@ -88,7 +88,8 @@
         self.slot_of: dict[str, Slot] = {}
         self.shields: dict[str, Block] = {}
         self.unshielded: list[Block] = []
-        self.has_unmet = False
+        self.unbound: dict[Slot, None] = {}
+        self.loose_on: dict[int, list[Slot]] = {}
         self.pinned = Masks(layout.workers)
         self.shielded = Masks(layout.workers)
         self.closed = Masks(layout.workers)
@@ -103,11 +104,8 @@
 
     def unmet(self) -> tuple[Guarantee, ...]:
         """Return the guarantees that have no block."""
-        return tuple(
-            Guarantee(slot.team, slot.shape)
-            for slot in self.all()
-            if slot.block is None
-        )
+        unmet = (Guarantee(slot.team, slot.shape) for slot in self.unbound)
+        return tuple(sorted(unmet))
 
     def fitting(self, team: str, shape: Shape) -> list[Slot]:
         """Return a team's slots that a shape fits, the smallest first."""
@@ -124,9 +122,10 @@
         for guarantee in guarantees:
             known = old.get(guarantee.team, [])
             slot = take_matching(known, guarantee.shape)
-            fresh.setdefault(guarantee.team, []).append(
-                slot or Slot(guarantee)
-            )
+            if slot is None:
+                slot = Slot(guarantee)
+                self.unbound[slot] = None
+            fresh.setdefault(guarantee.team, []).append(slot)
         for slots in fresh.values():
             slots.sort(key=lambda slot: (slot.shape.accelerators, slot.shape))
         lost: list[str] = []
@@ -145,7 +144,7 @@
         elif not self.binding.bind(self, slot, block):
             return False
         if not slot.jobs:
-            self._mark(self.loose, block, False)
+            self._list_loose(slot, block, False)
             self._mark(self.pinned, block, True)
         slot.jobs.add(job)
         self.slot_of[job] = slot
@@ -160,8 +159,8 @@
         if slot.jobs or slot.block is None:
             return
         self._mark(self.pinned, slot.block, False)
-        self._mark(self.loose, slot.block, True)
-        self.settle()
+        self._list_loose(slot, slot.block, True)
+        self.settle([slot])
 
     def shield(self, job: str, block: Block) -> bool:
         """Keep slots off a job's block if they all fit elsewhere."""
@@ -190,42 +189,58 @@
     def set_closed(self, block: Block, closed: bool) -> None:
         """Say whether slots may lie on a worker's accelerators."""
         self._mark(self.closed, block, closed)
-        self.settle()
+        self.settle(self._loose_in(block))
 
     def move(self, slot: Slot | None, block: Block) -> bool:
         """Clear a block of unused slots and give it to one of them.
 
         Nothing changes and False is returned if a slot would lose its block.
         """
-        others = [s for s in self._unused() if s is not slot]
-        before = [(s, s.block) for s in others]
+        movers = [s for s in self._loose_in(block) if s is not slot]
+        before = [(s, s.block) for s in movers]
         own = slot.block if slot else None
-        movers = [s for s in others if s.block and overlap(s.block, block)]
         for mover in movers:
             self._bind(mover, None)
         if slot is not None:
             self._bind(slot, block)
-        if self._place(movers) or self._repack(others):
+        if self._place(movers) or self._repack_others(slot, before):
             return True
-        for other in others:
-            self._bind(other, None)
         if slot is not None:
             self._bind(slot, own)
-        for other, old_block in before:
-            self._bind(other, old_block)
+        for mover, old_block in before:
+            self._bind(mover, old_block)
         return False
 
-    def settle(self) -> None:
-        """Find blocks for the unused slots that have none or a bad one."""
-        bad = [slot for slot in self._unused() if not self._sound(slot)]
-        if not bad:
+    def settle(self, suspects: Iterable[Slot] = ()) -> None:
+        """Find blocks for unused slots that have none.
+
+        Of the suspects, those whose block can't be kept get another as well.
+        """
+        for slot in list(suspects):
+            if slot.block is not None and self.fixed.meets(slot.block):
+                self._bind(slot, None)
+        if not self.unbound:
             return
-        for slot in bad:
-            self._bind(slot, None)
-        placed = self._place(bad) or self._repack(self._unused())
-        if not placed and self.shields:
+        if self._place(list(self.unbound)) or self._repack(self._unused()):
+            return
+        if self.shields:
             self._drop_shields()
-        self.has_unmet = any(slot.block is None for slot in self.all())
+
+    def _repack_others(
+        self, slot: Slot | None, before: list[tuple[Slot, Block | None]]
+    ) -> bool:
+        """Bind all unused slots but one anew, or none of them."""
+        moved = dict(before)
+        others = [s for s in self._unused() if s is not slot]
+        old = [(s, moved.get(s, s.block)) for s in others]
+        if self._repack(others):
+            return True
+        for other in others:
+            self._bind(other, None)
+        for other, block in old:
+            if other not in moved:
+                self._bind(other, block)
+        return False
 
     def _drop_shields(self) -> None:
         """Let guarantees go before jobs that should not be preempted."""
@@ -245,8 +260,14 @@
     def _unused(self) -> list[Slot]:
         return [slot for slot in self.all() if not slot.jobs]
 
-    def _sound(self, slot: Slot) -> bool:
-        return slot.block is not None and not self.fixed.meets(slot.block)
+    def _loose_in(self, block: Block) -> list[Slot]:
+        """Return the unused slots whose block meets a block."""
+        found: dict[Slot, None] = {}
+        for worker in range(
+            block.first_worker, block.first_worker + block.hosts
+        ):
+            found.update(dict.fromkeys(self.loose_on.get(worker, ())))
+        return [s for s in found if s.block and overlap(s.block, block)]
 
     def _place(self, slots: list[Slot]) -> bool:
         """Bind slots one by one; return whether all found a block."""
@@ -272,19 +293,35 @@
 
     def _bind(self, slot: Slot, block: Block | None) -> None:
         if slot.block is not None:
-            self._mark(self.loose, slot.block, False)
+            self._list_loose(slot, slot.block, False)
         slot.block = block
-        if block is not None:
-            self._mark(self.loose, block, True)
+        if block is None:
+            self.unbound[slot] = None
+            return
+        self.unbound.pop(slot, None)
+        self._list_loose(slot, block, True)
 
     def _drop(self, slot: Slot) -> list[str]:
-        if slot.block is not None:
-            held = self.pinned if slot.jobs else self.loose
-            self._mark(held, slot.block, False)
+        self.unbound.pop(slot, None)
+        if slot.jobs and slot.block is not None:
+            self._mark(self.pinned, slot.block, False)
+        elif slot.block is not None:
+            self._list_loose(slot, slot.block, False)
         for job in slot.jobs:
             del self.slot_of[job]
         return sorted(slot.jobs)
 
+    def _list_loose(self, slot: Slot, block: Block, present: bool) -> None:
+        """Count a slot as unused on a block, or no longer."""
+        for worker in range(
+            block.first_worker, block.first_worker + block.hosts
+        ):
+            if present:
+                self.loose_on.setdefault(worker, []).append(slot)
+            else:
+                self.loose_on[worker].remove(slot)
+        self._mark(self.loose, block, present)
+
     def _mark(self, masks: Masks, block: Block, present: bool) -> None:
         if present:
             masks.add(block)
