--- a/src/damaskstall/placement/state.py
+++ b/src/damaskstall/placement/state.py
@@ -162,7 +162,9 @@
     def give_up_on_closed(self) -> None:
         """Give up blocks that came to have unusable workers."""
         for claim in list(self.claims.values()):
-            if self.slots.closed.meets(claim.block):
+            slot = self.slots.slot_of.get(claim.job.name)
+            block = slot.block if slot else None
+            if self.slots.closed.meets(block or claim.block):
                 self.give_up(claim)
         if not self.reservations.sound():
             self.reservations.drop()
