--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -28,6 +28,31 @@
         super().__init__(f"The declaration is not valid: {listed}.")
 
 
+class BadRequestError(DamaskstallError):
+    """An operator's request is malformed; nothing was changed."""
+
+
+class ResourceMissingError(DamaskstallError):
+    """There is no resource of the kind and name."""
+
+    def __init__(self, kind: str, name: str) -> None:
+        """Name the resource."""
+        super().__init__(f"There is no {kind} {name!r}.")
+
+
+class ResourceConflictError(DamaskstallError):
+    """A write met another version, or a state that does not allow it."""
+
+    def __init__(self, message: str, current_version: int) -> None:
+        """Keep the version that the resource is at (0: absent)."""
+        self.current_version = current_version
+        super().__init__(message)
+
+
+class WrittenBeforeError(ResourceConflictError):
+    """A repeated write took effect before; another has changed it since."""
+
+
 class PlatformError(DamaskstallError):
     """A platform service did not do what was asked."""
 
@@ -110,3 +135,34 @@
         """Keep the HTTP status that the caller is told."""
         self.status = status
         super().__init__(message)
+
+
+class ServerRefusedError(HttpError):
+    """A backend server refused a request unread: it has not run."""
+
+    def __init__(self, retry_after_s: int, leaving: bool) -> None:
+        """Keep when the server would take it, and whether it leaves."""
+        self.retry_after_s = retry_after_s
+        self.leaving = leaving
+        super().__init__("The server refused the request unread.")
+
+
+class AnswerMismatchError(ConnectionLostError):
+    """An answer does not name the request that it is taken for."""
+
+
+class AnswerTimeoutError(ConnectionLostError):
+    """An answer did not come within its time limit."""
+
+
+class CallerLostError(HttpError):
+    """A caller went away or sent a malformed body."""
+
+
+class RequestRejectedError(DamaskstallError):
+    """A request asks for something that cannot be; nothing has run."""
+
+    def __init__(self, status: int, message: str) -> None:
+        """Keep the HTTP status that the caller is told."""
+        self.status = status
+        super().__init__(message)
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -37,6 +37,7 @@
     current_time,
     fail_after,
     move_on_after,
+    sleep_forever,
 )
 from trio.abc import HalfCloseableStream
 
@@ -60,6 +61,7 @@
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
 LINGER_S = 0.5
+DRAIN_IDLE_S = 1.0
 
 
 class ServerLimits(NamedTuple):
@@ -83,20 +85,27 @@
         self._quiet = Event()
 
     def start(self) -> None:
-        """Close idle connections; the others close after their answer."""
+        """Let every connection close after its next answer.
+
+        An idle one is closed only after a while, since a request may be on
+        its way to it that the client would take for lost.
+        """
         self.draining = True
+        latest_s = current_time() + DRAIN_IDLE_S
         for scope in list(self.idle_scopes):
-            scope.cancel()
+            scope.deadline = min(scope.deadline, latest_s)
         self.check_quiet()
 
     def check_quiet(self) -> None:
-        """Wake the waiters once draining has left no connection."""
-        if self.draining and not self.connections:
+        """Wake the waiters when no connection is left."""
+        if not self.connections:
             self._quiet.set()
+            self._quiet = Event()
 
     async def wait_quiet(self) -> None:
-        """Return once draining has left no connection."""
-        await self._quiet.wait()
+        """Return when no connection is left."""
+        while self.connections:
+            await self._quiet.wait()
 
 
 async def serve_http(
@@ -174,7 +183,10 @@
         self.drain.requests += 1
         try:
             response = await self._handle(handler, head)
-            await self._send(response)
+            try:
+                await self._send(response)
+            finally:
+                await close_body(response)
         finally:
             self.drain.requests -= 1
         return await self._recycle()
@@ -202,7 +214,7 @@
         """Return whether a request began before the idle timeout."""
         if self.drain.draining:
             # A request that is already on its way is still served.
-            scope = CancelScope(deadline=current_time() + LINGER_S)
+            scope = CancelScope(deadline=current_time() + DRAIN_IDLE_S)
         else:
             deadline = current_time() + self.limits.idle_timeout_s
             scope = CancelScope(deadline=deadline)
@@ -247,12 +259,36 @@
             else:
                 raise ConnectionLostError("The request's body was cut off.")
 
+    async def _wait_disconnected(self) -> None:
+        """Return once the client has closed, and keep what it sends."""
+        ahead_bytes = 0
+        while ahead_bytes < RECEIVE_BYTES:
+            try:
+                data = bytes(await self.stream.receive_some(RECEIVE_BYTES))
+            except (BrokenResourceError, ClosedResourceError):
+                return
+            if not data:
+                return
+            self.http.receive_data(data)
+            ahead_bytes += len(data)
+        await sleep_forever()
+
     async def _handle(self, handler: Handler, head: RequestHead) -> Response:
-        path, query = split_target(head.target.decode("ascii", "replace"))
+        try:
+            target = head.target.decode("ascii", "replace")
+            path, query = split_target(target)
+        except ValueError as error:
+            return error_response(400, f"The target is malformed: {error}.")
         headers = decode_headers(head)
         async with aclosing(self._body_parts()) as parts:
             request = Request(
-                head.method.decode("ascii"), path, query, headers, Body(parts)
+                head.method.decode("ascii"),
+                path,
+                query,
+                headers,
+                Body(parts),
+                self._wait_disconnected,
+                head.http_version.decode("ascii"),
             )
             try:
                 return await handler(request)
@@ -277,6 +313,10 @@
         headers = list(response.headers)
         if isinstance(response.body, bytes):
             headers.append(("content-length", str(len(response.body))))
+        elif self._needs_length() and not names_length(response):
+            raise ConnectionLostError(
+                "An HTTP/1.0 client could not tell the answer's end."
+            )
         if response.close or self.drain.draining or self._unread():
             headers.append(("connection", "close"))
         head = ResponseHead(
@@ -300,6 +340,11 @@
             raise ConnectionLostError(
                 f"The answer broke off: {error}"
             ) from error
+        finally:
+            # What the generator holds is freed now and not when it is
+            # collected.
+            if isinstance(response.body, AsyncGenerator):
+                await response.body.aclose()
         await self._send_all(self.http.send(EndOfMessage()))
 
     async def _send_all(self, data: bytes | None) -> None:
@@ -307,6 +352,9 @@
             with fail_after(self.limits.write_timeout_s):
                 await self.stream.send_all(data)
 
+    def _needs_length(self) -> bool:
+        return self.http.their_http_version == b"1.0"
+
     def _unread(self) -> bool:
         """Return whether the handler left part of the body unread."""
         return (
@@ -338,6 +386,20 @@
         return True
 
 
+def names_length(response: Response) -> bool:
+    """Return whether an answer's headers say how long its body is."""
+    return any(name == "content-length" for name, _ in response.headers)
+
+
+async def close_body(response: Response) -> None:
+    """Free what a body in parts holds, however its sending went."""
+    aclose = getattr(response.body, "aclose", None)
+    if aclose is None:
+        return
+    with CancelScope(shield=True), move_on_after(LINGER_S):
+        await aclose()
+
+
 def decode_headers(head: RequestHead) -> dict[str, str]:
     """Return the headers by lower-case name; repeated ones are joined."""
     headers: dict[str, str] = {}
--- /dev/null
+++ b/src/damaskstall/resources/api.py
@@ -0,0 +1,309 @@
+"""Serve the resource interface over HTTP and JSON."""
+
+from collections.abc import Awaitable, Callable
+from time import time
+from typing import Any
+
+from trio import current_time, move_on_after, open_nursery
+
+from damaskstall.errors import (
+    BadRequestError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
+from damaskstall.events import log
+from damaskstall.generated.settings import EntrySettings
+from damaskstall.http.messages import (
+    Request,
+    Response,
+    json_response,
+    retry_later,
+)
+from damaskstall.peers.config_store import NEVER, ConfigStore
+from damaskstall.platform.types import TableService
+from damaskstall.resources.answers import (
+    RETRY_AFTER_S,
+    STREAM_TYPE,
+    age_headers,
+    answer_error,
+    invalid_field,
+    no_route,
+)
+from damaskstall.resources.api_metrics import API_REQUESTS, TAKE_OUTS_HELD
+from damaskstall.resources.bodies import (
+    PAGE_DEFAULT,
+    PAGE_LIMIT,
+    VERSION_LIMIT,
+    Call,
+    read_call,
+    read_mutation_id,
+    read_number,
+    read_switch,
+    read_version,
+)
+from damaskstall.resources.cancel import Canceller
+from damaskstall.resources.checks import Planner, plan_nothing
+from damaskstall.resources.events import RESOURCE_WRITTEN
+from damaskstall.resources.reads import ResourceReader
+from damaskstall.resources.records import STATE_IN, STATE_OUT, Resource
+from damaskstall.resources.routes import Match, Route, find_route
+from damaskstall.resources.selector import parse_selector
+from damaskstall.resources.store import ResourceStore, new_mutation_id
+from damaskstall.resources.take_out import TakeOuts, UnixClock
+from damaskstall.resources.validate import is_name
+from damaskstall.resources.watch import WatchHub
+from damaskstall.resources.writes import Change, ResourceWriter
+
+ANSWER_LIMIT_S = 8.0
+
+InstanceView = Callable[[], list[dict[str, Any]]]
+
+
+class ResourceApi:
+    """Answer operators' requests from the table and the configuration."""
+
+    def __init__(
+        self,
+        table: TableService,
+        config: ConfigStore,
+        settings: EntrySettings,
+        planner: Planner = plan_nothing,
+        instances: InstanceView | None = None,
+        unix_clock: UnixClock = time,
+    ) -> None:
+        """Serve what a table keeps; ``planner`` checks all guarantees."""
+        self.config = config
+        self.settings = settings
+        self.unix_clock = unix_clock
+        self.instances = instances or self.own_instance
+        store = ResourceStore(table)
+        self.reader = ResourceReader(store, config)
+        self.writer = ResourceWriter(store, config, planner)
+        self.canceller = Canceller(table, settings.instance)
+        self.take_outs = TakeOuts(store, config, settings.instance, unix_clock)
+        self.hub = WatchHub(table, settings.config_poll_s)
+        self.requests = 0
+
+    async def run(self) -> None:
+        """Follow watched kinds and write held drains until cancelled."""
+        async with open_nursery() as nursery:
+            nursery.start_soon(self.hub.run)
+            nursery.start_soon(self.take_outs.run)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            "requests": self.requests,
+            "watches": self.hub.dump(),
+            "held_take_outs": [
+                pending._asdict() for pending in self.config.pending.values()
+            ],
+        }
+
+    def close_watches(self) -> None:
+        """End every stream, for a graceful stop."""
+        self.hub.close()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; a refusal has changed nothing."""
+        self.requests += 1
+        match = find_route(request.method, request.path)
+        if not isinstance(match, Match):
+            return no_route(request.path, match)
+        try:
+            limit_bytes = self.settings.body_limit_bytes
+            call = await read_call(request, match, limit_bytes)
+            response = await self._answer(call, match.route)
+        except Exception as error:
+            response = answer_error(match.route, error)
+        API_REQUESTS.inc(
+            {"handler": match.route.handler, "status": str(response.status)}
+        )
+        TAKE_OUTS_HELD.set({}, len(self.config.pending))
+        return response
+
+    async def _answer(self, call: Call, route: Route) -> Response:
+        """Return the handler's answer, or give up in time to say so."""
+        with move_on_after(ANSWER_LIMIT_S):
+            return await HANDLERS[route.handler](self, call)
+        if route.method == "GET":
+            raise TableUnavailableError("The table was too slow.")
+        raise TableOutcomeUnknownError("The table was too slow.")
+
+    async def list_resources(self, call: Call) -> Response:
+        """Return one page of a kind; the selector is for jobs."""
+        request = call.request
+        after = request.query.get("continue", "")
+        if after and not is_name(after):
+            raise BadRequestError("The continue token is not a name.")
+        seen = await self.reader.list_page(
+            call.kind,
+            after,
+            read_number(request, "limit", PAGE_DEFAULT, 1, PAGE_LIMIT),
+            parse_selector(request.query.get("selector", "")),
+        )
+        page = seen.page
+        value = {
+            "items": [self.reader.seen_json(r) for r in page.resources],
+            "continue": page.next_after,
+            "resource_version": page.revision,
+        }
+        return json_response(200, value, age_headers(seen.age_s))
+
+    async def get_resource(self, call: Call) -> Response:
+        """Return one resource."""
+        seen = await self.reader.get(call.kind, call.name)
+        shown = self.reader.seen_json(seen.page.resources[0])
+        return json_response(200, shown, age_headers(seen.age_s))
+
+    async def create_resource(self, call: Call) -> Response:
+        """Create the resource that the body declares."""
+        change = self._change(call.request)
+        name, spec = call.body.get("name"), call.body.get("spec")
+        created = await self.writer.create(call.kind, name, spec, change)
+        self._log_write("created", created, change)
+        status = 200 if change.dry_run else 201
+        return json_response(status, self.reader.seen_json(created))
+
+    async def replace_resource(self, call: Call) -> Response:
+        """Replace the spec of the version that the body names."""
+        version = read_version(
+            call.body.get("resource_version"), "resource_version"
+        )
+        change = self._change(call.request)
+        replaced = await self.writer.replace(
+            call.kind, call.name, call.body.get("spec"), version, change
+        )
+        if replaced.resource_version != version:
+            self._log_write("replaced", replaced, change)
+        return json_response(200, self.reader.seen_json(replaced))
+
+    async def delete_resource(self, call: Call) -> Response:
+        """Delete the version that the query names."""
+        if "resource_version" not in call.request.query:
+            raise BadRequestError(
+                "The query parameter 'resource_version' is required."
+            )
+        version = read_number(
+            call.request, "resource_version", 0, 0, VERSION_LIMIT
+        )
+        change = self._change(call.request)
+        deleted = await self.writer.delete(
+            call.kind, call.name, version, change
+        )
+        self._log_write("deleted", deleted, change)
+        return json_response(200, self.reader.seen_json(deleted))
+
+    async def cancel_job(self, call: Call) -> Response:
+        """Cancel one job."""
+        outcome = await self.canceller.cancel(call.name, self.unix_clock())
+        return json_response(200, {"name": call.name, "outcome": outcome})
+
+    async def cancel_jobs(self, call: Call) -> Response:
+        """Cancel a bounded number of the jobs that a selector matches."""
+        text = call.body.get("selector")
+        if not isinstance(text, str):
+            raise invalid_field("selector", "must be a text")
+        selector = parse_selector(text)
+        if selector.matches_all:
+            raise invalid_field("selector", "must not match every job")
+        after = call.body.get("continue", "")
+        if after != "" and not is_name(after):
+            raise invalid_field("continue", "must come from the last answer")
+        wave = await self.canceller.cancel_wave(
+            selector, after, self.unix_clock()
+        )
+        value = wave._asdict()
+        value["continue"] = value.pop("next_after")
+        return json_response(200, value)
+
+    async def drain_failure_domain(self, call: Call) -> Response:
+        """Take a failure domain out; 202 while only memory has it."""
+        version = await self.take_outs.drain(call.name)
+        value = {"name": call.name, "state": STATE_OUT}
+        if version is None:
+            return json_response(202, {**value, "kept": False})
+        kept = {**value, "kept": True, "resource_version": version}
+        return json_response(200, kept)
+
+    async def restore_failure_domain(self, call: Call) -> Response:
+        """Bring a failure domain back."""
+        version = await self.take_outs.restore(call.name)
+        value = {"name": call.name, "state": STATE_IN}
+        kept = {**value, "kept": True, "resource_version": version}
+        return json_response(200, kept)
+
+    async def watch_resources(self, call: Call) -> Response:
+        """Stream a kind's changes after a version, or from now on."""
+        if self.hub.is_full(call.kind):
+            return retry_later(
+                429, "There are too many watchers.", RETRY_AFTER_S
+            )
+        version: int | None = None
+        if "from_version" in call.request.query:
+            version = read_number(
+                call.request, "from_version", 0, 0, VERSION_LIMIT
+            )
+        watcher = await self.hub.open(call.kind, version)
+        headers = (("content-type", STREAM_TYPE),)
+        return Response(200, watcher.lines(), headers, close=True)
+
+    async def list_instances(self, call: Call) -> Response:
+        """List the product's processes and what they run by."""
+        return json_response(200, {"items": self.instances()})
+
+    def own_instance(self) -> list[dict[str, Any]]:
+        """Return this process alone."""
+        age_s = self.config.age_s(current_time())
+        return [
+            {
+                "instance": self.settings.instance,
+                "failure_domain": self.settings.failure_domain,
+                "program": "damaskstall-entry",
+                "revision": self.config.revision,
+                "age_s": (
+                    None
+                    if self.config.confirmed_s == NEVER
+                    else round(age_s, 3)
+                ),
+            }
+        ]
+
+    def _change(self, request: Request) -> Change:
+        default = new_mutation_id(self.settings.instance)
+        return Change(
+            read_mutation_id(request, default),
+            self.unix_clock(),
+            read_switch(request, "dry_run"),
+        )
+
+    def _log_write(
+        self, action: str, resource: Resource, change: Change
+    ) -> None:
+        if change.dry_run:
+            return
+        log(
+            RESOURCE_WRITTEN,
+            action=action,
+            kind=resource.kind,
+            resource=resource.name,
+            version=resource.resource_version,
+            mutation_id=change.mutation_id,
+        )
+
+
+Handler = Callable[[ResourceApi, Call], Awaitable[Response]]
+
+HANDLERS: dict[str, Handler] = {
+    "list_resources": ResourceApi.list_resources,
+    "create_resource": ResourceApi.create_resource,
+    "get_resource": ResourceApi.get_resource,
+    "replace_resource": ResourceApi.replace_resource,
+    "delete_resource": ResourceApi.delete_resource,
+    "cancel_job": ResourceApi.cancel_job,
+    "cancel_jobs": ResourceApi.cancel_jobs,
+    "drain_failure_domain": ResourceApi.drain_failure_domain,
+    "restore_failure_domain": ResourceApi.restore_failure_domain,
+    "watch_resources": ResourceApi.watch_resources,
+    "list_instances": ResourceApi.list_instances,
+}
