Share a server's state between services, and estimate waits from what is seen

Cause: each service kept its own limit for the same server, so two services took twice an entry's part of the slots; the estimated wait counted the same servers for each service; a request was let go until the usual latency before its deadline, so many were sent and came late; a server that had been slow was not tried again while others were idle. Change: one state a server for all services; slots a second as seen while requests wait; the latest start leaves mean plus two deviations; probing servers go first, old latencies are forgotten. Seen: test_services_on_one_server_share_its_limit failed on the state before.

--- a/src/damaskstall/entry/attempts.py
+++ b/src/damaskstall/entry/attempts.py
@@ -148,7 +148,7 @@
             self._count(server, "refused")
             server.note_refusal(current_time())
             if error.leaving:
-                self.router.note_leaving(server, True)
+                server.note_leaving(True)
             raise
         except CallerLostError:
             raise
@@ -160,7 +160,7 @@
             raise
         finally:
             if not streaming:
-                self.router.release(server)
+                server.release(current_time())
 
     def _next(self, now_s: float) -> Attempt:
         call = self.call
@@ -181,7 +181,7 @@
     ) -> bool:
         """Learn from an answer; return whether the slot stays in use."""
         if answer.leaving:
-            self.router.note_leaving(server, True)
+            server.note_leaving(True)
         if not isinstance(answer.body, StreamedAnswer):
             self._learn(answer.status, server, sent_s)
             return False
@@ -189,7 +189,7 @@
         async def end(whole: bool) -> None:
             if whole:
                 self._learn(answer.status, server, sent_s)
-            self.router.release(server)
+            server.release(current_time())
 
         answer.body.on_end.append(end)
         return True
@@ -203,7 +203,9 @@
             server.note_failure(sent_s)
             self._count(server, "status")
             return
-        server.note_answer(sent_s, current_time())
+        now_s = current_time()
+        server.note_answer(sent_s, now_s)
+        self.router.latency.note(now_s - sent_s)
         self.budget.earn()
 
 
--- a/src/damaskstall/entry/gateway.py
+++ b/src/damaskstall/entry/gateway.py
@@ -35,6 +35,7 @@
 )
 from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
+from damaskstall.entry.servers import ServerBook
 from damaskstall.entry.words import (
     ANSWERED,
     OUTCOME_HEADER,
@@ -81,6 +82,7 @@
         self.config = config
         self.settings = settings
         self.random = random or Random()
+        self.servers = ServerBook(network, settings)
         self.routers: dict[str, ServiceRouter] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.claims = ClaimKeeper(table, self.random, unix_now)
@@ -99,7 +101,7 @@
             self._nursery = nursery
             self.follow_config()
             nursery.start_soon(self._follow_changes)
-            nursery.start_soon(self.watch.run, self.routers)
+            nursery.start_soon(self.watch.run, self.servers)
             nursery.start_soon(self.claims.run)
             while True:
                 for router in self.routers.values():
@@ -167,14 +169,12 @@
         }
         for name in list(self.routers):
             if name not in services:
-                self._update(name, {"servers": []}, weights)
-                self.routers[name].close()
-                del self.routers[name]
-                del self.budgets[name]
+                self._remove(name)
         for name, value in services.items():
             if name not in self.routers:
                 self._add(name)
-            self._update(name, value["spec"], weights)
+            self.routers[name].update(value["spec"], weights, self.servers)
+        self._follow_servers()
 
     async def _follow_changes(self) -> None:
         while True:
@@ -182,29 +182,29 @@
             self.follow_config()
 
     def _add(self, name: str) -> None:
-        self.routers[name] = ServiceRouter(
-            name, self.network, self.settings, self.random
-        )
+        self.routers[name] = ServiceRouter(name, self.settings, self.random)
         self.budgets[name] = RetryBudget(self.settings.retry_budget_ratio)
 
-    def _update(self, name: str, spec: Any, weights: dict[str, float]) -> None:
-        router = self.routers[name]
-        for server in router.update(spec, weights):
-            self._watches.pop(server).cancel()
-        self.watch.mark(router)
-        for server in router.servers.values():
+    def _remove(self, name: str) -> None:
+        self.routers.pop(name).close()
+        del self.budgets[name]
+
+    def _follow_servers(self) -> None:
+        for server in self.servers.drop_unused():
+            if server in self._watches:
+                self._watches.pop(server).cancel()
+        self.watch.mark(self.servers)
+        for server in self.servers.states.values():
             server.out = self.config.is_out(server.failure_domain)
             if server not in self._watches and self._nursery is not None:
                 scope = CancelScope()
                 self._watches[server] = scope
-                self._nursery.start_soon(self._watch, router, server, scope)
+                self._nursery.start_soon(self._watch, server, scope)
 
-    async def _watch(
-        self, router: ServiceRouter, server: ServerState, scope: CancelScope
-    ) -> None:
+    async def _watch(self, server: ServerState, scope: CancelScope) -> None:
         with scope:
             await watch_server(
-                router, server, self.network, self.settings, self.random
+                server, self.network, self.settings, self.random
             )
         await server.pool.close()
 
--- a/src/damaskstall/entry/health.py
+++ b/src/damaskstall/entry/health.py
@@ -5,8 +5,8 @@
 from trio import current_time, sleep
 
 from damaskstall.entry.events import LIST_UNAVAILABLE
-from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
+from damaskstall.entry.servers import ServerBook
 from damaskstall.errors import HttpError, PlatformError
 from damaskstall.events import log
 from damaskstall.generated.settings import EntrySettings
@@ -24,7 +24,6 @@
 
 
 async def watch_server(
-    router: ServiceRouter,
     server: ServerState,
     network: Network,
     settings: EntrySettings,
@@ -37,9 +36,9 @@
             sent_s = current_time()
             state = await ask_health(client)
             if state is not None:
-                router.note_leaving(server, state == STATE_LEAVING)
+                server.note_leaving(state == STATE_LEAVING)
                 server.note_serving(sent_s)
-                router.dispatch(current_time())
+                server.offer_room(current_time())
             await server.pool.close_idle(current_time())
             pause_s = settings.health_poll_s
             await sleep(pause_s * random.uniform(JITTER_LOW, JITTER_HIGH))
@@ -70,7 +69,7 @@
         self.leaving: frozenset[str] = frozenset()
         self.entries = 1
 
-    async def run(self, routers: dict[str, ServiceRouter]) -> None:
+    async def run(self, servers: ServerBook) -> None:
         """Read the list again and again until cancelled."""
         while True:
             try:
@@ -80,13 +79,12 @@
                 # replaced server out for as long as the platform is down.
                 self.leaving = frozenset()
                 log(LIST_UNAVAILABLE, error=str(error))
-            for router in routers.values():
-                self.mark(router)
+            self.mark(servers)
             await sleep(self.settings.instance_list_poll_s)
 
-    def mark(self, router: ServiceRouter) -> None:
-        """Tell a router's servers what the list says of them."""
-        for server in router.servers.values():
+    def mark(self, servers: ServerBook) -> None:
+        """Tell the servers' states what the list says of them."""
+        for server in servers.states.values():
             server.leaving_list = str(server.address) in self.leaving
             server.share_connections(self.entries)
 
--- a/src/damaskstall/entry/limits.py
+++ b/src/damaskstall/entry/limits.py
@@ -14,6 +14,8 @@
 RECENT_WEIGHT = 0.2
 BASELINE_RISE = 0.01
 CHANGE_INTERVAL_S = 0.1
+LOWEST_LATENCY_S = 1e-3
+LATENCY_TTL_S = 10.0
 
 
 class AdaptiveLimit:
@@ -26,20 +28,31 @@
         self.latency_s: float | None = None
         self.baseline_s: float | None = None
         self.lowered_s = float("-inf")
+        self.noted_s = float("-inf")
 
     def room(self, in_flight: int) -> bool:
         """Return whether one more request fits."""
         return in_flight < int(self.value)
 
-    def load(self, in_flight: int) -> float:
-        """Return how loaded the server would look with one more."""
-        latency_s = self.latency_s or 0.0
-        return (in_flight + 1) / self.value * (latency_s + 1e-3)
+    def load(self, in_flight: int, now_s: float) -> float:
+        """Return how loaded the server would look with one more.
+
+        The limit has no part in it: a server that comes back with a low one
+        would get no work to raise it by. An old latency has none either: a
+        server that was slow once would get no work to show otherwise.
+        """
+        latency_s = self.latency_s or LOWEST_LATENCY_S
+        if now_s - self.noted_s > LATENCY_TTL_S:
+            latency_s = LOWEST_LATENCY_S
+        return (in_flight + 1) * latency_s
 
     def note_answer(
         self, latency_s: float, in_flight: int, now_s: float
     ) -> None:
         """Learn from a whole answer; ``in_flight`` counts it."""
+        if now_s - self.noted_s > LATENCY_TTL_S:
+            self.latency_s = None
+        self.noted_s = now_s
         self._note_latency(latency_s)
         assert self.latency_s is not None and self.baseline_s is not None
         if self.latency_s > SLOW_RATIO * self.baseline_s:
--- a/src/damaskstall/entry/router.py
+++ b/src/damaskstall/entry/router.py
@@ -13,20 +13,20 @@
 from trio import current_time, move_on_at, open_nursery, sleep_forever
 
 from damaskstall.entry.ejection import update_ejections
-from damaskstall.entry.events import SERVER_LEAVING, SERVER_RETURNED
+from damaskstall.entry.latency import LatencyEstimate
 from damaskstall.entry.measures import QUEUED, SERVERS
 from damaskstall.entry.queue import FairQueue, Waiter
 from damaskstall.entry.server import ServerState
+from damaskstall.entry.servers import ServerBook
 from damaskstall.errors import CallerLostError, RequestNotRunError
-from damaskstall.events import log
 from damaskstall.generated.settings import EntrySettings
-from damaskstall.network import Network
 from damaskstall.resources.records import BackendServiceSpec
 
 STATUS_BUSY = 429
 STATUS_UNAVAILABLE = 503
 RETRY_LIMIT_S = 30
 LOWEST_LATENCY_S = 1e-4
+SEEN_WEIGHT = 0.1
 
 CallerGone = Callable[[], Awaitable[None]]
 
@@ -35,40 +35,36 @@
     """Hold the servers and the queue of one service."""
 
     def __init__(
-        self,
-        name: str,
-        network: Network,
-        settings: EntrySettings,
-        random: Random,
+        self, name: str, settings: EntrySettings, random: Random
     ) -> None:
         """Start without servers."""
         self.name = name
-        self.network = network
         self.settings = settings
         self.random = random
         self.servers: dict[str, ServerState] = {}
         self.queue = FairQueue()
+        self.latency = LatencyEstimate()
         self.refused = 0
-        self.usual_latency_s = 0.0
-        self.answers_per_s = 0.0
+        self.slots_per_s = 0.0
+        self.granted = 0
+        self.estimated_s = 0.0
 
     def update(
-        self, spec: BackendServiceSpec, weights: dict[str, float]
-    ) -> list[ServerState]:
-        """Follow the declaration; return the servers no longer in it."""
-        gone = dict(self.servers)
-        for server_spec in spec["servers"]:
-            known = gone.get(server_spec["name"])
-            if known is not None and known.spec == server_spec:
-                del gone[server_spec["name"]]
-                continue
-            server = ServerState(server_spec, self.network, self.settings)
-            self.servers[server.name] = server
-        for name, server in gone.items():
-            if self.servers[name] is server:
-                del self.servers[name]
+        self,
+        spec: BackendServiceSpec,
+        weights: dict[str, float],
+        book: ServerBook,
+    ) -> None:
+        """Follow the declarations of the service and the teams."""
+        servers = {s["name"]: book.get(s) for s in spec["servers"]}
+        for name, server in self.servers.items():
+            if servers.get(name) is not server:
+                server.users.remove(self.dispatch)
+        for name, server in servers.items():
+            if self.servers.get(name) is not server:
+                server.users.append(self.dispatch)
+        self.servers = servers
         self.queue.weights = weights
-        return list(gone.values())
 
     async def acquire(
         self,
@@ -87,14 +83,18 @@
         if not len(self.queue):
             server = self.choose(avoid, now_s)
             if server is not None:
-                self.queue.count_use(team)
-                server.in_flight += 1
+                self._use(server, team)
                 return server
         self._check_queue(team, deadline_s, now_s)
         waiter = Waiter(team, deadline_s, avoid)
         self.queue.push(waiter)
         return await self._wait(waiter, caller_gone)
 
+    def _use(self, server: ServerState, team: str) -> None:
+        self.queue.count_use(team)
+        self.granted += 1
+        server.in_flight += 1
+
     async def _wait(
         self, waiter: Waiter, caller_gone: CallerGone
     ) -> ServerState:
@@ -104,7 +104,7 @@
         except BaseException:
             # A slot that was granted just before goes to another.
             if waiter.server is not None:
-                self.release(waiter.server)
+                waiter.server.release(current_time())
             raise
         finally:
             self.queue.remove(waiter)
@@ -130,11 +130,6 @@
             await waiter.decided.wait()
             nursery.cancel_scope.cancel()
 
-    def release(self, server: ServerState) -> None:
-        """Give a slot back and pass it on."""
-        server.in_flight -= 1
-        self.dispatch(current_time())
-
     def dispatch(self, now_s: float) -> None:
         """Hand free slots to the requests whose turn it is."""
         while True:
@@ -148,12 +143,14 @@
             if server is None:
                 return
             self.queue.remove(waiter)
-            self.queue.count_use(waiter.team)
-            server.in_flight += 1
+            self._use(server, waiter.team)
             waiter.grant(server)
 
     def close(self) -> None:
-        """Refuse all waiting requests, since the service is gone."""
+        """Let go of the servers and refuse all waiting requests."""
+        for server in self.servers.values():
+            server.users.remove(self.dispatch)
+        self.servers = {}
         for queue in list(self.queue.waiting.values()):
             for waiter in list(queue):
                 self.queue.remove(waiter)
@@ -187,40 +184,41 @@
         if len(near) <= 1:
             return near[0] if near else None
         first, second = self.random.sample(near, 2)
-        if second.load() < first.load():
+        if second.load(now_s) < first.load(now_s):
             return second
         return first
 
-    def note_leaving(self, server: ServerState, leaving: bool) -> None:
-        """Take a server's own word whether it leaves."""
-        if server.leaving_health == leaving:
-            return
-        server.leaving_health = leaving
-        event = SERVER_LEAVING if leaving else SERVER_RETURNED
-        log(event, service=self.name, server=server.name)
-
     def estimate(self, now_s: float) -> None:
-        """Learn how fast the usable servers answer now."""
-        seen = [
-            (server.limit.latency_s, int(server.limit.value))
+        """Learn how many requests a second get a slot.
+
+        While requests wait, it is what is seen, since other services may use
+        the same servers; else it is what the servers could give.
+        """
+        elapsed_s = now_s - self.estimated_s
+        if len(self.queue) and elapsed_s > 0:
+            seen = self.granted / elapsed_s
+            self.slots_per_s += SEEN_WEIGHT * (seen - self.slots_per_s)
+        else:
+            self.slots_per_s = self._possible_slots_per_s(now_s)
+        self.estimated_s = now_s
+        self.granted = 0
+
+    def _possible_slots_per_s(self, now_s: float) -> float:
+        return sum(
+            int(server.limit.value)
+            / max(server.limit.latency_s, LOWEST_LATENCY_S)
             for server in self.servers.values()
             if server.limit.latency_s is not None
             and server.is_serving(now_s)
             and not server.is_ejected(now_s)
-        ]
-        latencies_s = sorted(latency_s for latency_s, _ in seen)
-        self.usual_latency_s = latencies_s[len(seen) // 2] if seen else 0.0
-        self.answers_per_s = sum(
-            limit / max(latency_s, LOWEST_LATENCY_S)
-            for latency_s, limit in seen
         )
 
     def wait_s(self, team: str) -> float:
         """Return how long one more request of a team would wait."""
-        if not self.answers_per_s:
+        if not self.slots_per_s:
             return 0.0
         ahead = self.queue.length(team) + 1
-        return ahead / (self.answers_per_s * self.queue.share(team))
+        return ahead / (self.slots_per_s * self.queue.share(team))
 
     def measure(self, now_s: float) -> None:
         """Set the gauges of this service."""
@@ -251,7 +249,7 @@
             )
 
     def _latest_start_s(self, deadline_s: float) -> float:
-        return deadline_s - self.usual_latency_s
+        return deadline_s - self.latency.most_s
 
     def _shed(self, waiter: Waiter) -> None:
         self.queue.remove(waiter)
--- a/src/damaskstall/entry/server.py
+++ b/src/damaskstall/entry/server.py
@@ -4,11 +4,14 @@
 so an entry that was paused or cut off stops by itself.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from damaskstall.addresses import parse_address
+from damaskstall.entry.events import SERVER_LEAVING, SERVER_RETURNED
 from damaskstall.entry.limits import AdaptiveLimit
 from damaskstall.entry.pool import ConnectionPool
+from damaskstall.events import log
 from damaskstall.generated.settings import EntrySettings
 from damaskstall.network import Network
 from damaskstall.resources.records import ServerSpec
@@ -47,6 +50,7 @@
         self.ejected_until_s = NEVER
         self.probing = False
         self.answers = 0
+        self.users: list[Callable[[float], None]] = []
 
     @property
     def leaving(self) -> bool:
@@ -81,13 +85,37 @@
         part = self.spec["connections"] // entries
         self.pool.limit = max(1, min(self.connection_limit, part) - 1)
 
+    def release(self, now_s: float) -> None:
+        """Give a slot back and offer it."""
+        self.in_flight -= 1
+        self.offer_room(now_s)
+
+    def offer_room(self, now_s: float) -> None:
+        """Let the services that use the server fill it, in turn."""
+        if not self.users:
+            return
+        self.users.append(self.users.pop(0))
+        for dispatch in list(self.users):
+            dispatch(now_s)
+
+    def note_leaving(self, leaving: bool) -> None:
+        """Take the server's own word whether it leaves."""
+        if self.leaving_health == leaving:
+            return
+        self.leaving_health = leaving
+        event = SERVER_LEAVING if leaving else SERVER_RETURNED
+        log(event, server=self.name, address=str(self.address))
+
     def note_serving(self, sent_s: float) -> None:
         """Learn that the server took work that was sent at a time."""
         self.serving_s = max(self.serving_s, sent_s)
 
-    def load(self) -> float:
+    def load(self, now_s: float) -> float:
         """Return how loaded the server would look with one more request."""
-        return self.limit.load(self.in_flight)
+        if self.probing:
+            # It takes one request at a time, and is to get it.
+            return 0.0
+        return self.limit.load(self.in_flight, now_s)
 
     def note_answer(self, sent_s: float, now_s: float) -> None:
         """Learn from a whole answer to a request sent at a time."""
--- a/tests/requests/test_routing.py
+++ b/tests/requests/test_routing.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from pytest import mark
-from trio import current_time, sleep
+from trio import current_time, open_nursery, sleep
 
 from damaskstall.platform.types import InstanceRecord
 from standins.backend.faults import FaultRule
@@ -207,3 +207,19 @@
         assert {record.told for record in records} == {ANSWERED}
 
     run_world(scenario)
+
+
+def test_services_on_one_server_share_its_limit() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 1)
+        began_s = current_time()
+        async with open_nursery() as nursery:
+            for number in range(8):
+                for make in (index, minutes):
+                    ask = make(number)._replace(run_s=0.5)
+                    nursery.start_soon(world.ask, entries[0], ask)
+        first = [r for r in world.runs() if r.started_s < began_s + 0.4]
+        # Half of the eight slots, whichever services ask.
+        assert len(first) == 4
+
+    run_world(scenario)
