--- a/src/damaskstall/entry/ejection.py
+++ b/src/damaskstall/entry/ejection.py
@@ -20,7 +20,11 @@
     slow_s = slow_latency_s(servers, now_s)
     for server in servers:
         reason = reason_to_eject(server, slow_s, now_s)
-        if not reason or ejected >= allowed:
+        if not reason:
+            continue
+        if ejected >= allowed:
+            # Too many are out already: a server on trial is used in full.
+            server.end_probing()
             continue
         server.eject(now_s)
         ejected += 1
--- a/src/damaskstall/entry/limits.py
+++ b/src/damaskstall/entry/limits.py
@@ -34,17 +34,18 @@
         """Return whether one more request fits."""
         return in_flight < int(self.value)
 
-    def load(self, in_flight: int, now_s: float) -> float:
+    def load(self, in_flight: int, usual_s: float, now_s: float) -> float:
         """Return how loaded the server would look with one more.
 
         The limit has no part in it: a server that comes back with a low one
-        would get no work to raise it by. An old latency has none either: a
-        server that was slow once would get no work to show otherwise.
+        would get no work to raise it by. A server without a latency, or with
+        an old one, counts as a usual one: as a quick one it would draw work
+        without ever answering, as a slow one it could not show otherwise.
         """
-        latency_s = self.latency_s or LOWEST_LATENCY_S
+        latency_s = self.latency_s or usual_s
         if now_s - self.noted_s > LATENCY_TTL_S:
-            latency_s = LOWEST_LATENCY_S
-        return (in_flight + 1) * latency_s
+            latency_s = usual_s
+        return (in_flight + 1) * max(latency_s, LOWEST_LATENCY_S)
 
     def note_answer(
         self, latency_s: float, in_flight: int, now_s: float
--- a/src/damaskstall/entry/router.py
+++ b/src/damaskstall/entry/router.py
@@ -184,7 +184,8 @@
         if len(near) <= 1:
             return near[0] if near else None
         first, second = self.random.sample(near, 2)
-        if second.load(now_s) < first.load(now_s):
+        usual_s = self.latency.mean_s
+        if second.load(usual_s, now_s) < first.load(usual_s, now_s):
             return second
         return first
 
--- a/src/damaskstall/entry/server.py
+++ b/src/damaskstall/entry/server.py
@@ -71,7 +71,7 @@
         """Return whether one more request may go to the server."""
         if not self.is_serving(now_s) or self.is_ejected(now_s):
             return False
-        if self.probing and self.in_flight:
+        if self.probing and (self.in_flight or self.failures):
             return False
         if self.in_flight >= self.pool.limit:
             return False
@@ -110,12 +110,12 @@
         """Learn that the server took work that was sent at a time."""
         self.serving_s = max(self.serving_s, sent_s)
 
-    def load(self, now_s: float) -> float:
+    def load(self, usual_s: float, now_s: float) -> float:
         """Return how loaded the server would look with one more request."""
         if self.probing:
             # It takes one request at a time, and is to get it.
             return 0.0
-        return self.limit.load(self.in_flight, now_s)
+        return self.limit.load(self.in_flight, usual_s, now_s)
 
     def note_answer(self, sent_s: float, now_s: float) -> None:
         """Learn from a whole answer to a request sent at a time."""
@@ -161,6 +161,7 @@
     def end_probing(self) -> None:
         """Use the server as any other again."""
         self.probing = False
+        self.failures = 0
         self.ejections = 0
 
     def dump(self, now_s: float) -> dict[str, Any]:
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -26,6 +26,8 @@
             nursery.start_soon(world.ask, entry, long)
             await sleep(0.2)
             await entry.gateway.drain()
+            assert entry.gateway.in_flight == 0
+            assert len(world.callers) >= 3
             entry.drain.start()
             await entry.drain.wait_quiet()
             entry.scope.cancel()
--- a/tests/requests/test_fault_sequences.py
+++ b/tests/requests/test_fault_sequences.py
@@ -33,8 +33,8 @@
     """Let the next answers of a server go wrong in one way."""
     backend = world.backends[f"b{step.target % BACKENDS}"]
     kind = KINDS[step.detail % len(KINDS)]
-    limit = 1 + step.detail % 3
-    backend.break_answers(FaultRule(kind, 0.7, limit, delay_s=1.5))
+    limit = 2 + step.detail % 3
+    backend.break_answers(FaultRule(kind, 0.9, limit, delay_s=1.5))
 
 
 def kill_server(world: World, step: Step) -> None:
@@ -97,12 +97,12 @@
 STEPS = st.lists(
     st.builds(
         Step,
-        st.sampled_from(sorted(ACTIONS)),
+        st.sampled_from([*sorted(ACTIONS), *["break_answers"] * 5]),
         st.integers(0, 4),
         st.integers(0, 17),
     ),
-    min_size=1,
-    max_size=8,
+    min_size=3,
+    max_size=9,
 )
 
 
--- a/tests/requests/test_routing.py
+++ b/tests/requests/test_routing.py
@@ -174,6 +174,21 @@
     run_world(scenario)
 
 
+def test_servers_that_all_failed_are_used_again() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 4)
+        for backend in world.backends.values():
+            backend.break_answers(FaultRule("failing"))
+        await offer_load(world, entries, 30, 40, minutes)
+        for backend in world.backends.values():
+            backend.break_answers()
+        records = await offer_load(world, entries, 30, 4, Late(1).ask)
+        assert {record.told for record in records} == {ANSWERED}
+        assert len(runs_by_server(world)) >= 3
+
+    run_world(scenario)
+
+
 def test_entries_share_slots_without_talking() -> None:
     async def scenario(world: World) -> None:
         for number in range(2):
