Judge whether a job can ever run by empty cells

The check counted adjacent workers of a whole failure domain, so a job that is larger than any cell was accepted and could only become unschedulable later. It now asks the same layout that places jobs, for each cell as if it were empty, and the refusal names the longest run of suitable workers in a cell.

--- a/src/damaskstall/resources/api.py
+++ b/src/damaskstall/resources/api.py
@@ -42,7 +42,7 @@
     read_version,
 )
 from damaskstall.resources.cancel import Canceller
-from damaskstall.resources.checks import Planner, plan_nothing
+from damaskstall.resources.checks import Planner, Rules, plan_nothing
 from damaskstall.resources.events import RESOURCE_WRITTEN
 from damaskstall.resources.reads import ResourceReader
 from damaskstall.resources.records import STATE_IN, STATE_OUT, Resource
@@ -78,7 +78,8 @@
         self.instances = instances or self.own_instance
         store = ResourceStore(table)
         self.reader = ResourceReader(store, config)
-        self.writer = ResourceWriter(store, config, planner)
+        rules = Rules(planner, settings.cell_worker_limit)
+        self.writer = ResourceWriter(store, config, rules)
         self.canceller = Canceller(table, settings.instance)
         self.take_outs = TakeOuts(store, config, settings.instance, unix_clock)
         self.hub = WatchHub(table, settings.config_poll_s)
--- a/src/damaskstall/resources/checks.py
+++ b/src/damaskstall/resources/checks.py
@@ -1,7 +1,7 @@
 """Check a declaration against one view of the other ones."""
 
 from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 from damaskstall.errors import (
     FieldProblem,
@@ -9,12 +9,16 @@
     ValidationError,
 )
 from damaskstall.peers.config_store import ConfigStore
+from damaskstall.placement.cells import cells_of
+from damaskstall.placement.layout import Layout
+from damaskstall.placement.model import Cell, Shape, Worker
 from damaskstall.platform.keys import (
     CONFIG_PREFIX,
     split_config_key,
 )
 from damaskstall.platform.types import TableService
 from damaskstall.resources.guards import GUARDED_KINDS
+from damaskstall.resources.records import FailureDomainSpec
 
 PAGE_ROWS = 1000
 
@@ -50,6 +54,13 @@
 Planner = Callable[[ConfigView], tuple[FieldProblem, ...]]
 
 
+class Rules(NamedTuple):
+    """Hold what declarations are checked by."""
+
+    planner: Planner
+    cell_worker_limit: int
+
+
 def plan_nothing(view: ConfigView) -> tuple[FieldProblem, ...]:
     """Find nothing missing."""
     return ()
@@ -113,21 +124,23 @@
     name: str,
     spec: dict[str, Any],
     view: ConfigView,
-    planner: Planner,
+    rules: Rules,
 ) -> None:
     """Raise ValidationError where a spec does not fit the others."""
     problems: list[FieldProblem] = []
     if kind == "job":
-        problems += check_job(spec, view)
+        problems += check_job(spec, view, rules.cell_worker_limit)
     if kind == "failure_domain":
         problems += check_workers(name, spec, view)
     if kind in GUARDED_KINDS and not problems:
-        problems += check_guarantees(view.with_spec(kind, name, spec), planner)
+        problems += check_guarantees(view.with_spec(kind, name, spec), rules)
     if problems:
         raise ValidationError(tuple(problems))
 
 
-def check_job(spec: dict[str, Any], view: ConfigView) -> list[FieldProblem]:
+def check_job(
+    spec: dict[str, Any], view: ConfigView, cell_worker_limit: int
+) -> list[FieldProblem]:
     """Find a missing team or failure domain, or a size no rack can give."""
     problems = []
     if spec["team"] not in view.teams:
@@ -142,66 +155,64 @@
             )
         )
         return problems
-    if not fits_somewhere(spec, view):
-        problems.append(FieldProblem("spec.hosts", why_too_large(spec, view)))
+    if not fits_somewhere(spec, view, cell_worker_limit):
+        reason = why_too_large(spec, view, cell_worker_limit)
+        problems.append(FieldProblem("spec.hosts", reason))
     return problems
 
 
-def fits_somewhere(spec: dict[str, Any], view: ConfigView) -> bool:
-    """Return whether some declared racks could ever give the shape."""
-    accelerators = spec["accelerators_per_host"]
+def fits_somewhere(
+    spec: dict[str, Any], view: ConfigView, cell_worker_limit: int
+) -> bool:
+    """Return whether some empty cell could give the shape."""
+    shape = Shape(spec["hosts"], spec["accelerators_per_host"])
     return any(
-        adjacent >= spec["hosts"]
-        for adjacent in adjacent_hosts(
-            accelerators, spec["failure_domain"], view
-        )
+        Layout(cell).possible(shape)
+        for cell in cells_in(spec["failure_domain"], view, cell_worker_limit)
     )
 
 
-def adjacent_hosts(
-    accelerators: int, where: str, view: ConfigView
-) -> Iterator[int]:
-    """Yield the lengths of runs of adjacent workers that are large enough.
+def cells_in(
+    where: str, view: ConfigView, cell_worker_limit: int
+) -> Iterator[Cell]:
+    """Yield the cells of a failure domain, or of all for an empty name."""
+    for name, spec in view.failure_domains.items():
+        if where in ("", name):
+            domain = cast(FailureDomainSpec, spec)
+            yield from cells_of(name, domain, cell_worker_limit)
 
-    A run lies within a rack or covers whole adjacent racks.
-    """
-    for name, domain in view.failure_domains.items():
-        if where and name != where:
-            continue
-        whole_racks = 0
-        for rack in domain["racks"]:
-            longest = longest_run(rack["workers"], accelerators)
-            yield longest
-            if longest == len(rack["workers"]):
-                whole_racks += longest
-            else:
-                whole_racks = 0
-            yield whole_racks
 
+def why_too_large(
+    spec: dict[str, Any], view: ConfigView, cell_worker_limit: int
+) -> str:
+    """Return a sentence that says what the cells can give at most."""
+    accelerators = spec["accelerators_per_host"]
+    where = spec["failure_domain"]
+    place = f"failure domain {where!r}" if where else "any failure domain"
+    most = max(
+        (
+            longest_run(cell.workers, accelerators)
+            for cell in cells_in(where, view, cell_worker_limit)
+        ),
+        default=0,
+    )
+    return (
+        f"the job can never run: it needs a block of {spec['hosts']} adjacent "
+        f"workers with {accelerators} accelerators each, and a cell of "
+        f"{place} has at most {most} in a row"
+    )
 
-def longest_run(workers: list[dict[str, Any]], accelerators: int) -> int:
-    """Return how many adjacent workers have so many accelerators."""
+
+def longest_run(workers: tuple[Worker, ...], accelerators: int) -> int:
+    """Return how many workers in a row have so many accelerators."""
     longest = current = 0
     for worker in workers:
-        enough = worker["accelerators"] >= accelerators
+        enough = worker.accelerators >= accelerators
         current = current + 1 if enough else 0
         longest = max(longest, current)
     return longest
 
 
-def why_too_large(spec: dict[str, Any], view: ConfigView) -> str:
-    """Return a sentence that says what the racks can give at most."""
-    accelerators = spec["accelerators_per_host"]
-    where = spec["failure_domain"]
-    most = max(adjacent_hosts(accelerators, where, view), default=0)
-    place = f"failure domain {where!r}" if where else "any failure domain"
-    return (
-        f"the job can never run: it needs {spec['hosts']} adjacent workers "
-        f"with {accelerators} accelerators each, and {place} has at most "
-        f"{most}"
-    )
-
-
 def check_workers(
     name: str, spec: dict[str, Any], view: ConfigView
 ) -> list[FieldProblem]:
@@ -231,7 +242,7 @@
     return problems
 
 
-def check_guarantees(view: ConfigView, planner: Planner) -> list[FieldProblem]:
+def check_guarantees(view: ConfigView, rules: Rules) -> list[FieldProblem]:
     """Find guarantees that no rack can give or that do not all pack."""
     problems = []
     for team, spec in view.teams.items():
@@ -245,8 +256,8 @@
                         f"there is no failure domain {where!r}",
                     )
                 )
-            elif not fits_somewhere(guarantee, view):
+            elif not fits_somewhere(guarantee, view, rules.cell_worker_limit):
                 problems.append(
                     FieldProblem(path, "no declared racks can give the shape")
                 )
-    return problems or list(planner(view))
+    return problems or list(rules.planner(view))
--- a/src/damaskstall/resources/writes.py
+++ b/src/damaskstall/resources/writes.py
@@ -22,7 +22,7 @@
 from damaskstall.platform.keys import CONFIG_PREFIX
 from damaskstall.platform.types import ABSENT, Row, Write
 from damaskstall.resources.checks import (
-    Planner,
+    Rules,
     check_against,
     check_guarantees,
     memory_view,
@@ -83,12 +83,12 @@
     """Write declarations that are valid by themselves and together."""
 
     def __init__(
-        self, store: ResourceStore, config: ConfigStore, planner: Planner
+        self, store: ResourceStore, config: ConfigStore, rules: Rules
     ) -> None:
         """Check against the configuration and keep in the store."""
         self.store = store
         self.config = config
-        self.planner = planner
+        self.rules = rules
         self.random = Random(0)
 
     async def create(
@@ -208,20 +208,20 @@
             return
         view = await read_view(self.store.table, self.config)
         if spec is not None:
-            check_against(kind, name, spec, view, self.planner)
+            check_against(kind, name, spec, view, self.rules)
             return
-        problems = check_guarantees(view.without(kind, name), self.planner)
+        problems = check_guarantees(view.without(kind, name), self.rules)
         if problems:
             raise ValidationError(tuple(problems))
 
     async def _check_job(self, name: str, spec: dict[str, Any]) -> None:
         try:
             view = memory_view(self.config)
-            check_against("job", name, spec, view, self.planner)
+            check_against("job", name, spec, view, self.rules)
         except ValidationError:
             # What is in memory may be seconds old: the table decides.
             view = await read_view(self.store.table, self.config)
-            check_against("job", name, spec, view, self.planner)
+            check_against("job", name, spec, view, self.rules)
 
 
 def is_repeated(row: Row | None, guard: Guard, mutation_id: str) -> bool:
--- a/tests/resources/test_api.py
+++ b/tests/resources/test_api.py
@@ -1,6 +1,7 @@
 """Test what operators can do through the resource interface."""
 
 from damaskstall.platform.types import Write
+from damaskstall.resources.checks import Rules, plan_nothing
 from damaskstall.resources.records import JOB_RUNNING
 from standins.platform.faults import FaultRule
 from standins.platform.memory import Platform
@@ -141,6 +142,23 @@
         refused = await entry.declare("job", "big", spec)
         assert refused.status == 422
         assert "at most 4" in refused.value["error"]
+        wide = {"team": "t1", "hosts": 200}
+        entry.api.writer.rules = Rules(plan_nothing, 128)
+        racks = [
+            {
+                "name": f"r{rack}",
+                "workers": [
+                    {"name": f"x{rack}-{n}", "address": f"10.1.{rack}.{n}:1"}
+                    for n in range(100)
+                ],
+            }
+            for rack in range(2)
+        ]
+        made = await entry.declare("failure_domain", "fd2", {"racks": racks})
+        assert made.status == 201
+        refused = await entry.declare("job", "wide", wide)
+        assert refused.status == 422
+        assert "at most 100" in refused.value["error"]
         other = await entry.declare("job", "lost", {"team": "t9"})
         assert other.value["problems"][0]["path"] == "spec.team"
 
--- a/tests/resources/test_races.py
+++ b/tests/resources/test_races.py
@@ -9,7 +9,7 @@
 
 from damaskstall.errors import FieldProblem
 from damaskstall.platform.types import Write
-from damaskstall.resources.checks import ConfigView
+from damaskstall.resources.checks import ConfigView, Rules
 from standins.platform.faults import FaultRule
 from standins.platform.memory import Platform
 from tests.resources.calls import LATEST_S, Entry, LateTable, Reply
@@ -251,7 +251,7 @@
 
         async with open_nursery() as nursery:
             for entry, name in ((first, "x"), (second, "y")):
-                entry.api.writer.planner = count_hosts
+                entry.api.writer.rules = Rules(count_hosts, 128)
                 nursery.start_soon(declare, entry, name)
         assert sorted(statuses) == [201, 422]
 
