--- /dev/null
+++ b/tests/test_decision_cost.py
@@ -0,0 +1,61 @@
+"""Bound the work and the memory of one decision by counts."""
+
+from pytest import mark
+
+from bench.decision_cost import (
+    ACCELERATORS,
+    CHANGES,
+    RACK_WORKERS,
+    SHAPES,
+    Load,
+    make_cell,
+    measure,
+    steady,
+)
+from damaskstall.placement.layout import Layout
+from damaskstall.placement.model import Shape
+
+SMALL_WORKERS = 32
+TASKS_PER_WORKER = 2
+CELL_WORKERS = 128
+CELL_LIMIT_BYTES = 2_000_000
+
+
+def scored_per_decision(workers: int) -> float:
+    """Return the blocks that a decision scores after a few changes."""
+    load = Load(workers)
+    for _ in range(TASKS_PER_WORKER * workers):
+        load.add()
+    load.decide()
+    steady(load)
+    return steady(load)[1]
+
+
+@mark.parametrize("workers", [96, 768])
+def test_decision_looks_only_at_what_changed(workers: int) -> None:
+    """Bound the scored blocks by one rack's for each job that came or went.
+
+    The bound does not depend on the size of the cell.
+    """
+    rack = Layout(make_cell(RACK_WORKERS))
+    shapes = {Shape(1, ACCELERATORS), *SHAPES}
+    rack_blocks = sum(len(list(rack.blocks(shape))) for shape in shapes)
+    assert scored_per_decision(workers) <= 2 * CHANGES * rack_blocks
+
+
+def test_decision_without_a_change_scores_nothing() -> None:
+    load = Load(SMALL_WORKERS)
+    load.add()
+    load.decide()
+    load.decide()
+    before = load.scored()
+    load.decide()
+    assert load.scored() == before
+
+
+def test_memory_of_a_cell_fits_a_process() -> None:
+    """Bound a target cell with 1,000 tasks and a queue of 1,000 jobs."""
+    cost = measure(CELL_WORKERS)
+    held_bytes = cost.cell_bytes * CELL_WORKERS
+    held_bytes += 1000 * (cost.job_bytes + cost.queued_bytes)
+    assert held_bytes <= CELL_LIMIT_BYTES
