--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -406,3 +406,15 @@
     job = make_job("own", "lasts", PAIR)
     policy.adopt(RunningJob(job, block, 0.0, True, False))
     assert [r.guaranteed for r in policy.running()] == [False]
+
+
+def test_slot_never_moves_onto_one_in_use() -> None:
+    policy = make_policy(
+        guarantees=(Guarantee("lasts", PAIR), Guarantee("press", PAIR))
+    )
+    for team, host in (("lasts", 0), ("press", 1)):
+        block = Block(host, 1, 0, 8)
+        job = make_job(team, team)
+        policy.adopt(RunningJob(job, block, 0.0, True, False))
+    flags = {r.job.name: r.guaranteed for r in policy.running()}
+    assert flags == {"lasts": True, "press": False}
