--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -97,13 +97,15 @@
         self.check_quiet()
 
     def check_quiet(self) -> None:
-        """Wake the waiters once draining has left no connection."""
-        if self.draining and not self.connections:
+        """Wake the waiters when no connection is left."""
+        if not self.connections:
             self._quiet.set()
+            self._quiet = Event()
 
     async def wait_quiet(self) -> None:
-        """Return once draining has left no connection."""
-        await self._quiet.wait()
+        """Return when no connection is left."""
+        while self.connections:
+            await self._quiet.wait()
 
 
 async def serve_http(
@@ -272,7 +274,11 @@
         await sleep_forever()
 
     async def _handle(self, handler: Handler, head: RequestHead) -> Response:
-        path, query = split_target(head.target.decode("ascii", "replace"))
+        try:
+            target = head.target.decode("ascii", "replace")
+            path, query = split_target(target)
+        except ValueError as error:
+            return error_response(400, f"The target is malformed: {error}.")
         headers = decode_headers(head)
         async with aclosing(self._body_parts()) as parts:
             request = Request(
@@ -334,6 +340,11 @@
             raise ConnectionLostError(
                 f"The answer broke off: {error}"
             ) from error
+        finally:
+            # What the generator holds is freed now and not when it is
+            # collected.
+            if isinstance(response.body, AsyncGenerator):
+                await response.body.aclose()
         await self._send_all(self.http.send(EndOfMessage()))
 
     async def _send_all(self, data: bytes | None) -> None:
--- /dev/null
+++ b/src/damaskstall/placement/policy.py
@@ -0,0 +1,145 @@
+"""Offer one cell's decisions behind the Policy interface."""
+
+from damaskstall.placement.decider import Decider
+from damaskstall.placement.explain import (
+    NOT_HERE,
+    TAKEN_OUT,
+    explain_blocked,
+    explain_claim,
+    explain_reserved,
+)
+from damaskstall.placement.model import (
+    Block,
+    Cell,
+    Decision,
+    Explanation,
+    Guarantee,
+    Policy,
+    QueuedJob,
+    RunningJob,
+)
+from damaskstall.placement.slots import Binding, LateBinding
+from damaskstall.placement.state import CURRENT, CellState, Options
+
+
+def make_policy(cell: Cell) -> Policy:
+    """Return the policy for a cell."""
+    return CellPolicy(cell, LateBinding())
+
+
+class CellPolicy:
+    """Keep one cell's books and decide over it."""
+
+    def __init__(
+        self, cell: Cell, binding: Binding, options: Options = CURRENT
+    ) -> None:
+        """Start with an empty, open cell without guarantees."""
+        self.state = CellState(cell, binding, options)
+        self.decider = Decider(self.state)
+
+    def set_guarantees(self, guarantees: tuple[Guarantee, ...]) -> None:
+        """Replace what the cell promises."""
+        for name in self.state.slots.replace(guarantees):
+            claim = self.state.claims.get(name)
+            if claim is not None:
+                self.state.give_up(claim)
+            else:
+                self.state.downgrade(name)
+        self.state.all_stale()
+
+    def set_weights(self, weights: dict[str, float]) -> None:
+        """Replace the teams' weights in fair shares; absent teams have 1."""
+        self.state.weights = dict(weights)
+        self.state.changed = True
+
+    def set_usable(self, worker: int, usable: bool) -> None:
+        """Say whether new work may be put on a worker."""
+        block = Block(worker, 1, 0, self.state.layout.accelerators[worker])
+        self.state.slots.set_closed(block, not usable)
+        self.state.books.changed(block)
+        if not usable:
+            self.state.give_up_on_closed()
+        self.state.all_stale()
+
+    def set_open(self, is_open: bool) -> None:
+        """Say whether anything may start in the cell (False: taken out)."""
+        self.state.is_open = is_open
+        if not is_open:
+            self.state.reservations.drop()
+            for claim in list(self.state.claims.values()):
+                self.state.give_up(claim)
+        self.state.all_stale()
+
+    def add(self, job: QueuedJob) -> None:
+        """Put a job into the queue unless it is known already."""
+        self.state.add(job)
+
+    def withdraw(self, name: str) -> None:
+        """Take a job out of the queue; does nothing if it is not there."""
+        claim = self.state.claims.get(name)
+        if claim is not None:
+            self.state.give_up(claim)
+        if self.state.queue.remove(name) is None:
+            return
+        self.state.preemptions.pop(name, None)
+        self.state.drop_reservation_of(name)
+        self.state.changed = True
+
+    def adopt(self, running: RunningJob) -> None:
+        """Count a job that already runs, after a change of holder.
+
+        A job whose team has no guarantee that fits it here is counted as
+        borrowing.
+        """
+        job = running.job
+        guaranteed = running.guaranteed and self.state.adopt_slot(running)
+        running = running._replace(guaranteed=guaranteed)
+        if not guaranteed and not job.restartable:
+            self.state.slots.shield(job.name, running.block)
+        self.state.hold(running)
+
+    def release(self, name: str, now_s: float, ran_s: float | None) -> None:
+        """Free a job's block; ``ran_s`` is its run time if it finished."""
+        running = self.state.books.release(name)
+        if running is None:
+            return
+        job = running.job
+        if ran_s is not None:
+            self.state.estimates.learn(job.team, job.estimate_s, ran_s)
+            self.state.preemptions.pop(name, None)
+        if running.guaranteed:
+            self.state.slots.leave(name)
+            self.state.guarantee_stale.add(job.team)
+        else:
+            self.state.slots.unshield(name)
+            self.state.count_borrowed(job, -1)
+        self.state.changed = True
+        if self.state.slots.unbound or self.state.slots.unshielded:
+            self.state.all_stale()
+
+    def running(self) -> tuple[RunningJob, ...]:
+        """Return the jobs that hold blocks."""
+        return tuple(self.state.books.running.values())
+
+    def unmet(self) -> tuple[Guarantee, ...]:
+        """Return the guarantees that the usable workers cannot hold."""
+        return self.state.slots.unmet()
+
+    def decide(self, now_s: float) -> tuple[Decision, ...]:
+        """Return what to do now; the policy's books already count it."""
+        return self.decider.decide(now_s)
+
+    def explain(self, name: str, now_s: float) -> Explanation:
+        """Say why a queued job waits."""
+        claim = self.state.claims.get(name)
+        if claim is not None:
+            return explain_claim(self.state.books, claim.block)
+        job = self.state.queue.get(name)
+        if job is None:
+            return NOT_HERE
+        if not self.state.is_open:
+            return TAKEN_OUT
+        current = self.state.reservations.current
+        if current is not None and current.job.name == name:
+            return explain_reserved(current, now_s)
+        return explain_blocked(self.state.books, job, now_s)
--- /dev/null
+++ b/src/damaskstall/placement/reservations.py
@@ -0,0 +1,137 @@
+"""Reserve a block for the oldest blocked large job and let it drain.
+
+Nothing new starts in the reserved block unless its corrected run time ends
+before the block is expected to be empty, or it keeps its progress and makes
+way as soon as the others have left. After a while only the latter start, so
+wrong estimates cannot put the large job off for ever: it then waits for the
+jobs that held the block and for no others.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskstall.placement.books import Books
+from damaskstall.placement.model import (
+    Block,
+    QueuedJob,
+    RunningJob,
+    Shape,
+)
+
+BACKFILL_LIMIT_S = 1800.0
+LEAST_RUN_S = 120.0
+CANDIDATE_RACKS = 8
+
+
+class Reservation(NamedTuple):
+    """Hold a block for a job; ``empty_s`` is when it should be empty."""
+
+    job: QueuedJob
+    block: Block
+    made_s: float
+    empty_s: float
+
+
+class Reservations:
+    """Hold at most one reservation in a cell."""
+
+    def __init__(self, books: Books) -> None:
+        """Start without a reservation."""
+        self.books = books
+        self.current: Reservation | None = None
+
+    def choose(self, jobs: Iterable[QueuedJob], now_s: float) -> None:
+        """Reserve a block for the oldest of the blocked large jobs."""
+        large = sorted(
+            (job for job in jobs if job.preferred),
+            key=lambda job: (not job.urgent, job.queued_s, job.name),
+        )
+        for job in large:
+            if self._reserve(job, now_s):
+                return
+
+    def is_large(self, shape: Shape) -> bool:
+        """Return whether a shape takes half a worker or more."""
+        widest = max(self.books.layout.accelerators, default=0)
+        return shape.hosts > 1 or 2 * shape.accelerators_per_host >= widest
+
+    def drop(self, keep_shield: bool = False) -> None:
+        """Give up the reservation; the shield stays for a job that starts."""
+        if self.current is None:
+            return
+        self.books.mark(self.books.reserved, self.current.block, False)
+        if not keep_shield:
+            self.books.slots.unshield(self.current.job.name)
+        self.current = None
+
+    def sound(self) -> bool:
+        """Return whether the reserved block can still drain."""
+        if self.current is None:
+            return True
+        block = self.current.block
+        if self.books.promised.meets(block):
+            return False
+        return not self.books.slots.closed.meets(block)
+
+    def backfill_block(
+        self, shape: Shape, expected_s: float, now_s: float
+    ) -> Block | None:
+        """Return a block in the reserved one for a job that ends in time."""
+        current = self.current
+        if current is None or now_s - current.made_s > BACKFILL_LIMIT_S:
+            return None
+        if now_s + expected_s > current.empty_s:
+            return None
+        found = self.books.spare.find(shape)
+        return found.block if found else None
+
+    def yielding_block(self, shape: Shape, now_s: float) -> Block | None:
+        """Return a block in the reserved one for a job that makes way.
+
+        Such a job leaves as soon as nobody else is left in the block. None
+        starts when that is expected before it got anywhere.
+        """
+        if self.current is None:
+            return None
+        if 0.0 <= self.current.empty_s - now_s < LEAST_RUN_S:
+            return None
+        found = self.books.spare.find(shape)
+        return found.block if found else None
+
+    def _reserve(self, job: QueuedJob, now_s: float) -> bool:
+        found = self.books.drain.ranked(job.shape, CANDIDATE_RACKS)
+        for empty_s, block in [(f.score[0], f.block) for f in found]:
+            if not job.restartable:
+                if not self.books.slots.shield(job.name, block):
+                    continue
+            self.books.mark(self.books.reserved, block, True)
+            self.current = Reservation(job, block, now_s, empty_s)
+            return True
+        return False
+
+    def slice_victims(self, slice_s: float, now_s: float) -> list[RunningJob]:
+        """Return whom to preempt so that the reserved block is empty.
+
+        Only borrowed jobs that keep their progress leave for a reservation,
+        and only when nobody else is left in the block. They have had their
+        slice of time or started on the reserved block, so each of their runs
+        gets on, and two large jobs cannot keep preempting each other.
+        """
+        if self.current is None:
+            return []
+        jobs = self.books.jobs_in(self.current.block)
+        staying = [job for job in jobs if not job.stopping]
+        if all(self.may_slice(job, slice_s, now_s) for job in staying):
+            return staying
+        return []
+
+    def may_slice(
+        self, running: RunningJob, slice_s: float, now_s: float
+    ) -> bool:
+        """Return whether a job has to make way for a reservation."""
+        if running.job.urgent or not running.job.checkpointable:
+            return False
+        ran_s = now_s - running.started_s
+        if ran_s < slice_s and running.job.name not in self.books.yielding:
+            return False
+        return self.books.preemptible(running)
--- /dev/null
+++ b/src/damaskstall/resources/routes.py
@@ -0,0 +1,166 @@
+"""List the paths of the resource interface; docs/API.md follows them."""
+
+from typing import NamedTuple
+
+
+class Route(NamedTuple):
+    """Describe one path: its method, pattern, handler and help."""
+
+    method: str
+    pattern: str
+    handler: str
+    help: str
+    query: tuple[str, ...] = ()
+    statuses: tuple[int, ...] = ()
+    body: tuple[str, ...] = ()
+
+
+STATUS_HELP = {
+    200: "Done and kept, or a dry run that would be.",
+    201: "Created and kept.",
+    202: "In force at this process, and not kept by the table yet.",
+    400: "The path, the query or the JSON is malformed; nothing changed.",
+    404: "There is no such resource or path.",
+    405: "The path does not take the method; `allow` lists those it takes.",
+    409: "A lost race or a state that forbids the change. "
+    "`current_version` is the version now (0: absent). Nothing changed, "
+    "unless `took_effect` says that a copy of the request won before.",
+    410: "The changes after the version are gone: list and watch anew.",
+    413: "The body is longer than `body_limit_bytes`.",
+    422: "The declaration is not valid; `problems` lists every bad field "
+    "(at most 100) with its path. Nothing changed.",
+    429: "Too many watchers; come back after `retry-after`.",
+    503: "Not accepted now: this copy of the request has changed nothing "
+    "(`damaskstall-not-run: true`); come back after `retry-after`.",
+    504: "The outcome is unknown: the change may be made, or may still be. "
+    "Repeat it with the same `idempotency-key`, or read the resource.",
+}
+
+ROUTES = (
+    Route(
+        "GET",
+        "/v1/resources/{kind}",
+        "list_resources",
+        "List resources by name, a page at a time.",
+        ("limit", "continue", "selector"),
+        (200, 400, 503),
+    ),
+    Route(
+        "POST",
+        "/v1/resources/{kind}",
+        "create_resource",
+        "Create a resource.",
+        ("dry_run",),
+        (200, 201, 400, 409, 413, 422, 503, 504),
+        ("kind", "name", "spec"),
+    ),
+    Route(
+        "GET",
+        "/v1/resources/{kind}/{name}",
+        "get_resource",
+        "Read one resource.",
+        (),
+        (200, 400, 404, 503),
+    ),
+    Route(
+        "PUT",
+        "/v1/resources/{kind}/{name}",
+        "replace_resource",
+        "Replace the spec of the version that the body names.",
+        ("dry_run",),
+        (200, 400, 404, 409, 413, 422, 503, 504),
+        ("kind", "name", "spec", "resource_version"),
+    ),
+    Route(
+        "DELETE",
+        "/v1/resources/{kind}/{name}",
+        "delete_resource",
+        "Delete the named version of a resource.",
+        ("resource_version", "dry_run"),
+        (200, 400, 404, 409, 422, 503, 504),
+    ),
+    Route(
+        "POST",
+        "/v1/resources/job/{name}/cancel",
+        "cancel_job",
+        "Cancel one job.",
+        (),
+        (200, 400, 404, 503, 504),
+    ),
+    Route(
+        "POST",
+        "/v1/cancellations",
+        "cancel_jobs",
+        "Cancel the jobs that a selector matches, a bounded number a call.",
+        (),
+        (200, 400, 413, 422, 503, 504),
+        ("selector", "continue"),
+    ),
+    Route(
+        "POST",
+        "/v1/resources/failure_domain/{name}/drain",
+        "drain_failure_domain",
+        "Take a failure domain out of service.",
+        (),
+        (200, 202, 400, 404, 409, 503, 504),
+    ),
+    Route(
+        "POST",
+        "/v1/resources/failure_domain/{name}/restore",
+        "restore_failure_domain",
+        "Bring a failure domain back into service.",
+        (),
+        (200, 400, 404, 409, 503, 504),
+    ),
+    Route(
+        "GET",
+        "/v1/watch/{kind}",
+        "watch_resources",
+        "Stream changes after a version as JSON lines.",
+        ("from_version",),
+        (200, 400, 410, 429, 503),
+    ),
+    Route(
+        "GET",
+        "/v1/instances",
+        "list_instances",
+        "List the product's processes and the configuration they run by.",
+        (),
+        (200, 400),
+    ),
+)
+
+
+class Match(NamedTuple):
+    """Hold the route of a request and the parts its pattern names."""
+
+    route: Route
+    parts: dict[str, str]
+
+
+def match_pattern(pattern: str, path: str) -> dict[str, str] | None:
+    """Return the named parts of a path, or None where it does not match."""
+    wanted = pattern.split("/")
+    given = path.split("/")
+    if len(wanted) != len(given):
+        return None
+    parts = {}
+    for want, part in zip(wanted, given, strict=True):
+        if want.startswith("{"):
+            parts[want.strip("{}")] = part
+        elif want != part:
+            return None
+    return parts
+
+
+def find_route(method: str, path: str) -> Match | tuple[str, ...]:
+    """Return the route of a request, or the methods that the path takes."""
+    methods = []
+    for route in ROUTES:
+        parts = match_pattern(route.pattern, path)
+        if parts is None:
+            continue
+        if route.method == method:
+            return Match(route, parts)
+        methods.append(route.method)
+    return tuple(methods)
