--- a/src/damaskstall/entry/attempts.py
+++ b/src/damaskstall/entry/attempts.py
@@ -17,6 +17,7 @@
     StreamedAnswer,
     exchange,
 )
+from damaskstall.entry.measures import ATTEMPT_FAILURES, RETRIES
 from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
 from damaskstall.entry.words import DEADLINE_HEADER
@@ -72,6 +73,8 @@
             except RequestNotRunError as error:
                 return self._conclude(error)
             self.attempts += 1
+            if self.attempts > 1:
+                RETRIES.inc({"service": self.call.service})
             try:
                 answer = await self._attempt(server)
             except ConnectFailedError as error:
@@ -139,22 +142,25 @@
             return answer
         except ConnectFailedError:
             server.note_unreachable()
+            self._count(server, "unreachable")
             raise
         except ServerRefusedError as error:
+            self._count(server, "refused")
             server.note_refusal(current_time())
             if error.leaving:
-                self.router.note_leaving(server, True)
+                server.note_leaving(True)
             raise
         except CallerLostError:
             raise
         except ConnectionLostError as error:
             server.note_failure(sent_s)
+            self._count(server, cause_of(error))
             if isinstance(error, AnswerMismatchError):
                 log(ANSWER_MISMATCHED, server=server.name, error=str(error))
             raise
         finally:
             if not streaming:
-                self.router.release(server)
+                server.release(current_time())
 
     def _next(self, now_s: float) -> Attempt:
         call = self.call
@@ -175,7 +181,7 @@
     ) -> bool:
         """Learn from an answer; return whether the slot stays in use."""
         if answer.leaving:
-            self.router.note_leaving(server, True)
+            server.note_leaving(True)
         if not isinstance(answer.body, StreamedAnswer):
             self._learn(answer.status, server, sent_s)
             return False
@@ -183,16 +189,23 @@
         async def end(whole: bool) -> None:
             if whole:
                 self._learn(answer.status, server, sent_s)
-            self.router.release(server)
+            server.release(current_time())
 
         answer.body.on_end.append(end)
         return True
 
+    def _count(self, server: ServerState, cause: str) -> None:
+        labels = {"service": self.call.service, "server": server.name}
+        ATTEMPT_FAILURES.inc({**labels, "cause": cause})
+
     def _learn(self, status: int, server: ServerState, sent_s: float) -> None:
         if status >= FAILED_STATUS:
             server.note_failure(sent_s)
+            self._count(server, "status")
             return
-        server.note_answer(sent_s, current_time())
+        now_s = current_time()
+        server.note_answer(sent_s, now_s)
+        self.router.latency.note(now_s - sent_s)
         self.budget.earn()
 
 
@@ -203,6 +216,15 @@
     return answer.status >= FAILED_STATUS
 
 
+def cause_of(error: ConnectionLostError) -> str:
+    """Return the word by which metrics tell lost answers apart."""
+    if isinstance(error, AnswerMismatchError):
+        return "mismatched"
+    if isinstance(error, AnswerTimeoutError):
+        return "late"
+    return "lost"
+
+
 def unknown_error(error: ConnectionLostError) -> RequestOutcomeUnknownError:
     """Return what the caller is told of a lost answer."""
     late = isinstance(error, AnswerTimeoutError)
--- a/src/damaskstall/entry/ejection.py
+++ b/src/damaskstall/entry/ejection.py
@@ -1,6 +1,7 @@
 """Put slow and failing servers out of use, but never too many of them."""
 
 from damaskstall.entry.events import SERVER_EJECTED
+from damaskstall.entry.measures import EJECTIONS
 from damaskstall.entry.server import ServerState
 from damaskstall.events import log
 
@@ -19,10 +20,16 @@
     slow_s = slow_latency_s(servers, now_s)
     for server in servers:
         reason = reason_to_eject(server, slow_s, now_s)
-        if not reason or ejected >= allowed:
+        if not reason:
+            continue
+        if ejected >= allowed:
+            # Too many are out already: a server on trial is used in full.
+            server.end_probing()
             continue
         server.eject(now_s)
         ejected += 1
+        labels = {"service": service, "server": server.name}
+        EJECTIONS.inc({**labels, "reason": reason})
         log(SERVER_EJECTED, service=service, server=server.name, reason=reason)
 
 
--- a/src/damaskstall/entry/gateway.py
+++ b/src/damaskstall/entry/gateway.py
@@ -18,7 +18,7 @@
 from damaskstall.entry.attempts import RequestRun
 from damaskstall.entry.body import REPLAY_LIMIT_BYTES, read_for_replay
 from damaskstall.entry.budget import RetryBudget
-from damaskstall.entry.call import Call, read_call
+from damaskstall.entry.call import REQUESTS_PREFIX, Call, read_call
 from damaskstall.entry.claims import ClaimKeeper
 from damaskstall.entry.events import (
     DRAIN_ENDED,
@@ -27,10 +27,19 @@
 )
 from damaskstall.entry.exchange import Answer, StreamedAnswer
 from damaskstall.entry.health import InstanceWatch, watch_server
+from damaskstall.entry.measures import (
+    CLAIM_WRITES_PENDING,
+    IN_FLIGHT,
+    REQUEST_SECONDS,
+    REQUESTS,
+)
 from damaskstall.entry.router import ServiceRouter
 from damaskstall.entry.server import ServerState
+from damaskstall.entry.servers import ServerBook
 from damaskstall.entry.words import (
     ANSWERED,
+    OUTCOME_HEADER,
+    TEAM_HEADER,
     identity,
     not_run_response,
     rejected_response,
@@ -73,6 +82,7 @@
         self.config = config
         self.settings = settings
         self.random = random or Random()
+        self.servers = ServerBook(network, settings)
         self.routers: dict[str, ServiceRouter] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.claims = ClaimKeeper(table, self.random, unix_now)
@@ -91,11 +101,14 @@
             self._nursery = nursery
             self.follow_config()
             nursery.start_soon(self._follow_changes)
-            nursery.start_soon(self.watch.run, self.routers)
+            nursery.start_soon(self.watch.run, self.servers)
             nursery.start_soon(self.claims.run)
             while True:
                 for router in self.routers.values():
                     router.tick(current_time())
+                    router.measure(current_time())
+                IN_FLIGHT.set({}, self.in_flight)
+                CLAIM_WRITES_PENDING.set({}, self.claims.pending)
                 await sleep(TICK_S)
 
     async def handle(self, request: Request) -> Response:
@@ -103,9 +116,11 @@
         self._numbers += 1
         request_id = f"{self.settings.instance}-{self._run_id}-{self._numbers}"
         self.in_flight += 1
+        started_s = current_time()
         streaming = False
         try:
             response = await self._answer(request, request_id)
+            self._measure(request, response, current_time() - started_s)
             if isinstance(response.body, StreamedAnswer):
                 streaming = True
                 response.body.on_end.append(self._end_stream)
@@ -154,13 +169,12 @@
         }
         for name in list(self.routers):
             if name not in services:
-                self._update(name, {"servers": []}, weights)
-                del self.routers[name]
-                del self.budgets[name]
+                self._remove(name)
         for name, value in services.items():
             if name not in self.routers:
                 self._add(name)
-            self._update(name, value["spec"], weights)
+            self.routers[name].update(value["spec"], weights, self.servers)
+        self._follow_servers()
 
     async def _follow_changes(self) -> None:
         while True:
@@ -168,29 +182,29 @@
             self.follow_config()
 
     def _add(self, name: str) -> None:
-        self.routers[name] = ServiceRouter(
-            name, self.network, self.settings, self.random
-        )
+        self.routers[name] = ServiceRouter(name, self.settings, self.random)
         self.budgets[name] = RetryBudget(self.settings.retry_budget_ratio)
 
-    def _update(self, name: str, spec: Any, weights: dict[str, float]) -> None:
-        router = self.routers[name]
-        for server in router.update(spec, weights):
-            self._watches.pop(server).cancel()
-        self.watch.mark(router)
-        for server in router.servers.values():
+    def _remove(self, name: str) -> None:
+        self.routers.pop(name).close()
+        del self.budgets[name]
+
+    def _follow_servers(self) -> None:
+        for server in self.servers.drop_unused():
+            if server in self._watches:
+                self._watches.pop(server).cancel()
+        self.watch.mark(self.servers)
+        for server in self.servers.states.values():
             server.out = self.config.is_out(server.failure_domain)
             if server not in self._watches and self._nursery is not None:
                 scope = CancelScope()
                 self._watches[server] = scope
-                self._nursery.start_soon(self._watch, router, server, scope)
+                self._nursery.start_soon(self._watch, server, scope)
 
-    async def _watch(
-        self, router: ServiceRouter, server: ServerState, scope: CancelScope
-    ) -> None:
+    async def _watch(self, server: ServerState, scope: CancelScope) -> None:
         with scope:
             await watch_server(
-                router, server, self.network, self.settings, self.random
+                server, self.network, self.settings, self.random
             )
         await server.pool.close()
 
@@ -229,6 +243,27 @@
         budget = self.budgets[call.service]
         return await RequestRun(call, router, budget, self.random).answer()
 
+    def _measure(
+        self, request: Request, response: Response, elapsed_s: float
+    ) -> None:
+        service = request.path.removeprefix(REQUESTS_PREFIX)
+        if service not in self.routers:
+            service = ""
+        team = request.headers.get(TEAM_HEADER, "")
+        if self.config.spec("team", team) is None:
+            # Callers must not be able to make up labels.
+            team = ""
+        outcome = dict(response.headers).get(OUTCOME_HEADER, "")
+        REQUESTS.inc(
+            {
+                "service": service,
+                "team": team,
+                "outcome": outcome,
+                "status": str(response.status),
+            }
+        )
+        REQUEST_SECONDS.observe({"service": service}, elapsed_s)
+
     async def _end_stream(self, whole: bool) -> None:
         self._end()
 
--- a/src/damaskstall/entry/router.py
+++ b/src/damaskstall/entry/router.py
@@ -13,18 +13,20 @@
 from trio import current_time, move_on_at, open_nursery, sleep_forever
 
 from damaskstall.entry.ejection import update_ejections
-from damaskstall.entry.events import SERVER_LEAVING, SERVER_RETURNED
+from damaskstall.entry.latency import LatencyEstimate
+from damaskstall.entry.measures import QUEUED, SERVERS
 from damaskstall.entry.queue import FairQueue, Waiter
 from damaskstall.entry.server import ServerState
+from damaskstall.entry.servers import ServerBook
 from damaskstall.errors import CallerLostError, RequestNotRunError
-from damaskstall.events import log
 from damaskstall.generated.settings import EntrySettings
-from damaskstall.network import Network
 from damaskstall.resources.records import BackendServiceSpec
 
 STATUS_BUSY = 429
 STATUS_UNAVAILABLE = 503
 RETRY_LIMIT_S = 30
+LOWEST_LATENCY_S = 1e-4
+SEEN_WEIGHT = 0.1
 
 CallerGone = Callable[[], Awaitable[None]]
 
@@ -33,38 +35,36 @@
     """Hold the servers and the queue of one service."""
 
     def __init__(
-        self,
-        name: str,
-        network: Network,
-        settings: EntrySettings,
-        random: Random,
+        self, name: str, settings: EntrySettings, random: Random
     ) -> None:
         """Start without servers."""
         self.name = name
-        self.network = network
         self.settings = settings
         self.random = random
         self.servers: dict[str, ServerState] = {}
         self.queue = FairQueue()
+        self.latency = LatencyEstimate()
         self.refused = 0
+        self.slots_per_s = 0.0
+        self.granted = 0
+        self.estimated_s = 0.0
 
     def update(
-        self, spec: BackendServiceSpec, weights: dict[str, float]
-    ) -> list[ServerState]:
-        """Follow the declaration; return the servers no longer in it."""
-        gone = dict(self.servers)
-        for server_spec in spec["servers"]:
-            known = gone.get(server_spec["name"])
-            if known is not None and known.spec == server_spec:
-                del gone[server_spec["name"]]
-                continue
-            server = ServerState(server_spec, self.network, self.settings)
-            self.servers[server.name] = server
-        for name, server in gone.items():
-            if self.servers[name] is server:
-                del self.servers[name]
+        self,
+        spec: BackendServiceSpec,
+        weights: dict[str, float],
+        book: ServerBook,
+    ) -> None:
+        """Follow the declarations of the service and the teams."""
+        servers = {s["name"]: book.get(s) for s in spec["servers"]}
+        for name, server in self.servers.items():
+            if servers.get(name) is not server:
+                server.users.remove(self.dispatch)
+        for name, server in servers.items():
+            if self.servers.get(name) is not server:
+                server.users.append(self.dispatch)
+        self.servers = servers
         self.queue.weights = weights
-        return list(gone.values())
 
     async def acquire(
         self,
@@ -83,14 +83,18 @@
         if not len(self.queue):
             server = self.choose(avoid, now_s)
             if server is not None:
-                self.queue.count_use(team)
-                server.in_flight += 1
+                self._use(server, team)
                 return server
         self._check_queue(team, deadline_s, now_s)
         waiter = Waiter(team, deadline_s, avoid)
         self.queue.push(waiter)
         return await self._wait(waiter, caller_gone)
 
+    def _use(self, server: ServerState, team: str) -> None:
+        self.queue.count_use(team)
+        self.granted += 1
+        server.in_flight += 1
+
     async def _wait(
         self, waiter: Waiter, caller_gone: CallerGone
     ) -> ServerState:
@@ -100,7 +104,7 @@
         except BaseException:
             # A slot that was granted just before goes to another.
             if waiter.server is not None:
-                self.release(waiter.server)
+                waiter.server.release(current_time())
             raise
         finally:
             self.queue.remove(waiter)
@@ -126,11 +130,6 @@
             await waiter.decided.wait()
             nursery.cancel_scope.cancel()
 
-    def release(self, server: ServerState) -> None:
-        """Give a slot back and pass it on."""
-        server.in_flight -= 1
-        self.dispatch(current_time())
-
     def dispatch(self, now_s: float) -> None:
         """Hand free slots to the requests whose turn it is."""
         while True:
@@ -144,13 +143,29 @@
             if server is None:
                 return
             self.queue.remove(waiter)
-            self.queue.count_use(waiter.team)
-            server.in_flight += 1
+            self._use(server, waiter.team)
             waiter.grant(server)
 
+    def close(self) -> None:
+        """Let go of the servers and refuse all waiting requests."""
+        for server in self.servers.values():
+            server.users.remove(self.dispatch)
+        self.servers = {}
+        for queue in list(self.queue.waiting.values()):
+            for waiter in list(queue):
+                self.queue.remove(waiter)
+                waiter.refuse(
+                    self._refusal(
+                        STATUS_UNAVAILABLE,
+                        f"The service {self.name!r} was removed.",
+                        waiter.team,
+                    )
+                )
+
     def tick(self, now_s: float) -> None:
         """Eject, shed and dispatch as time passes."""
         update_ejections(self.name, list(self.servers.values()), now_s)
+        self.estimate(now_s)
         for queue in list(self.queue.waiting.values()):
             for waiter in list(queue):
                 if self._latest_start_s(waiter.deadline_s) > now_s:
@@ -169,44 +184,52 @@
         if len(near) <= 1:
             return near[0] if near else None
         first, second = self.random.sample(near, 2)
-        if second.load() < first.load():
+        usual_s = self.latency.mean_s
+        if second.load(usual_s, now_s) < first.load(usual_s, now_s):
             return second
         return first
 
-    def note_leaving(self, server: ServerState, leaving: bool) -> None:
-        """Take a server's own word whether it leaves."""
-        if server.leaving_health == leaving:
-            return
-        server.leaving_health = leaving
-        event = SERVER_LEAVING if leaving else SERVER_RETURNED
-        log(event, service=self.name, server=server.name)
-
-    def usual_latency_s(self) -> float:
-        """Return the middle of the servers' recent latencies."""
-        seen = sorted(
-            server.limit.latency_s
-            for server in self.servers.values()
-            if server.limit.latency_s is not None
-        )
-        return seen[len(seen) // 2] if seen else 0.0
+    def estimate(self, now_s: float) -> None:
+        """Learn how many requests a second get a slot.
+
+        While requests wait, it is what is seen, since other services may use
+        the same servers; else it is what the servers could give.
+        """
+        elapsed_s = now_s - self.estimated_s
+        if len(self.queue) and elapsed_s > 0:
+            seen = self.granted / elapsed_s
+            self.slots_per_s += SEEN_WEIGHT * (seen - self.slots_per_s)
+        else:
+            self.slots_per_s = self._possible_slots_per_s(now_s)
+        self.estimated_s = now_s
+        self.granted = 0
 
-    def answers_per_s(self, now_s: float) -> float:
-        """Return how many answers a second the usable servers give."""
+    def _possible_slots_per_s(self, now_s: float) -> float:
         return sum(
-            int(server.limit.value) / max(server.limit.latency_s, 1e-4)
+            int(server.limit.value)
+            / max(server.limit.latency_s, LOWEST_LATENCY_S)
             for server in self.servers.values()
             if server.limit.latency_s is not None
             and server.is_serving(now_s)
             and not server.is_ejected(now_s)
         )
 
-    def wait_s(self, team: str, now_s: float) -> float:
+    def wait_s(self, team: str) -> float:
         """Return how long one more request of a team would wait."""
-        rate = self.answers_per_s(now_s)
-        if not rate:
+        if not self.slots_per_s:
             return 0.0
         ahead = self.queue.length(team) + 1
-        return ahead / (rate * self.queue.share(team))
+        return ahead / (self.slots_per_s * self.queue.share(team))
+
+    def measure(self, now_s: float) -> None:
+        """Set the gauges of this service."""
+        labels = {"service": self.name}
+        usable = sum(
+            server.is_serving(now_s) and not server.is_ejected(now_s)
+            for server in self.servers.values()
+        )
+        QUEUED.set(labels, len(self.queue))
+        SERVERS.set(labels, usable)
 
     def dump(self, now_s: float) -> dict[str, Any]:
         """Return the state as JSON values."""
@@ -221,13 +244,13 @@
             raise self._refusal(
                 STATUS_BUSY, f"The queue of team {team!r} is full.", team
             )
-        if now_s + self.wait_s(team, now_s) > self._latest_start_s(deadline_s):
+        if now_s + self.wait_s(team) > self._latest_start_s(deadline_s):
             raise self._refusal(
                 STATUS_BUSY, "The request would miss its deadline.", team
             )
 
     def _latest_start_s(self, deadline_s: float) -> float:
-        return deadline_s - self.usual_latency_s()
+        return deadline_s - self.latency.most_s
 
     def _shed(self, waiter: Waiter) -> None:
         self.queue.remove(waiter)
@@ -243,6 +266,6 @@
         self, status: int, message: str, team: str
     ) -> RequestNotRunError:
         self.refused += 1
-        wait_s = self.wait_s(team, current_time())
+        wait_s = self.wait_s(team)
         retry_s = min(RETRY_LIMIT_S, max(1, ceil(wait_s)))
         return RequestNotRunError(status, message, retry_s)
--- a/tests/requests/test_routing.py
+++ b/tests/requests/test_routing.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from pytest import mark
-from trio import current_time, sleep
+from trio import current_time, open_nursery, sleep
 
 from damaskstall.platform.types import InstanceRecord
 from standins.backend.faults import FaultRule
@@ -30,10 +30,12 @@
     return Ask(f"m{number}", deadline_s=2.0)
 
 
-async def start(world: World, backends: int, entries: int = 1) -> list[Entry]:
+async def start(
+    world: World, backends: int, entries: int = 1, service_time_s: float = 0.05
+) -> list[Entry]:
     """Start backend servers and entries in one failure domain."""
     for number in range(backends):
-        await world.add_backend(f"b{number}")
+        await world.add_backend(f"b{number}", service_time_s=service_time_s)
     started = [await world.add_entry(f"e{n}") for n in range(entries)]
     await world.settle()
     return started
@@ -62,14 +64,15 @@
 @mark.parametrize("platform_down", [False, True])
 def test_leaving_server_gets_no_new_work(platform_down: bool) -> None:
     async def scenario(world: World) -> None:
-        entries = await start(world, 3, entries=3)
+        # So much load that the leaving server would be needed.
+        entries = await start(world, 3, entries=3, service_time_s=0.4)
         if platform_down:
             world.platform.faults.rules = (TableFault(down=True),)
-        await offer_load(world, entries, 50, 2, index)
+        await offer_load(world, entries, 55, 2, index)
         core = world.backends["b1"].core
         core.leaving = True
         left_s = current_time()
-        await offer_load(world, entries, 50, 8, index)
+        await offer_load(world, entries, 55, 8, Late(1).ask)
         late = [s for s in core.arrivals_s if s > left_s + LEAVING_LIMIT_S]
         assert core.arrivals_s and not late
 
@@ -96,6 +99,8 @@
 
     async def scenario(world: World) -> None:
         entries = await start(world, 2)
+        # The open connections would still take requests.
+        await offer_load(world, entries, 50, 1, Late(1).ask)
         world.network.cut("b1", "e0")
         await sleep(LEAVING_LIMIT_S)
         before = len(world.backends["b1"].core.arrivals_s)
@@ -169,6 +174,21 @@
     run_world(scenario)
 
 
+def test_servers_that_all_failed_are_used_again() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 4)
+        for backend in world.backends.values():
+            backend.break_answers(FaultRule("failing"))
+        await offer_load(world, entries, 30, 40, minutes)
+        for backend in world.backends.values():
+            backend.break_answers()
+        records = await offer_load(world, entries, 30, 4, Late(1).ask)
+        assert {record.told for record in records} == {ANSWERED}
+        assert len(runs_by_server(world)) >= 3
+
+    run_world(scenario)
+
+
 def test_entries_share_slots_without_talking() -> None:
     async def scenario(world: World) -> None:
         for number in range(2):
@@ -202,3 +222,19 @@
         assert {record.told for record in records} == {ANSWERED}
 
     run_world(scenario)
+
+
+def test_services_on_one_server_share_its_limit() -> None:
+    async def scenario(world: World) -> None:
+        entries = await start(world, 1)
+        began_s = current_time()
+        async with open_nursery() as nursery:
+            for number in range(8):
+                for make in (index, minutes):
+                    ask = make(number)._replace(run_s=0.5)
+                    nursery.start_soon(world.ask, entries[0], ask)
+        first = [r for r in world.runs() if r.started_s < began_s + 0.4]
+        # Half of the eight slots, whichever services ask.
+        assert len(first) == 4
+
+    run_world(scenario)
