--- a/src/damaskstall/platform/http_adapter.py
+++ b/src/damaskstall/platform/http_adapter.py
@@ -25,15 +25,8 @@
 )
 
 
-def row_from_json(value: Any) -> Row:
-    """Return the row that a JSON object describes."""
-    return Row(
-        value["key"], value["revision"], value["mutation_id"], value["value"]
-    )
-
-
-class HttpTable:
-    """Call the table service as one named instance."""
+class PlatformCaller:
+    """Call one of the platform's services as one named instance."""
 
     def __init__(
         self,
@@ -46,6 +39,17 @@
         self.client = HttpClient(network, address, timeout_s)
         self.instance = quote(instance)
 
+
+def row_from_json(value: Any) -> Row:
+    """Return the row that a JSON object describes."""
+    return Row(
+        value["key"], value["revision"], value["mutation_id"], value["value"]
+    )
+
+
+class HttpTable(PlatformCaller):
+    """Call the table service."""
+
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
         answer = await self._get("row", {"key": key})
@@ -121,19 +125,8 @@
     raise TableOutcomeUnknownError(f"The table answered {answer.status}.")
 
 
-class HttpObjects:
-    """Call the object store as one named instance."""
-
-    def __init__(
-        self,
-        network: Network,
-        address: Address,
-        timeout_s: float,
-        instance: str,
-    ) -> None:
-        """Name the service, the limit of one call, and the caller."""
-        self.client = HttpClient(network, address, timeout_s)
-        self.instance = quote(instance)
+class HttpObjects(PlatformCaller):
+    """Call the object store."""
 
     async def put(self, key: str, data: bytes) -> None:
         """Store an object, in place of an earlier one."""
@@ -163,19 +156,8 @@
         return head.status, answer
 
 
-class HttpInstances:
-    """Call the platform's instance list as one named instance."""
-
-    def __init__(
-        self,
-        network: Network,
-        address: Address,
-        timeout_s: float,
-        instance: str,
-    ) -> None:
-        """Name the service, the limit of one call, and the caller."""
-        self.client = HttpClient(network, address, timeout_s)
-        self.instance = quote(instance)
+class HttpInstances(PlatformCaller):
+    """Call the platform's instance list."""
 
     async def instances(self) -> tuple[InstanceRecord, ...]:
         """Return the list; raise PlatformError when it is down."""
