--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -418,3 +418,17 @@
         policy.adopt(RunningJob(job, block, 0.0, True, False))
     flags = {r.job.name: r.guaranteed for r in policy.running()}
     assert flags == {"lasts": True, "press": False}
+
+
+def test_gang_of_256_reclaims_whole_racks() -> None:
+    cell = make_cell(racks=16, workers=8, accelerators=8)
+    gang = Shape(32, 8)
+    policy = make_policy(cell, (Guarantee("lasts", gang),))
+    assert len(start_all(policy, *[make_job(f"j{n}") for n in range(128)]))
+    policy.add(make_job("own", "lasts", gang))
+    leaving = preempted(policy.decide(2.0))
+    assert len(leaving) == 32
+    for name in leaving:
+        policy.release(name, 5.0, None)
+    block = starts(policy.decide(6.0))["own"].block
+    assert (block.hosts, block.first_worker % 8) == (32, 0)
