Search cells once for all jobs of a shape; reserve in the preferred cell only

Cause: each job's claim order searched every cell for a packing, and every cell where a large job waits drained a block for it. Change: the planner keeps how cells suit a team's shape until the configuration changes, and the scheduler tells the policy whether its cell is the first in the claim order. Listing instances now asks the processes that were not heard, through the follower's survey.

--- a/src/damaskstall/entry/main.py
+++ b/src/damaskstall/entry/main.py
@@ -81,9 +81,9 @@
             "requests": self.gateway.dump(),
         }
 
-    def list_instances(self) -> list[dict[str, Any]]:
-        """Return the processes that were heard directly."""
-        return [row._asdict() for row in self.follower.instances()]
+    async def list_instances(self) -> list[dict[str, Any]]:
+        """Return all known processes, after asking those not heard."""
+        return [row._asdict() for row in await self.follower.survey()]
 
     async def start(self, nursery: Nursery) -> dict[str, Address]:
         """Start all tasks and listeners; return the bound addresses."""
--- a/src/damaskstall/placement/claims.py
+++ b/src/damaskstall/placement/claims.py
@@ -37,11 +37,25 @@
     where the job fits beside all guarantees, so that it need not borrow.
     Among equals a hash spreads jobs in proportion to what each cell offers.
     """
+    return rank_cells(job_name, suited_cells(team, shape, cells, plan))
+
+
+def suited_cells(
+    team: str, shape: Shape, cells: tuple[Cell, ...], plan: GuaranteePlan
+) -> dict[str, Attraction]:
+    """Return how much each cell suits a team's jobs of one shape."""
     suited = {}
     for cell in cells:
         found = attraction(team, shape, cell, plan)
         if found is not None:
             suited[cell.name] = found
+    return suited
+
+
+def rank_cells(
+    job_name: str, suited: dict[str, Attraction]
+) -> tuple[str, ...]:
+    """Return suited cells in the order they should try to claim a job."""
     return tuple(
         sorted(suited, key=lambda name: place(job_name, name, suited[name]))
     )
--- a/src/damaskstall/placement/planner.py
+++ b/src/damaskstall/placement/planner.py
@@ -9,7 +9,11 @@
 from damaskstall.errors import FieldProblem
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.placement.cells import cells_of
-from damaskstall.placement.claims import claim_rank
+from damaskstall.placement.claims import (
+    Attraction,
+    rank_cells,
+    suited_cells,
+)
 from damaskstall.placement.model import Cell, Guarantee, Policy, Shape
 from damaskstall.placement.plan import GuaranteePlan, plan_guarantees
 from damaskstall.placement.policy import make_policy
@@ -24,6 +28,7 @@
     out: frozenset[str]
     cells: dict[str, Cell]
     plan: GuaranteePlan
+    suited: dict[tuple[str, Shape], dict[str, Attraction]]
 
 
 class ConfigPlanner:
@@ -54,14 +59,12 @@
         """Return the cells that may claim a job, the preferred one first."""
         derived = self._derive(config)
         wanted = spec["failure_domain"]
-        cells = tuple(
-            cell
-            for cell in derived.cells.values()
-            if wanted in ("", cell.failure_domain)
-            and cell.failure_domain not in derived.out
-        )
-        shape = Shape(spec["hosts"], spec["accelerators_per_host"])
-        return claim_rank(name, spec["team"], shape, cells, derived.plan)
+        suited = {
+            cell: found
+            for cell, found in self._suited(derived, spec).items()
+            if wanted in ("", derived.cells[cell].failure_domain)
+        }
+        return rank_cells(name, suited)
 
     def make_policy(self, cell: Cell) -> Policy:
         """Return a new policy that decides over a cell."""
@@ -91,9 +94,30 @@
             name for name, cell in cells.items() if cell.failure_domain in out
         )
         plan = plan_guarantees(tuple(cells.values()), team_specs(view), closed)
-        self._derived = Derived(config.version, out, cells, plan)
+        self._derived = Derived(config.version, out, cells, plan, {})
         return self._derived
 
+    def _suited(
+        self, derived: Derived, spec: JobSpec
+    ) -> dict[str, Attraction]:
+        """Return how much each open cell suits jobs such as one.
+
+        Found once for all jobs of a team and shape, since it looks for a
+        packing in every cell.
+        """
+        shape = Shape(spec["hosts"], spec["accelerators_per_host"])
+        key = (spec["team"], shape)
+        if key not in derived.suited:
+            open_cells = tuple(
+                cell
+                for cell in derived.cells.values()
+                if cell.failure_domain not in derived.out
+            )
+            derived.suited[key] = suited_cells(
+                spec["team"], shape, open_cells, derived.plan
+            )
+        return derived.suited[key]
+
     def _cells_of(self, view: ConfigView) -> dict[str, Cell]:
         return {
             cell.name: cell
--- a/src/damaskstall/resources/api.py
+++ b/src/damaskstall/resources/api.py
@@ -56,7 +56,7 @@
 
 ANSWER_LIMIT_S = 8.0
 
-InstanceView = Callable[[], list[dict[str, Any]]]
+InstanceView = Callable[[], Awaitable[list[dict[str, Any]]]]
 
 
 class ResourceApi:
@@ -251,9 +251,9 @@
 
     async def list_instances(self, call: Call) -> Response:
         """List the product's processes and what they run by."""
-        return json_response(200, {"items": self.instances()})
+        return json_response(200, {"items": await self.instances()})
 
-    def own_instance(self) -> list[dict[str, Any]]:
+    async def own_instance(self) -> list[dict[str, Any]]:
         """Return this process alone."""
         age_s = self.config.age_s(current_time())
         return [
--- a/src/damaskstall/scheduler/cell.py
+++ b/src/damaskstall/scheduler/cell.py
@@ -339,7 +339,7 @@
         attempt.in_policy = True
         self.policy.adopt(
             RunningJob(
-                queued_job(entry, now_s, now_unix_s),
+                queued_job(entry, now_s, now_unix_s, True),
                 attempt.block,
                 attempt.started_s,
                 entry.status["guaranteed"],
--- a/src/damaskstall/scheduler/queue.py
+++ b/src/damaskstall/scheduler/queue.py
@@ -13,7 +13,9 @@
     return Shape(spec["hosts"], spec["accelerators_per_host"])
 
 
-def queued_job(entry: JobEntry, now_s: float, now_unix_s: float) -> QueuedJob:
+def queued_job(
+    entry: JobEntry, now_s: float, now_unix_s: float, preferred: bool
+) -> QueuedJob:
     """Return a job as a policy sees it; it has waited since it was made."""
     waited_s = max(0.0, now_unix_s - entry.status["created_unix_s"])
     spec = entry.spec
@@ -26,6 +28,7 @@
         spec["checkpointable"],
         now_s - waited_s,
         spec["restartable"],
+        preferred,
     )
 
 
@@ -115,4 +118,6 @@
     def admit(self, entry: JobEntry, now_s: float) -> None:
         """Let the policy decide over a job."""
         self.admitted.add(entry.name)
-        self.policy.add(queued_job(entry, now_s, self.context.unix_s()))
+        preferred = self.rank(entry) == 0
+        now_unix_s = self.context.unix_s()
+        self.policy.add(queued_job(entry, now_s, now_unix_s, preferred))
