--- a/src/damaskstall/entry/main.py
+++ b/src/damaskstall/entry/main.py
@@ -131,6 +131,7 @@
                 await self.registration.leave()
             await sleep(self.settings.drain_notice_s)
             self.drain_state.start()
+            self.resources.close_watches()
             await self.gateway.drain()
             await self.drain_state.wait_quiet()
 
