Bound how long a slow body may hold a connection; plot the job streams

Change: a body has the read timeout plus a second for each 4,096 bytes, counting only the time that the client takes. Ruled out: the head, which already had one limit.

--- a/bench/jobs/__main__.py
+++ b/bench/jobs/__main__.py
@@ -1,7 +1,8 @@
 """Compare the versions of the policy over all streams.
 
 ``python -m bench.jobs --write`` prints the tables and writes the page
-docs/results/jobs.md. ``--seeds 3``, ``--scale 0.25``, ``--streams
+docs/results/jobs.md; ``--plot`` draws docs/results/jobs.png.
+``--seeds 3``, ``--scale 0.25``, ``--streams
 mixed,wrong`` and ``--versions a,b`` narrow or widen the run.
 """
 
@@ -16,6 +17,7 @@
 from bench.jobs.world import World
 
 PAGE = Path("docs/results/jobs.md")
+PLOT = Path("docs/results/jobs.png")
 SEEDS = 2
 PROCESSES = 2
 
@@ -36,6 +38,11 @@
     if arguments.write:
         PAGE.parent.mkdir(parents=True, exist_ok=True)
         PAGE.write_text(page(found))
+    if arguments.plot:
+        # The tests run without the plotting library.
+        from bench.jobs.plot import draw
+
+        draw(found, PLOT)
 
 
 def read_arguments() -> Namespace:
@@ -46,6 +53,7 @@
     parser.add_argument("--seeds", type=int, default=SEEDS)
     parser.add_argument("--scale", type=float, default=1.0)
     parser.add_argument("--write", action="store_true")
+    parser.add_argument("--plot", action="store_true")
     return parser.parse_args()
 
 
--- a/src/damaskstall/http/server.py
+++ b/src/damaskstall/http/server.py
@@ -62,6 +62,7 @@
 HEADER_LIMIT_BYTES = 16384
 LINGER_S = 0.5
 DRAIN_IDLE_S = 1.0
+MINIMUM_BODY_BYTES_PER_S = 4096
 
 
 class ServerLimits(NamedTuple):
@@ -244,15 +245,25 @@
         if self.http.they_are_waiting_for_100_continue:
             go_on = InformationalResponse(status_code=100, headers=[])
             await self.stream.send_all(self.http.send(go_on))
+        left_s = self.limits.read_timeout_s
         while True:
+            asked_s = current_time()
             try:
-                with fail_after(self.limits.read_timeout_s):
+                with fail_after(left_s):
                     event = await self._read_event(NEED_DATA)
             except RemoteProtocolError as error:
                 raise ConnectionLostError(
                     f"The request's body is malformed: {error}."
                 ) from error
+            except TooSlowError:
+                raise ConnectionLostError(
+                    "The request's body came too slowly."
+                ) from None
             if isinstance(event, Data):
+                # Only the client's time counts, not the handler's.
+                left_s -= current_time() - asked_s
+                left_s += len(event.data) / MINIMUM_BODY_BYTES_PER_S
+                left_s = min(left_s, self.limits.read_timeout_s)
                 yield bytes(event.data)
             elif isinstance(event, EndOfMessage):
                 return
