--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -15,6 +15,7 @@
 LOGS_FLAG = "--logs="
 SUCCEEDED = 0
 BROKEN = 1
+INTERRUPTED = 130
 
 
 async def demonstrate(log_directory: Path, keep: bool) -> int:
@@ -51,13 +52,24 @@
 def main() -> None:
     """Start the program."""
     keep = KEEP_FLAG in argv[1:]
-    for argument in argv[1:]:
+    with TemporaryDirectory(prefix="damaskstall-demo-") as temporary:
+        directory = log_directory(argv[1:], Path(temporary))
+        code = INTERRUPTED
+        try:
+            code = run(demonstrate, directory, keep)
+        except* KeyboardInterrupt:
+            print("\nInterrupted: every process was ended.")
+        exit(code)
+
+
+def log_directory(arguments: list[str], temporary: Path) -> Path:
+    """Return the directory that was asked for, or a temporary one."""
+    for argument in arguments:
         if argument.startswith(LOGS_FLAG):
-            logs = Path(argument.removeprefix(LOGS_FLAG))
-            logs.mkdir(parents=True, exist_ok=True)
-            exit(run(demonstrate, logs, keep))
-    with TemporaryDirectory(prefix="damaskstall-demo-") as directory:
-        exit(run(demonstrate, Path(directory), keep))
+            directory = Path(argument.removeprefix(LOGS_FLAG))
+            directory.mkdir(parents=True, exist_ok=True)
+            return directory
+    return temporary
 
 
 if __name__ == "__main__":
