--- a/schema/damaskstall.capnp
+++ b/schema/damaskstall.capnp
@@ -147,9 +147,9 @@
     $help("time between two exchanges with one peer");
   platformTimeoutS @8 :Float64 = 2.0 $unit("s") $minimum(0.05) $maximum(60)
     $help("time limit of one call to the platform");
-  cellLeaseTtlS @9 :Float64 = 10.0 $unit("s") $minimum(0.5) $maximum(600)
+  cellLeaseTtlS @9 :Float64 = 5.0 $unit("s") $minimum(0.5) $maximum(600)
     $help("time a cell lease lasts without renewal");
-  cellLeaseRenewS @10 :Float64 = 3.0 $unit("s") $minimum(0.1) $maximum(200)
+  cellLeaseRenewS @10 :Float64 = 1.5 $unit("s") $minimum(0.1) $maximum(200)
     $help("time between two renewals of a cell lease");
   taskLeaseTtlS @11 :Float64 = 60.0 $unit("s") $minimum(1) $maximum(3600)
     $help("time a running task goes on without hearing from a scheduler");
