Bound a health answer's size, set the queue's metric, drop what nothing used

A backend server's health answer could be as long as any JSON answer (16 MB); the constant meant for it was never passed. The gauge of waiting jobs was declared and never set.

--- a/src/damaskstall/entry/health.py
+++ b/src/damaskstall/entry/health.py
@@ -47,7 +47,9 @@
 async def ask_health(client: HttpClient) -> str | None:
     """Return what a server says of itself, or None where it does not."""
     try:
-        answer = await client.call_json("GET", HEALTH_PATH)
+        answer = await client.call_json(
+            "GET", HEALTH_PATH, limit_bytes=HEALTH_BODY_LIMIT_BYTES
+        )
     except HttpError:
         return None
     if answer.status != 200:
--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -110,14 +110,6 @@
     """The holder's cell lease has ended or passed to another holder."""
 
 
-class WorkerUnreachableError(DamaskstallError):
-    """A worker did not answer: what it did with the command is unknown."""
-
-
-class CommandRefusedError(DamaskstallError):
-    """A worker refused a command: stale epoch, too late, or no room."""
-
-
 class RequestNotRunError(DamaskstallError):
     """A request was refused and no backend server has run any of it."""
 
--- a/src/damaskstall/frames.py
+++ b/src/damaskstall/frames.py
@@ -18,7 +18,6 @@
 
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 LENGTH = Struct(">I")
-NO_UNION = 0xFFFF
 
 SCHEMA_DIRECTORY = files("damaskstall.generated")
 SCHEMA = load(
--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -297,12 +297,18 @@
         return head, data
 
     async def call_json(
-        self, method: str, target: str, value: Any = None
+        self,
+        method: str,
+        target: str,
+        value: Any = None,
+        limit_bytes: int = JSON_LIMIT_BYTES,
     ) -> JsonAnswer:
         """Return one whole answer with its JSON value; None if empty."""
         body = b"" if value is None else dumps(value).encode()
         headers: Headers = (("content-type", JSON_TYPE),) if body else ()
-        head, data = await self.call(method, target, body, headers)
+        head, data = await self.call(
+            method, target, body, headers, limit_bytes
+        )
         try:
             parsed = parse_json(data) if data else None
         except ValueError as error:
--- a/src/damaskstall/peers/deltas.py
+++ b/src/damaskstall/peers/deltas.py
@@ -9,7 +9,6 @@
 from damaskstall.platform.types import ChangePage, Row
 
 DELTA_LIMIT_BYTES = 1024 * 1024
-ROWS_LIMIT_BYTES = 64 * 1024 * 1024
 NEVER_AGE_S = -1.0
 
 
--- a/src/damaskstall/placement/masks.py
+++ b/src/damaskstall/placement/masks.py
@@ -5,8 +5,6 @@
 from damaskstall.placement.layout import block_mask
 from damaskstall.placement.model import Block
 
-ACCELERATORS_LIMIT = 64
-
 
 class Masks:
     """Hold a set of accelerators; one bit each, 8 bytes per worker."""
--- a/src/damaskstall/scheduler/clock.py
+++ b/src/damaskstall/scheduler/clock.py
@@ -22,7 +22,3 @@
         command take effect late by the time the exchange took.
         """
         return self.worker_s + (deadline_s - self.received_s)
-
-    def not_before_s(self, time_s: float) -> float:
-        """Return a worker time that comes no earlier than a time."""
-        return self.worker_s + (time_s - self.sent_s)
--- a/src/damaskstall/scheduler/jobs.py
+++ b/src/damaskstall/scheduler/jobs.py
@@ -18,6 +18,7 @@
 )
 from damaskstall.scheduler.backoff import retry_delay_s
 from damaskstall.scheduler.events import QUEUE_RELOADED, TABLE_RETRY
+from damaskstall.scheduler.metrics import JOBS_QUEUED, NO_LABELS
 
 PAGE_LIMIT = 500
 HOLDER_POLL_S = 0.5
@@ -149,6 +150,8 @@
             )
             for row in page.rows:
                 self.apply_row(row)
+            if page.rows:
+                JOBS_QUEUED.set(NO_LABELS, self.queued())
             complete = page.complete
             self._advance(page.revision)
 
@@ -170,6 +173,7 @@
             if self.entries[name].revision <= first_revision:
                 self.drop(name, first_revision)
         self.loaded = True
+        JOBS_QUEUED.set(NO_LABELS, self.queued())
         self._advance(first_revision)
         log(QUEUE_RELOADED, jobs=len(self.entries))
 
