--- a/src/damaskstall/cli/output.py
+++ b/src/damaskstall/cli/output.py
@@ -109,11 +109,17 @@
 
 
 def instances_text(items: Sequence[dict[str, Any]]) -> str:
-    """Return the product's processes as a table, those behind first."""
-    newest = max((item.get("revision") or 0 for item in items), default=0)
+    """Return the product's processes as a table, those behind first.
+
+    A process is behind by the commits between its newest row of the
+    configuration and the newest that any process has.
+    """
+    newest = max(
+        (item.get("config_revision") or 0 for item in items), default=0
+    )
     rows = []
     for item in items:
-        behind = newest - (item.get("revision") or 0)
+        behind = newest - (item.get("config_revision") or 0)
         cells = [str(item.get(name, "")) for name in INSTANCE_FIELDS]
         rows.append((behind, (*cells, str(behind))))
     rows.sort(key=lambda row: -row[0])
@@ -125,7 +131,7 @@
     "instance",
     "program",
     "failure_domain",
-    "revision",
+    "config_revision",
     "confirmed_age_s",
     "heard_age_s",
     "leaving",
--- a/src/damaskstall/peers/follower.py
+++ b/src/damaskstall/peers/follower.py
@@ -115,7 +115,7 @@
             identity.instance,
             identity.program,
             identity.failure_domain,
-            self.store.revision,
+            self.store.config_revision,
             confirmed,
             self.node.leaving,
             0.0,
--- a/src/damaskstall/peers/liveness.py
+++ b/src/damaskstall/peers/liveness.py
@@ -23,19 +23,22 @@
     """
 
     identity: PeerIdentity
-    revision: int
+    config_revision: int
     confirmed_s: float | None
     leaving: bool
     heard_s: float
 
 
 class InstanceRow(NamedTuple):
-    """Describe one process to an operator; ages count from the present."""
+    """Describe one process to an operator; ages count from the present.
+
+    ``config_revision`` is that of the newest configuration row it has.
+    """
 
     instance: str
     program: str
     failure_domain: str
-    revision: int
+    config_revision: int
     confirmed_age_s: float | None
     leaving: bool
     heard_age_s: float
@@ -57,7 +60,7 @@
         )
         self.rows[heartbeat.instance] = PeerRow(
             identity,
-            heartbeat.revision,
+            heartbeat.config_revision,
             None if age_s < 0 else since_s - age_s,
             heartbeat.leaving,
             since_s,
@@ -92,7 +95,7 @@
                 row.identity.instance,
                 row.identity.program,
                 row.identity.failure_domain,
-                row.revision,
+                row.config_revision,
                 age_or_none(row.confirmed_s, now_s),
                 row.leaving,
                 now_s - row.heard_s,
--- a/src/damaskstall/resources/api.py
+++ b/src/damaskstall/resources/api.py
@@ -261,7 +261,7 @@
                 "instance": self.settings.instance,
                 "failure_domain": self.settings.failure_domain,
                 "program": "damaskstall-entry",
-                "revision": self.config.revision,
+                "config_revision": self.config.config_revision,
                 "confirmed_age_s": (
                     None
                     if self.config.confirmed_s == NEVER
--- a/tests/resources/test_cli.py
+++ b/tests/resources/test_cli.py
@@ -9,6 +9,7 @@
 
 from damaskstall.addresses import Address
 from damaskstall.cli.main import run_ctl
+from damaskstall.cli.output import instances_text
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
 from damaskstall.network import TcpNetwork
 from standins.platform.faults import FaultRule
@@ -129,3 +130,14 @@
         assert not platform.table.commits
 
     with_server(check)
+
+
+def test_process_is_behind_by_its_configuration_alone() -> None:
+    items = [
+        {"instance": "even", "config_revision": 7, "confirmed_age_s": 0.2},
+        {"instance": "late", "config_revision": 4, "confirmed_age_s": 9.0},
+    ]
+    header, first, second = instances_text(items).splitlines()
+    assert header.split()[-1] == "BEHIND"
+    assert (first.split()[0], first.split()[-1]) == ("late", "3")
+    assert (second.split()[0], second.split()[-1]) == ("even", "0")
