--- a/src/damaskstall/cli/output.py
+++ b/src/damaskstall/cli/output.py
@@ -114,12 +114,11 @@
     A process is behind by the commits between its newest row of the
     configuration and the newest that any process has.
     """
-    newest = max(
-        (item.get("config_revision") or 0 for item in items), default=0
-    )
+    revisions = [item.get("config_revision") or 0 for item in items]
+    newest = max(revisions, default=0)
     rows = []
-    for item in items:
-        behind = newest - (item.get("config_revision") or 0)
+    for item, revision in zip(items, revisions, strict=True):
+        behind = newest - revision
         cells = [str(item.get(name, "")) for name in INSTANCE_FIELDS]
         rows.append((behind, (*cells, str(behind))))
     rows.sort(key=lambda row: -row[0])
