Read the records with the checker's own functions

The demonstration decoded commits and collected job states a second time beside tests/job_checker.py, and three HTTP tests repeated their set-up. No check changes.

--- a/demo/checks.py
+++ b/demo/checks.py
@@ -6,13 +6,11 @@
 from trio import open_nursery
 
 from damaskstall.addresses import Address
-from damaskstall.platform.keys import JOB_PREFIX
-from damaskstall.platform.types import Write
 from damaskstall.resources.records import JOB_SUCCEEDED
 from demo.cluster import Cluster
 from demo.operators import read_json
 from standins.platform.table import Commit
-from tests.job_checker import check_jobs
+from tests.job_checker import check_jobs, commits_from_json, job_states
 
 LATE_START_S = 4.0
 
@@ -32,7 +30,7 @@
     """Return what the workers' and the platform's records show broken."""
     records = await worker_records(cluster)
     value = await read_json(cluster.platform, "/records")
-    commits = [as_commit(commit) for commit in value["commits"]]
+    commits = commits_from_json(value["commits"])
     # Each process counts time_s on a clock of its own.
     comparable = [{**r, "time_s": r["unix_s"]} for r in records]
     broken = check_jobs(commits, comparable)
@@ -51,24 +49,14 @@
 
 def unfinished(commits: list[Commit]) -> list[str]:
     """Return the jobs that did not end with success, by the table's log."""
-    states: dict[str, dict[str, Any]] = {}
-    for commit in commits:
-        for write in commit.writes:
-            if write.key.startswith(JOB_PREFIX) and write.value is not None:
-                states[write.key] = write.value["status"]
+    ends = {job: each[-1] for job, each in job_states(commits).items()}
     return [
-        f"The row {key} ended {status['state']}: {status['reason']}."
-        for key, status in states.items()
+        f"The job {job} ended {status['state']}: {status['reason']}."
+        for job, status in ends.items()
         if status["state"] != JOB_SUCCEEDED
     ]
 
 
-def as_commit(value: dict[str, Any]) -> Commit:
-    """Return a commit of the platform's log."""
-    writes = tuple(Write(**write) for write in value["writes"])
-    return Commit(**{**value, "writes": writes})
-
-
 async def worker_records(cluster: Cluster) -> list[dict[str, Any]]:
     """Return the records of all workers."""
     records: list[dict[str, Any]] = []
--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -11,7 +11,7 @@
 from damaskstall.http.client import HttpClient
 from damaskstall.network import TcpNetwork
 from damaskstall.resources.records import JOB_ENDED
-from demo.checks import as_commit, unfinished, worker_records
+from demo.checks import unfinished, worker_records
 from demo.cluster import (
     Cluster,
     ClusterSize,
@@ -21,7 +21,7 @@
 )
 from demo.operators import read_jobs, read_json
 from demo.processes import Processes
-from tests.job_checker import check_jobs
+from tests.job_checker import check_jobs, commits_from_json
 
 SIZE = ClusterSize(
     failure_domains=("a",),
@@ -128,7 +128,7 @@
     async def broken(self) -> list[str]:
         """Return what the outside records show broken."""
         value = await read_json(self.cluster.platform, "/records")
-        commits = [as_commit(commit) for commit in value["commits"]]
+        commits = commits_from_json(value["commits"])
         records = await self.records()
         comparable = [{**r, "time_s": r["unix_s"]} for r in records]
         return check_jobs(commits, comparable) + unfinished(commits)
--- a/tests/test_http_clients.py
+++ b/tests/test_http_clients.py
@@ -1,11 +1,19 @@
 """Test what the HTTP server does about clients that go away."""
 
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
-from trio import Event, fail_after, open_nursery, open_tcp_stream, run
+from trio import (
+    Event,
+    SocketStream,
+    fail_after,
+    open_nursery,
+    open_tcp_stream,
+    run,
+)
 
 from damaskstall.addresses import Address
-from damaskstall.http.messages import Request, Response
+from damaskstall.http.messages import Handler, Request, Response
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
 from damaskstall.network import TcpNetwork
 
@@ -36,6 +44,17 @@
         self.closed.set()
 
 
+@asynccontextmanager
+async def connected(handle: Handler) -> AsyncIterator[SocketStream]:
+    """Serve a handler and yield one connection to it."""
+    async with open_nursery() as nursery:
+        address = await nursery.start(
+            serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
+        )
+        yield await open_tcp_stream(address.host, address.port)
+        nursery.cancel_scope.cancel()
+
+
 def test_handler_learns_that_its_client_went_away() -> None:
     async def check() -> None:
         started, gone = Event(), Event()
@@ -47,17 +66,12 @@
             gone.set()
             return Response(200)
 
-        async with open_nursery() as nursery:
-            address = await nursery.start(
-                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
-            )
-            stream = await open_tcp_stream(address.host, address.port)
+        async with connected(handle) as stream:
             await stream.send_all(REQUEST)
             with fail_after(TIMEOUT_S):
                 await started.wait()
                 await stream.aclose()
                 await gone.wait()
-            nursery.cancel_scope.cancel()
 
     run(check)
 
@@ -69,17 +83,12 @@
         async def handle(request: Request) -> Response:
             return Response(200, body)
 
-        async with open_nursery() as nursery:
-            address = await nursery.start(
-                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
-            )
-            stream = await open_tcp_stream(address.host, address.port)
+        async with connected(handle) as stream:
             await stream.send_all(REQUEST)
             with fail_after(TIMEOUT_S):
                 await stream.receive_some(100)
                 await stream.aclose()
                 await body.closed.wait()
-            nursery.cancel_scope.cancel()
 
     run(check)
 
@@ -91,15 +100,10 @@
         async def handle(request: Request) -> Response:
             return Response(200, body)
 
-        async with open_nursery() as nursery:
-            address = await nursery.start(
-                serve_http, handle, TcpNetwork(), ANY, LIMITS, DrainState()
-            )
-            stream = await open_tcp_stream(address.host, address.port)
+        async with connected(handle) as stream:
             await stream.send_all(OLD_REQUEST)
             with fail_after(TIMEOUT_S):
                 assert await stream.receive_some(100) == b""
                 await body.closed.wait()
-            nursery.cancel_scope.cancel()
 
     run(check)
