--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -158,3 +158,40 @@
         """Keep the HTTP status that the caller is told."""
         self.status = status
         super().__init__(message)
+
+
+class MalformedRowError(PlatformError):
+    """A row of the platform's is not of the form it should have."""
+
+
+class OrderError(DamaskstallError):
+    """An order to a worker did not succeed."""
+
+
+class OrderNotSentError(OrderError):
+    """The order did not reach the worker: it was not carried out."""
+
+
+class OrderUnansweredError(OrderError):
+    """The answer is lost: the order may be carried out, also later."""
+
+
+class OrderRefusedError(OrderError):
+    """The worker refused the order and did nothing."""
+
+    def __init__(self, message: str, reason: str) -> None:
+        """Keep the worker's reason."""
+        self.reason = reason
+        super().__init__(message)
+
+
+class FencedError(OrderError):
+    """The worker obeys a newer holder."""
+
+
+class WorkerReplacedError(OrderError):
+    """Another life of the worker answers at its address."""
+
+
+class UnsupportedJobError(DamaskstallError):
+    """A job asks for something that this version does not do."""
--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -302,10 +302,12 @@
         target: str,
         value: Any = None,
         limit_bytes: int = JSON_LIMIT_BYTES,
+        headers: Headers = (),
     ) -> JsonAnswer:
         """Return one whole answer with its JSON value; None if empty."""
         body = b"" if value is None else dumps(value).encode()
-        headers: Headers = (("content-type", JSON_TYPE),) if body else ()
+        if body:
+            headers = (("content-type", JSON_TYPE), *headers)
         head, data = await self.call(
             method, target, body, headers, limit_bytes
         )
--- /dev/null
+++ b/src/damaskstall/platform/events.py
@@ -0,0 +1,10 @@
+"""Number the log events of the platform's adapters."""
+
+from damaskstall.events import Event
+
+ROW_UNREADABLE = Event(
+    7000,
+    "WARNING",
+    "row_unreadable",
+    "A row of the store cannot be read: it counts as absent.",
+)
--- /dev/null
+++ b/src/damaskstall/platform/job_bodies.py
@@ -0,0 +1,92 @@
+"""Read and write the bodies of clients' requests for jobs."""
+
+from typing import Any
+
+from damaskstall.errors import (
+    FieldProblem,
+    UnsupportedJobError,
+    ValidationError,
+)
+from damaskstall.http.messages import parse_json
+from damaskstall.tasks.model import Demand, JobDeclaration, Step
+
+DEADLINE_HEADER = "damaskstall-deadline-milliseconds"
+MILLISECONDS_PER_S = 1000
+UNSUPPORTED_JOB_FIELDS = ("repetitions",)
+UNSUPPORTED_STEP_FIELDS = ("long_running", "fills")
+
+
+class JobBodies:
+    """Translate between the platform's bodies and the product's records."""
+
+    def deadline_s(self, headers: dict[str, str]) -> float | None:
+        """Return how long the client waits for the answer, if it says so."""
+        text = headers.get(DEADLINE_HEADER, "")
+        if not text.isdecimal():
+            return None
+        return int(text) / MILLISECONDS_PER_S
+
+    def declaration(self, body: bytes) -> JobDeclaration:
+        """Return the job of a body; raise ValidationError."""
+        try:
+            value = parse_json(body)
+            refuse_unsupported("job", value, UNSUPPORTED_JOB_FIELDS)
+            return JobDeclaration(
+                read(value, "specification", str),
+                tuple(decode_step(step) for step in value["steps"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            problem = FieldProblem("body", f"It is not a job: {error}")
+            raise ValidationError((problem,)) from error
+
+    def state(self, state: str) -> object:
+        """Return the body that tells a job's state."""
+        return {"state": state}
+
+    def waiting(self, count: int) -> object:
+        """Return the body that tells how many jobs wait."""
+        return {"waiting": count}
+
+
+def decode_step(value: Any) -> Step:
+    """Return the step that a JSON value describes."""
+    refuse_unsupported("step", value, UNSUPPORTED_STEP_FIELDS)
+    return Step(
+        task_count=read(value, "count", int),
+        demand=Demand(
+            read(value, "cpu", int),
+            read(value, "task_memory_mb", int),
+            read(value, "gpus", int),
+        ),
+        estimate_s=read(value, "estimate_ms", int) / MILLISECONDS_PER_S,
+        after=tuple(int(number) for number in value.get("after", ())),
+        gang=read(value, "gang", bool),
+        one_rack=read(value, "same_rack", bool),
+        checkpoints=read(value, "checkpointing", bool),
+        data_rack=read(value, "affinity", str),
+        required_label=read(value, "requirements", str),
+        per_worker_limit=read(value, "anti_affinity", int),
+        may_copy=read(value, "speculative", bool),
+    )
+
+
+def read(value: Any, name: str, kind: type) -> Any:
+    """Return a field of a kind, or the kind's empty value where it lacks.
+
+    Raises TypeError for a field of another kind.
+    """
+    field = value.get(name, kind())
+    if type(field) is not kind:
+        raise TypeError(f"{name} cannot be {field!r}")
+    return field
+
+
+def refuse_unsupported(what: str, value: Any, names: tuple[str, ...]) -> None:
+    """Raise UnsupportedJobError where a field asks for too much."""
+    if not isinstance(value, dict):
+        raise TypeError(f"a {what} is an object, not {value!r}")
+    for name in names:
+        if value.get(name):
+            raise UnsupportedJobError(
+                f"The field {name} of a {what} is not supported."
+            )
--- /dev/null
+++ b/src/damaskstall/platform/local_settings.py
@@ -0,0 +1,57 @@
+"""Read the settings file that the operators' platform gives a process."""
+
+from typing import Any
+
+from yaml import YAMLError, safe_load
+
+from damaskstall.addresses import parse_address
+from damaskstall.errors import SettingsError
+from damaskstall.tasks.node_settings import NodeSettings
+
+SETTINGS_VARIABLE = "DAMASKSTALL_SETTINGS"
+MILLISECONDS_PER_S = 1000
+
+
+def read_settings(path: str) -> NodeSettings:
+    """Return the settings of a file; raise SettingsError on a bad one."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            value = safe_load(file)
+        return decode_settings(value)
+    except (OSError, YAMLError) as error:
+        raise SettingsError(
+            f"The settings file {path} cannot be read: {error}."
+        ) from error
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise SettingsError(
+            f"The settings file {path} lacks a field or has a wrong one: "
+            f"{error!r}."
+        ) from error
+
+
+def decode_settings(value: Any) -> NodeSettings:
+    """Return the settings that a JSON-like value describes."""
+    bounds = value["bounds"]
+    listen = value["listen_addresses"]
+    ports = value["internal_port_range"]
+    return NodeSettings(
+        instance=str(value["node_name"]),
+        failure_domain=str(value["zone"]),
+        ip_address=str(value["ip_address"]),
+        listen=parse_address(listen["front"]),
+        readiness_listen=parse_address(listen["ready"]),
+        peer_port=int(ports[0]),
+        metrics_port=int(ports[1]),
+        store=parse_address(value["platform"]["address"]),
+        stop_grace_s=float(bounds["grace_s"]),
+        key_removal_s=seconds(bounds["revoke_ms"]),
+        worker_lease_s=seconds(bounds["hold_maximum_ms"]),
+        gang_wait_s=seconds(bounds["gang_ms"]),
+        checkpoint_s=float(bounds["checkpoint_s"]),
+        heartbeat_s=seconds(value["heartbeat_ms"]),
+    )
+
+
+def seconds(milliseconds: Any) -> float:
+    """Return a time in seconds."""
+    return float(milliseconds) / MILLISECONDS_PER_S
--- /dev/null
+++ b/src/damaskstall/platform/operator_rows.py
@@ -0,0 +1,147 @@
+"""Make typed records of the rows that operators and workers write."""
+
+from typing import Any
+
+from damaskstall.addresses import Address, parse_address
+from damaskstall.errors import MalformedRowError, SettingsError
+from damaskstall.network import Network
+from damaskstall.platform.row_store import RowStore
+from damaskstall.platform.types import Row
+from damaskstall.platform.worker_calls import HttpWorkerCalls
+from damaskstall.tasks.desired_state import (
+    DEFAULT_BODY_LIMIT_BYTES,
+    DesiredState,
+)
+from damaskstall.tasks.model import Demand, Queue, TaskTeam, WorkerInfo
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+WORKER_PREFIX = "servers/"
+# A label of this form is a worker's rack; any other is its kind.
+RACK_MARK = "r"
+WORKER_STATES = frozenset({"ready", "draining"})
+MILLISECONDS_PER_S = 1000
+
+
+class OperatorsPlatform:
+    """Translate between the operators' platform and the product."""
+
+    def __init__(self, network: Network, store: Address) -> None:
+        """Name the platform's store."""
+        self.network = network
+        self.table = RowStore(network, store)
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether a row's key is that of the configuration."""
+        return key == CONFIGURATION_KEY
+
+    def evacuated_domain(self, key: str) -> str:
+        """Return the failure domain that a row's key evacuates, or ""."""
+        if not key.startswith(EVACUATION_PREFIX):
+            return ""
+        return key.removeprefix(EVACUATION_PREFIX)
+
+    def desired_state(self, row: Row) -> DesiredState:
+        """Return the configuration of a row; raise MalformedRowError."""
+        value: Any = row.value
+        try:
+            return decode_desired_state(value)
+        except (KeyError, TypeError, ValueError) as error:
+            raise MalformedRowError(
+                f"The row {row.key!r} is no configuration: {error!r}."
+            ) from error
+
+    def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
+        """Return the worker of a row; raise MalformedRowError."""
+        value: Any = row.value
+        name = row.key.removeprefix(WORKER_PREFIX)
+        try:
+            return decode_worker(name, value, state)
+        except (KeyError, TypeError, ValueError, SettingsError) as error:
+            raise MalformedRowError(
+                f"The row {row.key!r} names no worker: {error!r}."
+            ) from error
+
+    def calls_for(self, worker: WorkerInfo) -> HttpWorkerCalls:
+        """Return the calls to one worker."""
+        return HttpWorkerCalls(self.network, worker)
+
+
+def decode_desired_state(value: Any) -> DesiredState:
+    """Return the configuration that a JSON value describes."""
+    queues = [decode_queue(route) for route in value["routes"]]
+    queues.sort(key=lambda queue: -len(queue.path_prefix))
+    guarded = frozenset(
+        service["name"]
+        for service in value["services"]
+        if service.get("enforces_capacity")
+    )
+    limits = value.get("limits", {})
+    return DesiredState(
+        int(value["version"]),
+        tuple(queues),
+        guarded,
+        tuple(decode_team(tenant) for tenant in value.get("tenants", ())),
+        int(limits.get("body_bytes", DEFAULT_BODY_LIMIT_BYTES)),
+    )
+
+
+def decode_queue(route: Any) -> Queue:
+    """Return the queue that a route stands for."""
+    return Queue(
+        route["name"],
+        route["host"],
+        route["path_prefix"],
+        route["service"],
+        int(route.get("priority", 0)),
+        int(route.get("maximum_attempts", 1)),
+        float(route.get("stretch", 1.0)),
+        float(route.get("target_duration_ms", 0)) / MILLISECONDS_PER_S,
+        bool(route.get("public", False)),
+    )
+
+
+def decode_team(tenant: Any) -> TaskTeam:
+    """Return the team that a tenant stands for."""
+    guaranteed = tenant.get("guaranteed") or {}
+    return TaskTeam(
+        tenant["name"],
+        frozenset(tenant.get("api_keys", ())),
+        int(guaranteed.get("gpus", 0)),
+    )
+
+
+def decode_worker(name: str, value: Any, state: DesiredState) -> WorkerInfo:
+    """Return the worker that an entry describes."""
+    address = parse_address(value["address"])
+    capacity = value["capacity"]
+    labels = frozenset(str(label) for label in value["labels"])
+    if value["state"] not in WORKER_STATES:
+        raise ValueError(f"the state {value['state']!r} is not known")
+    return WorkerInfo(
+        name,
+        str(value["service"]),
+        address.host,
+        address.port,
+        str(value["zone"]),
+        rack_of(labels),
+        labels,
+        Demand(
+            int(capacity["cpu"]),
+            int(capacity["task_memory_mb"]),
+            int(capacity.get("gpus", 0)),
+        ),
+        value["state"] != "ready",
+        value["service"] in state.guarded_services,
+        int(value.get("born", 0)),
+    )
+
+
+def rack_of(labels: frozenset[str]) -> str:
+    """Return the rack among a worker's labels, or "" without one."""
+    racks = [
+        label
+        for label in sorted(labels)
+        if label.startswith(RACK_MARK) and "-" in label
+    ]
+    return racks[0] if racks else ""
--- /dev/null
+++ b/src/damaskstall/platform/worker_calls.py
@@ -0,0 +1,152 @@
+"""Give a worker its orders in the operators' protocol."""
+
+from typing import Any
+
+from damaskstall.addresses import Address
+from damaskstall.errors import (
+    ConnectFailedError,
+    FencedError,
+    HttpError,
+    OrderNotSentError,
+    OrderRefusedError,
+    OrderUnansweredError,
+    WorkerReplacedError,
+)
+from damaskstall.http.client import HttpClient, JsonAnswer
+from damaskstall.network import Network
+from damaskstall.tasks.model import RunKey, TaskKey, WorkerInfo
+from damaskstall.tasks.ports import (
+    EndReport,
+    HoldReport,
+    HoldRequest,
+    RunReport,
+    StartRequest,
+)
+
+# A worker is at most a few milliseconds away; an order that is not answered
+# by then may be carried out seconds later (PROTOCOL).
+ORDER_TIMEOUT_S = 0.6
+MILLISECONDS_PER_S = 1000
+EXPECTED_INSTANCE = "damaskstall-expected-instance"
+FENCED = "fence"
+
+
+def task_text(key: TaskKey) -> str:
+    """Return the name of a task on the wire."""
+    return f"{key.job_id}.{key.occurrence}.{key.step}.{key.task_index}"
+
+
+def run_key(task: str, run: int) -> RunKey:
+    """Return the run that a task's name and a run number stand for."""
+    job_id, occurrence, step, index = task.split(".")
+    return RunKey(TaskKey(job_id, int(occurrence), int(step), int(index)), run)
+
+
+class HttpWorkerCalls:
+    """Call one worker; holds and orders keep connections of their own."""
+
+    def __init__(self, network: Network, worker: WorkerInfo) -> None:
+        """Name the worker."""
+        address = Address(worker.host, worker.port)
+        self.headers = ((EXPECTED_INSTANCE, worker.name),)
+        self.holding = HttpClient(network, address, ORDER_TIMEOUT_S)
+        self.ordering = HttpClient(network, address, ORDER_TIMEOUT_S)
+
+    async def hold(self, request: HoldRequest) -> HoldReport:
+        """Extend the lease of all that runs; return what runs and ended."""
+        body = {
+            "fencing_token": request.epoch,
+            "last_seen": request.acknowledged_end,
+            "deadline_ms": milliseconds(request.lease_until_s),
+            "wait_ms": milliseconds(request.wait_s),
+        }
+        self.holding.timeout_s = ORDER_TIMEOUT_S + request.wait_s
+        answer = await self._call(self.holding, "/hold", body)
+        return decode_hold(answer.value)
+
+    async def start(self, request: StartRequest) -> float:
+        """Start a run; return the worker's clock in seconds."""
+        body = {
+            "task": task_text(request.key.task),
+            "run": request.key.run,
+            "specification": request.payload,
+            "deadline_ms": milliseconds(request.not_after_s),
+            "fencing_token": request.epoch,
+        }
+        if request.checkpoint:
+            body["checkpoint"] = request.checkpoint
+        answer = await self._call(self.ordering, "/run-start", body)
+        return float(answer.value["clock_ms"]) / MILLISECONDS_PER_S
+
+    async def stop(self, epoch: int, key: RunKey) -> None:
+        """Stop a run; its end is listed once it has stopped."""
+        body = {
+            "task": task_text(key.task),
+            "run": key.run,
+            "fencing_token": epoch,
+        }
+        await self._call(self.ordering, "/run-stop", body)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.holding.close()
+        await self.ordering.close()
+
+    async def _call(
+        self, client: HttpClient, path: str, body: dict[str, Any]
+    ) -> JsonAnswer:
+        try:
+            answer = await client.call_json(
+                "POST", path, body, headers=self.headers
+            )
+        except ConnectFailedError as error:
+            raise OrderNotSentError(str(error)) from error
+        except HttpError as error:
+            await client.close()
+            raise OrderUnansweredError(str(error)) from error
+        if answer.status != 200:
+            raise refusal(answer, path)
+        return answer
+
+
+def milliseconds(seconds: float) -> int:
+    """Return a time in whole milliseconds."""
+    return round(seconds * MILLISECONDS_PER_S)
+
+
+def refusal(answer: JsonAnswer, path: str) -> Exception:
+    """Return the error that a worker's refusal stands for."""
+    reason = ""
+    if isinstance(answer.value, dict):
+        reason = str(answer.value.get("reason", ""))
+    text = f"The worker answered {path} with {answer.status} {reason}."
+    if answer.status == 421:
+        return WorkerReplacedError(text)
+    if answer.status == 409 and reason == FENCED:
+        return FencedError(text)
+    if answer.status in (400, 409, 429, 503):
+        return OrderRefusedError(text, reason)
+    return OrderUnansweredError(text)
+
+
+def decode_hold(value: Any) -> HoldReport:
+    """Return what a worker tells; raise OrderUnansweredError if malformed."""
+    try:
+        return HoldReport(
+            value["clock_ms"] / MILLISECONDS_PER_S,
+            int(value.get("born", 0)),
+            tuple(
+                RunReport(run_key(entry[0], entry[1]), entry[2], entry[3])
+                for entry in value["running"]
+            ),
+            tuple(
+                EndReport(
+                    entry[0], run_key(entry[1], entry[2]), entry[3], entry[4]
+                )
+                for entry in value["ended"]
+            ),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        raise OrderUnansweredError(
+            f"The worker's lists cannot be read: {error!r}."
+        ) from error
--- a/src/damaskstall/scheduler/lease.py
+++ b/src/damaskstall/scheduler/lease.py
@@ -5,6 +5,7 @@
 cell, so a worker that moves between cells can order them.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 from uuid import uuid4
 
@@ -41,8 +42,13 @@
         row: LeaseRow,
         revision: int,
         sent_s: float,
+        clock: Callable[[], float] = current_time,
     ) -> None:
-        """Take a lease that was written by a call sent at a time."""
+        """Take a lease that was written by a call sent at a time.
+
+        The times of all calls are on ``clock``.
+        """
+        self.clock = clock
         self.table = table
         self.cell = cell
         self.row = row
@@ -80,7 +86,7 @@
         another write lost its race.
         """
         async with self._lock:
-            sent_s = current_time()
+            sent_s = self.clock()
             value = self.row._asdict()
             write = Write(cell_key(self.cell), value, self.revision)
             try:
--- /dev/null
+++ b/src/damaskstall/tasks/capacity.py
@@ -0,0 +1,68 @@
+"""Count what runs take of their workers.
+
+A run takes its demand from the moment it is placed until its worker has
+listed its end, has surely never started it, or has surely lost its lease:
+what is being stopped still counts.
+"""
+
+from typing import NamedTuple
+
+from damaskstall.tasks.model import NOTHING, Demand, RunKey, WorkerInfo
+
+
+class Room(NamedTuple):
+    """Hold a worker with what is free on it.
+
+    ``free`` counts nothing that is being stopped; ``soon_free`` adds that.
+    """
+
+    worker: WorkerInfo
+    free: Demand
+    soon_free: Demand
+
+
+class Occupancy(NamedTuple):
+    """Hold what one run takes of a worker."""
+
+    demand: Demand
+    stopping: bool
+
+
+class WorkerLoad:
+    """Hold the runs that may exist on one worker."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.runs: dict[RunKey, Occupancy] = {}
+        self.used = NOTHING
+        self.stopping = NOTHING
+
+    def add(self, key: RunKey, demand: Demand) -> None:
+        """Count a run, once."""
+        if key in self.runs:
+            return
+        self.runs[key] = Occupancy(demand, False)
+        self.used = self.used.plus(demand)
+
+    def mark_stopping(self, key: RunKey) -> None:
+        """Take note that a run is being stopped; it still counts."""
+        taken = self.runs.get(key)
+        if taken is None or taken.stopping:
+            return
+        self.runs[key] = taken._replace(stopping=True)
+        self.stopping = self.stopping.plus(taken.demand)
+
+    def remove(self, key: RunKey) -> bool:
+        """Count a run no longer; return whether it was counted."""
+        taken = self.runs.pop(key, None)
+        if taken is None:
+            return False
+        self.used = self.used.minus(taken.demand)
+        if taken.stopping:
+            self.stopping = self.stopping.minus(taken.demand)
+        return True
+
+    def room(self, worker: WorkerInfo) -> Room:
+        """Return what is free on the worker."""
+        free = worker.capacity.minus(self.used)
+        return Room(worker, free, free.plus(self.stopping))
--- /dev/null
+++ b/src/damaskstall/tasks/clock.py
@@ -0,0 +1,11 @@
+"""Read the clock that also counts the time a machine is suspended."""
+
+from collections.abc import Callable
+from time import CLOCK_BOOTTIME, clock_gettime
+
+Clock = Callable[[], float]
+
+
+def boot_time_s() -> float:
+    """Return the seconds since the machine started, suspensions included."""
+    return clock_gettime(CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/damaskstall/tasks/desired_state.py
@@ -0,0 +1,43 @@
+"""Hold the operators' configuration of queues, teams and services."""
+
+from typing import NamedTuple
+
+from damaskstall.tasks.model import Queue, TaskTeam
+
+DEFAULT_BODY_LIMIT_BYTES = 262_144
+
+
+class DesiredState(NamedTuple):
+    """Hold one version of the configuration, in full.
+
+    ``guarded_services`` names the services whose workers refuse what does
+    not fit. ``queues`` are in the order in which prefixes are tried: the
+    longest first.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded_services: frozenset[str]
+    teams: tuple[TaskTeam, ...]
+    body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue that a request's host and path select."""
+        for queue in self.queues:
+            if queue.host == host and path.startswith(queue.path_prefix):
+                return queue
+        return None
+
+    def queue_by_name(self) -> dict[str, Queue]:
+        """Return the queues by name."""
+        return {queue.name: queue for queue in self.queues}
+
+    def team_of_key(self, key: str) -> TaskTeam | None:
+        """Return the team that a key belongs to."""
+        for team in self.teams:
+            if key in team.keys:
+                return team
+        return None
+
+
+NO_STATE = DesiredState(0, (), frozenset(), ())
--- /dev/null
+++ b/src/damaskstall/tasks/election.py
@@ -0,0 +1,225 @@
+"""Compete for the lease under which one instance decides.
+
+The lease is free when its row is absent or released, or when the row has not
+changed for its TTL on this process's own clock. Safety does not rest on that
+time: workers obey the highest epoch that has spoken to them.
+"""
+
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+from trio import CancelScope, move_on_after, open_nursery, sleep
+
+from damaskstall.errors import (
+    LeaseLostError,
+    PlatformError,
+    TableConflictError,
+)
+from damaskstall.events import log
+from damaskstall.platform.keys import CELL_PREFIX, cell_key
+from damaskstall.platform.settle import commit_settled
+from damaskstall.platform.types import ABSENT, Row, Write
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.scheduler.lease import CellLease, LeaseRow, parse_lease
+from damaskstall.tasks.events import (
+    HOLDER_ENDED,
+    HOLDER_FAILED,
+    HOLDER_STARTED,
+    STORE_LOST,
+    STORE_REGAINED,
+)
+from damaskstall.tasks.holder import NodeContext, TaskHolder
+from damaskstall.tasks.metrics import HOLDS_LEASE, NO_LABELS
+
+# One cell for the whole service: 24 workers are too few to split.
+CELL = "service"
+WAITING_KEY = f"{CELL_PREFIX}waiting"
+# Urgent work must begin 2.7 s after its acceptance (bounds, reclaim_ms), and
+# a renewal takes some 10 ms: four renewals fit in the TTL.
+LEASE_TTL_S = 1.6
+RENEW_S = 0.4
+POLL_S = 0.5
+# Candidates do not all try in the same moment.
+SPREAD_S = 0.2
+RELEASE_LIMIT_S = 1.0
+PAGE_LIMIT = 10
+
+
+class Election:
+    """Compete, hold and renew; remember what the holder tells."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Start without the lease."""
+        self.context = context
+        self.identity = f"{context.settings.instance}/{uuid4().hex[:8]}"
+        self.holder: TaskHolder | None = None
+        self.draining = False
+        self.waiting: dict[str, int] = {}
+        self.waiting_read_s = float("-inf")
+        self.lease_fresh = False
+        self._seen_revision = -1
+        self._seen_s = 0.0
+        self._random = Random()
+
+    def waiting_age_s(self, now_s: float) -> float:
+        """Return how old the holder's counts are, at most."""
+        if self.holder is not None and self.holder.ready:
+            return 0.0
+        return now_s - self.waiting_read_s if self.lease_fresh else now_s
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the jobs of each queue of which no task has begun."""
+        if self.holder is not None and self.holder.ready:
+            return self.holder.waiting_counts()
+        return self.waiting
+
+    async def run(self) -> None:
+        """Compete until cancelled."""
+        tries = 0
+        while True:
+            delay_s = POLL_S + self._random.uniform(0, SPREAD_S)
+            try:
+                await self._compete()
+                if tries:
+                    log(STORE_REGAINED, used_for="lease", tries=tries)
+                tries = 0
+            except PlatformError as error:
+                if not tries:
+                    log(STORE_LOST, used_for="lease", error=str(error))
+                delay_s = min(retry_delay_s(tries, self._random), POLL_S)
+                tries += 1
+            await sleep(delay_s)
+
+    async def drain(self) -> None:
+        """Give the lease up and compete no more."""
+        self.draining = True
+        if self.holder is not None:
+            self.holder.scope.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            "identity": self.identity,
+            "draining": self.draining,
+            "waiting": self.waiting_counts(),
+            "holder": self.holder.dump() if self.holder else None,
+        }
+
+    async def _compete(self) -> None:
+        page = await self.context.platform.table.scan(
+            CELL_PREFIX, "", PAGE_LIMIT
+        )
+        rows = {row.key: row for row in page.rows}
+        now_s = self.context.clock()
+        row = rows.get(cell_key(CELL))
+        free = self._is_free(row, now_s)
+        self.lease_fresh = not free
+        counts = rows.get(WAITING_KEY)
+        if counts is not None and counts.value is not None:
+            self.waiting = counts.value["counts"]
+            self.waiting_read_s = now_s
+        if self.draining or not free or not self.context.follower.known:
+            return
+        lease = await self._acquire(row, page.revision)
+        if lease is not None:
+            await self._hold(lease, counts)
+
+    def _is_free(self, row: Row | None, now_s: float) -> bool:
+        if row is None or row.value is None:
+            return True
+        lease = parse_lease(row.value)
+        if row.revision != self._seen_revision:
+            self._seen_revision = row.revision
+            self._seen_s = now_s
+        instance = lease.holder.partition("/")[0]
+        if instance == self.context.settings.instance:
+            # An earlier process of this instance held it, and is gone.
+            return True
+        return not lease.holder or now_s - self._seen_s >= lease.ttl_s
+
+    async def _acquire(
+        self, row: Row | None, table_revision: int
+    ) -> CellLease | None:
+        """Try to take the lease; another candidate may win."""
+        last_epoch = 0
+        if row is not None and row.value is not None:
+            last_epoch = parse_lease(row.value).epoch
+        wanted = LeaseRow(
+            self.identity, max(last_epoch, table_revision) + 1, LEASE_TTL_S
+        )
+        sent_s = self.context.clock()
+        write = Write(
+            cell_key(CELL), wanted._asdict(), row.revision if row else ABSENT
+        )
+        table = self.context.platform.table
+        try:
+            revision = await commit_settled(table, (write,), uuid4().hex)
+        except TableConflictError:
+            return None
+        return CellLease(
+            table, CELL, wanted, revision, sent_s, self.context.clock
+        )
+
+    async def _hold(self, lease: CellLease, counts: Row | None) -> None:
+        """Decide until the lease is lost or is to be given up."""
+        log(HOLDER_STARTED, epoch=lease.epoch)
+        HOLDS_LEASE.set(NO_LABELS, 1)
+        holder = TaskHolder(self.context, lease)
+        self.holder = holder
+        try:
+            async with open_nursery() as nursery:
+                nursery.start_soon(self._renew, holder, counts)
+                await holder.run()
+                nursery.cancel_scope.cancel()
+        except Exception as error:
+            # A fault in deciding must not end the answering of requests.
+            log(HOLDER_FAILED, epoch=lease.epoch, error=repr(error))
+        finally:
+            self.holder = None
+            self.lease_fresh = False
+            HOLDS_LEASE.set(NO_LABELS, 0)
+            log(HOLDER_ENDED, epoch=lease.epoch, lost=lease.lost)
+            with CancelScope(shield=True):
+                await self._give_up(lease)
+
+    async def _renew(self, holder: TaskHolder, counts: Row | None) -> None:
+        """Renew the lease, and write the counts beside it when they change."""
+        lease = holder.lease
+        revision = counts.revision if counts else ABSENT
+        written = counts.value["counts"] if counts and counts.value else None
+        failing = False
+        while True:
+            await sleep(RENEW_S)
+            waiting = holder.waiting_counts()
+            extra: tuple[Write, ...] = ()
+            if holder.ready and waiting != written:
+                value = {"counts": waiting}
+                extra = (Write(WAITING_KEY, value, revision),)
+            try:
+                new_revision = await lease.renew(extra)
+            except LeaseLostError:
+                holder.scope.cancel()
+                return
+            except TableConflictError as error:
+                revision = error.current_revision
+                continue
+            except PlatformError as error:
+                if not failing:
+                    log(STORE_LOST, used_for="renewal", error=str(error))
+                failing = True
+                continue
+            if failing:
+                log(STORE_REGAINED, used_for="renewal")
+            failing = False
+            if extra:
+                revision, written = new_revision, waiting
+
+    async def _give_up(self, lease: CellLease) -> None:
+        if lease.lost:
+            return
+        with move_on_after(RELEASE_LIMIT_S):
+            try:
+                await lease.release()
+            except PlatformError as error:
+                log(STORE_LOST, used_for="release", error=str(error))
--- /dev/null
+++ b/src/damaskstall/tasks/holder.py
@@ -0,0 +1,560 @@
+"""Decide over all jobs of the service for as long as the lease is held."""
+
+from functools import partial
+from typing import Any, NamedTuple
+
+from trio import (
+    CancelScope,
+    Event,
+    Nursery,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.events import log
+from damaskstall.platform.types import Row, Value
+from damaskstall.scheduler.lease import CellLease
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.events import (
+    HOLDER_READY,
+    ROW_CONFLICT,
+    RUN_ENDED,
+    TASK_JOB_ENDED,
+    UNIT_STARTED,
+    UNIT_STOPPED,
+)
+from damaskstall.tasks.expectations import Expectations
+from damaskstall.tasks.job_reader import JobReader
+from damaskstall.tasks.metrics import NO_LABELS, RUNS_ENDED, UNITS_STARTED
+from damaskstall.tasks.model import QUEUED, RunKey
+from damaskstall.tasks.node_settings import NodeSettings
+from damaskstall.tasks.policy import (
+    Decision,
+    Situation,
+    StartUnit,
+    decide,
+)
+from damaskstall.tasks.ports import EndReport, Platform, RunReport
+from damaskstall.tasks.progress import (
+    ENDED_DONE,
+    ENDED_NOT_STARTED,
+    JobProgress,
+    Member,
+    Unit,
+)
+from damaskstall.tasks.progress_writer import ProgressWriter
+from damaskstall.tasks.records import (
+    CANCEL_TABLE,
+    JOB_TABLE,
+    job_id_of,
+    restore_progress,
+)
+from damaskstall.tasks.state_follower import StateFollower
+from damaskstall.tasks.worker_list import WorkerList
+from damaskstall.tasks.worker_session import OUTAGE_HOLD_S, WorkerSession
+
+# What happens within this time is decided together.
+GATHER_S = 0.01
+# Time also changes the order of waiting work.
+DECISION_INTERVAL_S = 0.5
+# A worker that is cut off does not hold up the first decisions for longer;
+# reclaim_ms leaves 2.7 s in all.
+FENCE_WAIT_S = 0.7
+NO_ATTEMPT_LIMIT = 1_000_000
+
+
+class NodeContext(NamedTuple):
+    """Hold what all parts of one process share."""
+
+    settings: NodeSettings
+    platform: Platform
+    follower: StateFollower
+    clock: Clock
+
+
+class TaskHolder:
+    """Decide, give orders and write progress under one lease."""
+
+    def __init__(self, context: NodeContext, lease: CellLease) -> None:
+        """Start with nothing read."""
+        self.context = context
+        self.lease = lease
+        self.jobs: dict[str, JobProgress] = {}
+        self.sessions: dict[str, WorkerSession] = {}
+        self.reader = JobReader(context.platform.table, context.clock)
+        self.workers = WorkerList(context.platform, context.follower)
+        self.writer = ProgressWriter(context.platform.table, self, lease.epoch)
+        self.expectations = Expectations(context.settings.checkpoint_s)
+        self.scope = CancelScope()
+        self.ready = False
+        self._wake = Event()
+        self._nursery: Nursery | None = None
+        self._ended_jobs: dict[str, JobProgress] = {}
+        self._orphans: list[tuple[str, EndReport]] = []
+
+    async def run(self) -> None:
+        """Decide until cancelled or until a newer holder is met."""
+        with self.scope:
+            async with open_nursery() as nursery:
+                self._nursery = nursery
+                await self._load()
+                self.writer.start(nursery)
+                for table, take in (
+                    (JOB_TABLE, self._take_job),
+                    (CANCEL_TABLE, self._take_cancel),
+                ):
+                    nursery.start_soon(
+                        self.reader.follow, table, take, self._resync
+                    )
+                nursery.start_soon(self._follow_workers)
+                nursery.start_soon(self._follow_state)
+                await self._wait_fenced()
+                self.ready = True
+                log(
+                    HOLDER_READY,
+                    epoch=self.lease.epoch,
+                    jobs=len(self.jobs),
+                    workers=len(self.sessions),
+                )
+                await self._decide_forever()
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the jobs of each queue of which no task has begun."""
+        counts: dict[str, int] = {}
+        for progress in self.jobs.values():
+            if progress.state() == QUEUED:
+                queue = progress.job.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            "epoch": self.lease.epoch,
+            "ready": self.ready,
+            "jobs": {
+                name: progress.state() for name, progress in self.jobs.items()
+            },
+            "workers": {
+                name: {
+                    "usable": session.usable(),
+                    "used": list(session.load.used),
+                    "runs": len(session.load.runs),
+                }
+                for name, session in self.sessions.items()
+            },
+        }
+
+    # What sessions tell.
+
+    def wants(self, key: RunKey) -> bool:
+        """Return whether a run should go on."""
+        found = self._find(key)
+        if found is None:
+            return False
+        progress, unit, position = found
+        if progress.cancelled or progress.failed or unit.stopping:
+            return False
+        return not unit.members[position].ended
+
+    def may_extend(self) -> bool:
+        """Return whether the leases of runs may be extended.
+
+        That goes on through an outage of the store, for a bounded time.
+        """
+        return self.lease.may_renew_tasks(self.context.clock(), OUTAGE_HOLD_S)
+
+    def note_running(self, worker: str, report: RunReport) -> None:
+        """Take note that a run is at work."""
+        found = self._find(report.key)
+        if found is None:
+            return
+        progress, unit, position = found
+        unit.members[position].confirmed = True
+        if not unit.has_begun:
+            unit.has_begun = True
+            self._store(progress)
+        if report.checkpoint:
+            unit.checkpoint = report.checkpoint
+        if report.percent != unit.percent:
+            unit.percent = report.percent
+            unit.percent_s = self.context.clock()
+
+    def note_end(self, worker: str, end: EndReport) -> None:
+        """Take note that a run has ended, or never began."""
+        found = self._find(end.key)
+        if found is None:
+            return
+        progress, unit, position = found
+        if unit.members[position].worker != worker:
+            return
+        if end.checkpoint:
+            unit.checkpoint = end.checkpoint
+        if end.how != ENDED_NOT_STARTED:
+            unit.has_begun = True
+        if not progress.end_member(
+            unit, position, end.how, self._attempt_limit(progress)
+        ):
+            return
+        self._log_end(worker, end)
+        if end.how == ENDED_DONE:
+            self._learn(progress, unit)
+        elif unit.active and not unit.done:
+            self._stop_unit(progress, unit, f"a task ended {end.how}")
+        if progress.failed:
+            self._stop_all(progress, "the job has failed")
+        self._store(progress)
+
+    async def wait_ends_stored(self) -> None:
+        """Return once every end noted so far is in the table."""
+        waiting = [
+            (progress, progress.changes)
+            for progress in list(self._ended_jobs.values())
+        ]
+        for progress, count in waiting:
+            await self.writer.wait_stored(progress, count)
+
+    def note_room(self) -> None:
+        """Take note that there may be room on a worker."""
+        self._wake.set()
+
+    def note_fenced(self) -> None:
+        """Take note that a newer holder speaks to the workers."""
+        self.lease.lost = True
+        self.scope.cancel()
+
+    # What the writer tells.
+
+    def absorb(
+        self, progress: JobProgress, value: Value | None, revision: int
+    ) -> None:
+        """Bring a job in line with what another process wrote to its row."""
+        if value is None:
+            self.jobs.pop(progress.job_id, None)
+            return
+        log(ROW_CONFLICT, job=progress.job_id, revision=revision)
+        progress.revision = revision
+        if value.get("cancelled"):
+            self._cancel(progress)
+        self._adopt_newer(progress, value)
+        self._store(progress)
+
+    def _adopt_newer(self, progress: JobProgress, value: Value) -> None:
+        """Take in runs that an earlier holder has ordered meanwhile."""
+        other = JobProgress(progress.job, progress.revision, 0.0)
+        restore_progress(other, value, self.context.clock())
+        pairs = zip(progress.all_units(), other.all_units(), strict=True)
+        for unit, stored in pairs:
+            if stored.done and not unit.done:
+                unit.done = True
+            if stored.run < unit.run or not stored.active or unit.done:
+                continue
+            if stored.run == unit.run and unit.stored_run == unit.run:
+                continue
+            self._drop_members(progress, unit)
+            unit.run = stored.run
+            unit.stored_run = stored.run
+            unit.members = stored.members
+            unit.failures = max(unit.failures, stored.failures)
+            self._adopt_members(progress, unit)
+
+    def _drop_members(self, progress: JobProgress, unit: Unit) -> None:
+        for position, member in enumerate(unit.members):
+            session = self.sessions.get(member.worker)
+            if session is not None:
+                session.release(progress.run_key(unit, position))
+        unit.members = []
+
+    def _adopt_members(self, progress: JobProgress, unit: Unit) -> None:
+        """Count the runs of a unit that an earlier holder has ordered."""
+        demand = progress.step_of(unit).demand
+        for position, member in enumerate(list(unit.members)):
+            if member.ended:
+                continue
+            key = progress.run_key(unit, position)
+            session = self.sessions.get(member.worker)
+            if session is not None:
+                session.adopt(key, demand)
+                session.wake()
+                continue
+            end = EndReport(0, key, "lapsed", "")
+            self._orphans.append((member.worker, end))
+
+    # Loading and following.
+
+    async def _load(self) -> None:
+        """Read all jobs and workers until that succeeds."""
+        while not await self.workers.read_all():
+            await sleep(GATHER_S * 10)
+        self._sync_sessions()
+        loaded = await self.reader.load()
+        for progress in loaded:
+            self.jobs[progress.job_id] = progress
+            for unit in progress.all_units():
+                self._adopt_members(progress, unit)
+
+    async def _wait_fenced(self) -> None:
+        with move_on_after(FENCE_WAIT_S):
+            for session in list(self.sessions.values()):
+                await session.answered.wait()
+
+    async def _follow_workers(self) -> None:
+        while True:
+            await self.workers.follow_once()
+            self._sync_sessions()
+
+    async def _follow_state(self) -> None:
+        while True:
+            await self.context.follower.wait_change()
+            self._wake.set()
+
+    def _take_job(self, row: Row) -> None:
+        progress = self.reader.new_job(row)
+        if progress is not None and progress.job_id not in self.jobs:
+            self.jobs[progress.job_id] = progress
+            self._wake.set()
+
+    def _take_cancel(self, row: Row) -> None:
+        """Cancel a job.
+
+        Its row may come later than its cancellation, since the two are
+        followed apart. Then its first write meets another revision, and the
+        cancellation is read from its row.
+        """
+        progress = self.jobs.get(job_id_of(row.key))
+        if progress is not None and row.value is not None:
+            progress.revision = max(progress.revision, row.revision)
+            self._cancel(progress)
+
+    def _resync(self, loaded: list[JobProgress]) -> None:
+        """Take in all open jobs, after changes were missed."""
+        for progress in loaded:
+            known = self.jobs.setdefault(progress.job_id, progress)
+            if progress.cancelled:
+                self._cancel(known)
+        self._wake.set()
+
+    def _cancel(self, progress: JobProgress) -> None:
+        if progress.cancelled:
+            return
+        progress.cancelled = True
+        self._stop_all(progress, "the job was cancelled")
+        self._wake.set()
+
+    def _sync_sessions(self) -> None:
+        """Open a session for each new worker, and update the others."""
+        listed = self.workers.workers
+        for name, session in list(self.sessions.items()):
+            session.update(listed.get(name))
+            if not session.listed and not session.load.runs:
+                del self.sessions[name]
+        for name, worker in listed.items():
+            if name in self.sessions:
+                continue
+            session = WorkerSession(
+                worker,
+                self.context.platform.calls_for(worker),
+                self,
+                self.lease.epoch,
+                self.context.settings.worker_lease_s,
+                self.context.clock,
+            )
+            self.sessions[name] = session
+            assert self._nursery is not None
+            self._nursery.start_soon(session.run, self._nursery)
+        self._wake.set()
+
+    # Deciding.
+
+    async def _decide_forever(self) -> None:
+        while True:
+            self._wake = Event()
+            self._forget_over()
+            self._end_orphans()
+            now_s = self.context.clock()
+            if self.lease.may_decide(now_s) and not self.writer.failing:
+                for decision in decide(self._situation(), now_s):
+                    self._apply(decision)
+            with move_on_after(DECISION_INTERVAL_S):
+                await self._wake.wait()
+            await sleep(GATHER_S)
+
+    def _situation(self) -> Situation:
+        follower = self.context.follower
+        return Situation(
+            list(self.jobs.values()),
+            follower.state.queue_by_name(),
+            {
+                team.name: team.guaranteed_accelerators
+                for team in follower.state.teams
+            },
+            [
+                session.room()
+                for session in self.sessions.values()
+                if session.usable()
+                and session.worker.failure_domain not in follower.evacuated
+            ],
+            self.expectations,
+        )
+
+    def _apply(self, decision: Decision) -> None:
+        if isinstance(decision, StartUnit):
+            self._start_unit(decision)
+            return
+        self._stop_unit(
+            decision.progress, decision.unit, f"room for {decision.for_job}"
+        )
+
+    def _start_unit(self, decision: StartUnit) -> None:
+        progress, unit = decision.progress, decision.unit
+        demand = progress.step_of(unit).demand
+        placed = [
+            (name, self.sessions[name].incarnation)
+            for name in decision.workers
+        ]
+        progress.begin_run(unit, placed, self.context.clock())
+        for position, name in enumerate(decision.workers):
+            key = progress.run_key(unit, position)
+            self.sessions[name].reserve(key, demand)
+        UNITS_STARTED.inc(NO_LABELS)
+        log(
+            UNIT_STARTED,
+            job=progress.job_id,
+            step=unit.step,
+            index=unit.first_index,
+            run=unit.run,
+            workers=",".join(decision.workers),
+        )
+        count = self._store(progress)
+        assert self._nursery is not None
+        self._nursery.start_soon(self._launch, progress, unit, count)
+
+    async def _launch(
+        self, progress: JobProgress, unit: Unit, count: int
+    ) -> None:
+        """Order all tasks of a unit's run once its intent is stored."""
+        members, run = unit.members, unit.run
+        await self.writer.wait_stored(progress, count)
+        if unit.members is not members:
+            return
+        unit.stored_run = run
+        if unit.stopping or progress.cancelled or progress.failed:
+            self._withdraw(progress, unit, members)
+            return
+        async with open_nursery() as nursery:
+            for position, member in enumerate(members):
+                session = self.sessions.get(member.worker)
+                key = progress.run_key(unit, position)
+                if session is None:
+                    end = EndReport(0, key, ENDED_NOT_STARTED, "")
+                    self.note_end(member.worker, end)
+                    continue
+                nursery.start_soon(
+                    partial(
+                        session.launch,
+                        key,
+                        progress.job.declaration.payload,
+                        unit.checkpoint,
+                    )
+                )
+
+    def _withdraw(
+        self, progress: JobProgress, unit: Unit, members: list[Member]
+    ) -> None:
+        """End a run of which no order was sent."""
+        keys = [
+            (member.worker, progress.run_key(unit, position))
+            for position, member in enumerate(members)
+        ]
+        for worker, key in keys:
+            session = self.sessions.get(worker)
+            if session is not None:
+                session.release(key)
+            self.note_end(worker, EndReport(0, key, ENDED_NOT_STARTED, ""))
+
+    def _stop_all(self, progress: JobProgress, reason: str) -> None:
+        for unit in progress.all_units():
+            if unit.active:
+                self._stop_unit(progress, unit, reason)
+
+    def _stop_unit(
+        self, progress: JobProgress, unit: Unit, reason: str
+    ) -> None:
+        if not unit.stopping:
+            unit.stopping = True
+            log(
+                UNIT_STOPPED,
+                job=progress.job_id,
+                step=unit.step,
+                index=unit.first_index,
+                run=unit.run,
+                reason=reason,
+            )
+        for position, member in enumerate(unit.members):
+            session = self.sessions.get(member.worker)
+            if session is not None and not member.ended:
+                session.stop(progress.run_key(unit, position))
+
+    def _end_orphans(self) -> None:
+        """End adopted runs whose workers are no longer listed."""
+        orphans, self._orphans = self._orphans, []
+        for worker, end in orphans:
+            self.note_end(worker, end)
+
+    def _forget_over(self) -> None:
+        for job_id, progress in list(self.jobs.items()):
+            stored = progress.stored_changes == progress.changes
+            if progress.is_over() and stored:
+                log(
+                    TASK_JOB_ENDED,
+                    job=job_id,
+                    queue=progress.job.queue,
+                    state=progress.state(),
+                )
+                del self.jobs[job_id]
+                self._ended_jobs.pop(job_id, None)
+
+    def _store(self, progress: JobProgress) -> int:
+        """Have a job's progress written; return the change to wait for."""
+        count = progress.note_change()
+        self.writer.add(progress)
+        self._ended_jobs[progress.job_id] = progress
+        self._wake.set()
+        return count
+
+    def _find(self, key: RunKey) -> tuple[JobProgress, Unit, int] | None:
+        """Return the job, the unit and the position of a present run."""
+        progress = self.jobs.get(key.task.job_id)
+        found = progress.find(key.task) if progress is not None else None
+        if progress is None or found is None:
+            return None
+        unit, position = found
+        if unit.run != key.run or position >= len(unit.members):
+            return None
+        return progress, unit, position
+
+    def _attempt_limit(self, progress: JobProgress) -> int:
+        queues = self.context.follower.state.queue_by_name()
+        queue = queues.get(progress.job.queue)
+        return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
+
+    def _learn(self, progress: JobProgress, unit: Unit) -> None:
+        if unit.run > 1:
+            # A run that went on from a checkpoint took less than the whole.
+            return
+        step = progress.step_of(unit)
+        ran_s = self.context.clock() - unit.started_s
+        self.expectations.learn(progress.job.queue, step.estimate_s, ran_s)
+
+    def _log_end(self, worker: str, end: EndReport) -> None:
+        RUNS_ENDED.inc({"how": end.how})
+        log(
+            RUN_ENDED,
+            job=end.key.task.job_id,
+            step=end.key.task.step,
+            index=end.key.task.task_index,
+            run=end.key.run,
+            worker=worker,
+            how=end.how,
+        )
--- /dev/null
+++ b/src/damaskstall/tasks/job_desk.py
@@ -0,0 +1,150 @@
+"""Accept and cancel jobs, and tell their state, on any instance."""
+
+from typing import NamedTuple
+from uuid import uuid4
+
+from trio import move_on_after
+
+from damaskstall.errors import (
+    PlatformError,
+    TableConflictError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
+from damaskstall.platform.settle import commit_settled
+from damaskstall.platform.types import ABSENT, Write
+from damaskstall.tasks.election import Election
+from damaskstall.tasks.holder import NodeContext
+from damaskstall.tasks.model import QUEUED, AcceptedJob
+from damaskstall.tasks.records import (
+    PROGRESS_TABLE,
+    all_parts,
+    cancel_row_key,
+    cancelled_value,
+    encode_job,
+    job_row_key,
+    new_progress_value,
+    part_prefix,
+    progress_row_key,
+)
+
+ACCEPTED = "accepted"
+REPEATED = "repeated"
+NOT_ACCEPTED = "not_accepted"
+UNKNOWN = "unknown"
+ABSENT_JOB = "absent"
+
+# The holder's counts may be shown 2 s late (PROTOCOL, waiting).
+WAITING_AGE_LIMIT_S = 1.8
+# The holder writes progress rows often; a cancellation that loses the race
+# this many times has met something else.
+CANCEL_TRIES = 8
+SCAN_LIMIT = 500
+
+
+class Outcome(NamedTuple):
+    """Hold what became of a request, and why."""
+
+    kind: str
+    reason: str = ""
+
+
+class JobDesk:
+    """Serve the requests that concern jobs."""
+
+    def __init__(self, context: NodeContext, election: Election) -> None:
+        """Serve from the platform's table."""
+        self.context = context
+        self.table = context.platform.table
+        self.election = election
+
+    async def submit(self, job: AcceptedJob, limit_s: float) -> Outcome:
+        """Store a job once, however often it is handed in.
+
+        NOT_ACCEPTED is only said when the store has surely taken nothing.
+        """
+        writes = (
+            Write(job_row_key(job.job_id), encode_job(job), ABSENT),
+            Write(
+                progress_row_key(job.job_id),
+                new_progress_value(job.queue),
+                ABSENT,
+            ),
+        )
+        outcome = Outcome(UNKNOWN, "the store did not answer in time")
+        with move_on_after(limit_s):
+            outcome = await self._commit_job(writes)
+        return outcome
+
+    async def cancel(self, job_id: str, limit_s: float) -> Outcome:
+        """Store that a job is cancelled, unless it is over."""
+        outcome = Outcome(UNKNOWN, "the store did not answer in time")
+        with move_on_after(limit_s):
+            outcome = await self._cancel(job_id)
+        return outcome
+
+    async def state(self, job_id: str) -> str | None:
+        """Return a job's state, or None where there is no such job.
+
+        Raises TableUnavailableError.
+        """
+        row = await self.table.read(progress_row_key(job_id))
+        if row is None or row.value is None:
+            return None
+        state: str = row.value["state"]
+        return state
+
+    async def waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        Raises TableUnavailableError.
+        """
+        now_s = self.context.clock()
+        if self.election.waiting_age_s(now_s) <= WAITING_AGE_LIMIT_S:
+            return self.election.waiting_counts().get(queue, 0)
+        return await self._count_waiting(queue)
+
+    async def _commit_job(self, writes: tuple[Write, ...]) -> Outcome:
+        try:
+            await commit_settled(self.table, writes, uuid4().hex)
+        except TableConflictError:
+            return Outcome(REPEATED)
+        except TableUnavailableError as error:
+            return Outcome(NOT_ACCEPTED, str(error))
+        except TableOutcomeUnknownError as error:
+            return Outcome(UNKNOWN, str(error))
+        return Outcome(ACCEPTED)
+
+    async def _cancel(self, job_id: str) -> Outcome:
+        key = progress_row_key(job_id)
+        reason = ""
+        for _ in range(CANCEL_TRIES):
+            try:
+                row = await self.table.read(key)
+                if row is None or row.value is None:
+                    return Outcome(ABSENT_JOB)
+                value = cancelled_value(row.value)
+                if value == row.value:
+                    return Outcome(REPEATED, row.value["state"])
+                writes = (
+                    Write(key, value, row.revision),
+                    Write(cancel_row_key(job_id), {}, ABSENT),
+                )
+                await self.table.commit(writes, uuid4().hex)
+                return Outcome(ACCEPTED)
+            except PlatformError as error:
+                reason = str(error)
+                if isinstance(error, TableUnavailableError):
+                    break
+        return Outcome(UNKNOWN, reason)
+
+    async def _count_waiting(self, queue: str) -> int:
+        """Count from the rows themselves, while nobody keeps the count."""
+        count = 0
+        for part in all_parts():
+            prefix = part_prefix(PROGRESS_TABLE, part)
+            page = await self.table.scan(prefix, "", SCAN_LIMIT)
+            for row in page.rows:
+                if row.value is not None and row.value["state"] == QUEUED:
+                    count += row.value["queue"] == queue
+        return count
--- /dev/null
+++ b/src/damaskstall/tasks/job_reader.py
@@ -0,0 +1,174 @@
+"""Read the jobs of the table, and follow new jobs and cancellations."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from trio import open_nursery, sleep
+
+from damaskstall.errors import RevisionTooOldError, TableUnavailableError
+from damaskstall.events import log
+from damaskstall.platform.types import Row
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.events import STORE_LOST, STORE_REGAINED
+from damaskstall.tasks.model import FINAL_STATES
+from damaskstall.tasks.ports import WatchedTable
+from damaskstall.tasks.progress import JobProgress
+from damaskstall.tasks.records import (
+    PROGRESS_TABLE,
+    all_parts,
+    decode_job,
+    job_id_of,
+    job_row_key,
+    part_prefix,
+    restore_progress,
+)
+
+SCAN_LIMIT = 500
+# A connection that has gone silent is noticed after this and a call's limit.
+WATCH_S = 2.0
+RETRY_LIMIT_S = 0.5
+
+TakeRow = Callable[[Row], None]
+Resync = Callable[[list[JobProgress]], None]
+
+
+class JobReader:
+    """Read jobs for one holder."""
+
+    def __init__(self, table: WatchedTable, clock: Clock) -> None:
+        """Start with nothing read."""
+        self.table = table
+        self.clock = clock
+        self.revision = -1
+        self._random = Random()
+
+    async def load(self) -> list[JobProgress]:
+        """Return all jobs that are not over, however often that fails."""
+        tries = 0
+        while True:
+            try:
+                return await self._load()
+            except TableUnavailableError as error:
+                if not tries:
+                    log(STORE_LOST, used_for="jobs", error=str(error))
+                delay_s = retry_delay_s(tries, self._random)
+                await sleep(min(delay_s, RETRY_LIMIT_S))
+                tries += 1
+
+    def new_job(self, row: Row) -> JobProgress | None:
+        """Return the job of a row that has just been written."""
+        if row.value is None:
+            return None
+        job = decode_job(job_id_of(row.key), row.value)
+        return JobProgress(job, row.revision, self.clock())
+
+    async def follow(
+        self, table: str, take_row: TakeRow, resync: Resync
+    ) -> None:
+        """Hand on each changed row of a table until cancelled.
+
+        Where history was lost, all jobs that are not over are read and
+        handed on instead.
+        """
+        revision = self.revision
+        tries = 0
+        while True:
+            try:
+                page = await self.table.watch(table, revision, WATCH_S)
+            except RevisionTooOldError:
+                resync(await self.load())
+                revision = self.revision
+                continue
+            except TableUnavailableError as error:
+                if not tries:
+                    log(STORE_LOST, used_for=table, error=str(error))
+                delay_s = retry_delay_s(tries, self._random)
+                await sleep(min(delay_s, RETRY_LIMIT_S))
+                tries += 1
+                continue
+            for row in page.rows:
+                take_row(row)
+            revision = page.revision
+            if tries:
+                log(STORE_REGAINED, used_for=table, tries=tries)
+            tries = 0
+
+    async def _load(self) -> list[JobProgress]:
+        rows: dict[str, Row] = {}
+        revisions: list[int] = []
+
+        async def scan(part: str) -> None:
+            after = ""
+            while True:
+                page = await self.table.scan(
+                    part_prefix(PROGRESS_TABLE, part), after, SCAN_LIMIT
+                )
+                revisions.append(page.revision)
+                for row in page.rows:
+                    rows[job_id_of(row.key)] = row
+                after = (
+                    part_prefix(PROGRESS_TABLE, part) + page.next_after
+                    if page.next_after
+                    else ""
+                )
+                if not after:
+                    return
+
+        await self._for_parts(scan)
+        open_rows = {
+            job_id: row
+            for job_id, row in rows.items()
+            if row.value is not None and is_open(row.value)
+        }
+        jobs = await self._read_jobs(open_rows)
+        self.revision = min(revisions)
+        return jobs
+
+    async def _read_jobs(self, rows: dict[str, Row]) -> list[JobProgress]:
+        found: list[JobProgress] = []
+        wanted = iter(list(rows.items()))
+
+        async def read(part: str) -> None:
+            for job_id, row in wanted:
+                job_row = await self.table.read(job_row_key(job_id))
+                if job_row is None or job_row.value is None:
+                    continue
+                assert row.value is not None
+                job = decode_job(job_id, job_row.value)
+                progress = JobProgress(job, row.revision, self.clock())
+                restore_progress(progress, row.value, self.clock())
+                found.append(progress)
+
+        await self._for_parts(read)
+        return found
+
+    async def _for_parts(self, call: Callable[[str], Awaitable[None]]) -> None:
+        """Make a call for each part, all at once."""
+        failed: list[TableUnavailableError] = []
+
+        async def guarded(part: str) -> None:
+            try:
+                await call(part)
+            except TableUnavailableError as error:
+                failed.append(error)
+
+        async with open_nursery() as nursery:
+            for part in all_parts():
+                nursery.start_soon(guarded, part)
+        if failed:
+            raise failed[0]
+
+
+def is_open(value: dict[str, object]) -> bool:
+    """Return whether a job is not over, or may still have runs."""
+    if value["state"] not in FINAL_STATES:
+        return True
+    steps = value["steps"]
+    assert isinstance(steps, list)
+    return any(members_left(step) for step in steps)
+
+
+def members_left(step: list[dict[str, list[object]]]) -> bool:
+    """Return whether a stored step has runs that may exist."""
+    return any(unit[-1] for unit in step[1].values())
--- /dev/null
+++ b/src/damaskstall/tasks/node.py
@@ -0,0 +1,111 @@
+"""Compose one process: it answers clients, and decides if it is elected."""
+
+from typing import Any
+
+from trio import Nursery, current_time, move_on_after, sleep
+
+from damaskstall.addresses import Address
+from damaskstall.http.messages import Request, Response
+from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from damaskstall.network import Network
+from damaskstall.program import not_found, probe_handler
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.election import Election
+from damaskstall.tasks.gateway import JobCodec, TaskGateway
+from damaskstall.tasks.holder import NodeContext
+from damaskstall.tasks.job_desk import JobDesk
+from damaskstall.tasks.node_settings import NodeSettings
+from damaskstall.tasks.ports import Platform
+from damaskstall.tasks.state_follower import StateFollower
+
+# 4,100 descriptors less 200 for files, with room for calls of our own.
+CLIENT_CONNECTION_LIMIT = 3000
+PROBE_CONNECTION_LIMIT = 64
+# The balancer asks once a second and leaves an instance out after two misses
+# (PROTOCOL, Ingress).
+BALANCER_NOTICE_S = 2.4
+# Time kept for the process itself to end before it is killed.
+EXIT_MARGIN_S = 0.8
+
+
+class Node:
+    """Hold the parts of one process."""
+
+    def __init__(
+        self,
+        network: Network,
+        settings: NodeSettings,
+        platform: Platform,
+        codec: JobCodec,
+        clock: Clock,
+    ) -> None:
+        """Build the parts; nothing runs yet."""
+        self.network = network
+        self.settings = settings
+        self.stopping = False
+        self.follower = StateFollower(platform, clock)
+        self.context = NodeContext(settings, platform, self.follower, clock)
+        self.election = Election(self.context)
+        desk = JobDesk(self.context, self.election)
+        self.gateway = TaskGateway(self.context, desk, codec)
+        self.clients = DrainState()
+
+    def is_ready(self) -> bool:
+        """Return whether new connections should come here."""
+        return self.follower.known and not self.stopping
+
+    def dump(self) -> dict[str, Any]:
+        """Return the full state as JSON values, without keys."""
+        return {
+            "instance": self.settings.instance,
+            "stopping": self.stopping,
+            "state_version": self.follower.state.version,
+            "state_age_s": self.follower.age_s(self.context.clock()),
+            "connections": self.clients.connections,
+            "requests": self.clients.requests,
+            "election": self.election.dump(),
+        }
+
+    async def start(self, nursery: Nursery) -> dict[str, Address]:
+        """Start all tasks and listeners; return the bound addresses."""
+        settings = self.settings
+        listen = await nursery.start(
+            serve_http,
+            self.gateway.handle,
+            self.network,
+            settings.listen,
+            ServerLimits(connections=CLIENT_CONNECTION_LIMIT),
+            self.clients,
+        )
+        probes = probe_handler(self, not_found)
+        limits = ServerLimits(connections=PROBE_CONNECTION_LIMIT)
+        metrics = Address(settings.ip_address, settings.metrics_port)
+        bound = {"listen": listen}
+        for name, handler, address in (
+            ("readiness", self._answer_ready, settings.readiness_listen),
+            ("metrics", probes, metrics),
+        ):
+            bound[name] = await nursery.start(
+                serve_http,
+                handler,
+                self.network,
+                address,
+                limits,
+                DrainState(),
+            )
+        nursery.start_soon(self.follower.run)
+        nursery.start_soon(self.election.run)
+        return bound
+
+    async def drain(self) -> None:
+        """Hand the lease over, let the balancer see it, answer the rest."""
+        self.stopping = True
+        end_s = current_time() + self.settings.stop_grace_s - EXIT_MARGIN_S
+        await self.election.drain()
+        await sleep(BALANCER_NOTICE_S)
+        self.clients.start()
+        with move_on_after(end_s - current_time()):
+            await self.clients.wait_quiet()
+
+    async def _answer_ready(self, request: Request) -> Response:
+        return Response(200 if self.is_ready() else 503)
--- /dev/null
+++ b/src/damaskstall/tasks/node_settings.py
@@ -0,0 +1,30 @@
+"""Hold what a node is told about its place and the platform's bounds."""
+
+from typing import NamedTuple
+
+from damaskstall.addresses import Address
+
+
+class NodeSettings(NamedTuple):
+    """Hold the settings of one process.
+
+    ``stop_grace_s`` is the time from the request to stop until the process
+    is killed. ``key_removal_s`` bounds how long a removed key may still be
+    accepted. ``worker_lease_s`` is the longest lease a worker grants, and
+    ``gang_wait_s`` how long a gang's first tasks wait for the rest.
+    """
+
+    instance: str
+    failure_domain: str
+    ip_address: str
+    listen: Address
+    readiness_listen: Address
+    peer_port: int
+    metrics_port: int
+    store: Address
+    stop_grace_s: float
+    key_removal_s: float
+    worker_lease_s: float
+    gang_wait_s: float
+    checkpoint_s: float
+    heartbeat_s: float
--- /dev/null
+++ b/src/damaskstall/tasks/packing.py
@@ -0,0 +1,172 @@
+"""Choose workers for the tasks of one unit.
+
+Accelerators bind before processors do, and many tasks need all accelerators
+of a worker. So a task goes where it leaves the fewest accelerators free, and
+whole workers stay whole for those that need them.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from damaskstall.tasks.capacity import Room
+from damaskstall.tasks.model import Demand, Step, WorkerInfo
+
+# An empty worker never takes this many tasks.
+TASKS_WITHOUT_BOUND = 1_000_000
+
+
+class RoomPlan:
+    """Plan over the free room of all workers; nothing is really taken."""
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        """Start with what is free now."""
+        listed = list(rooms)
+        self.workers = {room.worker.name: room.worker for room in listed}
+        self.free = {room.worker.name: room.free for room in listed}
+        self.racks: dict[str, list[str]] = {}
+        for room in listed:
+            names = self.racks.setdefault(room.worker.rack, [])
+            names.append(room.worker.name)
+
+    def copy(self) -> "RoomPlan":
+        """Return a plan of its own that starts as this one is."""
+        plan = RoomPlan(())
+        plan.workers = self.workers
+        plan.racks = self.racks
+        plan.free = dict(self.free)
+        return plan
+
+    def take(self, worker: str, demand: Demand) -> None:
+        """Plan one task on a worker."""
+        self.free[worker] = self.free[worker].minus(demand)
+
+    def give(self, worker: str, demand: Demand) -> None:
+        """Plan that a task leaves a worker; an unknown one is passed over."""
+        if worker in self.free:
+            self.free[worker] = self.free[worker].plus(demand)
+
+
+class Placing(NamedTuple):
+    """Hold what bounds the placing of one unit.
+
+    ``present`` counts the step's tasks on each worker already, and ``avoid``
+    names workers that the unit should not go back to.
+    """
+
+    step: Step
+    service: str
+    avoid: frozenset[str]
+    present: dict[str, int]
+
+
+WorkerFilter = Callable[[WorkerInfo], bool]
+
+
+def may_run(placing: Placing, worker: WorkerInfo) -> bool:
+    """Return whether a worker may run the unit's tasks at all."""
+    label = placing.step.required_label
+    return (
+        worker.service == placing.service
+        and not worker.leaving
+        and (not label or label in worker.labels)
+    )
+
+
+def tasks_that_fit(
+    placing: Placing, worker: str, free: Demand, limit: int
+) -> int:
+    """Return how many of the unit's tasks fit on a worker, up to a limit."""
+    demand = placing.step.demand
+    fits = limit
+    for need, room in zip(demand, free, strict=True):
+        if need:
+            fits = min(fits, room // need)
+    if placing.step.per_worker_limit:
+        left = placing.step.per_worker_limit - placing.present.get(worker, 0)
+        fits = min(fits, left)
+    return max(0, fits)
+
+
+def pack(
+    plan: RoomPlan, placing: Placing, names: Iterable[str]
+) -> list[str] | None:
+    """Return a worker for each task of a unit, or None if they do not fit.
+
+    Workers with the fewest free accelerators are filled first. Workers to
+    avoid come last.
+    """
+    needed = placing.step.unit_size
+    usable = [name for name in names if may_run(placing, plan.workers[name])]
+    usable.sort(key=lambda name: packing_order(plan, placing, name))
+    chosen: list[str] = []
+    for name in usable:
+        left = needed - len(chosen)
+        fits = tasks_that_fit(placing, name, plan.free[name], left)
+        chosen += [name] * fits
+        if len(chosen) == needed:
+            return chosen
+    return None
+
+
+def packing_order(
+    plan: RoomPlan, placing: Placing, name: str
+) -> tuple[bool, bool, int, int, str]:
+    """Return the place of a worker in the order of filling."""
+    free = plan.free[name]
+    worker = plan.workers[name]
+    data_rack = placing.step.data_rack
+    return (
+        name in placing.avoid,
+        bool(data_rack) and worker.rack != data_rack,
+        free.accelerators,
+        free.memory_mb,
+        name,
+    )
+
+
+def place_unit(plan: RoomPlan, placing: Placing) -> list[str] | None:
+    """Return a worker for each task of a unit, or None if none is free.
+
+    A gang that is slowed by spanning racks goes into one rack, unless no
+    rack could ever hold it.
+    """
+    if not needs_one_rack(plan, placing):
+        return pack(plan, placing, plan.free)
+    for rack in racks_by_free(plan):
+        chosen = pack(plan, placing, plan.racks[rack])
+        if chosen is not None and not placing.avoid.intersection(chosen):
+            return chosen
+    for rack in racks_by_free(plan):
+        chosen = pack(plan, placing, plan.racks[rack])
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def needs_one_rack(plan: RoomPlan, placing: Placing) -> bool:
+    """Return whether a unit is to stay in one rack."""
+    step = placing.step
+    if not (step.gang and step.one_rack):
+        return False
+    return any(rack_holds(plan, placing, rack) for rack in plan.racks)
+
+
+def rack_holds(plan: RoomPlan, placing: Placing, rack: str) -> bool:
+    """Return whether a unit fits in a rack on which nothing else runs."""
+    fits = 0
+    for name in plan.racks[rack]:
+        worker = plan.workers[name]
+        if may_run(placing, worker):
+            fits += tasks_that_fit(
+                placing, name, worker.capacity, TASKS_WITHOUT_BOUND
+            )
+    return fits >= placing.step.unit_size
+
+
+def racks_by_free(plan: RoomPlan) -> list[str]:
+    """Return the racks, those with the fewest free accelerators first."""
+
+    def free_accelerators(rack: str) -> int:
+        return sum(plan.free[name].accelerators for name in plan.racks[rack])
+
+    return sorted(plan.racks, key=lambda rack: (free_accelerators(rack), rack))
--- /dev/null
+++ b/src/damaskstall/tasks/preemption.py
@@ -0,0 +1,136 @@
+"""Choose which running work to stop for an urgent unit.
+
+What is stopped is lost since its last checkpoint, so the cheapest set that
+makes the room is looked for, worker by worker.
+"""
+
+from typing import NamedTuple
+
+from damaskstall.tasks.model import Demand
+from damaskstall.tasks.packing import (
+    Placing,
+    RoomPlan,
+    may_run,
+    needs_one_rack,
+    tasks_that_fit,
+)
+from damaskstall.tasks.progress import JobProgress, Unit
+
+# Stopping anything costs more than nothing: its start is to be done again.
+STOP_COST_CORE_S = 1.0
+
+
+class Victim(NamedTuple):
+    """Hold a running unit that may be stopped, and what that loses.
+
+    ``shares`` lists its tasks' workers; each takes ``demand`` there.
+    """
+
+    progress: JobProgress
+    unit: Unit
+    demand: Demand
+    shares: tuple[str, ...]
+    cost_core_s: float
+
+
+class Clearing(NamedTuple):
+    """Hold workers for a unit's tasks, and what is to be stopped first."""
+
+    workers: list[str]
+    victims: list[Victim]
+    cost_core_s: float
+
+
+class ClearingSearch:
+    """Look for a cheap set of units to stop so that one unit fits."""
+
+    def __init__(
+        self, plan: RoomPlan, placing: Placing, victims: list[Victim]
+    ) -> None:
+        """Start from a plan of what is free now or soon."""
+        self.plan = plan.copy()
+        self.placing = placing
+        self.chosen: dict[int, Victim] = {}
+        self.cost_core_s = 0.0
+        self.by_worker: dict[str, list[Victim]] = {}
+        for victim in victims:
+            for worker in dict.fromkeys(victim.shares):
+                self.by_worker.setdefault(worker, []).append(victim)
+
+    def search(self, names: list[str]) -> Clearing | None:
+        """Return room for every task on some workers, or None."""
+        workers: list[str] = []
+        present = dict(self.placing.present)
+        for _ in range(self.placing.step.unit_size):
+            placing = self.placing._replace(present=present)
+            best = self._cheapest_worker(placing, names)
+            if best is None:
+                return None
+            worker, needed = best
+            for victim in needed:
+                self._stop(victim)
+            self.plan.take(worker, self.placing.step.demand)
+            present[worker] = present.get(worker, 0) + 1
+            workers.append(worker)
+        return Clearing(workers, list(self.chosen.values()), self.cost_core_s)
+
+    def _cheapest_worker(
+        self, placing: Placing, names: list[str]
+    ) -> tuple[str, list[Victim]] | None:
+        best: tuple[tuple[bool, float, int], str, list[Victim]] | None = None
+        for name in names:
+            if not may_run(placing, self.plan.workers[name]):
+                continue
+            needed = self._needed_stops(placing, name)
+            if needed is None:
+                continue
+            cost = sum(victim.cost_core_s for victim in needed)
+            free = self.plan.free[name].accelerators
+            key = (name in placing.avoid, cost, free)
+            if best is None or key < best[0]:
+                best = (key, name, needed)
+        return None if best is None else (best[1], best[2])
+
+    def _needed_stops(
+        self, placing: Placing, name: str
+    ) -> list[Victim] | None:
+        """Return what to stop so that one task fits on a worker."""
+        free = self.plan.free[name]
+        if tasks_that_fit(placing, name, free, 1):
+            return []
+        needed = []
+        waiting = [
+            victim
+            for victim in self.by_worker.get(name, ())
+            if id(victim.unit) not in self.chosen
+        ]
+        for victim in sorted(waiting, key=lambda each: each.cost_core_s):
+            needed.append(victim)
+            for _ in range(victim.shares.count(name)):
+                free = free.plus(victim.demand)
+            if tasks_that_fit(placing, name, free, 1):
+                return needed
+        return None
+
+    def _stop(self, victim: Victim) -> None:
+        self.chosen[id(victim.unit)] = victim
+        self.cost_core_s += victim.cost_core_s + STOP_COST_CORE_S
+        for worker in victim.shares:
+            self.plan.give(worker, victim.demand)
+
+
+def find_clearing(
+    plan: RoomPlan, placing: Placing, victims: list[Victim]
+) -> Clearing | None:
+    """Return the cheapest way found to make room for a unit, or None."""
+    if not needs_one_rack(plan, placing):
+        search = ClearingSearch(plan, placing, victims)
+        return search.search(list(plan.free))
+    found = [
+        ClearingSearch(plan, placing, victims).search(names)
+        for names in plan.racks.values()
+    ]
+    ways = [clearing for clearing in found if clearing is not None]
+    if not ways:
+        return None
+    return min(ways, key=lambda clearing: clearing.cost_core_s)
--- /dev/null
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -0,0 +1,174 @@
+"""Write the progress of jobs, many jobs in one transaction.
+
+The rows of one part are written by one task, so each write names the
+revision of the last. A write whose answer is lost is settled by reading the
+rows back.
+"""
+
+from random import Random
+from typing import Protocol
+from uuid import uuid4
+
+from trio import Event, Nursery, sleep
+
+from damaskstall.errors import (
+    PlatformError,
+    TableConflictError,
+    TableOutcomeUnknownError,
+)
+from damaskstall.events import log
+from damaskstall.platform.types import TableService, Value, Write
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.tasks.events import STORE_LOST, STORE_REGAINED
+from damaskstall.tasks.progress import JobProgress
+from damaskstall.tasks.records import (
+    all_parts,
+    encode_progress,
+    part_of,
+    progress_row_key,
+)
+
+# A transaction takes at most 100 entries (PROTOCOL), and a row takes two.
+BATCH_LIMIT = 40
+RETRY_LIMIT_S = 0.5
+
+
+class ConflictHandler(Protocol):
+    """Take in what another process has written to a job's row."""
+
+    def absorb(
+        self, progress: JobProgress, value: Value | None, revision: int
+    ) -> None:
+        """Bring a job in line with its row; None: the row is gone."""
+
+
+class PartWriter:
+    """Write the rows of one part, one transaction after another."""
+
+    def __init__(
+        self, table: TableService, handler: ConflictHandler, epoch: int
+    ) -> None:
+        """Write for a holder with an epoch."""
+        self.table = table
+        self.handler = handler
+        self.epoch = epoch
+        self.dirty: dict[str, JobProgress] = {}
+        self.failing = False
+        self.wake = Event()
+        self.stored = Event()
+        self._random = Random()
+
+    def add(self, progress: JobProgress) -> None:
+        """Write a job's progress soon."""
+        self.dirty[progress.job_id] = progress
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        tries = 0
+        while True:
+            if not self.dirty:
+                self.wake = Event()
+                await self.wake.wait()
+            batch = list(self.dirty.values())[:BATCH_LIMIT]
+            try:
+                await self._write(batch)
+            except PlatformError as error:
+                if not tries:
+                    log(STORE_LOST, used_for="progress", error=str(error))
+                self.failing = True
+                delay_s = retry_delay_s(tries, self._random)
+                await sleep(min(delay_s, RETRY_LIMIT_S))
+                tries += 1
+                continue
+            if tries:
+                log(STORE_REGAINED, used_for="progress", tries=tries)
+            self.failing = False
+            tries = 0
+
+    async def _write(self, batch: list[JobProgress]) -> None:
+        """Write a batch; a job that conflicts is taken in and tried again."""
+        counts = [progress.changes for progress in batch]
+        writes = tuple(
+            Write(
+                progress_row_key(progress.job_id),
+                encode_progress(progress),
+                progress.revision,
+            )
+            for progress in batch
+        )
+        mutation_id = f"{self.epoch}.{uuid4().hex[:12]}"
+        try:
+            revision = await self.table.commit(writes, mutation_id)
+        except TableConflictError:
+            await self._read_back(batch, counts, "")
+            return
+        except TableOutcomeUnknownError:
+            await self._read_back(batch, counts, mutation_id)
+            return
+        for progress, count in zip(batch, counts, strict=True):
+            self._note_stored(progress, revision, count)
+        self._wake_waiters()
+
+    async def _read_back(
+        self, batch: list[JobProgress], counts: list[int], mutation_id: str
+    ) -> None:
+        """Learn from each row whether a write took effect.
+
+        A lost write that takes effect late meets a row that has moved on,
+        since every row read here unchanged is written again.
+        """
+        for progress, count in zip(batch, counts, strict=True):
+            row = await self.table.read(progress_row_key(progress.job_id))
+            if row is None:
+                self.dirty.pop(progress.job_id, None)
+                self.handler.absorb(progress, None, 0)
+            elif mutation_id and row.mutation_id == mutation_id:
+                self._note_stored(progress, row.revision, count)
+            elif row.revision != progress.revision:
+                self.handler.absorb(progress, row.value, row.revision)
+        self._wake_waiters()
+
+    def _note_stored(
+        self, progress: JobProgress, revision: int, count: int
+    ) -> None:
+        progress.revision = max(progress.revision, revision)
+        progress.stored_changes = max(progress.stored_changes, count)
+        if progress.stored_changes == progress.changes:
+            self.dirty.pop(progress.job_id, None)
+
+    def _wake_waiters(self) -> None:
+        self.stored.set()
+        self.stored = Event()
+
+
+class ProgressWriter:
+    """Write the progress of all jobs, one task for each part."""
+
+    def __init__(
+        self, table: TableService, handler: ConflictHandler, epoch: int
+    ) -> None:
+        """Write for a holder with an epoch."""
+        self.parts = {
+            part: PartWriter(table, handler, epoch) for part in all_parts()
+        }
+
+    def start(self, nursery: Nursery) -> None:
+        """Start the tasks that write."""
+        for writer in self.parts.values():
+            nursery.start_soon(writer.run)
+
+    @property
+    def failing(self) -> bool:
+        """Return whether the store did not take the last write."""
+        return any(writer.failing for writer in self.parts.values())
+
+    def add(self, progress: JobProgress) -> None:
+        """Write a job's progress soon."""
+        self.parts[part_of(progress.job_id)].add(progress)
+
+    async def wait_stored(self, progress: JobProgress, count: int) -> None:
+        """Return once the row holds the job's first ``count`` changes."""
+        writer = self.parts[part_of(progress.job_id)]
+        while progress.stored_changes < count:
+            await writer.stored.wait()
--- /dev/null
+++ b/src/damaskstall/tasks/records.py
@@ -0,0 +1,207 @@
+"""Turn jobs and their progress into rows of the table, and back.
+
+A job has two rows in one part, written together when it is accepted: what
+was asked for, which never changes, and how far it has come. A cancellation
+adds a third, small one, so that the holder learns of it from a feed that
+carries nothing else.
+"""
+
+from typing import Any
+from zlib import crc32
+
+from damaskstall.platform.types import Value
+from damaskstall.tasks.model import (
+    CANCELLED,
+    COMPLETED,
+    FAILED,
+    QUEUED,
+    AcceptedJob,
+    Demand,
+    JobDeclaration,
+    Step,
+)
+from damaskstall.tasks.progress import JobProgress, Member, Unit
+
+JOB_TABLE = "job"
+PROGRESS_TABLE = "progress"
+CANCEL_TABLE = "cancel"
+# Each part commits one transaction after another, 5 ms each: eight parts
+# carry 1,600 a second, twice what the whole store accepts.
+PART_COUNT = 8
+
+
+def part_of(job_id: str) -> str:
+    """Return the part that holds a job's rows."""
+    return f"{crc32(job_id.encode()) % PART_COUNT:02d}"
+
+
+def all_parts() -> list[str]:
+    """Return the names of all parts."""
+    return [f"{number:02d}" for number in range(PART_COUNT)]
+
+
+def part_prefix(table: str, part: str) -> str:
+    """Return what the keys of a part of a table begin with."""
+    return f"{table}@{part}/"
+
+
+def job_row_key(job_id: str) -> str:
+    """Return the key of the row that says what a job asked for."""
+    return part_prefix(JOB_TABLE, part_of(job_id)) + job_id
+
+
+def progress_row_key(job_id: str) -> str:
+    """Return the key of the row that says how far a job has come."""
+    return part_prefix(PROGRESS_TABLE, part_of(job_id)) + job_id
+
+
+def cancel_row_key(job_id: str) -> str:
+    """Return the key of the row that says that a job is cancelled."""
+    return part_prefix(CANCEL_TABLE, part_of(job_id)) + job_id
+
+
+def job_id_of(key: str) -> str:
+    """Return the job that a row's key names."""
+    return key.rpartition("/")[2]
+
+
+def encode_job(job: AcceptedJob) -> Value:
+    """Return the value of a job's first row."""
+    return {
+        "queue": job.queue,
+        "service": job.service,
+        "team": job.team,
+        "accepted_unix_s": job.accepted_unix_s,
+        "payload": job.declaration.payload,
+        "steps": [encode_step(step) for step in job.declaration.steps],
+    }
+
+
+def encode_step(step: Step) -> Value:
+    """Return a step without the fields that have their default."""
+    value = step._asdict()
+    value["demand"] = list(step.demand)
+    value["after"] = list(step.after)
+    defaults = Step._field_defaults
+    return {
+        name: field
+        for name, field in value.items()
+        if name not in defaults or field not in (defaults[name], [])
+    }
+
+
+def decode_job(job_id: str, value: Value) -> AcceptedJob:
+    """Return the job that a row describes."""
+    steps = tuple(decode_step(step) for step in value["steps"])
+    return AcceptedJob(
+        job_id,
+        value["queue"],
+        value["service"],
+        value["team"],
+        value["accepted_unix_s"],
+        JobDeclaration(value["payload"], steps),
+    )
+
+
+def decode_step(value: Value) -> Step:
+    """Return the step that a value describes."""
+    fields = dict(value)
+    fields["demand"] = Demand(*fields["demand"])
+    fields["after"] = tuple(fields.get("after", ()))
+    return Step(**fields)
+
+
+def new_progress_value(queue: str) -> Value:
+    """Return the progress of a job of which no task has run."""
+    return {"state": QUEUED, "queue": queue, "steps": []}
+
+
+def cancelled_value(value: Value) -> Value:
+    """Return a progress with the cancellation marked, if it still counts."""
+    if value["state"] in (COMPLETED, FAILED):
+        return value
+    return {**value, "state": CANCELLED, "cancelled": True}
+
+
+def encode_progress(progress: JobProgress) -> Value:
+    """Return the value of a job's progress row."""
+    value: Value = {
+        "state": progress.state(),
+        "queue": progress.job.queue,
+        "steps": [encode_units(units) for units in progress.units],
+    }
+    if progress.cancelled:
+        value["cancelled"] = True
+    if progress.failed:
+        value["failed"] = True
+    return value
+
+
+def encode_units(units: list[Unit]) -> list[Any]:
+    """Return the units of one step: a bit set of the done ones, and the rest.
+
+    A unit that has never run and one that is done with no run left take no
+    further room.
+    """
+    done = sum(1 << number for number, unit in enumerate(units) if unit.done)
+    others = {
+        str(number): encode_unit(unit)
+        for number, unit in enumerate(units)
+        if unit.active or (unit.run and not unit.done)
+    }
+    return [f"{done:x}", others]
+
+
+def encode_unit(unit: Unit) -> list[Any]:
+    """Return what a successor needs to go on with a unit."""
+    members = [
+        [member.worker, member.incarnation, member.ended]
+        for member in unit.members
+    ]
+    return [
+        unit.run,
+        unit.failures,
+        unit.failed_run,
+        unit.checkpoint,
+        sorted(unit.avoid),
+        members,
+    ]
+
+
+def restore_progress(
+    progress: JobProgress, value: Value, now_s: float
+) -> None:
+    """Replace the state of a job's units by what its row says."""
+    progress.cancelled = bool(value.get("cancelled"))
+    progress.failed = bool(value.get("failed"))
+    for units, stored in zip(progress.units, value["steps"], strict=False):
+        restore_units(units, stored, now_s)
+
+
+def restore_units(units: list[Unit], stored: list[Any], now_s: float) -> None:
+    """Bring the units of one step to their stored state."""
+    done, others = int(stored[0], 16), stored[1]
+    for number, unit in enumerate(units):
+        unit.done = bool(done >> number & 1)
+        unit.has_begun = unit.has_begun or unit.done
+        fields = others.get(str(number))
+        if fields is not None:
+            restore_unit(unit, fields, now_s)
+
+
+def restore_unit(unit: Unit, fields: list[Any], now_s: float) -> None:
+    """Bring one unit to its stored state."""
+    run, failures, failed_run, checkpoint, avoid, members = fields
+    unit.run = run
+    unit.failures = failures
+    unit.failed_run = failed_run
+    unit.checkpoint = checkpoint
+    unit.avoid = set(avoid)
+    unit.members = []
+    unit.started_s = now_s
+    unit.percent_s = now_s
+    unit.has_begun = True
+    for worker, incarnation, ended in members:
+        member = Member(worker, incarnation)
+        member.ended = ended
+        unit.members.append(member)
--- /dev/null
+++ b/src/damaskstall/tasks/state_follower.py
@@ -0,0 +1,140 @@
+"""Follow what the operators write: the configuration and evacuations."""
+
+from random import Random
+
+from trio import Event, sleep
+
+from damaskstall.errors import (
+    MalformedRowError,
+    RevisionTooOldError,
+    TableUnavailableError,
+)
+from damaskstall.events import log
+from damaskstall.platform.types import Row
+from damaskstall.scheduler.backoff import retry_delay_s
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.desired_state import NO_STATE, DesiredState
+from damaskstall.tasks.events import (
+    EVACUATION_CHANGED,
+    STATE_APPLIED,
+    STATE_REFUSED,
+    STORE_LOST,
+    STORE_REGAINED,
+)
+from damaskstall.tasks.ports import OPERATOR_TABLE, Platform
+
+# Each answer confirms the state as of its request, so keys that were removed
+# are known well within the 5 s that the platform allows (bounds, revoke_ms).
+WATCH_S = 1.0
+SCAN_LIMIT = 500
+PREFIX = f"{OPERATOR_TABLE}/"
+# After a failure the next try follows soon: the bound on a configuration in
+# force is 2 s (bounds, configuration_ms).
+RETRY_LIMIT_S = 0.6
+
+
+class StateFollower:
+    """Hold the newest configuration and when it was last confirmed."""
+
+    def __init__(self, platform: Platform, clock: Clock) -> None:
+        """Start without a configuration."""
+        self.platform = platform
+        self.clock = clock
+        self.state: DesiredState = NO_STATE
+        self.evacuated: set[str] = set()
+        self.confirmed_s = float("-inf")
+        self._changed = Event()
+        self._random = Random()
+
+    @property
+    def known(self) -> bool:
+        """Return whether there is a configuration at all."""
+        return self.state.version > 0
+
+    def age_s(self, now_s: float) -> float:
+        """Return how long ago the state was surely the newest."""
+        return now_s - self.confirmed_s
+
+    async def wait_change(self) -> None:
+        """Return after the next change."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        revision = -1
+        tries = 0
+        while True:
+            try:
+                sent_s = self.clock()
+                if revision < 0:
+                    revision = await self._read_all()
+                else:
+                    revision = await self._read_changes(revision)
+                self.confirmed_s = sent_s
+                if tries:
+                    log(STORE_REGAINED, used_for="configuration", tries=tries)
+                tries = 0
+            except RevisionTooOldError:
+                revision = -1
+            except TableUnavailableError as error:
+                if not tries:
+                    log(STORE_LOST, used_for="configuration", error=str(error))
+                delay_s = retry_delay_s(tries, self._random)
+                await sleep(min(delay_s, RETRY_LIMIT_S))
+                tries += 1
+
+    async def _read_all(self) -> int:
+        page = await self.platform.table.scan(PREFIX, "", SCAN_LIMIT)
+        listed = {self.platform.evacuated_domain(row.key) for row in page.rows}
+        for domain in self.evacuated - listed:
+            self._set_evacuated(domain, False)
+        for row in page.rows:
+            self._take(row)
+        self._wake()
+        return page.revision
+
+    async def _read_changes(self, revision: int) -> int:
+        page = await self.platform.table.watch(
+            OPERATOR_TABLE, revision, WATCH_S
+        )
+        for row in page.rows:
+            self._take(row)
+        if page.rows:
+            self._wake()
+        return page.revision
+
+    def _take(self, row: Row) -> None:
+        domain = self.platform.evacuated_domain(row.key)
+        if domain:
+            self._set_evacuated(domain, row.value is not None)
+            return
+        if not self.platform.is_configuration(row.key) or row.value is None:
+            return
+        try:
+            state = self.platform.desired_state(row)
+        except MalformedRowError as error:
+            log(STATE_REFUSED, revision=row.revision, error=str(error))
+            return
+        if state.version <= self.state.version:
+            return
+        self.state = state
+        log(
+            STATE_APPLIED,
+            version=state.version,
+            revision=row.revision,
+            queues=len(state.queues),
+            teams=len(state.teams),
+        )
+
+    def _set_evacuated(self, domain: str, evacuated: bool) -> None:
+        if (domain in self.evacuated) == evacuated:
+            return
+        if evacuated:
+            self.evacuated.add(domain)
+        else:
+            self.evacuated.discard(domain)
+        log(EVACUATION_CHANGED, failure_domain=domain, evacuated=evacuated)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
--- /dev/null
+++ b/src/damaskstall/tasks/worker_list.py
@@ -0,0 +1,90 @@
+"""Follow the workers that the platform lists."""
+
+from trio import sleep
+
+from damaskstall.errors import (
+    MalformedRowError,
+    RevisionTooOldError,
+    TableUnavailableError,
+)
+from damaskstall.events import log
+from damaskstall.platform.types import Row
+from damaskstall.tasks.events import WORKER_IGNORED
+from damaskstall.tasks.model import WorkerInfo
+from damaskstall.tasks.ports import WORKER_TABLE, Platform
+from damaskstall.tasks.state_follower import StateFollower
+
+# Each worker's entry changes every heartbeat, 1.5 s, so waiting for a change
+# would return at once. A worker that drains may get no start 2 s after its
+# report (bounds, drain_ms).
+POLL_S = 0.5
+SCAN_LIMIT = 500
+PREFIX = f"{WORKER_TABLE}/"
+
+
+class WorkerList:
+    """Hold the workers of the list, by name."""
+
+    def __init__(self, platform: Platform, follower: StateFollower) -> None:
+        """Start empty."""
+        self.platform = platform
+        self.follower = follower
+        self.workers: dict[str, WorkerInfo] = {}
+        self.revision = -1
+        self._ignored: set[str] = set()
+
+    async def read_all(self) -> bool:
+        """Read the whole list; return whether the store gave it."""
+        rows: list[Row] = []
+        after = ""
+        try:
+            while True:
+                page = await self.platform.table.scan(
+                    PREFIX, after, SCAN_LIMIT
+                )
+                if not after:
+                    self.revision = page.revision
+                rows += page.rows
+                after = page.next_after
+                if not after:
+                    break
+        except TableUnavailableError:
+            return False
+        self.workers = {}
+        for row in rows:
+            self._take(row)
+        return True
+
+    async def follow_once(self) -> None:
+        """Read the changes since the last time, after a pause."""
+        await sleep(POLL_S)
+        if self.revision < 0:
+            await self.read_all()
+            return
+        try:
+            page = await self.platform.table.watch(
+                WORKER_TABLE, self.revision, 0.0
+            )
+        except RevisionTooOldError:
+            self.revision = -1
+            return
+        except TableUnavailableError:
+            return
+        for row in page.rows:
+            self._take(row)
+        self.revision = page.revision
+
+    def _take(self, row: Row) -> None:
+        name = row.key.removeprefix(PREFIX)
+        if row.value is None:
+            self.workers.pop(name, None)
+            return
+        try:
+            worker = self.platform.worker(row, self.follower.state)
+        except MalformedRowError as error:
+            self.workers.pop(name, None)
+            if name not in self._ignored:
+                self._ignored.add(name)
+                log(WORKER_IGNORED, worker=name, error=str(error))
+            return
+        self.workers[name] = worker
--- /dev/null
+++ b/src/damaskstall/tasks/worker_session.py
@@ -0,0 +1,382 @@
+"""Speak with one worker: extend its lease, give orders, take its ends.
+
+The worker's lists are the truth about what runs there. A run is counted from
+before its order until the worker lists its end, shows that it never started,
+or has surely lost its lease.
+"""
+
+from typing import NamedTuple, Protocol
+
+from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
+
+from damaskstall.errors import (
+    FencedError,
+    OrderNotSentError,
+    OrderRefusedError,
+    OrderUnansweredError,
+    WorkerReplacedError,
+)
+from damaskstall.events import log
+from damaskstall.tasks.capacity import Room, WorkerLoad
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.events import (
+    RUN_REFUSED,
+    RUNS_LAPSED,
+    SESSION_FENCED,
+    SESSION_LOST,
+    SESSION_REPLACED,
+)
+from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
+from damaskstall.tasks.ports import (
+    EndReport,
+    HoldReport,
+    HoldRequest,
+    RunReport,
+    StartRequest,
+    WorkerCalls,
+)
+from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
+
+# The platform holds an answer back at most this long (PROTOCOL, wait_ms).
+HOLD_WAIT_S = 2.0
+# An order may be carried out up to 12 s late; one that is not carried out by
+# then on the worker's clock never is. Well under gang_ms, 3 s, so that a gang
+# whose start is lost is stopped before its members give up.
+START_WINDOW_S = 1.5
+# A worker's clock may be 2% slow, and a thawed one kills 300 ms late
+# (PROTOCOL; bounds, thaw_ms).
+CLOCK_RATE_LIMIT = 1.02
+LAPSE_MARGIN_S = 0.4
+RETRY_S = 0.25
+# A listed worker that is silent and runs nothing is asked less often: each
+# look at a worker is priced (RULES, Prices).
+IDLE_RETRY_S = 1.0
+STOP_RETRY_S = 0.4
+# Orders to one worker that are under way at once; each takes a connection.
+ORDERS_AT_ONCE = 2
+# An earlier holder extends leases for as long as it believes in its own, and
+# through outages of the store for this long.
+OUTAGE_HOLD_S = 10.0
+# While the store takes no write, ends wait and are asked for again.
+UNSTORED_PAUSE_S = 0.3
+
+
+class SessionOwner(Protocol):
+    """Take in what a session learns."""
+
+    def wants(self, key: RunKey) -> bool:
+        """Return whether a run should go on."""
+
+    def may_extend(self) -> bool:
+        """Return whether the leases of runs may be extended."""
+
+    def note_running(self, worker: str, report: RunReport) -> None:
+        """Take note that a run is at work."""
+
+    def note_end(self, worker: str, end: EndReport) -> None:
+        """Take note that a run has ended, or never began."""
+
+    async def wait_ends_stored(self) -> None:
+        """Return once every end noted so far is in the table."""
+
+    def note_room(self) -> None:
+        """Take note that there may be room on a worker."""
+
+    def note_fenced(self) -> None:
+        """Take note that a newer holder speaks to the workers."""
+
+
+class Expected(NamedTuple):
+    """Hold when a run that was ordered must show up, on the worker's clock.
+
+    After ``not_after_s`` a worker does not start it any more. A confirmed
+    run was listed or answered for by ``not_after_s``.
+    """
+
+    not_after_s: float
+    confirmed: bool
+
+
+class WorkerSession:
+    """Hold what is known of one worker under one holder."""
+
+    def __init__(
+        self,
+        worker: WorkerInfo,
+        calls: WorkerCalls,
+        owner: SessionOwner,
+        epoch: int,
+        lease_s: float,
+        clock: Clock,
+    ) -> None:
+        """Speak with a worker as the holder of an epoch."""
+        self.worker = worker
+        self.calls = calls
+        self.owner = owner
+        self.epoch = epoch
+        self.lease_s = lease_s
+        self.clock = clock
+        self.load = WorkerLoad()
+        self.expected: dict[RunKey, Expected] = {}
+        self.fenced = False
+        self.reachable = False
+        self.listed = True
+        self.incarnation = 0
+        self.acknowledged_end = 0
+        self.answered = Event()
+        self.synced = False
+        self._clock_s = 0.0
+        self._read_s = 0.0
+        started_s = clock()
+        # Until the worker answers, an earlier holder's last extension counts.
+        self._lapse_s = started_s + OUTAGE_HOLD_S + self._lease_limit_s()
+        self._stop_sent_s: dict[RunKey, float] = {}
+        self._orders = CapacityLimiter(ORDERS_AT_ONCE)
+        self._wake = Event()
+        self._nursery: Nursery | None = None
+
+    def usable(self) -> bool:
+        """Return whether new runs may go to the worker."""
+        return (
+            self.fenced
+            and self.reachable
+            and self.listed
+            and not self.worker.leaving
+        )
+
+    def room(self) -> Room:
+        """Return what is free on the worker."""
+        return self.load.room(self.worker)
+
+    def worker_clock_s(self) -> float:
+        """Return the time to expect on the worker's clock now."""
+        return self._clock_s + (self.clock() - self._read_s)
+
+    def adopt(self, key: RunKey, demand: Demand) -> None:
+        """Count a run that an earlier holder may have started."""
+        self.load.add(key, demand)
+        self.expected[key] = Expected(float("-inf"), False)
+
+    def reserve(self, key: RunKey, demand: Demand) -> None:
+        """Count a run that is about to be ordered."""
+        self.load.add(key, demand)
+
+    def release(self, key: RunKey) -> None:
+        """Count a run no longer."""
+        self.expected.pop(key, None)
+        self._stop_sent_s.pop(key, None)
+        if self.load.remove(key):
+            self.owner.note_room()
+
+    async def run(self, nursery: Nursery) -> None:
+        """Extend the lease and take ends until cancelled."""
+        self._nursery = nursery
+        while True:
+            if not self.load.runs and not self.listed:
+                await self.calls.close()
+                return
+            if self.synced and not self.load.runs:
+                await self._wake.wait()
+                continue
+            if not self.owner.may_extend():
+                await sleep(RETRY_S)
+                continue
+            if not await self._hold_once():
+                await sleep(RETRY_S if self.load.runs else IDLE_RETRY_S)
+
+    async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
+        """Order a run until it is answered for or its window has passed."""
+        first_s = self.worker_clock_s()
+        not_after_s = first_s + START_WINDOW_S
+        self.expected[key] = Expected(not_after_s, False)
+        request = StartRequest(
+            self.epoch, key, payload, not_after_s, checkpoint
+        )
+        self.wake()
+        while self.worker_clock_s() < not_after_s:
+            if key not in self.expected or not self.owner.wants(key):
+                return
+            try:
+                async with self._orders:
+                    clock_s = await self.calls.start(request)
+            except FencedError:
+                self.owner.note_fenced()
+                return
+            except WorkerReplacedError:
+                self._replace(0)
+                return
+            except OrderRefusedError as error:
+                log(
+                    RUN_REFUSED,
+                    job=key.task.job_id,
+                    worker=self.worker.name,
+                    run=key.run,
+                    reason=error.reason,
+                )
+                self._end(key, ENDED_NOT_STARTED)
+                return
+            except (OrderNotSentError, OrderUnansweredError):
+                await sleep(RETRY_S)
+                continue
+            if key in self.expected:
+                self.expected[key] = Expected(clock_s, True)
+            return
+
+    def stop(self, key: RunKey) -> None:
+        """Order the end of a run; the worker lists it once it has ended."""
+        self.load.mark_stopping(key)
+        now_s = self.clock()
+        if now_s - self._stop_sent_s.get(key, -STOP_RETRY_S) < STOP_RETRY_S:
+            return
+        self._stop_sent_s[key] = now_s
+        assert self._nursery is not None
+        self._nursery.start_soon(self._send_stop, key)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the session look for what is to be held."""
+        self._wake.set()
+        self._wake = Event()
+
+    def update(self, worker: WorkerInfo | None) -> None:
+        """Take in the worker's entry, or that there is none."""
+        self.listed = worker is not None
+        if worker is not None:
+            self.worker = worker
+            if self.incarnation and worker.incarnation > self.incarnation:
+                self._replace(worker.incarnation)
+        self.wake()
+
+    async def _hold_once(self) -> bool:
+        """Exchange one hold; return whether the worker answered."""
+        until_s = self.worker_clock_s() + self.lease_s if self.synced else 0.0
+        wait_s = HOLD_WAIT_S if self.synced and self.reachable else 0.0
+        request = HoldRequest(
+            self.epoch, until_s, self.acknowledged_end, wait_s
+        )
+        self._note_lease(until_s)
+        try:
+            report = await self.calls.hold(request)
+        except FencedError:
+            self.owner.note_fenced()
+            return False
+        except WorkerReplacedError:
+            self._replace(0)
+            return False
+        except (
+            OrderNotSentError,
+            OrderUnansweredError,
+            OrderRefusedError,
+        ) as error:
+            self._note_silence(str(error))
+            return False
+        await self._take_report(report)
+        return True
+
+    def _note_lease(self, until_s: float) -> None:
+        """Take note of how long runs may live if the worker goes silent."""
+        if not self.synced:
+            return
+        left_s = until_s - self._clock_s
+        lapse_s = self._read_s + left_s * CLOCK_RATE_LIMIT + LAPSE_MARGIN_S
+        self._lapse_s = max(self._lapse_s, lapse_s)
+
+    def _lease_limit_s(self) -> float:
+        return self.lease_s * CLOCK_RATE_LIMIT + LAPSE_MARGIN_S
+
+    async def _take_report(self, report: HoldReport) -> None:
+        if self.incarnation and report.incarnation != self.incarnation:
+            self._replace(report.incarnation)
+        elif self.synced and report.clock_s < self._clock_s:
+            # A newer answer has overtaken this one.
+            return
+        self.incarnation = report.incarnation
+        self._clock_s = report.clock_s
+        self._read_s = self.clock()
+        if not self.synced:
+            log(SESSION_FENCED, worker=self.worker.name, epoch=self.epoch)
+            self._lapse_s = self._read_s + self._lease_limit_s()
+            self.synced = True
+            self.answered.set()
+        self.fenced = True
+        if not self.reachable:
+            self.reachable = True
+            self.owner.note_room()
+        self._take_lists(report)
+        if report.ended:
+            with move_on_after(UNSTORED_PAUSE_S):
+                await self.owner.wait_ends_stored()
+                newest = max(end.number for end in report.ended)
+                self.acknowledged_end = max(self.acknowledged_end, newest)
+
+    def _take_lists(self, report: HoldReport) -> None:
+        listed = set()
+        for run in report.running:
+            listed.add(run.key)
+            if run.key in self.expected:
+                self.expected[run.key] = Expected(report.clock_s, True)
+            if self.owner.wants(run.key):
+                self.owner.note_running(self.worker.name, run)
+            else:
+                self.stop(run.key)
+        for end in report.ended:
+            listed.add(end.key)
+            if end.number > self.acknowledged_end:
+                self.release(end.key)
+                self.owner.note_end(self.worker.name, end)
+        for key, expected in list(self.expected.items()):
+            if key in listed or report.clock_s <= expected.not_after_s:
+                continue
+            gone = ENDED_LAPSED if expected.confirmed else ENDED_NOT_STARTED
+            self._end(key, gone)
+
+    def _note_silence(self, error: str) -> None:
+        if self.reachable or not self.answered.is_set():
+            log(SESSION_LOST, worker=self.worker.name, error=error)
+        self.reachable = False
+        self.answered.set()
+        if self.clock() > self._lapse_s and self.load.runs:
+            log(
+                RUNS_LAPSED,
+                worker=self.worker.name,
+                runs=len(self.load.runs),
+            )
+            self._end_all()
+
+    def _replace(self, incarnation: int) -> None:
+        """Start anew with another life of the worker."""
+        log(
+            SESSION_REPLACED,
+            worker=self.worker.name,
+            incarnation=incarnation,
+            runs=len(self.load.runs),
+        )
+        self.incarnation = incarnation
+        self.acknowledged_end = 0
+        self.synced = False
+        self.fenced = False
+        self._end_all()
+
+    def _end_all(self) -> None:
+        for key in list(self.load.runs):
+            self._end(key, ENDED_LAPSED)
+
+    def _end(self, key: RunKey, how: str) -> None:
+        """End a run that the worker does not list."""
+        self.release(key)
+        self.owner.note_end(self.worker.name, EndReport(0, key, how, ""))
+
+    async def _send_stop(self, key: RunKey) -> None:
+        try:
+            async with self._orders:
+                await self.calls.stop(self.epoch, key)
+        except FencedError:
+            self.owner.note_fenced()
+        except (
+            OrderNotSentError,
+            OrderUnansweredError,
+            OrderRefusedError,
+            WorkerReplacedError,
+        ):
+            # It is ordered again while the worker still lists the run.
+            return
