--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -196,7 +196,7 @@
             return json_response(200, {})
         if outcome.kind == ABSENT_JOB:
             return error_response(410, f"There is no job {job_id}.")
-        log(REQUEST_REFUSED, job=job_id, reason=outcome.reason)
+        log(REQUEST_REFUSED, subject=job_id, reason=outcome.reason)
         return error_response(
             504, "Whether the cancellation is stored is not known."
         )
@@ -209,7 +209,7 @@
         return json_response(200, self.codec.waiting(count))
 
     def _unavailable(self, name: str, reason: str) -> Response:
-        log(REQUEST_REFUSED, name=name, reason=reason)
+        log(REQUEST_REFUSED, subject=name, reason=reason)
         return retry_later(
             503, "The store does not answer.", RETRY_AFTER_S, not_run=True
         )
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -287,8 +287,10 @@
         """Read all jobs and workers until that succeeds."""
         while not await self.workers.read_all():
             await sleep(GATHER_S * 10)
-        self._sync_sessions()
         loaded = await self.reader.load()
+        # A worker's ends are acknowledged once the jobs they concern are
+        # written, so no worker is spoken to before all jobs are known.
+        self._sync_sessions()
         for progress in loaded:
             self.jobs[progress.job_id] = progress
             for unit in progress.all_units():
