--- a/src/damaskstall/platform/node_main.py
+++ b/src/damaskstall/platform/node_main.py
@@ -1,12 +1,20 @@
 """Start a node on the operators' platform."""
 
 from os import environ
+from signal import SIGHUP
 from sys import exit, stderr
 
-from trio import run
+from trio import TASK_STATUS_IGNORED as IGNORED
+from trio import (
+    TaskStatus,
+    move_on_after,
+    open_nursery,
+    open_signal_receiver,
+    run,
+)
 
 from damaskstall.errors import SettingsError
-from damaskstall.events import configure_logs
+from damaskstall.events import configure_logs, log
 from damaskstall.network import TcpNetwork
 from damaskstall.platform.job_bodies import JobBodies
 from damaskstall.platform.local_settings import (
@@ -16,16 +24,44 @@
 from damaskstall.platform.operator_rows import OperatorsPlatform
 from damaskstall.program import serve_until_stopped
 from damaskstall.tasks.clock import boot_time_s
+from damaskstall.tasks.events import SETTINGS_REFUSED
 from damaskstall.tasks.node import Node
 
 PROGRAM = "damaskstall-node"
 USAGE_EXIT_CODE = 2
+# The file may change without a signal (PROTOCOL); a change tells of bounds,
+# none of which is shorter than this.
+SETTINGS_POLL_S = 5.0
+
+
+async def serve(node: Node, path: str) -> None:
+    """Run the node, and keep its settings as the file has them."""
+    async with open_nursery() as nursery:
+        await nursery.start(follow_settings, node, path)
+        await serve_until_stopped(PROGRAM, node.settings.instance, node)
+        nursery.cancel_scope.cancel()
+
+
+async def follow_settings(
+    node: Node, path: str, task_status: TaskStatus[None] = IGNORED
+) -> None:
+    """Read the file again on SIGHUP, and now and then without one."""
+    with open_signal_receiver(SIGHUP) as signals:
+        task_status.started()
+        while True:
+            with move_on_after(SETTINGS_POLL_S):
+                await anext(signals)
+            try:
+                node.apply_settings(read_settings(path))
+            except SettingsError as error:
+                log(SETTINGS_REFUSED, error=str(error))
 
 
 def main() -> None:
     """Start the program."""
+    path = environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = read_settings(environ.get(SETTINGS_VARIABLE, ""))
+        settings = read_settings(path)
     except SettingsError as error:
         print(f"{PROGRAM}: {error}", file=stderr)
         exit(USAGE_EXIT_CODE)
@@ -33,7 +69,7 @@
     network = TcpNetwork()
     platform = OperatorsPlatform(network, settings.store)
     node = Node(network, settings, platform, JobBodies(), boot_time_s)
-    run(serve_until_stopped, PROGRAM, settings.instance, node)
+    run(serve, node, path)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/damaskstall/tasks/context.py
@@ -0,0 +1,23 @@
+"""Share what all parts of one process use."""
+
+from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.node_settings import NodeSettings
+from damaskstall.tasks.ports import Platform
+from damaskstall.tasks.state_follower import StateFollower
+
+
+class NodeContext:
+    """Hold the platform and the settings, which may be read anew."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        platform: Platform,
+        follower: StateFollower,
+        clock: Clock,
+    ) -> None:
+        """Share the parts; ``settings`` may be replaced later."""
+        self.settings = settings
+        self.platform = platform
+        self.follower = follower
+        self.clock = clock
--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -22,6 +22,7 @@
 from damaskstall.platform.types import ABSENT, Row, Write
 from damaskstall.scheduler.backoff import retry_delay_s
 from damaskstall.scheduler.lease import CellLease, LeaseRow, parse_lease
+from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import (
     HOLDER_ENDED,
     HOLDER_FAILED,
@@ -29,7 +30,7 @@
     STORE_LOST,
     STORE_REGAINED,
 )
-from damaskstall.tasks.holder import NodeContext, TaskHolder
+from damaskstall.tasks.holder import TaskHolder
 from damaskstall.tasks.metrics import HOLDS_LEASE, NO_LABELS
 
 # One cell for the whole service: 24 workers are too few to split.
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -23,6 +23,15 @@
 STORE_REGAINED = Event(
     8004, "INFO", "store_regained", "The store answers this process again."
 )
+SETTINGS_APPLIED = Event(
+    8005, "INFO", "settings_applied", "The settings were read anew."
+)
+SETTINGS_REFUSED = Event(
+    8006,
+    "ERROR",
+    "settings_refused",
+    "The settings file cannot be used: the last settings stay in force.",
+)
 JOB_ACCEPTED = Event(
     8010, "INFO", "task_job_accepted", "A job is stored and was accepted."
 )
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -21,6 +21,7 @@
     json_response,
     retry_later,
 )
+from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.declaration import check_declaration, is_job_id
 from damaskstall.tasks.events import (
     CANCEL_ACCEPTED,
@@ -30,7 +31,6 @@
     JOB_REPEATED,
     REQUEST_REFUSED,
 )
-from damaskstall.tasks.holder import NodeContext
 from damaskstall.tasks.job_desk import (
     ABSENT_JOB,
     ACCEPTED,
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -1,7 +1,7 @@
 """Decide over all jobs of the service for as long as the lease is held."""
 
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any
 
 from trio import (
     CancelScope,
@@ -15,7 +15,7 @@
 from damaskstall.events import log
 from damaskstall.platform.types import Row, Value
 from damaskstall.scheduler.lease import CellLease
-from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import (
     HOLDER_READY,
     ROW_CONFLICT,
@@ -28,14 +28,13 @@
 from damaskstall.tasks.job_reader import JobReader
 from damaskstall.tasks.metrics import NO_LABELS, RUNS_ENDED, UNITS_STARTED
 from damaskstall.tasks.model import QUEUED, RunKey
-from damaskstall.tasks.node_settings import NodeSettings
 from damaskstall.tasks.policy import (
     Decision,
     Situation,
     StartUnit,
     decide,
 )
-from damaskstall.tasks.ports import EndReport, Platform, RunReport
+from damaskstall.tasks.ports import EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
@@ -50,7 +49,6 @@
     job_id_of,
     restore_progress,
 )
-from damaskstall.tasks.state_follower import StateFollower
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import OUTAGE_HOLD_S, WorkerSession
 
@@ -64,15 +62,6 @@
 NO_ATTEMPT_LIMIT = 1_000_000
 
 
-class NodeContext(NamedTuple):
-    """Hold what all parts of one process share."""
-
-    settings: NodeSettings
-    platform: Platform
-    follower: StateFollower
-    clock: Clock
-
-
 class TaskHolder:
     """Decide, give orders and write progress under one lease."""
 
--- a/src/damaskstall/tasks/job_desk.py
+++ b/src/damaskstall/tasks/job_desk.py
@@ -13,8 +13,8 @@
 )
 from damaskstall.platform.settle import commit_settled
 from damaskstall.platform.types import ABSENT, Write
+from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.election import Election
-from damaskstall.tasks.holder import NodeContext
 from damaskstall.tasks.model import QUEUED, AcceptedJob
 from damaskstall.tasks.records import (
     PROGRESS_TABLE,
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -5,14 +5,16 @@
 from trio import Nursery, current_time, move_on_after, sleep
 
 from damaskstall.addresses import Address
+from damaskstall.events import log
 from damaskstall.http.messages import Request, Response
 from damaskstall.http.server import DrainState, ServerLimits, serve_http
 from damaskstall.network import Network
 from damaskstall.program import not_found, probe_handler
 from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.election import Election
+from damaskstall.tasks.events import SETTINGS_APPLIED
 from damaskstall.tasks.gateway import JobCodec, TaskGateway
-from damaskstall.tasks.holder import NodeContext
 from damaskstall.tasks.job_desk import JobDesk
 from damaskstall.tasks.node_settings import NodeSettings
 from damaskstall.tasks.ports import Platform
@@ -41,7 +43,6 @@
     ) -> None:
         """Build the parts; nothing runs yet."""
         self.network = network
-        self.settings = settings
         self.stopping = False
         self.follower = StateFollower(platform, clock)
         self.context = NodeContext(settings, platform, self.follower, clock)
@@ -50,6 +51,11 @@
         self.gateway = TaskGateway(self.context, desk, codec)
         self.clients = DrainState()
 
+    @property
+    def settings(self) -> NodeSettings:
+        """Return the settings in force."""
+        return self.context.settings
+
     def is_ready(self) -> bool:
         """Return whether new connections should come here."""
         return self.follower.known and not self.stopping
@@ -97,6 +103,13 @@
         nursery.start_soon(self.election.run)
         return bound
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Put new bounds in force; addresses stay as they were bound."""
+        if settings == self.context.settings:
+            return
+        self.context.settings = settings
+        log(SETTINGS_APPLIED, instance=settings.instance)
+
     async def drain(self) -> None:
         """Hand the lease over, let the balancer see it, answer the rest."""
         self.stopping = True
