--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -1,7 +1,7 @@
 """Decide over all jobs of the service for as long as the lease is held."""
 
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
 
 from trio import (
     CancelScope,
@@ -37,6 +37,7 @@
 from damaskstall.tasks.ports import EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
+    ENDED_LAPSED,
     ENDED_NOT_STARTED,
     JobProgress,
     Member,
@@ -50,7 +51,11 @@
     restore_progress,
 )
 from damaskstall.tasks.worker_list import WorkerList
-from damaskstall.tasks.worker_session import OUTAGE_HOLD_S, WorkerSession
+from damaskstall.tasks.worker_session import (
+    OUTAGE_HOLD_S,
+    WorkerSession,
+    lease_limit_s,
+)
 
 # What happens within this time is decided together.
 GATHER_S = 0.01
@@ -62,6 +67,13 @@
 NO_ATTEMPT_LIMIT = 1_000_000
 
 
+class Orphan(NamedTuple):
+    """Hold the worker of a run that is not listed, and when it has lapsed."""
+
+    worker: str
+    lapse_s: float
+
+
 class TaskHolder:
     """Decide, give orders and write progress under one lease."""
 
@@ -80,7 +92,7 @@
         self._wake = Event()
         self._nursery: Nursery | None = None
         self._ended_jobs: dict[str, JobProgress] = {}
-        self._orphans: list[tuple[str, EndReport]] = []
+        self._orphans: dict[RunKey, Orphan] = {}
 
     async def run(self) -> None:
         """Decide until cancelled or until a newer holder is met."""
@@ -267,8 +279,13 @@
                 session.adopt(key, demand)
                 session.wake()
                 continue
-            end = EndReport(0, key, "lapsed", "")
-            self._orphans.append((member.worker, end))
+            # A worker that is not listed may be cut off and running on.
+            self._orphans[key] = Orphan(
+                member.worker,
+                self.context.clock()
+                + OUTAGE_HOLD_S
+                + lease_limit_s(self.context.settings.worker_lease_s),
+            )
 
     # Loading and following.
 
@@ -352,10 +369,22 @@
                 self.context.clock,
             )
             self.sessions[name] = session
+            self._adopt_orphans(session)
             assert self._nursery is not None
             self._nursery.start_soon(session.run, self._nursery)
         self._wake.set()
 
+    def _adopt_orphans(self, session: WorkerSession) -> None:
+        """Count the runs that an earlier holder ordered of a new worker."""
+        for key, orphan in list(self._orphans.items()):
+            if orphan.worker != session.worker.name:
+                continue
+            del self._orphans[key]
+            found = self._find(key)
+            if found is not None:
+                progress, unit, _ = found
+                session.adopt(key, progress.step_of(unit).demand)
+
     # Deciding.
 
     async def _decide_forever(self) -> None:
@@ -488,10 +517,13 @@
                 session.stop(progress.run_key(unit, position))
 
     def _end_orphans(self) -> None:
-        """End adopted runs whose workers are no longer listed."""
-        orphans, self._orphans = self._orphans, []
-        for worker, end in orphans:
-            self.note_end(worker, end)
+        """End adopted runs of unlisted workers once they surely lapsed."""
+        now_s = self.context.clock()
+        for key, orphan in list(self._orphans.items()):
+            if now_s >= orphan.lapse_s:
+                del self._orphans[key]
+                end = EndReport(0, key, ENDED_LAPSED, "")
+                self.note_end(orphan.worker, end)
 
     def _forget_over(self) -> None:
         for job_id, progress in list(self.jobs.items()):
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -61,6 +61,11 @@
 UNSTORED_PAUSE_S = 0.3
 
 
+def lease_limit_s(lease_s: float) -> float:
+    """Return how long a lease of a worker lasts at most, on our clock."""
+    return lease_s * CLOCK_RATE_LIMIT + LAPSE_MARGIN_S
+
+
 class SessionOwner(Protocol):
     """Take in what a session learns."""
 
@@ -129,7 +134,7 @@
         self._read_s = 0.0
         started_s = clock()
         # Until the worker answers, an earlier holder's last extension counts.
-        self._lapse_s = started_s + OUTAGE_HOLD_S + self._lease_limit_s()
+        self._lapse_s = started_s + OUTAGE_HOLD_S + lease_limit_s(self.lease_s)
         self._stop_sent_s: dict[RunKey, float] = {}
         self._orders = CapacityLimiter(ORDERS_AT_ONCE)
         self._wake = Event()
@@ -281,9 +286,6 @@
         lapse_s = self._read_s + left_s * CLOCK_RATE_LIMIT + LAPSE_MARGIN_S
         self._lapse_s = max(self._lapse_s, lapse_s)
 
-    def _lease_limit_s(self) -> float:
-        return self.lease_s * CLOCK_RATE_LIMIT + LAPSE_MARGIN_S
-
     async def _take_report(self, report: HoldReport) -> None:
         if self.incarnation and report.incarnation != self.incarnation:
             self._replace(report.incarnation)
@@ -295,7 +297,7 @@
         self._read_s = self.clock()
         if not self.synced:
             log(SESSION_FENCED, worker=self.worker.name, epoch=self.epoch)
-            self._lapse_s = self._read_s + self._lease_limit_s()
+            self._lapse_s = self._read_s + lease_limit_s(self.lease_s)
             self.synced = True
             self.answered.set()
         self.fenced = True
