--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -90,12 +90,17 @@
         target: str,
         headers: Headers = (),
         body: bytes | AsyncIterable[bytes] = b"",
+        host: str = "",
     ) -> None:
-        """Send one request; raise ConnectionLostError when it breaks."""
+        """Send one request; raise ConnectionLostError when it breaks.
+
+        ``host`` is the host that the request names, the address by default.
+        """
+        named = ("host", host or str(self.address))
         head = RequestHead(
             method=method,
             target=target,
-            headers=[("host", str(self.address)), *headers, *framing(body)],
+            headers=[named, *headers, *framing(body)],
         )
         try:
             data = self.http.send(head) or b""
@@ -269,6 +274,7 @@
         body: bytes = b"",
         headers: Headers = (),
         limit_bytes: int = JSON_LIMIT_BYTES,
+        host: str = "",
     ) -> tuple[ResponseStart, bytes]:
         """Return one whole answer.
 
@@ -280,7 +286,7 @@
         try:
             with fail_after(self.timeout_s):
                 connection = await self._connect()
-                await connection.send(method, target, headers, body)
+                await connection.send(method, target, headers, body, host)
                 head = await connection.receive_head()
                 data = await connection.read_body(limit_bytes)
         except TooSlowError:
--- /dev/null
+++ b/standins/operators/runs.py
@@ -0,0 +1,131 @@
+"""Run tasks on stand-in workers, and keep the record of every run.
+
+The record is the truth that tests judge by. A gang works only while all its
+members are present, and ends together.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+TICK_S = 0.02
+GANG_WAIT_S = 3.0
+STOP_S = 0.1
+CHECKPOINT_S = 0.5
+RESTORE_S = 0.1
+FAR_FACTOR = 3.0
+
+
+class TaskName(NamedTuple):
+    """Name a task as the protocol does: ID.K.STEP.INDEX."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    task_index: int
+
+
+def parse_task(text: str) -> TaskName:
+    """Return the task that a text names."""
+    job_id, occurrence, step, index = text.split(".")
+    return TaskName(job_id, int(occurrence), int(step), int(index))
+
+
+class Run:
+    """Hold one run of a task on one worker."""
+
+    def __init__(
+        self,
+        task: str,
+        run: int,
+        worker: str,
+        started_s: float,
+        saved_s: float,
+    ) -> None:
+        """Begin a run that goes on from saved work."""
+        self.task = task
+        self.name = parse_task(task)
+        self.run = run
+        self.worker = worker
+        self.started_s = started_s
+        self.worked_s = saved_s
+        self.restore_s = RESTORE_S if saved_s else 0.0
+        self.stop_s: float | None = None
+        self.ended_s: float | None = None
+        self.how = ""
+        self.noted_s: float | None = None
+        self.stalled = False
+
+
+# Decides how the run of a task ends: "done" or "failed".
+Fate = Callable[[Run], str]
+
+
+class RunBook:
+    """Hold the jobs that clients sent, all runs, and what they need."""
+
+    def __init__(self) -> None:
+        """Start empty; every run ends done."""
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.work_s: dict[str, float] = {}
+        self.runs: list[Run] = []
+        self.fate: Fate = lambda run: "done"
+        self.present: dict[tuple[str, int, int], set[int]] = {}
+        self.racks: dict[str, str] = {}
+
+    def step(self, name: TaskName) -> dict[str, Any]:
+        """Return what a task's step asked for."""
+        step: dict[str, Any] = self.jobs[name.job_id]["steps"][name.step]
+        return step
+
+    def needed_s(self, run: Run) -> float:
+        """Return how long a run has to work on its worker."""
+        step = self.step(run.name)
+        estimate_s: float = step.get("estimate_ms", 0) / 1000
+        needed_s = self.work_s.get(run.name.job_id, estimate_s)
+        if step.get("same_rack") and len(self._racks_of(run)) > 1:
+            return needed_s * FAR_FACTOR
+        return needed_s
+
+    def gang_key(self, run: Run) -> tuple[str, int, int]:
+        """Return what the members of one gang's run share."""
+        return run.name.job_id, run.name.step, run.run
+
+    def arrive(self, run: Run) -> None:
+        """Record a run and, of a gang, that this member is present."""
+        self.runs.append(run)
+        if self.step(run.name).get("gang"):
+            members = self.present.setdefault(self.gang_key(run), set())
+            members.add(run.name.task_index)
+
+    def complete(self, run: Run) -> bool:
+        """Return whether all members of the run's gang are present."""
+        step = self.step(run.name)
+        if not step.get("gang"):
+            return True
+        count: int = step["count"]
+        return len(self.present[self.gang_key(run)]) == count
+
+    def broken(self, run: Run) -> bool:
+        """Return whether another member of the gang has ended undone."""
+        return any(
+            other.ended_s is not None and other.how != "done"
+            for other in self._gang(run)
+        )
+
+    def gang_done(self, run: Run) -> bool:
+        """Return whether another member of the gang has ended done."""
+        return any(other.how == "done" for other in self._gang(run))
+
+    def _gang(self, run: Run) -> list[Run]:
+        if not self.step(run.name).get("gang"):
+            return []
+        key = self.gang_key(run)
+        return [
+            other
+            for other in self.runs
+            if other is not run and self.gang_key(other) == key
+        ]
+
+    def _racks_of(self, run: Run) -> set[str]:
+        members = [run, *self._gang(run)]
+        return {self.racks[member.worker] for member in members}
--- /dev/null
+++ b/tests/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Test jobs of steps of tasks on a stand-in of the platform."""
--- /dev/null
+++ b/tests/tasks/world.py
@@ -0,0 +1,285 @@
+"""Run nodes against the stand-in platform under virtual time."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from json import dumps, loads
+from typing import Any, NamedTuple
+
+from trio import CancelScope, Nursery, current_time, open_nursery, sleep
+
+from damaskstall.addresses import Address
+from damaskstall.http.client import HttpClient
+from damaskstall.platform.job_bodies import JobBodies
+from damaskstall.platform.operator_rows import OperatorsPlatform
+from damaskstall.tasks.node import Node
+from damaskstall.tasks.node_settings import NodeSettings
+from standins.network import MemoryNetwork
+from standins.operators.runs import TICK_S, RunBook
+from standins.operators.store import ADDRESS as STORE_ADDRESS
+from standins.operators.store import OperatorsStore
+from standins.operators.worker import PORT, StandinWorker
+from tests.virtual_time import run_virtual
+
+SERVICE = "svc"
+HOST_NAME = "jobs.example"
+KEY = "key-of-blue"
+OTHER_KEY = "key-of-red"
+URGENT, NORMAL, BULK = "urgent", "normal", "bulk"
+CAPACITY = {"cpu": 64000, "task_memory_mb": 262144, "gpus": 8}
+CLIENT_LIMIT_S = 3.0
+FRONT_PORT, READY_PORT, METRICS_PORT = 8000, 8001, 8002
+
+
+def route(name: str, priority: int, **fields: Any) -> dict[str, Any]:
+    """Return a queue as operators write it."""
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "path_prefix": f"/{name}/",
+        "kind": "unsafe",
+        "timeout_ms": 3000,
+        "target_duration_ms": 1000,
+        "priority": priority,
+        "service": SERVICE,
+        "maximum_attempts": 3,
+        "stretch": 3.0,
+        "public": False,
+        **fields,
+    }
+
+
+def configuration(version: int, **fields: Any) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    return {
+        "version": version,
+        "routes": [
+            route(URGENT, 0, stretch=1.5),
+            route(NORMAL, 1),
+            route(BULK, 2),
+        ],
+        "services": [{"name": SERVICE, "enforces_capacity": False}],
+        "limits": {"body_bytes": 262144},
+        "tenants": [
+            {"name": "blue", "api_keys": [KEY], "guaranteed": {"gpus": 16}},
+            {"name": "red", "api_keys": [OTHER_KEY]},
+        ],
+        **fields,
+    }
+
+
+class Reply(NamedTuple):
+    """Hold what a client was answered."""
+
+    status: int
+    value: Any
+    headers: dict[str, str]
+
+
+class World:
+    """Hold the platform, the nodes and what clients do."""
+
+    def __init__(self, racks: int, per_rack: int) -> None:
+        """Build racks of workers, one failure domain each."""
+        self.network = MemoryNetwork()
+        self.store = OperatorsStore(self.network)
+        self.book = RunBook()
+        self.workers: dict[str, StandinWorker] = {}
+        self.nodes: dict[str, Node] = {}
+        self.scopes: dict[str, CancelScope] = {}
+        self.nursery: Nursery | None = None
+        self.accepted: dict[str, float] = {}
+        for rack in range(racks):
+            for place in range(per_rack):
+                name = f"w{rack}{place}"
+                address = Address(f"10.1.{rack}.{place}", PORT)
+                label = f"r{rack}-0"
+                self.book.racks[name] = label
+                self.workers[name] = StandinWorker(
+                    self.network, self.book, name, address, label, CAPACITY
+                )
+
+    async def start(self, nursery: Nursery, nodes: int) -> None:
+        """Start everything and wait until one node decides."""
+        self.nursery = nursery
+        await nursery.start(self.store.run)
+        for worker in self.workers.values():
+            await nursery.start(worker.run)
+            self.list_worker(worker)
+        nursery.start_soon(self._tick)
+        self.store.put("op", "config", configuration(1))
+        for number in range(nodes):
+            await self.start_node(f"n{number}")
+        await self.wait(lambda: self.holder() is not None)
+
+    def list_worker(self, worker: StandinWorker, state: str = "ready") -> None:
+        """Write a worker's entry."""
+        domain = f"fd{worker.name[1]}"
+        self.store.put(
+            "servers", worker.name, worker.entry(SERVICE, domain, state)
+        )
+
+    async def start_node(self, name: str) -> None:
+        """Start a node, or start it anew after a kill."""
+        number = int(name[1:])
+        ip_address = f"10.2.0.{number}"
+        settings = NodeSettings(
+            instance=name,
+            failure_domain="fd0",
+            ip_address=ip_address,
+            listen=Address(ip_address, FRONT_PORT),
+            readiness_listen=Address(ip_address, READY_PORT),
+            peer_port=7000,
+            metrics_port=METRICS_PORT,
+            store=STORE_ADDRESS,
+            stop_grace_s=6.0,
+            key_removal_s=5.0,
+            worker_lease_s=10.0,
+            gang_wait_s=3.0,
+            checkpoint_s=0.5,
+            heartbeat_s=1.5,
+        )
+        network = self.network.end(name)
+        platform = OperatorsPlatform(network, STORE_ADDRESS)
+        node = Node(network, settings, platform, JobBodies(), current_time)
+        self.nodes[name] = node
+        assert self.nursery is not None
+        await self.nursery.start(self._run_node, name, node)
+
+    async def _run_node(self, name: str, node: Node, task_status: Any) -> None:
+        with CancelScope() as scope:
+            self.scopes[name] = scope
+            async with open_nursery() as nursery:
+                await node.start(nursery)
+                task_status.started()
+
+    def kill_node(self, name: str) -> None:
+        """End a node as SIGKILL does: nothing more leaves it."""
+        self.network.kill(name)
+        self.scopes[name].cancel()
+        del self.nodes[name]
+
+    async def stop_node(self, name: str) -> None:
+        """End a node as SIGTERM does."""
+        await self.nodes[name].drain()
+        self.scopes[name].cancel()
+        del self.nodes[name]
+
+    def holder(self) -> str | None:
+        """Return the name of the node that decides, if one does."""
+        for name, node in self.nodes.items():
+            holder = node.election.holder
+            if holder is not None and holder.ready and not holder.lease.lost:
+                return name
+        return None
+
+    async def wait(
+        self, condition: Callable[[], object], limit_s: float = 60.0
+    ) -> float:
+        """Wait for a condition; return how long that took."""
+        start_s = current_time()
+        while not condition():
+            assert current_time() - start_s < limit_s, "It did not happen."
+            await sleep(TICK_S)
+        return current_time() - start_s
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        value: Any = None,
+        node: str = "n0",
+        key: str = KEY,
+        host: str = HOST_NAME,
+    ) -> Reply:
+        """Send one request to a node as a client does."""
+        address = Address(f"10.2.0.{node[1:]}", FRONT_PORT)
+        client = HttpClient(
+            self.network.end("client"), address, CLIENT_LIMIT_S
+        )
+        headers = (("authorization", f"Bearer {key}"),)
+        body = value if isinstance(value, bytes) else b""
+        if value is not None and not body:
+            body = dumps(value).encode()
+        async with client:
+            head, data = await client.call(
+                method, path, body, headers, host=host
+            )
+        parsed = loads(data) if data else None
+        return Reply(head.status, parsed, head.headers)
+
+    async def submit(
+        self,
+        job_id: str,
+        steps: list[dict[str, Any]],
+        queue: str = NORMAL,
+        work_s: float | None = None,
+        **where: str,
+    ) -> Reply:
+        """Hand a job in; ``work_s`` is what its tasks really take."""
+        body = {"specification": f"text of {job_id}", "steps": steps}
+        self.book.jobs[job_id] = body
+        if work_s is not None:
+            self.book.work_s[job_id] = work_s
+        reply = await self.call("POST", f"/{queue}/{job_id}", body, **where)
+        if reply.status == 200:
+            self.accepted[job_id] = current_time()
+        return reply
+
+    async def state(
+        self, job_id: str, queue: str = NORMAL, **where: str
+    ) -> str:
+        """Return the state that a node shows for a job."""
+        reply = await self.call("GET", f"/{queue}/{job_id}", **where)
+        return reply.value["state"] if reply.status == 200 else ""
+
+    async def wait_state(
+        self,
+        job_id: str,
+        state: str,
+        queue: str = NORMAL,
+        limit_s: float = 60.0,
+        **where: str,
+    ) -> float:
+        """Wait until a job is shown in a state; return how long."""
+        start_s = current_time()
+        while True:
+            shown = await self.state(job_id, queue, **where)
+            if shown == state:
+                return current_time() - start_s
+            assert current_time() - start_s < limit_s, f"It is {shown!r}."
+            await sleep(0.1)
+
+    def runs_of(self, job_id: str) -> list[Any]:
+        """Return the recorded runs of a job."""
+        return [r for r in self.book.runs if r.name.job_id == job_id]
+
+    async def _tick(self) -> None:
+        while True:
+            await sleep(TICK_S)
+            for worker in self.workers.values():
+                worker.tick(TICK_S)
+
+
+@asynccontextmanager
+async def open_world(
+    nodes: int = 2, racks: int = 2, per_rack: int = 2
+) -> AsyncIterator[World]:
+    """Yield a world in which one node decides."""
+    world = World(racks, per_rack)
+    async with open_nursery() as nursery:
+        await world.start(nursery, nodes)
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+Scenario = Callable[[World], Awaitable[None]]
+
+
+def play(scenario: Scenario, seed: int = 0, **sizes: int) -> None:
+    """Play a scenario under virtual time."""
+
+    async def main() -> None:
+        async with open_world(**sizes) as world:
+            await scenario(world)
+
+    run_virtual(main, seed=seed)
