Let workers rest that refuse, fail or stall; let silent leases lapse

Causes, each found by a test on the stand-in: a refused gang came back at once and spun; a silent worker's lease was extended by every hold that went unanswered, so its runs never lapsed. Runs that stand still are stopped and go on elsewhere.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -23,6 +23,7 @@
     TASK_JOB_ENDED,
     UNIT_STARTED,
     UNIT_STOPPED,
+    WORKER_SUSPECTED,
 )
 from damaskstall.tasks.expectations import Expectations
 from damaskstall.tasks.job_reader import JobReader
@@ -37,6 +38,7 @@
 from damaskstall.tasks.ports import EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
+    ENDED_FAILED,
     ENDED_LAPSED,
     ENDED_NOT_STARTED,
     JobProgress,
@@ -50,6 +52,7 @@
     job_id_of,
     restore_progress,
 )
+from damaskstall.tasks.stalls import is_stalled
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import (
     OUTAGE_HOLD_S,
@@ -172,7 +175,10 @@
         if found is None:
             return
         progress, unit, position = found
-        unit.members[position].confirmed = True
+        member = unit.members[position]
+        if not member.confirmed:
+            member.confirmed = True
+            unit.percent_s = self.context.clock()
         if not unit.has_begun:
             unit.has_begun = True
             self._store(progress)
@@ -199,6 +205,7 @@
         ):
             return
         self._log_end(worker, end)
+        self._judge_worker(progress, worker, end)
         if end.how == ENDED_DONE:
             self._learn(progress, unit)
         elif unit.active and not unit.done:
@@ -393,6 +400,7 @@
             self._forget_over()
             self._end_orphans()
             now_s = self.context.clock()
+            self._stop_stalled(now_s)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._situation(), now_s):
                     self._apply(decision)
@@ -570,6 +578,51 @@
         ran_s = self.context.clock() - unit.started_s
         self.expectations.learn(progress.job.queue, step.estimate_s, ran_s)
 
+    def _judge_worker(
+        self, progress: JobProgress, worker: str, end: EndReport
+    ) -> None:
+        session = self.sessions.get(worker)
+        if session is None:
+            return
+        if end.how == ENDED_DONE:
+            session.health.note_done()
+        elif end.how == ENDED_FAILED:
+            now_s = self.context.clock()
+            if session.health.note_failed(progress.job, now_s):
+                self._log_suspected(worker, "runs of several jobs failed")
+
+    def _log_suspected(self, worker: str, reason: str) -> None:
+        until_s = self.sessions[worker].health.resting_until_s
+        log(
+            WORKER_SUSPECTED,
+            worker=worker,
+            reason=reason,
+            rest_s=round(until_s - self.context.clock(), 1),
+        )
+
+    def _stop_stalled(self, now_s: float) -> None:
+        """Stop runs that stand still, so that they go on elsewhere."""
+        for progress in self.jobs.values():
+            for unit in progress.all_units():
+                step = progress.step_of(unit)
+                queue = progress.job.queue
+                expected_s = self.expectations.step_s(queue, step)
+                if not is_stalled(unit, expected_s, now_s):
+                    continue
+                for member in unit.members:
+                    self._suspect_stalled(unit, member, now_s)
+                self._stop_unit(progress, unit, "it stands still")
+
+    def _suspect_stalled(
+        self, unit: Unit, member: Member, now_s: float
+    ) -> None:
+        """Let a worker rest, if it alone can be why a unit stands still."""
+        unit.avoid.add(member.worker)
+        session = self.sessions.get(member.worker)
+        if session is not None and len(unit.members) == 1:
+            session.health.note_bad(now_s)
+            self._log_suspected(member.worker, "a run stands still")
+
     def _log_end(self, worker: str, end: EndReport) -> None:
         RUNS_ENDED.inc({"how": end.how})
         log(
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -36,9 +36,12 @@
     WorkerCalls,
 )
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
+from damaskstall.tasks.worker_health import WorkerHealth
 
-# The platform holds an answer back at most this long (PROTOCOL, wait_ms).
-HOLD_WAIT_S = 2.0
+# The platform holds an answer back 2 s at most (PROTOCOL, wait_ms).
+# A shorter one shows sooner that a run stands still; each look at a worker
+# costs 0.0003 of a request's worth (site files, prices).
+HOLD_WAIT_S = 1.0
 # An order may be carried out up to 12 s late; one that is not carried out by
 # then on the worker's clock never is. Well under gang_ms, 3 s, so that a gang
 # whose start is lost is stopped before its members give up.
@@ -122,6 +125,7 @@
         self.lease_s = lease_s
         self.clock = clock
         self.load = WorkerLoad()
+        self.health = WorkerHealth()
         self.expected: dict[RunKey, Expected] = {}
         self.fenced = False
         self.reachable = False
@@ -132,6 +136,7 @@
         self.synced = False
         self._clock_s = 0.0
         self._read_s = 0.0
+        self._until_s = 0.0
         started_s = clock()
         # Until the worker answers, an earlier holder's last extension counts.
         self._lapse_s = started_s + OUTAGE_HOLD_S + lease_limit_s(self.lease_s)
@@ -147,6 +152,7 @@
             and self.reachable
             and self.listed
             and not self.worker.leaving
+            and self.health.may_start(self.clock())
         )
 
     def room(self) -> Room:
@@ -218,11 +224,14 @@
                     run=key.run,
                     reason=error.reason,
                 )
+                if not error.reason:
+                    self.health.note_refused(self.clock())
                 self._end(key, ENDED_NOT_STARTED)
                 return
             except (OrderNotSentError, OrderUnansweredError):
                 await sleep(RETRY_S)
                 continue
+            self.health.note_started()
             if key in self.expected:
                 self.expected[key] = Expected(clock_s, True)
             return
@@ -254,7 +263,10 @@
 
     async def _hold_once(self) -> bool:
         """Exchange one hold; return whether the worker answered."""
-        until_s = self.worker_clock_s() + self.lease_s if self.synced else 0.0
+        if self.synced and self.reachable:
+            # A silent worker's lease is not extended, so that it lapses.
+            self._until_s = self.worker_clock_s() + self.lease_s
+        until_s = self._until_s
         wait_s = HOLD_WAIT_S if self.synced and self.reachable else 0.0
         request = HoldRequest(
             self.epoch, until_s, self.acknowledged_end, wait_s
@@ -357,6 +369,7 @@
         self.acknowledged_end = 0
         self.synced = False
         self.fenced = False
+        self._until_s = 0.0
         self._end_all()
 
     def _end_all(self) -> None:
--- a/standins/operators/runs.py
+++ b/standins/operators/runs.py
@@ -86,6 +86,10 @@
             return needed_s * FAR_FACTOR
         return needed_s
 
+    def percent(self, run: Run) -> int:
+        """Return how far a run has come, in whole percent."""
+        return min(99, int(100 * run.worked_s / self.needed_s(run)))
+
     def gang_key(self, run: Run) -> tuple[str, int, int]:
         """Return what the members of one gang's run share."""
         return run.name.job_id, run.name.step, run.run
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -5,6 +5,7 @@
 from trio import (
     TASK_STATUS_IGNORED,
     Event,
+    Nursery,
     TaskStatus,
     current_time,
     move_on_after,
@@ -77,17 +78,17 @@
         self._ended_event = Event()
 
     def crash(self) -> None:
-        """End everything that runs, unlisted."""
+        """End everything that runs, unlisted, and all connections."""
         for run in self.running.values():
             run.ended_s = current_time()
             run.how = "lost"
         self.running = {}
-        self.network.freeze(self.name)
+        self.network.kill(self.name)
 
-    def restart(self) -> None:
+    async def restart(self, nursery: Nursery) -> None:
         """Come back as another life under the same name."""
         self.boot(self.born + 1)
-        self.network.thaw(self.name)
+        await nursery.start(self.run)
 
     def clock_s(self) -> float:
         """Return the time on the worker's own clock."""
@@ -119,8 +120,6 @@
 
     def tick(self, passed_s: float) -> None:
         """Let everything work for a time, and end what is due."""
-        if self.name in self.network.frozen:
-            return
         if self.running and self.clock_s() > self.lease_until_s:
             for run in list(self.running.values()):
                 self._end(run, "lapsed")
@@ -240,7 +239,12 @@
             {
                 "born": self.born,
                 "running": [
-                    [run.task, run.run, saved(self.book, run), 50]
+                    [
+                        run.task,
+                        run.run,
+                        saved(self.book, run),
+                        self.book.percent(run),
+                    ]
                     for run in self.running.values()
                 ],
                 "ended": [
--- /dev/null
+++ b/tests/tasks/jobs.py
@@ -0,0 +1,18 @@
+"""Name the jobs and steps that the tests hand in."""
+
+from typing import Any
+
+ONE: dict[str, Any] = {
+    "count": 1,
+    "cpu": 1000,
+    "task_memory_mb": 1000,
+    "gpus": 1,
+}
+FOUR = {**ONE, "count": 4, "estimate_ms": 1000}
+WHOLE = {"count": 2, "cpu": 8000, "task_memory_mb": 9000, "gpus": 8}
+GANG = {**WHOLE, "gang": True, "same_rack": True, "estimate_ms": 2000}
+
+
+def job_id(number: int) -> str:
+    """Return a job's name in the form that clients choose."""
+    return f"{number:016x}"
--- /dev/null
+++ b/tests/tasks/test_faults.py
@@ -0,0 +1,281 @@
+"""Promises hold while nodes, workers and the store fail."""
+
+from pytest import mark
+from trio import sleep
+
+from standins.operators.store import BUSY, EVERYONE, MANY, RESET, SILENT
+from tests.tasks.checker import check_finished_once, check_runs
+from tests.tasks.jobs import FOUR, GANG, ONE, WHOLE, job_id
+from tests.tasks.world import BULK, NORMAL, URGENT, World, play
+
+
+def other_than(world: World, name: str | None) -> str:
+    """Return a node other than the named one."""
+    return next(node for node in world.nodes if node != name)
+
+
+def test_successor_adopts_what_runs_and_kills_nothing() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=8.0)
+        await world.submit(job_id(2), [GANG], work_s=8.0)
+        await world.wait(lambda: len(world.book.runs) == 6)
+        holder = world.holder()
+        assert holder is not None
+        world.kill_node(holder)
+        took_s = await world.wait(lambda: world.holder() is not None)
+        assert took_s < 3.0
+        node = other_than(world, None)
+        for number in (1, 2):
+            await world.wait_state(job_id(number), "completed", node=node)
+            check_finished_once(world, job_id(number))
+        assert len(world.book.runs) == 6
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_ends_listed_while_nobody_decides_are_kept() -> None:
+    """A successor reads all jobs before it acknowledges any end."""
+
+    async def scenario(world: World) -> None:
+        for number in range(1, 4):
+            await world.submit(job_id(number), [FOUR], work_s=2.0)
+        await world.wait(lambda: len(world.book.runs) == 12)
+        holder = world.holder()
+        assert holder is not None
+        await sleep(1.0)
+        world.kill_node(holder)
+        await world.wait(lambda: world.holder() is not None)
+        node = other_than(world, None)
+        for number in range(1, 4):
+            await world.wait_state(job_id(number), "completed", node=node)
+        assert len(world.book.runs) == 12
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_ends_are_kept_while_the_store_refuses_the_holder() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=2.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        holder = world.holder()
+        assert holder is not None
+        world.store.faults[holder] = MANY
+        node = other_than(world, holder)
+        await world.wait_state(job_id(1), "completed", node=node)
+        assert len(world.book.runs) == 4
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_unlisted_worker_is_not_taken_as_gone_by_a_successor() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [WHOLE], work_s=6.0)
+        await world.wait(lambda: len(world.book.runs) == 2)
+        for name in world.workers:
+            world.store.remove("servers", name)
+        holder = world.holder()
+        assert holder is not None
+        world.kill_node(holder)
+        await world.wait(lambda: world.holder() is not None)
+        await sleep(1.0)
+        for worker in world.workers.values():
+            world.list_worker(worker)
+        node = other_than(world, None)
+        await world.wait_state(job_id(1), "completed", node=node)
+        assert len(world.book.runs) == 2
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_all_nodes_lose_power_right_after_an_acceptance() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=6.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        await world.submit(job_id(2), [ONE], work_s=1.0)
+        for name in list(world.nodes):
+            world.kill_node(name)
+        await sleep(1.0)
+        for name in ("n0", "n1"):
+            await world.start_node(name)
+        took_s = await world.wait(lambda: world.holder() is not None)
+        assert took_s < 1.0
+        for number in (1, 2):
+            await world.wait_state(job_id(number), "completed")
+            check_finished_once(world, job_id(number))
+        assert len(world.book.runs) == 5
+        check_runs(world)
+
+    play(scenario)
+
+
+@mark.parametrize("fault", [BUSY, MANY, RESET, SILENT])
+def test_store_outage_loses_nothing(fault: str) -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=3.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        world.store.faults[EVERYONE] = fault
+        await sleep(1.0)
+        reply = await world.submit(job_id(2), [FOUR])
+        assert reply.status in (503, 504)
+        await sleep(4.0)
+        del world.store.faults[EVERYONE]
+        await sleep(3.0)
+        await world.wait_state(job_id(1), "completed")
+        assert len(world.runs_of(job_id(1))) == 4
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_refused_job_never_runs() -> None:
+    async def scenario(world: World) -> None:
+        world.store.faults[EVERYONE] = BUSY
+        reply = await world.submit(job_id(1), [ONE])
+        assert reply.status == 503
+        assert int(reply.headers["retry-after"]) >= 1
+        del world.store.faults[EVERYONE]
+        await sleep(5.0)
+        assert not world.book.runs
+        assert (
+            await world.call("GET", f"/{NORMAL}/{job_id(1)}")
+        ).status == 410
+
+    play(scenario)
+
+
+def test_lost_answer_of_the_store_is_settled() -> None:
+    async def scenario(world: World) -> None:
+        world.store.lose_answers = 1
+        reply = await world.submit(job_id(1), [ONE])
+        assert reply.status == 200
+        await world.wait_state(job_id(1), "completed")
+        check_finished_once(world, job_id(1))
+
+    play(scenario)
+
+
+def test_late_write_of_the_store_is_never_called_refused() -> None:
+    async def scenario(world: World) -> None:
+        world.store.late_writes_s = [4.0]
+        reply = await world.submit(job_id(1), [ONE])
+        assert reply.status in (200, 504)
+        await sleep(5.0)
+        again = await world.submit(job_id(1), [ONE])
+        assert again.status == 200
+        await world.wait_state(job_id(1), "completed")
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_dropped_history_is_read_anew() -> None:
+    async def scenario(world: World) -> None:
+        world.store.rows.forget_history()
+        await world.submit(job_id(1), [FOUR])
+        world.store.rows.forget_history()
+        await world.wait_state(job_id(1), "completed")
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_crashed_worker_is_known_by_its_next_life() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=3.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        worker = world.workers[world.book.runs[0].worker]
+        worker.crash()
+        await sleep(1.0)
+        assert world.nursery is not None
+        await worker.restart(world.nursery)
+        world.list_worker(worker)
+        await world.wait_state(job_id(1), "completed", limit_s=8.0)
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_worker_that_is_cut_off_runs_on_until_its_lease_lapses() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=12.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        name = world.book.runs[0].worker
+        for node in world.nodes:
+            world.network.cut(node, name)
+            world.network.cut(name, node)
+        await world.wait_state(job_id(1), "completed")
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_order_carried_out_late_does_not_run_twice() -> None:
+    async def scenario(world: World) -> None:
+        for worker in world.workers.values():
+            worker.late_orders_s = [4.0, 3.0]
+        await world.submit(job_id(1), [FOUR], work_s=2.0)
+        await world.submit(job_id(2), [GANG], work_s=2.0)
+        for number in (1, 2):
+            await world.wait_state(job_id(number), "completed")
+            check_finished_once(world, job_id(number))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_worker_that_refuses_starts_does_not_hold_a_gang_up() -> None:
+    async def scenario(world: World) -> None:
+        world.workers["w00"].refuse_starts = True
+        await world.submit(job_id(1), [GANG], URGENT, work_s=1.0)
+        await world.wait_state(job_id(1), "completed", URGENT, limit_s=5.0)
+        check_runs(world)
+
+    play(scenario, racks=2, per_rack=3)
+
+
+def test_two_holders_in_turn_over_a_cut_store() -> None:
+    """A holder that only the store cannot hear gives way to the next."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR, {**FOUR, "after": [0]}], BULK)
+        first = world.holder()
+        assert first is not None
+        world.network.cut(first, "store")
+        await world.submit(
+            job_id(2), [GANG], URGENT, node=other_than(world, first)
+        )
+        await world.wait(lambda: world.holder() not in (None, first))
+        world.network.heal(first, "store")
+        for number, queue in ((1, BULK), (2, URGENT)):
+            await world.wait_state(job_id(number), "completed", queue)
+            check_finished_once(world, job_id(number))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_planned_stop_hands_over_and_serves_on() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=5.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        holder = world.holder()
+        assert holder is not None
+        assert world.nursery is not None
+        world.nursery.start_soon(world.stop_node, holder)
+        took_s = await world.wait(lambda: world.holder() not in (None, holder))
+        assert took_s < 1.2
+        reply = await world.submit(job_id(2), [ONE], node=holder)
+        assert reply.status == 200
+        node = other_than(world, holder)
+        await world.wait_state(job_id(1), "completed", node=node)
+        assert len(world.runs_of(job_id(1))) == 4
+        check_runs(world)
+
+    play(scenario)
--- a/tests/tasks/test_whole_path.py
+++ b/tests/tasks/test_whole_path.py
@@ -1,27 +1,11 @@
 """Jobs go from a client to workers and back."""
 
-from typing import Any
-
 from trio import sleep
 
 from tests.tasks.checker import check_finished_once, check_runs
+from tests.tasks.jobs import FOUR, GANG, ONE, WHOLE, job_id
 from tests.tasks.world import BULK, NORMAL, URGENT, World, play
 
-ONE: dict[str, Any] = {
-    "count": 1,
-    "cpu": 1000,
-    "task_memory_mb": 1000,
-    "gpus": 1,
-}
-FOUR = {**ONE, "count": 4, "estimate_ms": 1000}
-WHOLE = {"count": 2, "cpu": 8000, "task_memory_mb": 9000, "gpus": 8}
-GANG = {**WHOLE, "gang": True, "same_rack": True, "estimate_ms": 2000}
-
-
-def job_id(number: int) -> str:
-    """Return a job's name in the form that clients choose."""
-    return f"{number:016x}"
-
 
 def test_job_of_two_steps_completes_in_order() -> None:
     async def scenario(world: World) -> None:
