--- a/src/damaskstall/platform/row_store.py
+++ b/src/damaskstall/platform/row_store.py
@@ -28,9 +28,10 @@
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
 
 # The store answers in 4 ms and a transaction takes 5 ms (PROTOCOL); on slow
-# days both take 60 times as long, 0.25 s and 0.55 s.
+# days both take 60 times as long, 0.25 s and 0.55 s. A lost answer is found
+# out only by these limits, and urgent work waits for it meanwhile.
 READ_TIMEOUT_S = 0.7
-COMMIT_TIMEOUT_S = 1.2
+COMMIT_TIMEOUT_S = 0.8
 FOREIGN_TABLES = frozenset({"op", "servers", "status"})
 MILLISECONDS_PER_S = 1000
 
--- a/src/damaskstall/platform/worker_calls.py
+++ b/src/damaskstall/platform/worker_calls.py
@@ -24,8 +24,8 @@
 )
 
 # A worker is at most a few milliseconds away; an order that is not answered
-# by then may be carried out seconds later (PROTOCOL).
-ORDER_TIMEOUT_S = 0.6
+# by then may be carried out seconds later (PROTOCOL), and is given again.
+ORDER_TIMEOUT_S = 0.25
 MILLISECONDS_PER_S = 1000
 EXPECTED_INSTANCE = "damaskstall-expected-instance"
 FENCED = "fence"
--- a/src/damaskstall/scheduler/lease.py
+++ b/src/damaskstall/scheduler/lease.py
@@ -106,6 +106,17 @@
             self.expires_s = max(self.expires_s, sent_s + self.row.ttl_s)
             return revision
 
+    async def check(self, sent_s: float) -> None:
+        """Read back what became of a renewal sent at a time.
+
+        Raises LeaseLostError if the row is not ours any more.
+        """
+        async with self._lock:
+            before = self.revision
+            await self._check_row()
+            if self.revision != before:
+                self.expires_s = max(self.expires_s, sent_s + self.row.ttl_s)
+
     async def release(self) -> None:
         """Give the lease up, so that another holder need not wait."""
         async with self._lock:
--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -5,6 +5,7 @@
 time: workers obey the highest epoch that has spoken to them.
 """
 
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 from uuid import uuid4
@@ -38,9 +39,15 @@
 WAITING_KEY = f"{CELL_PREFIX}waiting"
 # Urgent work must begin 2.7 s after its acceptance (bounds, reclaim_ms), and
 # a renewal takes some 10 ms: three more fit in the TTL when one is lost.
-LEASE_TTL_S = 1.0
-RENEW_S = 0.25
-POLL_S = 0.25
+LEASE_TTL_S = 0.8
+RENEW_S = 0.15
+# A renewal that takes longer may have lost its answer: the row tells.
+RENEW_LIMIT_S = 0.35
+# A few instances stand by and look at the lease often; the others only keep
+# what is shown as waiting fresh (2 s, PROTOCOL), and step in after them.
+STANDBY_COUNT = 3
+POLL_S = 0.15
+SLOW_POLL_S = 0.8
 # Candidates do not all try in the same moment.
 SPREAD_S = 0.1
 # A store that is slow, or refuses this instance so that each renewal begins
@@ -54,9 +61,12 @@
 class Election:
     """Compete, hold and renew; remember what the holder tells."""
 
-    def __init__(self, context: NodeContext) -> None:
-        """Start without the lease."""
+    def __init__(
+        self, context: NodeContext, peers: Callable[[], Iterable[str]]
+    ) -> None:
+        """Start without the lease; ``peers`` names the other instances."""
         self.context = context
+        self.peers = peers
         self.identity = f"{context.settings.instance}/{uuid4().hex[:8]}"
         self.holder: TaskHolder | None = None
         self.draining = False
@@ -83,7 +93,8 @@
         """Compete until cancelled."""
         tries = 0
         while True:
-            delay_s = POLL_S + self._random.uniform(0, SPREAD_S)
+            poll_s = POLL_S if self._stands_by() else SLOW_POLL_S
+            delay_s = poll_s + self._random.uniform(0, SPREAD_S)
             try:
                 await self._compete()
                 if tries:
@@ -128,6 +139,12 @@
         if lease is not None:
             await self._hold(lease, counts)
 
+    def _stands_by(self) -> bool:
+        """Return whether this instance is among the first to step in."""
+        names = sorted([*self.peers(), self.context.settings.instance])
+        rank = names.index(self.context.settings.instance)
+        return rank < STANDBY_COUNT
+
     def _is_free(self, row: Row | None, now_s: float) -> bool:
         if row is None or row.value is None:
             return True
@@ -199,11 +216,8 @@
             if holder.ready and waiting != written:
                 value = {"counts": waiting}
                 extra = (Write(WAITING_KEY, value, revision),)
-            sent_s = self.context.clock()
             try:
-                new_revision = await lease.renew(extra)
-                took_s = self.context.clock() - sent_s
-                lease.set_ttl(LEASE_TTL_S + SLOW_RENEWALS * took_s)
+                new_revision = await self._renew_once(lease, extra)
             except LeaseLostError:
                 holder.scope.cancel()
                 return
@@ -221,6 +235,19 @@
             if extra:
                 revision, written = new_revision, waiting
 
+    async def _renew_once(
+        self, lease: CellLease, extra: tuple[Write, ...]
+    ) -> int:
+        """Renew; return the row's revision, read back if it takes long."""
+        sent_s = self.context.clock()
+        with move_on_after(RENEW_LIMIT_S) as scope:
+            await lease.renew(extra)
+        if scope.cancelled_caught:
+            await lease.check(sent_s)
+        took_s = self.context.clock() - sent_s
+        lease.set_ttl(LEASE_TTL_S + SLOW_RENEWALS * took_s)
+        return lease.revision
+
     async def _give_up(self, lease: CellLease) -> None:
         if lease.lost:
             return
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -64,9 +64,9 @@
 GATHER_S = 0.01
 # Time also changes the order of waiting work.
 DECISION_INTERVAL_S = 0.5
-# A worker that is cut off does not hold up the first decisions for longer;
-# reclaim_ms leaves 2.7 s in all.
-FENCE_WAIT_S = 0.7
+# Workers answer within a few milliseconds. One that does not is not used
+# until it obeys, so nothing waits for it.
+FENCE_WAIT_S = 0.1
 NO_ATTEMPT_LIMIT = 1_000_000
 
 
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -57,7 +57,7 @@
         self.context = NodeContext(
             settings, platform, self.table, self.follower, clock
         )
-        self.election = Election(self.context)
+        self.election = Election(self.context, self.peers.names)
         desk = JobDesk(self.context, self.election)
         self.gateway = TaskGateway(self.context, desk, codec)
         self.clients = DrainState()
--- a/src/damaskstall/tasks/peer_book.py
+++ b/src/damaskstall/tasks/peer_book.py
@@ -42,15 +42,19 @@
         self._helped = ""
         self._random = Random(instance)
 
-    def choose(self, limit: int) -> list[tuple[str, PeerTable]]:
-        """Return peers to try, the one that helped last first."""
+    def names(self) -> list[str]:
+        """Return the names of the peers that did not fail just now."""
         now_s = self.clock()
-        names = [
+        return [
             name
             for name in self.peers
             if now_s - self._failed_s.get(name, -FAILED_REST_S)
             >= FAILED_REST_S
         ]
+
+    def choose(self, limit: int) -> list[tuple[str, PeerTable]]:
+        """Return peers to try, the one that helped last first."""
+        names = self.names()
         self._random.shuffle(names)
         names.sort(key=lambda name: name != self._helped)
         return [(name, self.peers[name]) for name in names[:limit]]
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -22,6 +22,8 @@
 # A job that ends up to three objectives late still earns its late payoff
 # (RULES, Payoff).
 LATE_FACTOR = 3.0
+# Time that a start from a checkpoint takes (bounds, restore_ms).
+RESTORE_S = 0.1
 # Blocked units for which room is looked for by stopping others, a round:
 # more than a few would only be planned on guesses.
 CLEARINGS_LIMIT = 8
@@ -242,8 +244,9 @@
             member.worker for member in unit.members if not member.ended
         )
         ran_s = self.now_s - unit.started_s
-        if step.checkpoints and unit.checkpoint:
-            ran_s = min(ran_s, self.situation.expectations.checkpoint_s)
+        if step.checkpoints:
+            # A stop saves what was done; the next start restores it.
+            ran_s = min(ran_s, RESTORE_S)
         cost = ran_s * step.demand.cores * step.unit_size
         return Victim(progress, unit, step.demand, shares, cost)
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -39,9 +39,9 @@
 from damaskstall.tasks.worker_health import WorkerHealth
 
 # The platform holds an answer back 2 s at most (PROTOCOL, wait_ms).
-# A shorter one shows sooner that a run stands still; each look at a worker
-# costs 0.0003 of a request's worth (site files, prices).
-HOLD_WAIT_S = 1.0
+# A shorter one shows sooner that an answer is lost or a run stands still;
+# each look at a worker costs 0.0003 of a request's worth (site files).
+HOLD_WAIT_S = 0.5
 # An order may be carried out up to 12 s late; one that is not carried out by
 # then on the worker's clock never is. Well under gang_ms, 3 s, so that a gang
 # whose start is lost is stopped before its members give up.
@@ -50,7 +50,7 @@
 # (PROTOCOL; bounds, thaw_ms).
 CLOCK_RATE_LIMIT = 1.02
 LAPSE_MARGIN_S = 0.4
-RETRY_S = 0.25
+RETRY_S = 0.1
 # A listed worker that is silent and runs nothing is asked less often: each
 # look at a worker is priced (RULES, Prices).
 IDLE_RETRY_S = 1.0
