--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -52,7 +52,7 @@
     job_id_of,
     restore_progress,
 )
-from damaskstall.tasks.run_speed import is_slow, is_stalled
+from damaskstall.tasks.run_speed import is_stalled
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import (
     OUTAGE_HOLD_S,
@@ -403,7 +403,7 @@
             self._forget_over()
             self._end_orphans()
             now_s = self.context.clock()
-            self._stop_slow(now_s)
+            self._stop_stalled(now_s)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._situation(), now_s):
                     self._apply(decision)
@@ -603,19 +603,16 @@
             rest_s=round(until_s - self.context.clock(), 1),
         )
 
-    def _stop_slow(self, now_s: float) -> None:
-        """Stop runs that stand still or crawl; they go on elsewhere."""
+    def _stop_stalled(self, now_s: float) -> None:
+        """Stop runs that stand still, so that they go on elsewhere."""
         for progress in self.jobs.values():
             for unit in progress.all_units():
                 step = progress.step_of(unit)
                 queue = progress.job.queue
                 expected_s = self.expectations.step_s(queue, step)
-                if is_stalled(unit, expected_s, now_s):
-                    reason = "it stands still"
-                elif is_slow(unit, expected_s, now_s):
-                    reason = "it is slow"
-                else:
+                if not is_stalled(unit, expected_s, now_s):
                     continue
+                reason = "it stands still"
                 for member in unit.members:
                     self._suspect(unit, member, now_s, reason)
                 self._stop_unit(progress, unit, reason)
@@ -623,7 +620,7 @@
     def _suspect(
         self, unit: Unit, member: Member, now_s: float, reason: str
     ) -> None:
-        """Let a worker rest, if it alone can be why a unit is slow."""
+        """Let a worker rest, if it alone can be why a unit stands still."""
         unit.avoid.add(member.worker)
         session = self.sessions.get(member.worker)
         if session is not None and len(unit.members) == 1:
--- a/src/damaskstall/tasks/run_speed.py
+++ b/src/damaskstall/tasks/run_speed.py
@@ -1,8 +1,7 @@
 """Judge runs by how fast their percent grows.
 
-The loads this answers: tasks on some workers stand still, and some workers
-are several times slower than the others, while the platform lists them as
-ready.
+The load this answers: tasks on some workers stand still, while the platform
+lists the workers as ready.
 """
 
 from math import inf
@@ -14,11 +13,6 @@
 STALL_S = 2.5
 # A run of hours moves by a percent in minutes.
 STALL_SHARE = 0.05
-# Declared run times are up to twice off. A run of which more than this many
-# expected run times are left is on a slow worker, and done sooner anew.
-SLOW_FACTOR = 2.5
-# A shorter look at a percent says too little.
-SHORTEST_LOOK_S = 1.0
 WHOLE_PERCENT = 100.0
 
 
@@ -36,14 +30,6 @@
     return now_s - unit.percent_s > STALL_S + STALL_SHARE * expected_s
 
 
-def is_slow(unit: Unit, expected_s: float, now_s: float) -> bool:
-    """Return whether a unit's run would be done sooner elsewhere."""
-    if not is_at_work(unit) or now_s - unit.seen_s < SHORTEST_LOOK_S:
-        return False
-    left_s = left_of_run_s(unit, now_s)
-    return SLOW_FACTOR * expected_s < left_s < inf
-
-
 def left_of_run_s(unit: Unit, now_s: float) -> float:
     """Return how long a unit's run will still take at its pace.
 
