--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -52,7 +52,7 @@
     job_id_of,
     restore_progress,
 )
-from damaskstall.tasks.run_speed import is_stalled
+from damaskstall.tasks.stalls import is_stalled
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import (
     OUTAGE_HOLD_S,
@@ -180,8 +180,7 @@
         member = unit.members[position]
         if not member.confirmed:
             member.confirmed = True
-            unit.seen_s = unit.percent_s = self.context.clock()
-            unit.percent = unit.first_percent = report.percent
+            unit.percent_s = self.context.clock()
         if not unit.has_begun:
             unit.has_begun = True
             self._store(progress)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -13,21 +13,15 @@
 
 from damaskstall.tasks.capacity import Room
 from damaskstall.tasks.expectations import Expectations
-from damaskstall.tasks.model import Demand, Queue, Step
+from damaskstall.tasks.model import Queue, Step
 from damaskstall.tasks.packing import Placing, RoomPlan, place_unit
 from damaskstall.tasks.preemption import Victim, find_clearing
 from damaskstall.tasks.progress import JobProgress, Unit
-from damaskstall.tasks.run_speed import left_of_run_s
 
 URGENT_PRIORITY = 0
 # A job that ends up to three objectives late still earns its late payoff
 # (RULES, Payoff).
 LATE_FACTOR = 3.0
-# Urgent work waits for work that ends by itself as long as half of its slack
-# is left, and no longer than a guarantee allows (bounds, reclaim_ms, 2.7 s,
-# less the time for a stop and a start).
-PATIENCE_SHARE = 0.5
-PATIENCE_LIMIT_S = 1.2
 # Time that a start from a checkpoint takes (bounds, restore_ms).
 RESTORE_S = 0.1
 # Blocked units for which room is looked for by stopping others, a round:
@@ -64,14 +58,6 @@
 Decision = StartUnit | StopUnit
 
 
-class Ending(NamedTuple):
-    """Hold a running unit's workers, and how long it will still run."""
-
-    shares: tuple[str, ...]
-    demand: Demand
-    left_s: float
-
-
 class Situation(NamedTuple):
     """Hold all that one round of decisions depends on."""
 
@@ -102,7 +88,6 @@
         self.covered = covered_jobs(situation)
         self.stopped: set[int] = set()
         self.clearings = 0
-        self.endings: list[Ending] | None = None
 
     def decide(self) -> list[Decision]:
         """Go through the waiting units in order."""
@@ -138,7 +123,8 @@
         progress, queue = candidate.progress, candidate.queue
         expectations = self.situation.expectations
         objective_s = expectations.objective_s(progress, queue)
-        slack_s = self._slack_s(progress, queue)
+        left_s = expectations.left_s(progress)
+        slack_s = progress.accepted_s + objective_s - left_s - self.now_s
         late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
         if slack_s >= 0:
             lateness = 0
@@ -153,12 +139,6 @@
             candidate.unit.step,
         )
 
-    def _slack_s(self, progress: JobProgress, queue: Queue) -> float:
-        """Return how much later a job could begin and keep its objective."""
-        expectations = self.situation.expectations
-        due_s = progress.accepted_s + expectations.objective_s(progress, queue)
-        return due_s - expectations.left_s(progress) - self.now_s
-
     def _try_place(self, candidate: Candidate) -> bool:
         placing = self._placing(candidate)
         workers = place_unit(self.plan, placing)
@@ -173,16 +153,11 @@
         return False
 
     def _try_clear(self, candidate: Candidate, placing: Placing) -> bool:
-        """Make room by stopping work, or wait for what is about to end.
+        """Make room by stopping work, or wait for what is being stopped.
 
         Returns whether the unit has its room, now or soon.
         """
-        soon = self.soon.copy()
-        for ending in self._endings():
-            if ending.left_s <= self._patience_s(candidate):
-                for worker in ending.shares:
-                    soon.give(worker, ending.demand)
-        workers = place_unit(self.soon, placing) or place_unit(soon, placing)
+        workers = place_unit(self.soon, placing)
         if workers is not None:
             self._claim(candidate, workers)
             return True
@@ -204,26 +179,6 @@
         self._claim(candidate, clearing.workers)
         return True
 
-    def _patience_s(self, candidate: Candidate) -> float:
-        """Return how long a unit may wait for running work to end."""
-        slack_s = self._slack_s(candidate.progress, candidate.queue)
-        return min(PATIENCE_LIMIT_S, PATIENCE_SHARE * max(0.0, slack_s))
-
-    def _endings(self) -> list[Ending]:
-        """Return the running units with what is left of them."""
-        if self.endings is None:
-            self.endings = [
-                Ending(
-                    tuple(m.worker for m in unit.members if not m.ended),
-                    progress.step_of(unit).demand,
-                    left_of_run_s(unit, self.now_s),
-                )
-                for progress in self.situation.jobs
-                for unit in progress.all_units()
-                if unit.active and not unit.stopping
-            ]
-        return self.endings
-
     def _claim(self, candidate: Candidate, workers: list[str]) -> None:
         for worker in workers:
             self.plan.take(worker, candidate.step.demand)
