--- a/src/damaskstall/events.py
+++ b/src/damaskstall/events.py
@@ -2,7 +2,8 @@
 
 Each package that logs keeps its own catalogue module of events. Numbers are
 unique: 1000 common, 2000 resources, 3000 requests, 4000 scheduler,
-5000 placement, 6000 peers. The page docs/EVENTS.md lists them all.
+5000 placement, 6000 peers, 7000 platform, 8000 jobs of steps of tasks. The
+page docs/EVENTS.md lists them all.
 """
 
 from json import dumps
@@ -12,8 +13,12 @@
 from loguru import logger
 
 if TYPE_CHECKING:
+    from typing import TextIO
+
     from loguru import Record
 
+    from damaskstall.log_sink import LogSink
+
 Field = str | int | float | bool | None
 
 
@@ -53,13 +58,20 @@
 
 def configure_logs(program: str, level: str, json: bool) -> None:
     """Send events to standard error, as text or as JSON lines."""
+    send_logs(program, level, json, stderr)
+
+
+def send_logs(
+    program: str, level: str, json: bool, sink: "TextIO | LogSink"
+) -> None:
+    """Send events to a sink, one line each."""
     logger.remove()
 
     def render(record: "Record") -> str:
         line = render_json(program, record) if json else render_text(record)
         return escape(line) + "\n"
 
-    logger.add(stderr, level=level.upper(), format=render, colorize=False)
+    logger.add(sink, level=level.upper(), format=render, colorize=False)
 
 
 def escape(line: str) -> str:
@@ -84,11 +96,11 @@
     event = record["extra"].get("event")
     return dumps(
         {
+            **record["extra"].get("fields", {}),
             "time": record["time"].isoformat(timespec="milliseconds"),
             "program": program,
             "level": record["level"].name,
             "event": event.number if event else 0,
             "name": record["message"],
-            **record["extra"].get("fields", {}),
         }
     )
--- a/src/damaskstall/platform/node_main.py
+++ b/src/damaskstall/platform/node_main.py
@@ -2,7 +2,7 @@
 
 from os import environ
 from signal import SIGHUP
-from sys import exit, stderr
+from sys import exit, stderr, stdout
 
 from trio import TASK_STATUS_IGNORED as IGNORED
 from trio import (
@@ -14,7 +14,8 @@
 )
 
 from damaskstall.errors import SettingsError
-from damaskstall.events import configure_logs, log
+from damaskstall.events import log, send_logs
+from damaskstall.log_sink import LogSink
 from damaskstall.network import TcpNetwork
 from damaskstall.platform.job_bodies import JobBodies
 from damaskstall.platform.local_settings import (
@@ -29,6 +30,8 @@
 
 PROGRAM = "damaskstall-node"
 USAGE_EXIT_CODE = 2
+# A decision on a request is logged at this level, a broken connection below.
+LOG_LEVEL = "INFO"
 # The file may change without a signal (PROTOCOL); a change tells of bounds,
 # none of which is shorter than this.
 SETTINGS_POLL_S = 5.0
@@ -65,7 +68,7 @@
     except SettingsError as error:
         print(f"{PROGRAM}: {error}", file=stderr)
         exit(USAGE_EXIT_CODE)
-    configure_logs(PROGRAM, "INFO", True)
+    send_logs(PROGRAM, LOG_LEVEL, True, LogSink(stdout.fileno()))
     network = TcpNetwork()
     platform = OperatorsPlatform(network, settings.store)
     node = Node(network, settings, platform, JobBodies(), boot_time_s)
--- /dev/null
+++ b/tests/test_log_sink.py
@@ -0,0 +1,41 @@
+"""Log lines never block, and their loss is told."""
+
+from json import loads
+from os import close, pipe, read
+
+from damaskstall.log_sink import LINE_LIMIT_BYTES, LogSink
+
+LINE = "x" * 1000 + "\n"
+
+
+def test_full_pipe_loses_lines_and_tells_how_many() -> None:
+    reader, writer = pipe()
+    sink = LogSink(writer)
+    for _ in range(200):
+        sink.write(LINE)
+    assert sink.lost > 0
+    lost = sink.lost
+    read(reader, 1_000_000)
+    sink.write("after\n")
+    told, after = read(reader, 1_000_000).splitlines()
+    assert loads(told) == {"name": "lines_lost", "count": lost}
+    assert after == b"after"
+    close(reader)
+    close(writer)
+
+
+def test_long_line_is_cut() -> None:
+    reader, writer = pipe()
+    LogSink(writer).write("y" * 10_000 + "\n")
+    data = read(reader, 100_000)
+    assert len(data) == LINE_LIMIT_BYTES
+    assert data.endswith(b"...\n")
+    close(reader)
+    close(writer)
+
+
+def test_closed_reader_does_not_end_the_process() -> None:
+    reader, writer = pipe()
+    close(reader)
+    LogSink(writer).write(LINE)
+    close(writer)
