--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -609,6 +609,8 @@
                 step = progress.step_of(unit)
                 queue = progress.job.queue
                 expected_s = self.expectations.step_s(queue, step)
+                if unit.active and not self._is_seen(unit):
+                    unit.percent_s = now_s
                 if not is_stalled(unit, expected_s, now_s):
                     continue
                 reason = "it stands still"
@@ -616,6 +618,11 @@
                     self._suspect(unit, member, now_s, reason)
                 self._stop_unit(progress, unit, reason)
 
+    def _is_seen(self, unit: Unit) -> bool:
+        """Return whether all workers of a unit's run answer now."""
+        sessions = [self.sessions.get(m.worker) for m in unit.members]
+        return all(session and session.reachable for session in sessions)
+
     def _suspect(
         self, unit: Unit, member: Member, now_s: float, reason: str
     ) -> None:
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -281,3 +281,36 @@
         check_runs(world)
 
     play(scenario)
+
+
+def test_runs_of_a_worker_that_is_silent_for_a_while_go_on() -> None:
+    """A run that nobody can see is not taken as standing still."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=12.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        await sleep(2.0)
+        name = world.book.runs[0].worker
+        for node in world.nodes:
+            world.network.cut(node, name)
+            world.network.cut(name, node)
+        await sleep(6.0)
+        for node in world.nodes:
+            world.network.heal(node, name)
+            world.network.heal(name, node)
+        await world.wait_state(job_id(1), "completed")
+        assert len(world.book.runs) == 4
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_run_that_stands_still_goes_on_elsewhere() -> None:
+    async def scenario(world: World) -> None:
+        world.workers["w00"].stall_starts = True
+        await world.submit(job_id(1), [ONE], work_s=2.0)
+        await world.wait_state(job_id(1), "completed", limit_s=8.0)
+        assert len(world.book.runs) == 2
+        check_runs(world)
+
+    play(scenario)
