--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -314,3 +314,107 @@
         check_runs(world)
 
     play(scenario)
+
+
+def isolate(world: World, name: str) -> None:
+    """Cut a node off from the store and from the other nodes."""
+    for host in ("store", *world.nodes):
+        world.network.cut(name, host)
+        world.network.cut(host, name)
+
+
+def rejoin(world: World, name: str) -> None:
+    """Let an isolated node reach the store and the others again."""
+    for host in ("store", *world.nodes):
+        world.network.heal(name, host)
+        world.network.heal(host, name)
+
+
+def test_ends_that_only_a_cut_off_holder_saw_are_not_lost() -> None:
+    """An end is acknowledged once it is stored, and not before."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=2.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        holder = world.holder()
+        assert holder is not None
+        await sleep(1.0)
+        isolate(world, holder)
+        await sleep(1.4)
+        world.kill_node(holder)
+        await world.wait(lambda: world.holder() is not None)
+        node = other_than(world, holder)
+        await world.wait_state(job_id(1), "completed", node=node)
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_job_whose_storing_is_unknown_is_not_called_refused() -> None:
+    async def scenario(world: World) -> None:
+        assert world.nursery is not None
+        await sleep(1.0)
+
+        async def refuse_after_loss() -> None:
+            await world.wait(lambda: world.store.lose_answers == 0)
+            world.store.faults[EVERYONE] = BUSY
+
+        world.store.lose_answers = 1
+        world.store.faults["n0"] = ""
+        world.nursery.start_soon(refuse_after_loss)
+        reply = await world.submit(job_id(1), [ONE], node="n1")
+        del world.store.faults[EVERYONE]
+        if reply.status == 503:
+            await sleep(5.0)
+            assert not world.book.runs
+
+    for seed in range(8):
+        play(scenario, seed=seed)
+
+
+def test_next_life_of_a_worker_is_told_by_its_answers_alone() -> None:
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=3.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        await sleep(1.0)
+        worker = world.workers[world.book.runs[0].worker]
+        assert world.nursery is not None
+        worker.crash()
+        await worker.restart(world.nursery)
+        await world.wait_state(job_id(1), "completed", limit_s=6.0)
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
+
+
+def test_job_in_dropped_history_is_found() -> None:
+    async def scenario(world: World) -> None:
+        holder = world.holder()
+        assert holder is not None
+        node = other_than(world, holder)
+        isolate(world, holder)
+        await world.submit(job_id(1), [ONE], node=node)
+        world.store.rows.forget_history()
+        await sleep(0.2)
+        rejoin(world, holder)
+        await world.wait_state(job_id(1), "completed", node=node, limit_s=5.0)
+        check_finished_once(world, job_id(1))
+
+    play(scenario)
+
+
+def test_gang_start_that_is_lost_for_long_stops_the_gang() -> None:
+    async def scenario(world: World) -> None:
+        for worker in world.workers.values():
+            worker.late_orders_s = [5.0] * 12
+        await world.submit(job_id(1), [GANG], work_s=1.0)
+        await sleep(8.0)
+        for worker in world.workers.values():
+            worker.late_orders_s = []
+        await world.wait_state(job_id(1), "completed")
+        check_finished_once(world, job_id(1))
+        check_runs(world)
+
+    play(scenario)
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -70,5 +70,6 @@
         reply = await world.submit(job_id(1), [ONE], node="n0")
         assert reply.status == 503
         assert "retry-after" in reply.headers
+        assert "configuration" in reply.value["error"]
 
     play(scenario, nodes=3)
