--- a/src/damaskstall/platform/job_bodies.py
+++ b/src/damaskstall/platform/job_bodies.py
@@ -8,12 +8,11 @@
     ValidationError,
 )
 from damaskstall.http.messages import parse_json
-from damaskstall.tasks.model import Demand, JobDeclaration, Step
+from damaskstall.tasks.model import Demand, JobDeclaration, Schedule, Step
 
 DEADLINE_HEADER = "damaskstall-deadline-milliseconds"
 MILLISECONDS_PER_S = 1000
-UNSUPPORTED_JOB_FIELDS = ("repetitions",)
-UNSUPPORTED_STEP_FIELDS = ("long_running", "fills")
+UNSUPPORTED_STEP_FIELDS = ("fills",)
 
 
 class JobBodies:
@@ -30,10 +29,10 @@
         """Return the job of a body; raise ValidationError."""
         try:
             value = parse_json(body)
-            refuse_unsupported("job", value, UNSUPPORTED_JOB_FIELDS)
             return JobDeclaration(
                 read(value, "specification", str),
                 tuple(decode_step(step) for step in value["steps"]),
+                decode_schedule(value),
             )
         except (KeyError, TypeError, ValueError) as error:
             problem = FieldProblem("body", f"It is not a job: {error}")
@@ -48,9 +47,21 @@
         return {"waiting": count}
 
 
+def decode_schedule(value: Any) -> Schedule | None:
+    """Return when a job's steps are due, or None for once and at once."""
+    occurrences = read(value, "repetitions", int)
+    if occurrences < 1:
+        return None
+    return Schedule(
+        occurrences,
+        read(value, "first_run_ms", int) / MILLISECONDS_PER_S,
+        read(value, "interval_ms", int) / MILLISECONDS_PER_S,
+    )
+
+
 def decode_step(value: Any) -> Step:
     """Return the step that a JSON value describes."""
-    refuse_unsupported("step", value, UNSUPPORTED_STEP_FIELDS)
+    refuse_unsupported(value, UNSUPPORTED_STEP_FIELDS)
     return Step(
         task_count=read(value, "count", int),
         demand=Demand(
@@ -67,6 +78,7 @@
         required_label=read(value, "requirements", str),
         per_worker_limit=read(value, "anti_affinity", int),
         may_copy=read(value, "speculative", bool),
+        endless=read(value, "long_running", bool),
     )
 
 
@@ -81,12 +93,12 @@
     return field
 
 
-def refuse_unsupported(what: str, value: Any, names: tuple[str, ...]) -> None:
-    """Raise UnsupportedJobError where a field asks for too much."""
+def refuse_unsupported(value: Any, names: tuple[str, ...]) -> None:
+    """Raise UnsupportedJobError where a step asks for too much."""
     if not isinstance(value, dict):
-        raise TypeError(f"a {what} is an object, not {value!r}")
+        raise TypeError(f"a step is an object, not {value!r}")
     for name in names:
         if value.get(name):
             raise UnsupportedJobError(
-                f"The field {name} of a {what} is not supported."
+                f"The field {name} of a step is not supported."
             )
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -98,6 +98,7 @@
         float(route.get("stretch", 1.0)),
         float(route.get("target_duration_ms", 0)) / MILLISECONDS_PER_S,
         bool(route.get("public", False)),
+        bool(route.get("advice")),
     )
 
 
--- a/src/damaskstall/tasks/context.py
+++ b/src/damaskstall/tasks/context.py
@@ -16,6 +16,7 @@
         table: WatchedTable,
         follower: StateFollower,
         clock: Clock,
+        unix_s: Clock,
     ) -> None:
         """Share the parts; ``settings`` may be replaced later.
 
@@ -26,3 +27,4 @@
         self.platform = platform
         self.follower = follower
         self.clock = clock
+        self.unix_s = unix_s
--- a/src/damaskstall/tasks/declaration.py
+++ b/src/damaskstall/tasks/declaration.py
@@ -1,7 +1,11 @@
 """Check what a client asks for before it is accepted."""
 
-from damaskstall.errors import FieldProblem, ValidationError
-from damaskstall.tasks.model import JobDeclaration, Step
+from damaskstall.errors import (
+    FieldProblem,
+    UnsupportedJobError,
+    ValidationError,
+)
+from damaskstall.tasks.model import JobDeclaration, Queue, Step
 
 # A job's progress row holds an entry a task; 2,000 stay under the 64 KiB of
 # a row of the platform's table.
@@ -31,6 +35,7 @@
     for number, step in enumerate(declaration.steps):
         problems += step_problems(number, step)
     tasks = sum(step.task_count for step in declaration.steps)
+    tasks *= declaration.occurrences
     if tasks > TASK_LIMIT:
         problems.append(
             FieldProblem(
@@ -42,6 +47,14 @@
         raise ValidationError(tuple(problems))
 
 
+def check_supported(queue: Queue) -> None:
+    """Raise UnsupportedJobError for a queue whose jobs cannot be run."""
+    if queue.needs_ticket:
+        raise UnsupportedJobError(
+            f"The queue {queue.name} needs tickets, which are not supported."
+        )
+
+
 def payload_problems(payload: str) -> list[FieldProblem]:
     """Return what is wrong with the text that tasks are given."""
     size_bytes = len(payload.encode("utf-8", "surrogatepass"))
--- a/src/damaskstall/tasks/expectations.py
+++ b/src/damaskstall/tasks/expectations.py
@@ -36,30 +36,33 @@
         factor = exp(self._log_factor.get(queue, 0.0))
         return max(step.estimate_s, SHORTEST_S) * factor
 
-    def chain_s(self, progress: JobProgress, only_left: bool) -> float:
+    def chain_s(
+        self, progress: JobProgress, occurrence: int, only_left: bool
+    ) -> float:
         """Return the longest chain of steps, whole or what is left of it."""
         ends_s: list[float] = []
         for number, step in enumerate(progress.job.declaration.steps):
             begins_s = max((ends_s[n] for n in step.after), default=0.0)
-            over = only_left and progress.step_done(number)
+            over = only_left and progress.step_done(occurrence, number)
             own_s = 0.0 if over else self.step_s(progress.job.queue, step)
             ends_s.append(begins_s + own_s)
         return max(ends_s)
 
-    def left_s(self, progress: JobProgress) -> float:
+    def left_s(self, progress: JobProgress, occurrence: int) -> float:
         """Return the longest chain of steps that are not done."""
-        return self.chain_s(progress, only_left=True)
+        return self.chain_s(progress, occurrence, only_left=True)
 
     def objective_s(self, progress: JobProgress, queue: Queue) -> float:
         """Return the time within which a job should be over."""
-        chain_s = self.chain_s(progress, only_left=False)
+        chain_s = self.chain_s(progress, 0, only_left=False)
         return queue.stretch * chain_s + queue.objective_s
 
-    def left_core_s(self, progress: JobProgress) -> float:
+    def left_core_s(self, progress: JobProgress, occurrence: int) -> float:
         """Return the work left in core-seconds, accelerators included."""
         total = 0.0
         for number, step in enumerate(progress.job.declaration.steps):
-            left = sum(not unit.done for unit in progress.units[number])
+            units = progress.units_of(occurrence, number)
+            left = sum(not unit.done for unit in units)
             seconds = self.step_s(progress.job.queue, step)
             total += left * step.unit_size * step.demand.cores * seconds
         return total
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -4,7 +4,6 @@
 its answer at once, with when to come back where that makes sense.
 """
 
-from time import time
 from typing import Protocol
 
 from damaskstall.errors import (
@@ -22,7 +21,11 @@
     retry_later,
 )
 from damaskstall.tasks.context import NodeContext
-from damaskstall.tasks.declaration import check_declaration, is_job_id
+from damaskstall.tasks.declaration import (
+    check_declaration,
+    check_supported,
+    is_job_id,
+)
 from damaskstall.tasks.events import (
     CANCEL_ACCEPTED,
     JOB_ACCEPTED,
@@ -147,6 +150,7 @@
             body = await request.body.read(limit)
             declaration = self.codec.declaration(body)
             check_declaration(declaration)
+            check_supported(queue)
         except BodyTooLargeError as error:
             return self._refused(job_id, 413, str(error))
         except ValidationError as error:
@@ -154,7 +158,12 @@
         except UnsupportedJobError as error:
             return self._refused(job_id, 422, str(error))
         job = AcceptedJob(
-            job_id, queue.name, queue.service, team, time(), declaration
+            job_id,
+            queue.name,
+            queue.service,
+            team,
+            self.context.unix_s(),
+            declaration,
         )
         outcome = await self.desk.submit(job, self._limit_s(request))
         return self._submitted(job, outcome)
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -86,7 +86,7 @@
         self.lease = lease
         self.jobs: dict[str, JobProgress] = {}
         self.sessions: dict[str, WorkerSession] = {}
-        self.reader = JobReader(context.table, context.clock)
+        self.reader = JobReader(context.table, context.clock, context.unix_s)
         self.workers = WorkerList(
             context.platform, context.table, context.follower
         )
@@ -607,6 +607,8 @@
         for progress in self.jobs.values():
             for unit in progress.all_units():
                 step = progress.step_of(unit)
+                if step.endless:
+                    continue
                 queue = progress.job.queue
                 expected_s = self.expectations.step_s(queue, step)
                 if unit.active and not self._is_seen(unit):
--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
+from time import time
 
 from trio import open_nursery, sleep
 
@@ -11,7 +12,7 @@
 from damaskstall.scheduler.backoff import retry_delay_s
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.events import STORE_LOST, STORE_REGAINED
-from damaskstall.tasks.model import FINAL_STATES
+from damaskstall.tasks.model import FINAL_STATES, AcceptedJob
 from damaskstall.tasks.ports import WatchedTable
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.records import (
@@ -36,10 +37,13 @@
 class JobReader:
     """Read jobs for one holder."""
 
-    def __init__(self, table: WatchedTable, clock: Clock) -> None:
+    def __init__(
+        self, table: WatchedTable, clock: Clock, unix_s: Clock = time
+    ) -> None:
         """Start with nothing read."""
         self.table = table
         self.clock = clock
+        self.unix_s = unix_s
         self.revision = -1
         self._random = Random()
 
@@ -61,7 +65,17 @@
         if row.value is None:
             return None
         job = decode_job(job_id_of(row.key), row.value)
-        return JobProgress(job, row.revision, self.clock())
+        return self._progress(job, row.revision)
+
+    def _progress(self, job: AcceptedJob, revision: int) -> JobProgress:
+        """Return a job before its first run, with its times as known here."""
+        now_s, now_unix_s = self.clock(), self.unix_s()
+        accepted_s = now_s + min(0.0, job.accepted_unix_s - now_unix_s)
+        schedule = job.declaration.schedule
+        first_due_s = None
+        if schedule is not None:
+            first_due_s = now_s + schedule.first_unix_s - now_unix_s
+        return JobProgress(job, revision, accepted_s, first_due_s)
 
     async def follow(
         self, table: str, take_row: TakeRow, resync: Resync
@@ -136,7 +150,7 @@
                     continue
                 assert row.value is not None
                 job = decode_job(job_id, job_row.value)
-                progress = JobProgress(job, row.revision, self.clock())
+                progress = self._progress(job, row.revision)
                 restore_progress(progress, row.value, self.clock())
                 found.append(progress)
 
--- a/src/damaskstall/tasks/model.py
+++ b/src/damaskstall/tasks/model.py
@@ -7,8 +7,6 @@
 
 from typing import NamedTuple
 
-OCCURRENCE = 0
-
 QUEUED = "queued"
 RUNNING = "running"
 COMPLETED = "completed"
@@ -61,6 +59,8 @@
     ``one_rack`` says that a gang is slowed when it spans racks, and
     ``data_rack`` names the rack on which a task is not slowed.
     ``per_worker_limit`` bounds the step's tasks on one worker (0: no bound).
+    The tasks of an ``endless`` step run until the job is cancelled, and are
+    started again however they end.
     """
 
     task_count: int
@@ -74,6 +74,7 @@
     required_label: str = ""
     per_worker_limit: int = 0
     may_copy: bool = False
+    endless: bool = False
 
     @property
     def units(self) -> int:
@@ -91,11 +92,28 @@
         return self.unit_size * self.demand.accelerators
 
 
+class Schedule(NamedTuple):
+    """State how often the steps of a job run, and when each time is due."""
+
+    occurrences: int
+    first_unix_s: float
+    interval_s: float
+
+
 class JobDeclaration(NamedTuple):
-    """Hold what a client asked for: an opaque text and the steps."""
+    """Hold what a client asked for: an opaque text and the steps.
+
+    Without a schedule the steps run once, at once.
+    """
 
     payload: str
     steps: tuple[Step, ...]
+    schedule: Schedule | None = None
+
+    @property
+    def occurrences(self) -> int:
+        """Return how often the steps run."""
+        return 1 if self.schedule is None else self.schedule.occurrences
 
 
 class AcceptedJob(NamedTuple):
@@ -113,7 +131,8 @@
     """Describe a queue: where its jobs run, and how urgent they are.
 
     The objective of a job is ``stretch`` times its longest chain of work,
-    and ``objective_s`` more. Priority 0 is the most urgent.
+    and ``objective_s`` more. Priority 0 is the most urgent. The starts of a
+    queue that ``needs_ticket`` carry one, which this version does not get.
     """
 
     name: str
@@ -125,6 +144,7 @@
     stretch: float
     objective_s: float
     public: bool
+    needs_ticket: bool = False
 
 
 class TaskTeam(NamedTuple):
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -1,6 +1,7 @@
 """Compose one process: it answers clients, and decides if it is elected."""
 
 from functools import partial
+from time import time
 from typing import Any
 
 from trio import Nursery, current_time, move_on_after, sleep
@@ -44,6 +45,7 @@
         platform: Platform,
         codec: JobCodec,
         clock: Clock,
+        unix_s: Clock = time,
     ) -> None:
         """Build the parts; nothing runs yet."""
         self.network = network
@@ -55,7 +57,7 @@
         self.table = RelayedTable(platform.table, self.peers)
         self.follower = StateFollower(platform, self.table, clock)
         self.context = NodeContext(
-            settings, platform, self.table, self.follower, clock
+            settings, platform, self.table, self.follower, clock, unix_s
         )
         self.election = Election(self.context, self.peers.names)
         desk = JobDesk(self.context, self.election)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -91,9 +91,10 @@
 
     def decide(self) -> list[Decision]:
         """Go through the waiting units in order."""
-        blocked: set[tuple[str, int]] = set()
+        blocked: set[tuple[str, int, int]] = set()
         for candidate in self._ordered():
-            place = (candidate.progress.job_id, candidate.unit.step)
+            unit = candidate.unit
+            place = (candidate.progress.job_id, unit.occurrence, unit.step)
             if place in blocked:
                 # Its units are alike: where one does not fit, none does.
                 continue
@@ -107,7 +108,7 @@
             queue = self.situation.queues.get(progress.job.queue)
             if queue is None:
                 continue
-            for unit in progress.waiting_units():
+            for unit in progress.waiting_units(self.now_s):
                 found.append(
                     Candidate(
                         progress,
@@ -123,8 +124,10 @@
         progress, queue = candidate.progress, candidate.queue
         expectations = self.situation.expectations
         objective_s = expectations.objective_s(progress, queue)
-        left_s = expectations.left_s(progress)
-        slack_s = progress.accepted_s + objective_s - left_s - self.now_s
+        occurrence = candidate.unit.occurrence
+        left_s = expectations.left_s(progress, occurrence)
+        due_s = progress.due_s(occurrence)
+        slack_s = due_s + objective_s - left_s - self.now_s
         late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
         if slack_s >= 0:
             lateness = 0
@@ -134,8 +137,8 @@
             0 if candidate.guaranteed else 1,
             queue.priority,
             lateness,
-            expectations.left_core_s(progress),
-            progress.accepted_s,
+            expectations.left_core_s(progress, occurrence),
+            due_s,
             candidate.unit.step,
         )
 
@@ -198,7 +201,8 @@
     def _present(self, candidate: Candidate) -> dict[str, int]:
         """Count the tasks of a step on each worker, planned ones included."""
         counts: dict[str, int] = {}
-        units = candidate.progress.units[candidate.unit.step]
+        unit = candidate.unit
+        units = candidate.progress.units_of(unit.occurrence, unit.step)
         for unit in units:
             for member in unit.members:
                 if not member.ended:
@@ -222,6 +226,9 @@
             for unit in progress.all_units():
                 if not unit.active or unit.stopping or unit.done:
                     continue
+                if progress.step_of(unit).endless:
+                    # It serves users of its own all the time.
+                    continue
                 if id(unit) in self.stopped:
                     continue
                 victims.append(self._victim(progress, unit))
@@ -276,9 +283,15 @@
 
 
 def accelerators_left(progress: JobProgress) -> int:
-    """Return the accelerators that a job's unfinished units need at once."""
+    """Return the accelerators that a job's unfinished units need at once.
+
+    Of a job with a schedule only the first unfinished occurrence counts.
+    """
+    first = min(
+        (u.occurrence for u in progress.all_units() if not u.done), default=0
+    )
     return sum(
         progress.step_of(unit).unit_accelerators
         for unit in progress.all_units()
-        if not unit.done
+        if not unit.done and unit.occurrence == first
     )
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -11,7 +11,6 @@
     COMPLETED,
     FAILED,
     FINAL_STATES,
-    OCCURRENCE,
     QUEUED,
     RUNNING,
     AcceptedJob,
@@ -58,6 +57,7 @@
     """
 
     __slots__ = (
+        "occurrence",
         "step",
         "first_index",
         "run",
@@ -75,8 +75,9 @@
         "has_begun",
     )
 
-    def __init__(self, step: int, first_index: int) -> None:
+    def __init__(self, occurrence: int, step: int, first_index: int) -> None:
         """Start before the first run."""
+        self.occurrence = occurrence
         self.step = step
         self.first_index = first_index
         self.run = 0
@@ -108,9 +109,16 @@
     """
 
     def __init__(
-        self, job: AcceptedJob, revision: int, accepted_s: float
+        self,
+        job: AcceptedJob,
+        revision: int,
+        accepted_s: float,
+        first_due_s: float | None = None,
     ) -> None:
-        """Start with no task run; ``accepted_s`` is on the local clock."""
+        """Start with no task run; the times are on the local clock.
+
+        ``first_due_s`` is when a job with a schedule is due first.
+        """
         self.job = job
         self.revision = revision
         self.accepted_s = accepted_s
@@ -118,8 +126,11 @@
         self.failed = False
         self.changes = 0
         self.stored_changes = 0
+        self.first_due_s = accepted_s if first_due_s is None else first_due_s
+        # The steps of the first occurrence, then those of the next.
         self.units = [
-            make_units(number, step)
+            make_units(occurrence, number, step)
+            for occurrence in range(job.declaration.occurrences)
             for number, step in enumerate(job.declaration.steps)
         ]
 
@@ -140,7 +151,7 @@
     def task_key(self, unit: Unit, position: int) -> TaskKey:
         """Return the name of one member's task."""
         index = unit.first_index + position
-        return TaskKey(self.job_id, OCCURRENCE, unit.step, index)
+        return TaskKey(self.job_id, unit.occurrence, unit.step, index)
 
     def run_key(self, unit: Unit, position: int) -> RunKey:
         """Return the name of one member's present run."""
@@ -148,28 +159,51 @@
 
     def find(self, task: TaskKey) -> tuple[Unit, int] | None:
         """Return the unit and the position of a task, if the job has it."""
-        if task.step >= len(self.units) or task.occurrence != OCCURRENCE:
+        steps = self.job.declaration.steps
+        if not 0 <= task.step < len(steps):
             return None
-        units = self.units[task.step]
-        step = self.job.declaration.steps[task.step]
+        if not 0 <= task.occurrence < self.job.declaration.occurrences:
+            return None
+        units = self.units_of(task.occurrence, task.step)
+        step = steps[task.step]
         if not 0 <= task.task_index < step.task_count:
             return None
         if step.gang:
             return units[0], task.task_index
         return units[task.task_index], 0
 
-    def step_done(self, number: int) -> bool:
+    def units_of(self, occurrence: int, step: int) -> list[Unit]:
+        """Return the units of a step, of one occurrence."""
+        return self.units[occurrence * len(self.job.declaration.steps) + step]
+
+    def due_s(self, occurrence: int) -> float:
+        """Return when an occurrence is due, on the local clock."""
+        schedule = self.job.declaration.schedule
+        if schedule is None:
+            return self.first_due_s
+        return self.first_due_s + occurrence * schedule.interval_s
+
+    def occurrence_done(self, occurrence: int) -> bool:
+        """Return whether all tasks of an occurrence are done."""
+        steps = range(len(self.job.declaration.steps))
+        return all(self.step_done(occurrence, number) for number in steps)
+
+    def step_done(self, occurrence: int, number: int) -> bool:
         """Return whether all tasks of a step are done."""
-        return all(unit.done for unit in self.units[number])
+        return all(unit.done for unit in self.units_of(occurrence, number))
 
-    def waiting_units(self) -> Iterator[Unit]:
+    def waiting_units(self, now_s: float) -> Iterator[Unit]:
         """Yield the units whose turn has come and of which no run exists."""
         if self.cancelled or self.failed:
             return
-        for number, step in enumerate(self.job.declaration.steps):
-            if not all(self.step_done(earlier) for earlier in step.after):
+        for units in self.units:
+            occurrence = units[0].occurrence
+            if now_s < self.due_s(occurrence):
+                return
+            after = self.step_of(units[0]).after
+            if not all(self.step_done(occurrence, n) for n in after):
                 continue
-            for unit in self.units[number]:
+            for unit in units:
                 if not unit.done and not unit.active:
                     yield unit
 
@@ -219,9 +253,10 @@
         if member.ended:
             return False
         member.ended = how
-        if how == ENDED_DONE:
+        endless = self.step_of(unit).endless
+        if how == ENDED_DONE and not endless:
             unit.done = True
-        if how == ENDED_FAILED:
+        if how == ENDED_FAILED and not endless:
             unit.avoid.add(member.worker)
             self._count_failure(unit, attempt_limit)
         if all(other.ended for other in unit.members):
@@ -240,7 +275,9 @@
             self.failed = True
 
 
-def make_units(number: int, step: Step) -> list[Unit]:
+def make_units(occurrence: int, number: int, step: Step) -> list[Unit]:
     """Return the units of a step before their first run."""
     size = step.unit_size
-    return [Unit(number, index * size) for index in range(step.units)]
+    return [
+        Unit(occurrence, number, index * size) for index in range(step.units)
+    ]
--- a/src/damaskstall/tasks/records.py
+++ b/src/damaskstall/tasks/records.py
@@ -18,6 +18,7 @@
     AcceptedJob,
     Demand,
     JobDeclaration,
+    Schedule,
     Step,
 )
 from damaskstall.tasks.progress import JobProgress, Member, Unit
@@ -67,7 +68,7 @@
 
 def encode_job(job: AcceptedJob) -> Value:
     """Return the value of a job's first row."""
-    return {
+    value: Value = {
         "queue": job.queue,
         "service": job.service,
         "team": job.team,
@@ -75,6 +76,9 @@
         "payload": job.declaration.payload,
         "steps": [encode_step(step) for step in job.declaration.steps],
     }
+    if job.declaration.schedule is not None:
+        value["schedule"] = list(job.declaration.schedule)
+    return value
 
 
 def encode_step(step: Step) -> Value:
@@ -93,13 +97,14 @@
 def decode_job(job_id: str, value: Value) -> AcceptedJob:
     """Return the job that a row describes."""
     steps = tuple(decode_step(step) for step in value["steps"])
+    schedule = Schedule(*value["schedule"]) if "schedule" in value else None
     return AcceptedJob(
         job_id,
         value["queue"],
         value["service"],
         value["team"],
         value["accepted_unix_s"],
-        JobDeclaration(value["payload"], steps),
+        JobDeclaration(value["payload"], steps, schedule),
     )
 
 
--- a/tests/tasks/world.py
+++ b/tests/tasks/world.py
@@ -27,6 +27,7 @@
 URGENT, NORMAL, BULK = "urgent", "normal", "bulk"
 CAPACITY = {"cpu": 64000, "task_memory_mb": 262144, "gpus": 8}
 CLIENT_LIMIT_S = 3.0
+UNIX_BASE_S = 1_700_000_000.0
 FRONT_PORT, READY_PORT, METRICS_PORT = 8000, 8001, 8002
 
 
@@ -67,6 +68,11 @@
     }
 
 
+def unix_s() -> float:
+    """Return the time of day under virtual time."""
+    return UNIX_BASE_S + current_time()
+
+
 class Reply(NamedTuple):
     """Hold what a client was answered."""
 
@@ -140,7 +146,9 @@
         )
         network = self.network.end(name)
         platform = OperatorsPlatform(network, STORE_ADDRESS)
-        node = Node(network, settings, platform, JobBodies(), current_time)
+        node = Node(
+            network, settings, platform, JobBodies(), current_time, unix_s
+        )
         self.nodes[name] = node
         assert self.nursery is not None
         await self.nursery.start(self._run_node, name, node)
