Answer sooner after an outage; name a later return in a long one

Cause, from a job that was done and not shown for 6 s after: calls given to peers waited on them although the store answered here again, and the configuration was confirmed only after a whole watch.

--- a/src/damaskstall/tasks/context.py
+++ b/src/damaskstall/tasks/context.py
@@ -2,7 +2,8 @@
 
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.node_settings import NodeSettings
-from damaskstall.tasks.ports import Platform, WatchedTable
+from damaskstall.tasks.ports import Platform
+from damaskstall.tasks.relayed_table import RelayedTable
 from damaskstall.tasks.state_follower import StateFollower
 
 
@@ -13,7 +14,7 @@
         self,
         settings: NodeSettings,
         platform: Platform,
-        table: WatchedTable,
+        table: RelayedTable,
         follower: StateFollower,
         clock: Clock,
         unix_s: Clock,
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -45,9 +45,11 @@
 from damaskstall.tasks.metrics import SUBMISSIONS
 from damaskstall.tasks.model import AcceptedJob, JobDeclaration, Queue
 
-# A store outage lasts seconds, so a client that comes back sooner is refused
-# again.
+# A client that is refused comes back a few times only, and a store that has
+# been away for a while stays so for seconds: later returns are spread further.
 RETRY_AFTER_S = 1
+LONG_OUTAGE_S = 1.5
+LONG_RETRY_AFTER_S = 2
 # A key that was removed may be taken for key_removal_s; what confirms the
 # configuration must be younger by this much, for a call on its way.
 KEY_MARGIN_S = 1.0
@@ -117,7 +119,7 @@
             return retry_later(
                 503,
                 f"The configuration was last confirmed {age_s:.1f} s ago.",
-                RETRY_AFTER_S,
+                self._retry_after_s(),
             )
         text = request.headers.get("authorization", "")
         if not text.lower().startswith(BEARER):
@@ -178,7 +180,7 @@
             log(JOB_REFUSED, job=job.job_id, status=503, reason=outcome.reason)
             SUBMISSIONS.inc({"status": "503"})
             return retry_later(
-                503, "The store takes no job now.", RETRY_AFTER_S
+                503, "The store takes no job now.", self._retry_after_s()
             )
         log(JOB_OUTCOME_UNKNOWN, job=job.job_id, reason=outcome.reason)
         SUBMISSIONS.inc({"status": "504"})
@@ -220,9 +222,16 @@
     def _unavailable(self, name: str, reason: str) -> Response:
         log(REQUEST_REFUSED, subject=name, reason=reason)
         return retry_later(
-            503, "The store does not answer.", RETRY_AFTER_S, not_run=True
+            503, "The store does not answer.", self._retry_after_s()
         )
 
+    def _retry_after_s(self) -> int:
+        """Return when a client should come back while the store is away."""
+        outage_s = self.context.table.refused_for_s(self.context.clock())
+        if outage_s > LONG_OUTAGE_S:
+            return LONG_RETRY_AFTER_S
+        return RETRY_AFTER_S
+
     def _limit_s(self, request: Request) -> float:
         deadline_s = self.codec.deadline_s(request.headers)
         if deadline_s is None:
--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from trio import Event, sleep
+from trio import CancelScope, Event, sleep
 
-from damaskstall.errors import TableUnavailableError
+from damaskstall.errors import TableOutcomeUnknownError, TableUnavailableError
 from damaskstall.events import log
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
 from damaskstall.tasks.events import RELAY_ENDED, RELAY_STARTED
@@ -15,7 +15,7 @@
 Result = TypeVar("Result")
 
 # While the store refuses this instance, one call tries it this often.
-PROBE_S = 0.5
+PROBE_S = 0.25
 PROBE_KEY = "cell/service"
 # A peer that cannot help says so at once; more than a few such answers mean
 # that the store is away for all.
@@ -30,7 +30,13 @@
         self.direct = direct
         self.peers = peers
         self.refused = False
+        self.refused_since_s = float("inf")
         self._refused_event = Event()
+        self._relayed: set[CancelScope] = set()
+
+    def refused_for_s(self, now_s: float) -> float:
+        """Return for how long the store has refused this instance."""
+        return max(0.0, now_s - self.refused_since_s)
 
     async def run(self) -> None:
         """Try the store again while it refuses this instance."""
@@ -44,7 +50,11 @@
             except TableUnavailableError:
                 continue
             self.refused = False
-            log(RELAY_ENDED)
+            self.refused_since_s = float("inf")
+            log(RELAY_ENDED, relayed=len(self._relayed))
+            for scope in self._relayed:
+                # A peer may wait for the store for longer than this one.
+                scope.cancel()
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
@@ -76,16 +86,41 @@
         A write whose outcome is not known is not repeated through a peer:
         the caller settles it by reading.
         """
-        return await self._call(lambda way: way.commit(writes, mutation_id))
+        return await self._call(
+            lambda way: way.commit(writes, mutation_id), is_write=True
+        )
 
     async def _call(
-        self, call: Callable[[WatchedTable], Awaitable[Result]]
+        self,
+        call: Callable[[WatchedTable], Awaitable[Result]],
+        is_write: bool = False,
     ) -> Result:
         if not self.refused:
             try:
                 return await call(self.direct)
             except TableUnavailableError as refusal:
                 self._note_refused(str(refusal))
+        with CancelScope() as scope:
+            self._relayed.add(scope)
+            try:
+                return await self._relay(call)
+            finally:
+                self._relayed.discard(scope)
+        return await self._call_again(call, is_write)
+
+    async def _call_again(
+        self, call: Callable[[WatchedTable], Awaitable[Result]], is_write: bool
+    ) -> Result:
+        """Go on with a call that was under way as the store came back."""
+        if is_write:
+            raise TableOutcomeUnknownError(
+                "The write was given to a peer, whose reply was not awaited."
+            )
+        return await call(self.direct)
+
+    async def _relay(
+        self, call: Callable[[WatchedTable], Awaitable[Result]]
+    ) -> Result:
         last = TableUnavailableError("Neither the store nor a peer answers.")
         for name, peer in self.peers.choose(PEER_TRIES):
             try:
@@ -102,6 +137,7 @@
         if self.refused:
             return
         self.refused = True
+        self.refused_since_s = self.peers.clock()
         self._refused_event.set()
         log(RELAY_STARTED, reason=reason)
 
--- a/src/damaskstall/tasks/state_follower.py
+++ b/src/damaskstall/tasks/state_follower.py
@@ -30,7 +30,7 @@
 PREFIX = f"{OPERATOR_TABLE}/"
 # After a failure the next try follows soon: the bound on a configuration in
 # force is 2 s (bounds, configuration_ms).
-RETRY_LIMIT_S = 0.6
+RETRY_LIMIT_S = 0.3
 
 
 class StateFollower:
@@ -72,7 +72,9 @@
                 if revision < 0:
                     revision = await self._read_all()
                 else:
-                    revision = await self._read_changes(revision)
+                    # After an outage the state is confirmed at once.
+                    wait_s = 0.0 if tries else WATCH_S
+                    revision = await self._read_changes(revision, wait_s)
                 self.confirmed_s = sent_s
                 if tries:
                     log(STORE_REGAINED, used_for="configuration", tries=tries)
@@ -96,8 +98,8 @@
         self._wake()
         return page.revision
 
-    async def _read_changes(self, revision: int) -> int:
-        page = await self.table.watch(OPERATOR_TABLE, revision, WATCH_S)
+    async def _read_changes(self, revision: int, wait_s: float) -> int:
+        page = await self.table.watch(OPERATOR_TABLE, revision, wait_s)
         for row in page.rows:
             self._take(row)
         if page.rows:
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -3,7 +3,7 @@
 from pytest import mark
 from trio import sleep
 
-from standins.operators.store import BUSY, MANY, RESET, SILENT
+from standins.operators.store import BUSY, EVERYONE, MANY, RESET, SILENT
 from tests.tasks.checker import check_finished_once, check_runs
 from tests.tasks.jobs import FOUR, GANG, ONE, job_id
 from tests.tasks.world import NORMAL, URGENT, World, configuration, play
@@ -73,3 +73,35 @@
         assert "configuration" in reply.value["error"]
 
     play(scenario, nodes=3)
+
+
+def test_all_answers_come_soon_after_an_outage() -> None:
+    """No call waits on a peer once the store answers here again."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [ONE], work_s=1.0)
+        await world.wait_state(job_id(1), "completed")
+        world.store.faults[EVERYONE] = SILENT
+        await sleep(6.0)
+        del world.store.faults[EVERYONE]
+        await sleep(1.2)
+        for node in world.nodes:
+            assert await world.state(job_id(1), node=node) == "completed"
+            reply = await world.submit(job_id(2), [ONE], node=node)
+            assert reply.status == 200
+
+    play(scenario, nodes=3)
+
+
+def test_long_outage_names_a_later_return() -> None:
+    async def scenario(world: World) -> None:
+        await sleep(1.0)
+        world.store.faults[EVERYONE] = BUSY
+        first = await world.submit(job_id(1), [ONE])
+        await sleep(2.5)
+        later = await world.submit(job_id(1), [ONE])
+        assert (first.status, later.status) == (503, 503)
+        assert first.headers["retry-after"] == "1"
+        assert later.headers["retry-after"] == "2"
+
+    play(scenario, nodes=3)
