--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -180,7 +180,8 @@
         member = unit.members[position]
         if not member.confirmed:
             member.confirmed = True
-            unit.percent_s = self.context.clock()
+            unit.seen_s = unit.percent_s = self.context.clock()
+            unit.percent = unit.first_percent = report.percent
         if not unit.has_begun:
             unit.has_begun = True
             self._store(progress)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -17,11 +17,25 @@
 from damaskstall.tasks.packing import Placing, RoomPlan, place_unit
 from damaskstall.tasks.preemption import Victim, find_clearing
 from damaskstall.tasks.progress import JobProgress, Unit
+from damaskstall.tasks.reservations import (
+    Ending,
+    Reservation,
+    open_plan,
+    reserve,
+)
+from damaskstall.tasks.stalls import left_of_run_s
 
 URGENT_PRIORITY = 0
 # A job that ends up to three objectives late still earns its late payoff
 # (RULES, Payoff).
 LATE_FACTOR = 3.0
+# Units for which room is kept, a round. Room that is kept idles, so only the
+# first units in order get some, and only if they fit before long: within
+# their own run time, or 2 s.
+RESERVATIONS_LIMIT = 2
+RESERVATION_FLOOR_S = 2.0
+# Time that a stop takes at most (bounds, stop_ms).
+STOP_S = 0.2
 # Time that a start from a checkpoint takes (bounds, restore_ms).
 RESTORE_S = 0.1
 # Blocked units for which room is looked for by stopping others, a round:
@@ -88,6 +102,8 @@
         self.covered = covered_jobs(situation)
         self.stopped: set[int] = set()
         self.clearings = 0
+        self.reservations: list[Reservation] = []
+        self.endings: list[Ending] | None = None
 
     def decide(self) -> list[Decision]:
         """Go through the waiting units in order."""
@@ -144,7 +160,13 @@
 
     def _try_place(self, candidate: Candidate) -> bool:
         placing = self._placing(candidate)
-        workers = place_unit(self.plan, placing)
+        expected_s = self.situation.expectations.step_s(
+            candidate.queue.name, candidate.step
+        )
+        plan = self.plan
+        if candidate.queue.priority != URGENT_PRIORITY:
+            plan = open_plan(self.plan, self.reservations, expected_s)
+        workers = place_unit(plan, placing)
         if workers is not None:
             self._claim(candidate, workers)
             self.decisions.append(
@@ -153,8 +175,45 @@
             return True
         if candidate.queue.priority == URGENT_PRIORITY:
             return self._try_clear(candidate, placing)
+        self._try_reserve(placing, expected_s)
         return False
 
+    def _try_reserve(self, placing: Placing, expected_s: float) -> None:
+        """Keep room for one of the first units that find none."""
+        if len(self.reservations) >= RESERVATIONS_LIMIT:
+            return
+        limit_s = max(RESERVATION_FLOOR_S, expected_s)
+        found = reserve(self.plan, placing, self._endings(), limit_s)
+        if found is not None:
+            self.reservations.append(found)
+
+    def _endings(self) -> list[Ending]:
+        """Return the running units with what is left of them."""
+        if self.endings is None:
+            self.endings = [
+                Ending(
+                    tuple(m.worker for m in unit.members if not m.ended),
+                    progress.step_of(unit).demand,
+                    self._left_of_run_s(progress, unit),
+                )
+                for progress in self.situation.jobs
+                for unit in progress.all_units()
+                if unit.active
+            ]
+        return self.endings
+
+    def _left_of_run_s(self, progress: JobProgress, unit: Unit) -> float:
+        """Return how long a run goes on, by its pace or its declared time."""
+        if unit.stopping or unit.done:
+            return STOP_S
+        left_s = left_of_run_s(unit, self.now_s)
+        if left_s is None:
+            step = progress.step_of(unit)
+            queue = progress.job.queue
+            whole_s = self.situation.expectations.step_s(queue, step)
+            return max(STOP_S, whole_s - (self.now_s - unit.started_s))
+        return left_s
+
     def _try_clear(self, candidate: Candidate, placing: Placing) -> bool:
         """Make room by stopping work, or wait for what is being stopped.
 
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -70,6 +70,8 @@
         "stopping",
         "started_s",
         "percent",
+        "first_percent",
+        "seen_s",
         "percent_s",
         "avoid",
         "has_begun",
@@ -90,6 +92,8 @@
         self.stopping = False
         self.started_s = 0.0
         self.percent = 0.0
+        self.first_percent = 0.0
+        self.seen_s = 0.0
         self.percent_s = 0.0
         self.avoid: set[str] = set()
         self.has_begun = False
@@ -239,6 +243,8 @@
         unit.stopping = False
         unit.started_s = now_s
         unit.percent = 0.0
+        unit.first_percent = 0.0
+        unit.seen_s = now_s
         unit.percent_s = now_s
         self.note_change()
 
