--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -1,7 +1,7 @@
 """Decide over all jobs of the service for as long as the lease is held."""
 
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any
 
 from trio import (
     CancelScope,
@@ -19,16 +19,10 @@
 from damaskstall.tasks.events import (
     HOLDER_READY,
     ROW_CONFLICT,
-    RUN_ENDED,
-    TASK_JOB_ENDED,
-    UNIT_STARTED,
-    UNIT_STOPPED,
-    WORKER_SUSPECTED,
 )
 from damaskstall.tasks.expectations import Expectations
 from damaskstall.tasks.job_reader import JobReader
-from damaskstall.tasks.metrics import NO_LABELS, RUNS_ENDED, UNITS_STARTED
-from damaskstall.tasks.model import QUEUED, RunKey
+from damaskstall.tasks.model import QUEUED, Demand, RunKey
 from damaskstall.tasks.policy import (
     Decision,
     Situation,
@@ -38,8 +32,6 @@
 from damaskstall.tasks.ports import EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
-    ENDED_FAILED,
-    ENDED_LAPSED,
     ENDED_NOT_STARTED,
     JobProgress,
     Member,
@@ -52,13 +44,15 @@
     job_id_of,
     restore_progress,
 )
-from damaskstall.tasks.stalls import is_stalled
-from damaskstall.tasks.worker_list import WorkerList
-from damaskstall.tasks.worker_session import (
-    OUTAGE_HOLD_S,
-    WorkerSession,
-    lease_limit_s,
+from damaskstall.tasks.run_log import (
+    log_ended,
+    log_over,
+    log_started,
+    log_stopped,
 )
+from damaskstall.tasks.stalls import is_stalled
+from damaskstall.tasks.worker_pool import WorkerPool
+from damaskstall.tasks.worker_session import OUTAGE_HOLD_S
 
 # What happens within this time is decided together.
 GATHER_S = 0.01
@@ -70,13 +64,6 @@
 NO_ATTEMPT_LIMIT = 1_000_000
 
 
-class Orphan(NamedTuple):
-    """Hold the worker of a run that is not listed, and when it has lapsed."""
-
-    worker: str
-    lapse_s: float
-
-
 class TaskHolder:
     """Decide, give orders and write progress under one lease."""
 
@@ -85,26 +72,21 @@
         self.context = context
         self.lease = lease
         self.jobs: dict[str, JobProgress] = {}
-        self.sessions: dict[str, WorkerSession] = {}
         self.reader = JobReader(context.table, context.clock, context.unix_s)
-        self.workers = WorkerList(
-            context.platform, context.table, context.follower
-        )
+        self.pool = WorkerPool(context, self, lease.epoch)
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.expectations = Expectations(context.settings.checkpoint_s)
         self.scope = CancelScope()
         self.ready = False
         self._wake = Event()
         self._nursery: Nursery | None = None
-        self._ended_jobs: dict[str, JobProgress] = {}
-        self._orphans: dict[RunKey, Orphan] = {}
 
     async def run(self) -> None:
         """Decide until cancelled or until a newer holder is met."""
         with self.scope:
             async with open_nursery() as nursery:
                 self._nursery = nursery
-                await self._load()
+                await self._load(nursery)
                 self.writer.start(nursery)
                 for table, take in (
                     (JOB_TABLE, self._take_job),
@@ -113,15 +95,15 @@
                     nursery.start_soon(
                         self.reader.follow, table, take, self._resync
                     )
-                nursery.start_soon(self._follow_workers)
+                nursery.start_soon(self.pool.follow, nursery)
                 nursery.start_soon(self._follow_state)
-                await self._wait_fenced()
+                await self.pool.wait_answered(FENCE_WAIT_S)
                 self.ready = True
                 log(
                     HOLDER_READY,
                     epoch=self.lease.epoch,
                     jobs=len(self.jobs),
-                    workers=len(self.sessions),
+                    workers=len(self.pool.sessions),
                 )
                 await self._decide_forever()
 
@@ -142,14 +124,7 @@
             "jobs": {
                 name: progress.state() for name, progress in self.jobs.items()
             },
-            "workers": {
-                name: {
-                    "usable": session.usable(),
-                    "used": list(session.load.used),
-                    "runs": len(session.load.runs),
-                }
-                for name, session in self.sessions.items()
-            },
+            "workers": self.pool.dump(),
         }
 
     # What sessions tell.
@@ -164,6 +139,14 @@
             return False
         return not unit.members[position].ended
 
+    def demand_of(self, key: RunKey) -> Demand | None:
+        """Return what a present run takes, or None where there is none."""
+        found = self._find(key)
+        if found is None:
+            return None
+        progress, unit, _ = found
+        return progress.step_of(unit).demand
+
     def may_extend(self) -> bool:
         """Return whether the leases of runs may be extended.
 
@@ -207,8 +190,8 @@
             unit, position, end.how, self._attempt_limit(progress)
         ):
             return
-        self._log_end(worker, end)
-        self._judge_worker(progress, worker, end)
+        log_ended(worker, end)
+        self.pool.judge(worker, progress.job, end.how)
         if end.how == ENDED_DONE:
             self._learn(progress, unit)
         elif unit.active and not unit.done:
@@ -221,7 +204,8 @@
         """Return once every end noted so far is in the table."""
         waiting = [
             (progress, progress.changes)
-            for progress in list(self._ended_jobs.values())
+            for progress in self.jobs.values()
+            if progress.stored_changes < progress.changes
         ]
         for progress, count in waiting:
             await self.writer.wait_stored(progress, count)
@@ -263,64 +247,27 @@
                 continue
             if stored.run == unit.run and unit.stored_run == unit.run:
                 continue
-            self._drop_members(progress, unit)
+            self.pool.release(progress, unit)
             unit.run = stored.run
             unit.stored_run = stored.run
             unit.members = stored.members
             unit.failures = max(unit.failures, stored.failures)
-            self._adopt_members(progress, unit)
-
-    def _drop_members(self, progress: JobProgress, unit: Unit) -> None:
-        for position, member in enumerate(unit.members):
-            session = self.sessions.get(member.worker)
-            if session is not None:
-                session.release(progress.run_key(unit, position))
-        unit.members = []
-
-    def _adopt_members(self, progress: JobProgress, unit: Unit) -> None:
-        """Count the runs of a unit that an earlier holder has ordered."""
-        demand = progress.step_of(unit).demand
-        for position, member in enumerate(list(unit.members)):
-            if member.ended:
-                continue
-            key = progress.run_key(unit, position)
-            session = self.sessions.get(member.worker)
-            if session is not None:
-                session.adopt(key, demand)
-                session.wake()
-                continue
-            # A worker that is not listed may be cut off and running on.
-            self._orphans[key] = Orphan(
-                member.worker,
-                self.context.clock()
-                + OUTAGE_HOLD_S
-                + lease_limit_s(self.context.settings.worker_lease_s),
-            )
+            self.pool.adopt(progress, unit)
 
     # Loading and following.
 
-    async def _load(self) -> None:
+    async def _load(self, nursery: Nursery) -> None:
         """Read all jobs and workers until that succeeds."""
-        while not await self.workers.read_all():
+        while not await self.pool.list.read_all():
             await sleep(GATHER_S * 10)
         loaded = await self.reader.load()
         # A worker's ends are acknowledged once the jobs they concern are
         # written, so no worker is spoken to before all jobs are known.
-        self._sync_sessions()
+        self.pool.open_sessions(nursery)
         for progress in loaded:
             self.jobs[progress.job_id] = progress
             for unit in progress.all_units():
-                self._adopt_members(progress, unit)
-
-    async def _wait_fenced(self) -> None:
-        with move_on_after(FENCE_WAIT_S):
-            for session in list(self.sessions.values()):
-                await session.answered.wait()
-
-    async def _follow_workers(self) -> None:
-        while True:
-            await self.workers.follow_once()
-            self._sync_sessions()
+                self.pool.adopt(progress, unit)
 
     async def _follow_state(self) -> None:
         while True:
@@ -360,48 +307,13 @@
         self._stop_all(progress, "the job was cancelled")
         self._wake.set()
 
-    def _sync_sessions(self) -> None:
-        """Open a session for each new worker, and update the others."""
-        listed = self.workers.workers
-        for name, session in list(self.sessions.items()):
-            session.update(listed.get(name))
-            if not session.listed and not session.load.runs:
-                del self.sessions[name]
-        for name, worker in listed.items():
-            if name in self.sessions:
-                continue
-            session = WorkerSession(
-                worker,
-                self.context.platform.calls_for(worker),
-                self,
-                self.lease.epoch,
-                self.context.settings.worker_lease_s,
-                self.context.clock,
-            )
-            self.sessions[name] = session
-            self._adopt_orphans(session)
-            assert self._nursery is not None
-            self._nursery.start_soon(session.run, self._nursery)
-        self._wake.set()
-
-    def _adopt_orphans(self, session: WorkerSession) -> None:
-        """Count the runs that an earlier holder ordered of a new worker."""
-        for key, orphan in list(self._orphans.items()):
-            if orphan.worker != session.worker.name:
-                continue
-            del self._orphans[key]
-            found = self._find(key)
-            if found is not None:
-                progress, unit, _ = found
-                session.adopt(key, progress.step_of(unit).demand)
-
     # Deciding.
 
     async def _decide_forever(self) -> None:
         while True:
             self._wake = Event()
             self._forget_over()
-            self._end_orphans()
+            self.pool.end_orphans()
             now_s = self.context.clock()
             self._stop_stalled(now_s)
             if self.lease.may_decide(now_s) and not self.writer.failing:
@@ -420,12 +332,7 @@
                 team.name: team.guaranteed_accelerators
                 for team in follower.state.teams
             },
-            [
-                session.room()
-                for session in self.sessions.values()
-                if session.usable()
-                and session.worker.failure_domain not in follower.evacuated
-            ],
+            self.pool.rooms(follower.evacuated),
             self.expectations,
         )
 
@@ -441,22 +348,14 @@
         progress, unit = decision.progress, decision.unit
         demand = progress.step_of(unit).demand
         placed = [
-            (name, self.sessions[name].incarnation)
+            (name, self.pool.sessions[name].incarnation)
             for name in decision.workers
         ]
         progress.begin_run(unit, placed, self.context.clock())
         for position, name in enumerate(decision.workers):
             key = progress.run_key(unit, position)
-            self.sessions[name].reserve(key, demand)
-        UNITS_STARTED.inc(NO_LABELS)
-        log(
-            UNIT_STARTED,
-            job=progress.job_id,
-            step=unit.step,
-            index=unit.first_index,
-            run=unit.run,
-            workers=",".join(decision.workers),
-        )
+            self.pool.sessions[name].reserve(key, demand)
+        log_started(progress, unit, decision.workers)
         count = self._store(progress)
         assert self._nursery is not None
         self._nursery.start_soon(self._launch, progress, unit, count)
@@ -475,7 +374,7 @@
             return
         async with open_nursery() as nursery:
             for position, member in enumerate(members):
-                session = self.sessions.get(member.worker)
+                session = self.pool.sessions.get(member.worker)
                 key = progress.run_key(unit, position)
                 if session is None:
                     end = EndReport(0, key, ENDED_NOT_STARTED, "")
@@ -494,14 +393,12 @@
         self, progress: JobProgress, unit: Unit, members: list[Member]
     ) -> None:
         """End a run of which no order was sent."""
+        self.pool.release(progress, unit)
         keys = [
             (member.worker, progress.run_key(unit, position))
             for position, member in enumerate(members)
         ]
         for worker, key in keys:
-            session = self.sessions.get(worker)
-            if session is not None:
-                session.release(key)
             self.note_end(worker, EndReport(0, key, ENDED_NOT_STARTED, ""))
 
     def _stop_all(self, progress: JobProgress, reason: str) -> None:
@@ -514,46 +411,20 @@
     ) -> None:
         if not unit.stopping:
             unit.stopping = True
-            log(
-                UNIT_STOPPED,
-                job=progress.job_id,
-                step=unit.step,
-                index=unit.first_index,
-                run=unit.run,
-                reason=reason,
-            )
-        for position, member in enumerate(unit.members):
-            session = self.sessions.get(member.worker)
-            if session is not None and not member.ended:
-                session.stop(progress.run_key(unit, position))
-
-    def _end_orphans(self) -> None:
-        """End adopted runs of unlisted workers once they surely lapsed."""
-        now_s = self.context.clock()
-        for key, orphan in list(self._orphans.items()):
-            if now_s >= orphan.lapse_s:
-                del self._orphans[key]
-                end = EndReport(0, key, ENDED_LAPSED, "")
-                self.note_end(orphan.worker, end)
+            log_stopped(progress, unit, reason)
+        self.pool.stop(progress, unit)
 
     def _forget_over(self) -> None:
         for job_id, progress in list(self.jobs.items()):
             stored = progress.stored_changes == progress.changes
             if progress.is_over() and stored:
-                log(
-                    TASK_JOB_ENDED,
-                    job=job_id,
-                    queue=progress.job.queue,
-                    state=progress.state(),
-                )
+                log_over(progress)
                 del self.jobs[job_id]
-                self._ended_jobs.pop(job_id, None)
 
     def _store(self, progress: JobProgress) -> int:
         """Have a job's progress written; return the change to wait for."""
         count = progress.note_change()
         self.writer.add(progress)
-        self._ended_jobs[progress.job_id] = progress
         self._wake.set()
         return count
 
@@ -581,28 +452,6 @@
         ran_s = self.context.clock() - unit.started_s
         self.expectations.learn(progress.job.queue, step.estimate_s, ran_s)
 
-    def _judge_worker(
-        self, progress: JobProgress, worker: str, end: EndReport
-    ) -> None:
-        session = self.sessions.get(worker)
-        if session is None:
-            return
-        if end.how == ENDED_DONE:
-            session.health.note_done()
-        elif end.how == ENDED_FAILED:
-            now_s = self.context.clock()
-            if session.health.note_failed(progress.job, now_s):
-                self._log_suspected(worker, "runs of several jobs failed")
-
-    def _log_suspected(self, worker: str, reason: str) -> None:
-        until_s = self.sessions[worker].health.resting_until_s
-        log(
-            WORKER_SUSPECTED,
-            worker=worker,
-            reason=reason,
-            rest_s=round(until_s - self.context.clock(), 1),
-        )
-
     def _stop_stalled(self, now_s: float) -> None:
         """Stop runs that stand still, so that they go on elsewhere."""
         for progress in self.jobs.values():
@@ -612,38 +461,9 @@
                     continue
                 queue = progress.job.queue
                 expected_s = self.expectations.step_s(queue, step)
-                if unit.active and not self._is_seen(unit):
+                if unit.active and not self.pool.is_seen(unit):
                     unit.percent_s = now_s
                 if not is_stalled(unit, expected_s, now_s):
                     continue
-                reason = "it stands still"
-                for member in unit.members:
-                    self._suspect(unit, member, now_s, reason)
-                self._stop_unit(progress, unit, reason)
-
-    def _is_seen(self, unit: Unit) -> bool:
-        """Return whether all workers of a unit's run answer now."""
-        sessions = [self.sessions.get(m.worker) for m in unit.members]
-        return all(session and session.reachable for session in sessions)
-
-    def _suspect(
-        self, unit: Unit, member: Member, now_s: float, reason: str
-    ) -> None:
-        """Let a worker rest, if it alone can be why a unit stands still."""
-        unit.avoid.add(member.worker)
-        session = self.sessions.get(member.worker)
-        if session is not None and len(unit.members) == 1:
-            session.health.note_bad(now_s)
-            self._log_suspected(member.worker, reason)
-
-    def _log_end(self, worker: str, end: EndReport) -> None:
-        RUNS_ENDED.inc({"how": end.how})
-        log(
-            RUN_ENDED,
-            job=end.key.task.job_id,
-            step=end.key.task.step,
-            index=end.key.task.task_index,
-            run=end.key.run,
-            worker=worker,
-            how=end.how,
-        )
+                self.pool.suspect_stalled(unit)
+                self._stop_unit(progress, unit, "it stands still")
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -187,11 +187,6 @@
             return self.first_due_s
         return self.first_due_s + occurrence * schedule.interval_s
 
-    def occurrence_done(self, occurrence: int) -> bool:
-        """Return whether all tasks of an occurrence are done."""
-        steps = range(len(self.job.declaration.steps))
-        return all(self.step_done(occurrence, number) for number in steps)
-
     def step_done(self, occurrence: int, number: int) -> bool:
         """Return whether all tasks of a step are done."""
         return all(unit.done for unit in self.units_of(occurrence, number))
--- /dev/null
+++ b/src/damaskstall/tasks/run_log.py
@@ -0,0 +1,62 @@
+"""Log what becomes of units and jobs, and count it."""
+
+from damaskstall.events import log
+from damaskstall.tasks.events import (
+    RUN_ENDED,
+    TASK_JOB_ENDED,
+    UNIT_STARTED,
+    UNIT_STOPPED,
+)
+from damaskstall.tasks.metrics import NO_LABELS, RUNS_ENDED, UNITS_STARTED
+from damaskstall.tasks.ports import EndReport
+from damaskstall.tasks.progress import JobProgress, Unit
+
+
+def log_started(progress: JobProgress, unit: Unit, workers: list[str]) -> None:
+    """Log that a unit was given workers for its next run."""
+    UNITS_STARTED.inc(NO_LABELS)
+    log(
+        UNIT_STARTED,
+        job=progress.job_id,
+        step=unit.step,
+        index=unit.first_index,
+        run=unit.run,
+        workers=",".join(workers),
+    )
+
+
+def log_stopped(progress: JobProgress, unit: Unit, reason: str) -> None:
+    """Log that a unit's run is being stopped, and how far it was."""
+    log(
+        UNIT_STOPPED,
+        job=progress.job_id,
+        step=unit.step,
+        index=unit.first_index,
+        run=unit.run,
+        percent=unit.percent,
+        reason=reason,
+    )
+
+
+def log_ended(worker: str, end: EndReport) -> None:
+    """Log that the run of one task has ended."""
+    RUNS_ENDED.inc({"how": end.how})
+    log(
+        RUN_ENDED,
+        job=end.key.task.job_id,
+        step=end.key.task.step,
+        index=end.key.task.task_index,
+        run=end.key.run,
+        worker=worker,
+        how=end.how,
+    )
+
+
+def log_over(progress: JobProgress) -> None:
+    """Log that a job has its last state."""
+    log(
+        TASK_JOB_ENDED,
+        job=progress.job_id,
+        queue=progress.job.queue,
+        state=progress.state(),
+    )
--- /dev/null
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -0,0 +1,200 @@
+"""Hold the sessions with all workers under one holder.
+
+A run that an earlier holder ordered is counted on its worker. A worker that
+is not listed may be cut off and run on, so its runs are kept as orphans until
+it is listed again or their leases have surely lapsed.
+"""
+
+from typing import Any, NamedTuple, Protocol
+
+from trio import Nursery, move_on_after
+
+from damaskstall.events import log
+from damaskstall.tasks.capacity import Room
+from damaskstall.tasks.context import NodeContext
+from damaskstall.tasks.events import WORKER_SUSPECTED
+from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
+from damaskstall.tasks.ports import EndReport
+from damaskstall.tasks.progress import (
+    ENDED_DONE,
+    ENDED_FAILED,
+    ENDED_LAPSED,
+    JobProgress,
+    Unit,
+)
+from damaskstall.tasks.worker_list import WorkerList
+from damaskstall.tasks.worker_session import (
+    OUTAGE_HOLD_S,
+    SessionOwner,
+    WorkerSession,
+    lease_limit_s,
+)
+
+
+class Orphan(NamedTuple):
+    """Hold the worker of a run that is not listed, and when it has lapsed."""
+
+    worker: str
+    lapse_s: float
+
+
+class PoolOwner(SessionOwner, Protocol):
+    """Take in what sessions learn, and know what runs need."""
+
+    def demand_of(self, key: RunKey) -> Demand | None:
+        """Return what a present run takes, or None where there is none."""
+
+
+class WorkerPool:
+    """Open a session for each listed worker, and find them by name."""
+
+    def __init__(
+        self, context: NodeContext, owner: PoolOwner, epoch: int
+    ) -> None:
+        """Speak with workers as the holder of an epoch."""
+        self.context = context
+        self.owner = owner
+        self.epoch = epoch
+        self.list = WorkerList(
+            context.platform, context.table, context.follower
+        )
+        self.sessions: dict[str, WorkerSession] = {}
+        self._orphans: dict[RunKey, Orphan] = {}
+
+    def open_sessions(self, nursery: Nursery) -> None:
+        """Open a session for each new worker, and update the others."""
+        listed = self.list.workers
+        for name, session in list(self.sessions.items()):
+            session.update(listed.get(name))
+            if not session.listed and not session.load.runs:
+                del self.sessions[name]
+        for name, worker in listed.items():
+            if name in self.sessions:
+                continue
+            session = WorkerSession(
+                worker,
+                self.context.platform.calls_for(worker),
+                self.owner,
+                self.epoch,
+                self.context.settings.worker_lease_s,
+                self.context.clock,
+            )
+            self.sessions[name] = session
+            self._adopt_orphans(session)
+            nursery.start_soon(session.run, nursery)
+
+    async def follow(self, nursery: Nursery) -> None:
+        """Follow the list of workers until cancelled."""
+        while True:
+            await self.list.follow_once()
+            self.open_sessions(nursery)
+            self.owner.note_room()
+
+    async def wait_answered(self, limit_s: float) -> None:
+        """Return once all workers have answered, or after a time."""
+        with move_on_after(limit_s):
+            for session in list(self.sessions.values()):
+                await session.answered.wait()
+
+    def rooms(self, evacuated: set[str]) -> list[Room]:
+        """Return the room on each worker that may be given new runs."""
+        return [
+            session.room()
+            for session in self.sessions.values()
+            if session.usable()
+            and session.worker.failure_domain not in evacuated
+        ]
+
+    def adopt(self, progress: JobProgress, unit: Unit) -> None:
+        """Count the runs of a unit that an earlier holder has ordered."""
+        demand = progress.step_of(unit).demand
+        for position, member in enumerate(unit.members):
+            if member.ended:
+                continue
+            key = progress.run_key(unit, position)
+            session = self.sessions.get(member.worker)
+            if session is not None:
+                session.adopt(key, demand)
+                session.wake()
+                continue
+            lease_s = lease_limit_s(self.context.settings.worker_lease_s)
+            lapse_s = self.context.clock() + OUTAGE_HOLD_S + lease_s
+            self._orphans[key] = Orphan(member.worker, lapse_s)
+
+    def release(self, progress: JobProgress, unit: Unit) -> None:
+        """Count the runs of a unit no longer, since none was ordered."""
+        for position, member in enumerate(unit.members):
+            session = self.sessions.get(member.worker)
+            if session is not None:
+                session.release(progress.run_key(unit, position))
+
+    def stop(self, progress: JobProgress, unit: Unit) -> None:
+        """Order the end of a unit's run on all its workers."""
+        for position, member in enumerate(unit.members):
+            session = self.sessions.get(member.worker)
+            if session is not None and not member.ended:
+                session.stop(progress.run_key(unit, position))
+
+    def end_orphans(self) -> None:
+        """End runs of unlisted workers once they have surely lapsed."""
+        now_s = self.context.clock()
+        for key, orphan in list(self._orphans.items()):
+            if now_s >= orphan.lapse_s:
+                del self._orphans[key]
+                end = EndReport(0, key, ENDED_LAPSED, "")
+                self.owner.note_end(orphan.worker, end)
+
+    def is_seen(self, unit: Unit) -> bool:
+        """Return whether all workers of a unit's run answer now."""
+        sessions = [self.sessions.get(m.worker) for m in unit.members]
+        return all(session and session.reachable for session in sessions)
+
+    def judge(self, worker: str, job: AcceptedJob, how: str) -> None:
+        """Learn of a worker's health from how a run ended there."""
+        session = self.sessions.get(worker)
+        if session is None:
+            return
+        if how == ENDED_DONE:
+            session.health.note_done()
+        elif how == ENDED_FAILED:
+            if session.health.note_failed(job, self.context.clock()):
+                self._log_suspected(session, "runs of several jobs failed")
+
+    def suspect_stalled(self, unit: Unit) -> None:
+        """Let a worker rest, if it alone can be why a unit stands still."""
+        for member in unit.members:
+            unit.avoid.add(member.worker)
+            session = self.sessions.get(member.worker)
+            if session is not None and len(unit.members) == 1:
+                session.health.note_bad(self.context.clock())
+                self._log_suspected(session, "a run stands still")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON values."""
+        return {
+            name: {
+                "usable": session.usable(),
+                "used": list(session.load.used),
+                "runs": len(session.load.runs),
+            }
+            for name, session in self.sessions.items()
+        }
+
+    def _adopt_orphans(self, session: WorkerSession) -> None:
+        """Count the runs that an earlier holder ordered of a new worker."""
+        for key, orphan in list(self._orphans.items()):
+            if orphan.worker != session.worker.name:
+                continue
+            del self._orphans[key]
+            demand = self.owner.demand_of(key)
+            if demand is not None:
+                session.adopt(key, demand)
+
+    def _log_suspected(self, session: WorkerSession, reason: str) -> None:
+        until_s = session.health.resting_until_s
+        log(
+            WORKER_SUSPECTED,
+            worker=session.worker.name,
+            reason=reason,
+            rest_s=round(until_s - self.context.clock(), 1),
+        )
