Speak to a worker again that is listed again

Cause: a session ends when its worker is not listed and runs nothing. The test fails without the change.

--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -65,9 +65,9 @@
         """Open a session for each new worker, and update the others."""
         listed = self.list.workers
         for name, session in list(self.sessions.items()):
-            session.update(listed.get(name))
-            if not session.listed and not session.load.runs:
+            if session.closed:
                 del self.sessions[name]
+            session.update(listed.get(name))
         for name, worker in listed.items():
             if name in self.sessions:
                 continue
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -130,6 +130,7 @@
         self.fenced = False
         self.reachable = False
         self.listed = True
+        self.closed = False
         self.incarnation = 0
         self.acknowledged_end = 0
         # The newest end that was listed, and the newest the worker was told
@@ -154,6 +155,7 @@
         return (
             self.fenced
             and self.reachable
+            and not self.closed
             and self.listed
             and not self.worker.leaving
             and self.health.may_start(self.clock())
@@ -184,10 +186,11 @@
             self.owner.note_room()
 
     async def run(self, nursery: Nursery) -> None:
-        """Extend the lease and take ends until cancelled."""
+        """Extend the lease and take ends until the worker is gone."""
         self._nursery = nursery
         while True:
             if not self.load.runs and not self.listed:
+                self.closed = True
                 await self.calls.close()
                 return
             if self.synced and self._is_idle():
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -403,3 +403,23 @@
         assert all(run.noted_s is not None for run in world.book.runs)
 
     play(scenario)
+
+
+def test_worker_that_is_listed_again_is_spoken_to_again() -> None:
+    """A session that has ended is not taken for a live one."""
+
+    async def scenario(world: World) -> None:
+        await world.submit(job_id(1), [FOUR], work_s=2.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        for name in world.workers:
+            world.store.remove("servers", name)
+        await world.wait_state(job_id(1), "completed")
+        for worker in world.workers.values():
+            world.list_worker(worker)
+        await world.submit(job_id(2), [FOUR], work_s=13.0)
+        await world.wait_state(job_id(2), "completed", limit_s=16.0)
+        assert len(world.book.runs) == 8
+        check_runs(world)
+
+    for wait in range(4):
+        play(scenario, seed=wait)
