--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -327,7 +327,7 @@
         follower = self.context.follower
         return Situation(
             list(self.jobs.values()),
-            follower.state.queue_by_name(),
+            follower.queues,
             {
                 team.name: team.guaranteed_accelerators
                 for team in follower.state.teams
@@ -440,8 +440,7 @@
         return progress, unit, position
 
     def _attempt_limit(self, progress: JobProgress) -> int:
-        queues = self.context.follower.state.queue_by_name()
-        queue = queues.get(progress.job.queue)
+        queue = self.context.follower.queues.get(progress.job.queue)
         return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
 
     def _learn(self, progress: JobProgress, unit: Unit) -> None:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -26,6 +26,8 @@
 from damaskstall.tasks.stalls import left_of_run_s
 
 URGENT_PRIORITY = 0
+# Below every priority that a queue may have (the pages name 0 to 2).
+LAST_PRIORITY = 1000
 # A job that ends up to three objectives late still earns its late payoff
 # (RULES, Payoff).
 LATE_FACTOR = 3.0
@@ -121,9 +123,7 @@
     def _ordered(self) -> list[Candidate]:
         found = []
         for progress in self.situation.jobs:
-            queue = self.situation.queues.get(progress.job.queue)
-            if queue is None:
-                continue
+            queue = queue_of(self.situation, progress)
             for unit in progress.waiting_units(self.now_s):
                 found.append(
                     Candidate(
@@ -278,9 +278,8 @@
         """Return the running units that may be stopped for a candidate."""
         victims = []
         for progress in self.situation.jobs:
-            queue = self.situation.queues.get(progress.job.queue)
-            priority = URGENT_PRIORITY + 1 if queue is None else queue.priority
-            if not self._may_stop(candidate, progress, priority):
+            queue = queue_of(self.situation, progress)
+            if not self._may_stop(candidate, progress, queue.priority):
                 continue
             for unit in progress.all_units():
                 if not unit.active or unit.stopping or unit.done:
@@ -317,6 +316,15 @@
         return Victim(progress, unit, step.demand, shares, cost)
 
 
+def queue_of(situation: Situation, progress: JobProgress) -> Queue:
+    """Return a job's queue; one that is not known any more comes last."""
+    job = progress.job
+    queue = situation.queues.get(job.queue)
+    if queue is not None:
+        return queue
+    return Queue(job.queue, "", "", job.service, LAST_PRIORITY, 0, 1, 0, False)
+
+
 def covered_jobs(situation: Situation) -> set[str]:
     """Return the urgent jobs that their teams' guarantees cover.
 
@@ -326,8 +334,7 @@
     needed: dict[str, int] = {}
     covered: set[str] = set()
     for progress in by_arrival(situation.jobs):
-        queue = situation.queues.get(progress.job.queue)
-        if queue is None or queue.priority != URGENT_PRIORITY:
+        if queue_of(situation, progress).priority != URGENT_PRIORITY:
             continue
         team = progress.job.team
         needed[team] = needed.get(team, 0) + accelerators_left(progress)
--- a/src/damaskstall/tasks/state_follower.py
+++ b/src/damaskstall/tasks/state_follower.py
@@ -21,6 +21,7 @@
     STORE_LOST,
     STORE_REGAINED,
 )
+from damaskstall.tasks.model import Queue
 from damaskstall.tasks.ports import OPERATOR_TABLE, Platform, WatchedTable
 
 # Each answer confirms the state as of its request, so keys that were removed
@@ -44,6 +45,8 @@
         self.table = table
         self.clock = clock
         self.state: DesiredState = NO_STATE
+        # Every queue that was ever seen: jobs outlive their queues.
+        self.queues: dict[str, Queue] = {}
         self.evacuated: set[str] = set()
         self.confirmed_s = float("-inf")
         self._changed = Event()
@@ -121,6 +124,7 @@
         if state.version <= self.state.version:
             return
         self.state = state
+        self.queues.update(state.queue_by_name())
         log(
             STATE_APPLIED,
             version=state.version,
--- a/tests/tasks/test_whole_path.py
+++ b/tests/tasks/test_whole_path.py
@@ -4,7 +4,14 @@
 
 from tests.tasks.checker import check_finished_once, check_runs
 from tests.tasks.jobs import FOUR, GANG, ONE, WHOLE, job_id
-from tests.tasks.world import BULK, NORMAL, URGENT, World, play
+from tests.tasks.world import (
+    BULK,
+    NORMAL,
+    URGENT,
+    World,
+    configuration,
+    play,
+)
 
 
 def test_job_of_two_steps_completes_in_order() -> None:
@@ -145,3 +152,22 @@
         check_runs(world)
 
     play(scenario)
+
+
+def test_job_of_a_removed_queue_still_runs() -> None:
+    async def scenario(world: World) -> None:
+        for number in range(4):
+            await world.submit(
+                job_id(number), [{**WHOLE, "count": 1}], BULK, work_s=2.0
+            )
+        await world.submit(job_id(9), [{**WHOLE, "count": 4}], BULK)
+        state = configuration(2)
+        state["routes"] = [r for r in state["routes"] if r["name"] != BULK]
+        world.store.put("op", "config", state)
+        await world.wait(lambda: len(world.runs_of(job_id(9))) == 4)
+        world.kill_node(world.holder() or "")
+        await sleep(1.5)
+        await world.wait(lambda: all(r.how == "done" for r in world.book.runs))
+        check_finished_once(world, job_id(9))
+
+    play(scenario)
