Drop settings and constants that nothing reads

The checkpoint interval lost its reader when stopped work came to count as saved; the gang wait, the heartbeat and three ways of ending never had one.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -46,9 +46,6 @@
         stop_grace_s=float(bounds["grace_s"]),
         key_removal_s=seconds(bounds["revoke_ms"]),
         worker_lease_s=seconds(bounds["hold_maximum_ms"]),
-        gang_wait_s=seconds(bounds["gang_ms"]),
-        checkpoint_s=float(bounds["checkpoint_s"]),
-        heartbeat_s=seconds(value["heartbeat_ms"]),
     )
 
 
--- a/src/damaskstall/tasks/expectations.py
+++ b/src/damaskstall/tasks/expectations.py
@@ -19,9 +19,8 @@
 class Expectations:
     """Learn per queue how far declared run times are off."""
 
-    def __init__(self, checkpoint_s: float) -> None:
-        """Take declarations at their word; name the checkpoint interval."""
-        self.checkpoint_s = checkpoint_s
+    def __init__(self) -> None:
+        """Take declarations at their word."""
         self._log_factor: dict[str, float] = {}
 
     def learn(self, queue: str, declared_s: float, ran_s: float) -> None:
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -75,7 +75,7 @@
         self.reader = JobReader(context.table, context.clock, context.unix_s)
         self.pool = WorkerPool(context, self, lease.epoch)
         self.writer = ProgressWriter(context.table, self, lease.epoch)
-        self.expectations = Expectations(context.settings.checkpoint_s)
+        self.expectations = Expectations()
         self.scope = CancelScope()
         self.ready = False
         self._wake = Event()
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -10,8 +10,7 @@
 
     ``stop_grace_s`` is the time from the request to stop until the process
     is killed. ``key_removal_s`` bounds how long a removed key may still be
-    accepted. ``worker_lease_s`` is the longest lease a worker grants, and
-    ``gang_wait_s`` how long a gang's first tasks wait for the rest.
+    accepted. ``worker_lease_s`` is the longest lease a worker grants.
     """
 
     instance: str
@@ -25,6 +24,3 @@
     stop_grace_s: float
     key_removal_s: float
     worker_lease_s: float
-    gang_wait_s: float
-    checkpoint_s: float
-    heartbeat_s: float
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -19,13 +19,11 @@
     TaskKey,
 )
 
-# How the run of one task ended, as the worker tells it.
+# How the run of one task ended, as the worker tells it; the other ways are
+# all alike here: the task is to run again.
 ENDED_DONE = "done"
 ENDED_FAILED = "failed"
-ENDED_STOPPED = "stopped"
 ENDED_LAPSED = "lapsed"
-ENDED_BROKEN = "broken"
-ENDED_ALONE = "alone"
 # The run never came about, so it counts as no attempt.
 ENDED_NOT_STARTED = "not_started"
 
--- a/tests/tasks/world.py
+++ b/tests/tasks/world.py
@@ -140,9 +140,6 @@
             stop_grace_s=6.0,
             key_removal_s=5.0,
             worker_lease_s=10.0,
-            gang_wait_s=3.0,
-            checkpoint_s=0.5,
-            heartbeat_s=1.5,
         )
         network = self.network.end(name)
         platform = OperatorsPlatform(network, STORE_ADDRESS)
