Decide by steps, not by units; keep guarantees in any pieces

Cause: a round ranked and placed each waiting unit anew, and looked for room again for shapes that had just found none.

Guarantees: nothing searched for counterexamples. A property test over random crowded fleets found two at once: a covered gang that wants one rack never began where other covered work held a part of each rack, and large covered tasks found no room between small covered ones. A covered gang now spans racks where none can be cleared, covered work with the largest tasks is placed first, and smaller covered tasks move aside for larger ones (never the other way round, so nothing circles).

Tests: tests/tasks/test_policy.py, the first of the decisions as pure code; the two guarantee tests failed before.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -23,12 +23,7 @@
 from damaskstall.tasks.expectations import Expectations
 from damaskstall.tasks.job_reader import JobReader
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
-from damaskstall.tasks.policy import (
-    Decision,
-    Situation,
-    StartUnit,
-    decide,
-)
+from damaskstall.tasks.policy import Decision, StartUnit, decide
 from damaskstall.tasks.ports import EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
@@ -50,6 +45,7 @@
     log_started,
     log_stopped,
 )
+from damaskstall.tasks.situation import Situation
 from damaskstall.tasks.stalls import is_stalled
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_HOLD_S
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -76,11 +76,14 @@
     placing: Placing, worker: str, free: Demand, limit: int
 ) -> int:
     """Return how many of the unit's tasks fit on a worker, up to a limit."""
-    demand = placing.step.demand
+    cpu_millicores, memory_mb, accelerators = placing.step.demand
     fits = limit
-    for need, room in zip(demand, free, strict=True):
-        if need:
-            fits = min(fits, room // need)
+    if accelerators:
+        fits = min(fits, free.accelerators // accelerators)
+    if fits > 0 and cpu_millicores:
+        fits = min(fits, free.cpu_millicores // cpu_millicores)
+    if fits > 0 and memory_mb:
+        fits = min(fits, free.memory_mb // memory_mb)
     if placing.step.per_worker_limit:
         left = placing.step.per_worker_limit - placing.present.get(worker, 0)
         fits = min(fits, left)
@@ -90,22 +93,35 @@
 def pack(
     plan: RoomPlan, placing: Placing, names: Iterable[str]
 ) -> list[str] | None:
-    """Return a worker for each task of a unit, or None if they do not fit.
+    """Return a worker for each task of a unit, or None if they do not fit."""
+    needed = placing.step.unit_size
+    chosen = pack_some(plan, placing, names, needed)
+    return chosen if len(chosen) == needed else None
+
+
+def pack_some(
+    plan: RoomPlan, placing: Placing, names: Iterable[str], limit: int
+) -> list[str]:
+    """Return workers for as many tasks as fit, up to a limit.
 
     Workers with the fewest free accelerators are filled first. Workers to
     avoid come last.
     """
-    needed = placing.step.unit_size
-    usable = [name for name in names if may_run(placing, plan.workers[name])]
+    usable = [
+        name
+        for name in names
+        if may_run(placing, plan.workers[name])
+        and tasks_that_fit(placing, name, plan.free[name], 1)
+    ]
     usable.sort(key=lambda name: packing_order(plan, placing, name))
     chosen: list[str] = []
     for name in usable:
-        left = needed - len(chosen)
+        left = limit - len(chosen)
+        if not left:
+            break
         fits = tasks_that_fit(placing, name, plan.free[name], left)
         chosen += [name] * fits
-        if len(chosen) == needed:
-            return chosen
-    return None
+    return chosen
 
 
 def packing_order(
@@ -132,15 +148,15 @@
     """
     if not needs_one_rack(plan, placing):
         return pack(plan, placing, plan.free)
-    for rack in racks_by_free(plan):
+    spare: list[str] | None = None
+    for rack in racks_by_free(plan, placing.step.unit_accelerators):
         chosen = pack(plan, placing, plan.racks[rack])
-        if chosen is not None and not placing.avoid.intersection(chosen):
+        if chosen is None:
+            continue
+        if not placing.avoid.intersection(chosen):
             return chosen
-    for rack in racks_by_free(plan):
-        chosen = pack(plan, placing, plan.racks[rack])
-        if chosen is not None:
-            return chosen
-    return None
+        spare = spare or chosen
+    return spare
 
 
 def needs_one_rack(plan: RoomPlan, placing: Placing) -> bool:
@@ -163,10 +179,11 @@
     return fits >= placing.step.unit_size
 
 
-def racks_by_free(plan: RoomPlan) -> list[str]:
-    """Return the racks, those with the fewest free accelerators first."""
-
-    def free_accelerators(rack: str) -> int:
-        return sum(plan.free[name].accelerators for name in plan.racks[rack])
-
-    return sorted(plan.racks, key=lambda rack: (free_accelerators(rack), rack))
+def racks_by_free(plan: RoomPlan, accelerators: int) -> list[str]:
+    """Return the racks with enough free accelerators, the fullest first."""
+    free = {
+        rack: sum(plan.free[name].accelerators for name in names)
+        for rack, names in plan.racks.items()
+    }
+    enough = [rack for rack, count in free.items() if count >= accelerators]
+    return sorted(enough, key=lambda rack: (free[rack], rack))
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -1,36 +1,35 @@
 """Decide which waiting units start, where, and what is stopped for them.
 
 Pure code: the present time is an argument, and nothing is sent or stored.
-
-Order: work that a team's guarantee covers, other work of priority 0, then by
-priority. Within one priority, jobs that can still meet their objective come
-before those that cannot, and what earns most for the accelerator time it
-takes comes first.
+``ranking.py`` tells the order.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
-from damaskstall.tasks.capacity import Room
-from damaskstall.tasks.expectations import Expectations
-from damaskstall.tasks.model import Queue, Step
-from damaskstall.tasks.packing import Placing, RoomPlan, place_unit
+from damaskstall.tasks.model import Demand
+from damaskstall.tasks.packing import (
+    Placing,
+    RoomPlan,
+    needs_one_rack,
+    pack_some,
+    place_unit,
+)
 from damaskstall.tasks.preemption import Victim, find_clearing
 from damaskstall.tasks.progress import JobProgress, Unit
+from damaskstall.tasks.ranking import Batch, covered_jobs, waiting_batches
 from damaskstall.tasks.reservations import (
     Ending,
     Reservation,
     open_plan,
     reserve,
 )
+from damaskstall.tasks.situation import (
+    URGENT_PRIORITY,
+    Situation,
+    queue_of,
+)
 from damaskstall.tasks.stalls import left_of_run_s
 
-URGENT_PRIORITY = 0
-# Below every priority that a queue may have (the pages name 0 to 2).
-LAST_PRIORITY = 1000
-# A job that ends up to three objectives late still earns its late payoff
-# (RULES, Payoff).
-LATE_FACTOR = 3.0
 # Units for which room is kept, a round. Room that is kept idles, so only the
 # first units in order get some, and only if they fit before long: within
 # their own run time, or 2 s.
@@ -45,16 +44,6 @@
 CLEARINGS_LIMIT = 8
 
 
-class Candidate(NamedTuple):
-    """Hold a waiting unit with what its order depends on."""
-
-    progress: JobProgress
-    unit: Unit
-    step: Step
-    queue: Queue
-    guaranteed: bool
-
-
 class StartUnit(NamedTuple):
     """Start a unit's next run, with one worker for each task."""
 
@@ -74,14 +63,18 @@
 Decision = StartUnit | StopUnit
 
 
-class Situation(NamedTuple):
-    """Hold all that one round of decisions depends on."""
+class Shape(NamedTuple):
+    """Hold all that tells whether a unit fits, apart from the free room.
+
+    ``reservations`` counts the kept room that the unit may not use.
+    """
 
-    jobs: list[JobProgress]
-    queues: dict[str, Queue]
-    guarantees: dict[str, int]
-    rooms: list[Room]
-    expectations: Expectations
+    service: str
+    required_label: str
+    demand: Demand
+    unit_size: int
+    in_one_rack: bool
+    reservations: int
 
 
 def decide(situation: Situation, now_s: float) -> list[Decision]:
@@ -104,88 +97,106 @@
         self.covered = covered_jobs(situation)
         self.stopped: set[int] = set()
         self.clearings = 0
+        self.full: set[Shape] = set()
+        # Shapes that fit nowhere within a time.
+        self.unreservable_s: dict[Shape, float] = {}
+        self.running: list[tuple[JobProgress, Unit]] | None = None
         self.reservations: list[Reservation] = []
         self.endings: list[Ending] | None = None
 
     def decide(self) -> list[Decision]:
         """Go through the waiting units in order."""
-        blocked: set[tuple[str, int, int]] = set()
-        for candidate in self._ordered():
-            unit = candidate.unit
-            place = (candidate.progress.job_id, unit.occurrence, unit.step)
-            if place in blocked:
-                # Its units are alike: where one does not fit, none does.
-                continue
-            if not self._try_place(candidate):
-                blocked.add(place)
+        batches = waiting_batches(self.situation, self.covered, self.now_s)
+        for batch in batches:
+            self._decide_batch(batch)
         return self.decisions
 
-    def _ordered(self) -> list[Candidate]:
-        found = []
-        for progress in self.situation.jobs:
-            queue = queue_of(self.situation, progress)
-            for unit in progress.waiting_units(self.now_s):
-                found.append(
-                    Candidate(
-                        progress,
-                        unit,
-                        progress.step_of(unit),
-                        queue,
-                        progress.job_id in self.covered,
-                    )
-                )
-        return sorted(found, key=self._rank)
-
-    def _rank(self, candidate: Candidate) -> tuple[float, ...]:
-        progress, queue = candidate.progress, candidate.queue
-        expectations = self.situation.expectations
-        objective_s = expectations.objective_s(progress, queue)
-        occurrence = candidate.unit.occurrence
-        left_s = expectations.left_s(progress, occurrence)
-        due_s = progress.due_s(occurrence)
-        slack_s = due_s + objective_s - left_s - self.now_s
-        late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
-        if slack_s >= 0:
-            lateness = 0
+    def _decide_batch(self, batch: Batch) -> None:
+        """Place a step's units; where one finds no room, none after it does.
+
+        Units that avoid nothing are alike, and come first.
+        """
+        alike = [unit for unit in batch.units if not unit.avoid]
+        others = [unit for unit in batch.units if unit.avoid]
+        if batch.step.gang or batch.step.per_worker_limit:
+            waiting = batch.units
         else:
-            lateness = 1 if late_slack_s >= 0 else 2
-        return (
-            0 if candidate.guaranteed else 1,
-            queue.priority,
-            lateness,
-            expectations.left_core_s(progress, occurrence),
-            due_s,
-            candidate.unit.step,
-        )
+            placed = self._place_alike(batch, alike)
+            waiting = alike[placed:] + others
+        for unit in waiting:
+            if not self._try_place(batch, unit):
+                return
+
+    def _place_alike(self, batch: Batch, units: list[Unit]) -> int:
+        """Start units of one task that differ in nothing; return how many."""
+        if not units:
+            return 0
+        plan, shape = self._open_plan(batch)
+        if shape in self.full:
+            return 0
+        placing = self._placing(batch, units[0])
+        workers = pack_some(plan, placing, plan.free, len(units))
+        for unit, worker in zip(units, workers, strict=False):
+            self._start(batch, unit, [worker])
+        return len(workers)
+
+    def _try_place(self, batch: Batch, unit: Unit) -> bool:
+        """Start a unit, or make or keep room; return whether it has any."""
+        placing = self._placing(batch, unit)
+        plan, shape = self._open_plan(batch)
+        # Room only gets less in a round, so a shape that found none is not
+        # tried again. A limit per worker tells one unit from another.
+        if batch.step.per_worker_limit or shape not in self.full:
+            workers = place_unit(plan, placing)
+            if workers is not None:
+                self._start(batch, unit, workers)
+                return True
+            if not batch.step.per_worker_limit:
+                self.full.add(shape)
+        if batch.queue.priority == URGENT_PRIORITY:
+            return self._make_room(batch, unit, placing)
+        self._try_reserve(placing, self._expected_s(batch), shape)
+        return False
 
-    def _try_place(self, candidate: Candidate) -> bool:
-        placing = self._placing(candidate)
-        expected_s = self.situation.expectations.step_s(
-            candidate.queue.name, candidate.step
+    def _start(self, batch: Batch, unit: Unit, workers: list[str]) -> None:
+        self._claim(batch, workers)
+        self.decisions.append(StartUnit(batch.progress, unit, workers))
+
+    def _expected_s(self, batch: Batch) -> float:
+        return self.situation.expectations.step_s(batch.queue.name, batch.step)
+
+    def _open_plan(self, batch: Batch) -> tuple[RoomPlan, Shape]:
+        """Return the room that a step's units may use, and their shape."""
+        held: list[Reservation] = []
+        if batch.queue.priority != URGENT_PRIORITY:
+            expected_s = self._expected_s(batch)
+            held = [r for r in self.reservations if r.after_s < expected_s]
+        step = batch.step
+        shape = Shape(
+            batch.progress.job.service,
+            step.required_label,
+            step.demand,
+            step.unit_size,
+            step.gang and step.one_rack,
+            len(held),
         )
-        plan = self.plan
-        if candidate.queue.priority != URGENT_PRIORITY:
-            plan = open_plan(self.plan, self.reservations, expected_s)
-        workers = place_unit(plan, placing)
-        if workers is not None:
-            self._claim(candidate, workers)
-            self.decisions.append(
-                StartUnit(candidate.progress, candidate.unit, workers)
-            )
-            return True
-        if candidate.queue.priority == URGENT_PRIORITY:
-            return self._try_clear(candidate, placing)
-        self._try_reserve(placing, expected_s)
-        return False
+        return open_plan(self.plan, held), shape
 
-    def _try_reserve(self, placing: Placing, expected_s: float) -> None:
+    def _try_reserve(
+        self, placing: Placing, expected_s: float, shape: Shape
+    ) -> None:
         """Keep room for one of the first units that find none."""
-        if len(self.reservations) >= RESERVATIONS_LIMIT:
-            return
         limit_s = max(RESERVATION_FLOOR_S, expected_s)
+        if (
+            len(self.reservations) >= RESERVATIONS_LIMIT
+            or self.unreservable_s.get(shape, 0.0) >= limit_s
+        ):
+            return
         found = reserve(self.plan, placing, self._endings(), limit_s)
-        if found is not None:
-            self.reservations.append(found)
+        if found is None:
+            self.unreservable_s[shape] = limit_s
+            return
+        self.reservations.append(found)
 
     def _endings(self) -> list[Ending]:
         """Return the running units with what is left of them."""
@@ -196,11 +207,20 @@
                     progress.step_of(unit).demand,
                     self._left_of_run_s(progress, unit),
                 )
+                for progress, unit in self._running()
+            ]
+        return self.endings
+
+    def _running(self) -> list[tuple[JobProgress, Unit]]:
+        """Return the units that run as the round begins."""
+        if self.running is None:
+            self.running = [
+                (progress, unit)
                 for progress in self.situation.jobs
                 for unit in progress.all_units()
                 if unit.active
             ]
-        return self.endings
+        return self.running
 
     def _left_of_run_s(self, progress: JobProgress, unit: Unit) -> float:
         """Return how long a run goes on, by its pace or its declared time."""
@@ -214,54 +234,75 @@
             return max(STOP_S, whole_s - (self.now_s - unit.started_s))
         return left_s
 
-    def _try_clear(self, candidate: Candidate, placing: Placing) -> bool:
+    def _make_room(self, batch: Batch, unit: Unit, placing: Placing) -> bool:
+        """Find room for an urgent unit; return whether it has any soon.
+
+        Where its guarantee is to hold, a gang that no rack can hold in time
+        runs slower over several, and smaller covered work moves aside.
+        """
+        if self._try_clear(batch, placing):
+            return True
+        if not batch.guaranteed:
+            return False
+        if needs_one_rack(self.plan, placing):
+            step = batch.step._replace(one_rack=False)
+            placing = placing._replace(step=step)
+            workers = place_unit(self.plan, placing)
+            if workers is not None:
+                self._start(batch, unit, workers)
+                return True
+            if self._try_clear(batch, placing):
+                return True
+        return self._try_clear(batch, placing, smaller=True)
+
+    def _try_clear(
+        self, batch: Batch, placing: Placing, smaller: bool = False
+    ) -> bool:
         """Make room by stopping work, or wait for what is being stopped.
 
         Returns whether the unit has its room, now or soon.
         """
         workers = place_unit(self.soon, placing)
         if workers is not None:
-            self._claim(candidate, workers)
+            self._claim(batch, workers)
             return True
         if self.clearings >= CLEARINGS_LIMIT:
             return False
         self.clearings += 1
-        clearing = find_clearing(self.soon, placing, self._victims(candidate))
+        victims = self._victims(batch, smaller)
+        clearing = find_clearing(self.soon, placing, victims)
         if clearing is None:
             return False
         for victim in clearing.victims:
             self.stopped.add(id(victim.unit))
             self.decisions.append(
-                StopUnit(
-                    victim.progress, victim.unit, candidate.progress.job_id
-                )
+                StopUnit(victim.progress, victim.unit, batch.progress.job_id)
             )
             for worker in victim.shares:
                 self.soon.give(worker, victim.demand)
-        self._claim(candidate, clearing.workers)
+        self._claim(batch, clearing.workers)
         return True
 
-    def _claim(self, candidate: Candidate, workers: list[str]) -> None:
+    def _claim(self, batch: Batch, workers: list[str]) -> None:
         for worker in workers:
-            self.plan.take(worker, candidate.step.demand)
-            self.soon.take(worker, candidate.step.demand)
+            self.plan.take(worker, batch.step.demand)
+            self.soon.take(worker, batch.step.demand)
 
-    def _placing(self, candidate: Candidate) -> Placing:
+    def _placing(self, batch: Batch, unit: Unit) -> Placing:
         present: dict[str, int] = {}
-        if candidate.step.per_worker_limit:
-            present = self._present(candidate)
+        if batch.step.per_worker_limit:
+            present = self._present(batch.progress, unit)
         return Placing(
-            candidate.step,
-            candidate.progress.job.service,
-            frozenset(candidate.unit.avoid),
+            batch.step,
+            batch.progress.job.service,
+            frozenset(unit.avoid),
             present,
         )
 
-    def _present(self, candidate: Candidate) -> dict[str, int]:
+    def _present(self, progress: JobProgress, unit: Unit) -> dict[str, int]:
         """Count the tasks of a step on each worker, planned ones included."""
         counts: dict[str, int] = {}
-        unit = candidate.unit
-        units = candidate.progress.units_of(unit.occurrence, unit.step)
+        units = progress.units_of(unit.occurrence, unit.step)
         for unit in units:
             for member in unit.members:
                 if not member.ended:
@@ -274,34 +315,40 @@
                     counts[worker] = counts.get(worker, 0) + 1
         return counts
 
-    def _victims(self, candidate: Candidate) -> list[Victim]:
-        """Return the running units that may be stopped for a candidate."""
+    def _victims(self, batch: Batch, smaller: bool) -> list[Victim]:
+        """Return the running units that may be stopped for a batch's.
+
+        With ``smaller``, covered units whose tasks take fewer accelerators
+        are among them. They find room again in pieces that are too small
+        for this one, and never stop it in turn.
+        """
+        may_stop: dict[str, bool] = {}
         victims = []
-        for progress in self.situation.jobs:
-            queue = queue_of(self.situation, progress)
-            if not self._may_stop(candidate, progress, queue.priority):
+        for progress, unit in self._running():
+            if unit.stopping or unit.done or id(unit) in self.stopped:
                 continue
-            for unit in progress.all_units():
-                if not unit.active or unit.stopping or unit.done:
-                    continue
-                if progress.step_of(unit).endless:
-                    # It serves users of its own all the time.
-                    continue
-                if id(unit) in self.stopped:
-                    continue
+            step = progress.step_of(unit)
+            if step.endless:
+                # It serves users of its own all the time.
+                continue
+            allowed = may_stop.get(progress.job_id)
+            if allowed is None:
+                allowed = self._may_stop(batch, progress)
+                may_stop[progress.job_id] = allowed
+            less = step.demand.accelerators < batch.step.demand.accelerators
+            if allowed or (smaller and less):
                 victims.append(self._victim(progress, unit))
         return victims
 
-    def _may_stop(
-        self, candidate: Candidate, progress: JobProgress, priority: int
-    ) -> bool:
-        if priority > candidate.queue.priority:
+    def _may_stop(self, batch: Batch, progress: JobProgress) -> bool:
+        priority = queue_of(self.situation, progress).priority
+        if priority > batch.queue.priority:
             return True
         if progress.job_id in self.covered:
             return False
         # Urgent work beyond its team's guarantee gives way to urgent work
         # that is covered by one.
-        return candidate.guaranteed
+        return batch.guaranteed
 
     def _victim(self, progress: JobProgress, unit: Unit) -> Victim:
         step = progress.step_of(unit)
@@ -314,50 +361,3 @@
             ran_s = min(ran_s, RESTORE_S)
         cost = ran_s * step.demand.cores * step.unit_size
         return Victim(progress, unit, step.demand, shares, cost)
-
-
-def queue_of(situation: Situation, progress: JobProgress) -> Queue:
-    """Return a job's queue; one that is not known any more comes last."""
-    job = progress.job
-    queue = situation.queues.get(job.queue)
-    if queue is not None:
-        return queue
-    return Queue(job.queue, "", "", job.service, LAST_PRIORITY, 0, 1, 0, False)
-
-
-def covered_jobs(situation: Situation) -> set[str]:
-    """Return the urgent jobs that their teams' guarantees cover.
-
-    A team's jobs are covered in order of arrival, as long as all they need
-    stays within the team's guaranteed accelerators.
-    """
-    needed: dict[str, int] = {}
-    covered: set[str] = set()
-    for progress in by_arrival(situation.jobs):
-        if queue_of(situation, progress).priority != URGENT_PRIORITY:
-            continue
-        team = progress.job.team
-        needed[team] = needed.get(team, 0) + accelerators_left(progress)
-        if needed[team] <= situation.guarantees.get(team, 0):
-            covered.add(progress.job_id)
-    return covered
-
-
-def by_arrival(jobs: Iterable[JobProgress]) -> list[JobProgress]:
-    """Return jobs in the order in which they were accepted."""
-    return sorted(jobs, key=lambda progress: progress.job.accepted_unix_s)
-
-
-def accelerators_left(progress: JobProgress) -> int:
-    """Return the accelerators that a job's unfinished units need at once.
-
-    Of a job with a schedule only the first unfinished occurrence counts.
-    """
-    first = min(
-        (u.occurrence for u in progress.all_units() if not u.done), default=0
-    )
-    return sum(
-        progress.step_of(unit).unit_accelerators
-        for unit in progress.all_units()
-        if not unit.done and unit.occurrence == first
-    )
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -189,20 +189,23 @@
         """Return whether all tasks of a step are done."""
         return all(unit.done for unit in self.units_of(occurrence, number))
 
-    def waiting_units(self, now_s: float) -> Iterator[Unit]:
-        """Yield the units whose turn has come and of which no run exists."""
+    def waiting_steps(self, now_s: float) -> Iterator[list[Unit]]:
+        """Yield, by step, the units whose turn has come and that do not run.
+
+        A step of which no unit waits is passed over.
+        """
         if self.cancelled or self.failed:
             return
         for units in self.units:
             occurrence = units[0].occurrence
             if now_s < self.due_s(occurrence):
                 return
-            after = self.step_of(units[0]).after
-            if not all(self.step_done(occurrence, n) for n in after):
+            waiting = [u for u in units if not u.done and not u.active]
+            if not waiting:
                 continue
-            for unit in units:
-                if not unit.done and not unit.active:
-                    yield unit
+            after = self.step_of(units[0]).after
+            if all(self.step_done(occurrence, n) for n in after):
+                yield waiting
 
     def state(self) -> str:
         """Return the state that callers are shown."""
--- /dev/null
+++ b/src/damaskstall/tasks/ranking.py
@@ -0,0 +1,112 @@
+"""Put waiting work in order.
+
+Work that a team's guarantee covers comes first, the largest tasks before
+smaller ones: all of it is to begin at once, and small tasks fit beside large
+ones, but not the other way round. Then comes other work of priority 0, then
+by priority. Within one priority, jobs that can still meet their objective
+come before those that cannot, and less work before more.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskstall.tasks.model import Queue, Step
+from damaskstall.tasks.progress import JobProgress, Unit
+from damaskstall.tasks.situation import (
+    URGENT_PRIORITY,
+    Situation,
+    queue_of,
+)
+
+# A job that ends up to three objectives late still earns its late payoff
+# (RULES, Payoff).
+LATE_FACTOR = 3.0
+
+
+class Batch(NamedTuple):
+    """Hold the waiting units of one step, which all rank alike."""
+
+    progress: JobProgress
+    units: list[Unit]
+    step: Step
+    queue: Queue
+    guaranteed: bool
+
+
+def waiting_batches(
+    situation: Situation, covered: set[str], now_s: float
+) -> list[Batch]:
+    """Return the units whose turn has come, in the order to place them."""
+    found = []
+    for progress in situation.jobs:
+        queue = queue_of(situation, progress)
+        guaranteed = progress.job_id in covered
+        for units in progress.waiting_steps(now_s):
+            step = progress.step_of(units[0])
+            found.append(Batch(progress, units, step, queue, guaranteed))
+    found.sort(key=lambda batch: rank(situation, batch, now_s))
+    return found
+
+
+def rank(
+    situation: Situation, batch: Batch, now_s: float
+) -> tuple[float, ...]:
+    """Return the place of a batch in the order; lower comes first."""
+    progress, queue = batch.progress, batch.queue
+    expectations = situation.expectations
+    objective_s = expectations.objective_s(progress, queue)
+    occurrence = batch.units[0].occurrence
+    left_s = expectations.left_s(progress, occurrence)
+    due_s = progress.due_s(occurrence)
+    slack_s = due_s + objective_s - left_s - now_s
+    late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
+    if slack_s >= 0:
+        lateness = 0
+    else:
+        lateness = 1 if late_slack_s >= 0 else 2
+    return (
+        -batch.step.demand.accelerators if batch.guaranteed else 1,
+        queue.priority,
+        lateness,
+        expectations.left_core_s(progress, occurrence),
+        due_s,
+        batch.units[0].step,
+    )
+
+
+def covered_jobs(situation: Situation) -> set[str]:
+    """Return the urgent jobs that their teams' guarantees cover.
+
+    A team's jobs are covered in order of arrival, as long as all they need
+    stays within the team's guaranteed accelerators.
+    """
+    needed: dict[str, int] = {}
+    covered: set[str] = set()
+    for progress in by_arrival(situation.jobs):
+        if queue_of(situation, progress).priority != URGENT_PRIORITY:
+            continue
+        team = progress.job.team
+        needed[team] = needed.get(team, 0) + accelerators_left(progress)
+        if needed[team] <= situation.guarantees.get(team, 0):
+            covered.add(progress.job_id)
+    return covered
+
+
+def by_arrival(jobs: Iterable[JobProgress]) -> list[JobProgress]:
+    """Return jobs in the order in which they were accepted."""
+    return sorted(jobs, key=lambda progress: progress.job.accepted_unix_s)
+
+
+def accelerators_left(progress: JobProgress) -> int:
+    """Return the accelerators that a job's unfinished units need at once.
+
+    Of a job with a schedule only the first unfinished occurrence counts.
+    """
+    first = min(
+        (u.occurrence for u in progress.all_units() if not u.done), default=0
+    )
+    return sum(
+        progress.step_of(unit).unit_accelerators
+        for unit in progress.all_units()
+        if not unit.done and unit.occurrence == first
+    )
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -12,8 +12,10 @@
 from damaskstall.tasks.packing import (
     Placing,
     RoomPlan,
+    may_run,
     needs_one_rack,
     pack,
+    tasks_that_fit,
 )
 
 
@@ -61,21 +63,37 @@
     limit_s: float,
 ) -> tuple[float, list[str]] | None:
     """Return when a unit fits on some workers, and on which of them."""
-    wanted = set(names)
     later = plan.copy()
+    fits = {
+        name: tasks_on(later, placing, name)
+        for name in names
+        if may_run(placing, plan.workers[name])
+    }
+    total = sum(fits.values())
     for ending in sorted(endings, key=lambda each: each.left_s):
         if ending.left_s > limit_s:
             return None
-        if wanted.isdisjoint(ending.shares):
-            continue
         for worker in ending.shares:
+            if worker not in fits:
+                continue
             later.give(worker, ending.demand)
-        workers = pack(later, placing, names)
-        if workers is not None:
+            total -= fits[worker]
+            fits[worker] = tasks_on(later, placing, worker)
+            total += fits[worker]
+        if total >= placing.step.unit_size:
+            workers = pack(later, placing, names)
+            assert workers is not None
             return ending.left_s, workers
     return None
 
 
+def tasks_on(plan: RoomPlan, placing: Placing, worker: str) -> int:
+    """Return how many of a unit's tasks fit on a worker."""
+    return tasks_that_fit(
+        placing, worker, plan.free[worker], placing.step.unit_size
+    )
+
+
 def kept_room(
     plan: RoomPlan,
     demand: Demand,
@@ -105,11 +123,8 @@
     return kept
 
 
-def open_plan(
-    plan: RoomPlan, reservations: list[Reservation], expected_s: float
-) -> RoomPlan:
-    """Return the room that a unit of an expected run time may use."""
-    held = [each for each in reservations if each.after_s < expected_s]
+def open_plan(plan: RoomPlan, held: list[Reservation]) -> RoomPlan:
+    """Return the room that is left beside what is kept for others."""
     if not held:
         return plan
     left = plan.copy()
--- /dev/null
+++ b/tests/tasks/situations.py
@@ -0,0 +1,146 @@
+"""Build situations for the decisions, and carry decisions out."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from damaskstall.tasks.capacity import Room
+from damaskstall.tasks.expectations import Expectations
+from damaskstall.tasks.model import (
+    NOTHING,
+    AcceptedJob,
+    Demand,
+    JobDeclaration,
+    Queue,
+    Step,
+    WorkerInfo,
+)
+from damaskstall.tasks.policy import Decision, StartUnit, decide
+from damaskstall.tasks.progress import JobProgress
+from damaskstall.tasks.situation import Situation
+
+SERVICE = "svc"
+CAPACITY = Demand(64_000, 262_144, 8)
+URGENT, NORMAL, BULK = "urgent", "normal", "bulk"
+PRIORITIES = {URGENT: 0, NORMAL: 1, BULK: 2}
+
+
+def queue(name: str) -> Queue:
+    """Return a queue as the operators' sites have them."""
+    return Queue(
+        name, "h", f"/{name}/", SERVICE, PRIORITIES[name], 3, 3.0, 1.0, False
+    )
+
+
+def task(accelerators: int, **fields: Any) -> Step:
+    """Return a step of one task, or of more where a field says so."""
+    demand = Demand(1000, 1000, accelerators)
+    return Step(1, demand, 2.0)._replace(**fields)
+
+
+class Fleet:
+    """Hold workers with what runs on them, and the jobs.
+
+    A stop takes effect at once.
+    """
+
+    def __init__(self, racks: int, per_rack: int) -> None:
+        """Start with empty workers and no jobs."""
+        self.workers = [
+            WorkerInfo(
+                name=f"w{rack}{place}",
+                service=SERVICE,
+                host="10.0.0.1",
+                port=1,
+                failure_domain=f"fd{rack}",
+                rack=f"r{rack}-0",
+                labels=frozenset({"a", f"r{rack}-0"}),
+                capacity=CAPACITY,
+                leaving=False,
+                guards_capacity=False,
+                incarnation=1,
+            )
+            for rack in range(racks)
+            for place in range(per_rack)
+        ]
+        self.jobs: list[JobProgress] = []
+        self.guarantees: dict[str, int] = {}
+        self.expectations = Expectations()
+
+    def add(
+        self, queue_name: str, *steps: Step, team: str = "blue"
+    ) -> JobProgress:
+        """Hand a job in; later ones arrive later."""
+        number = len(self.jobs)
+        job = AcceptedJob(
+            f"{number:016x}",
+            queue_name,
+            SERVICE,
+            team,
+            float(number),
+            JobDeclaration("text", steps),
+        )
+        progress = JobProgress(job, 1, 0.0)
+        self.jobs.append(progress)
+        return progress
+
+    def run_on(self, progress: JobProgress, *workers: str) -> None:
+        """Let a job's first unit run on workers, one for each task."""
+        unit = next(progress.all_units())
+        progress.begin_run(unit, [(name, 1) for name in workers], 0.0)
+        for member in unit.members:
+            member.confirmed = True
+
+    def rooms(self) -> list[Room]:
+        """Return what is free."""
+        free = {worker.name: worker.capacity for worker in self.workers}
+        for progress in self.jobs:
+            for unit in progress.all_units():
+                demand = progress.step_of(unit).demand
+                for member in unit.members:
+                    free[member.worker] = free[member.worker].minus(demand)
+        for name, room in free.items():
+            assert min(room) >= min(NOTHING), f"{name} is over its capacity"
+        return [Room(w, free[w.name], free[w.name]) for w in self.workers]
+
+    def situation(self) -> Situation:
+        """Return what decisions depend on."""
+        queues = {name: queue(name) for name in PRIORITIES}
+        return Situation(
+            self.jobs, queues, self.guarantees, self.rooms(), self.expectations
+        )
+
+    def decide(self, now_s: float = 1.0) -> list[Decision]:
+        """Decide once."""
+        return decide(self.situation(), now_s)
+
+    def apply(self, decisions: Iterable[Decision], now_s: float = 1.0) -> None:
+        """Carry decisions out."""
+        for decision in decisions:
+            unit = decision.unit
+            if isinstance(decision, StartUnit):
+                placed = [(name, 1) for name in decision.workers]
+                decision.progress.begin_run(unit, placed, now_s)
+                for member in unit.members:
+                    member.confirmed = True
+            else:
+                unit.members = []
+
+    def settle(self, rounds: int = 3) -> None:
+        """Decide and carry out a few times, within one moment."""
+        for _ in range(rounds):
+            self.apply(self.decide())
+            self.rooms()
+
+    def racks_of(self, progress: JobProgress) -> set[str]:
+        """Return the racks on which a job's tasks run."""
+        racks = {worker.name: worker.rack for worker in self.workers}
+        return {
+            racks[member.worker]
+            for unit in progress.all_units()
+            for member in unit.members
+        }
+
+
+def runs(progress: JobProgress) -> bool:
+    """Return whether all units of a job run."""
+    return all(unit.active for unit in progress.all_units())
--- /dev/null
+++ b/tests/tasks/test_policy.py
@@ -0,0 +1,171 @@
+"""Decisions on waiting work: order, packing, room made and room kept."""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from damaskstall.tasks.model import Step
+from damaskstall.tasks.policy import StartUnit, StopUnit
+from damaskstall.tasks.progress import JobProgress
+from tests.tasks.situations import (
+    BULK,
+    NORMAL,
+    URGENT,
+    Fleet,
+    runs,
+    task,
+)
+
+
+def gang(tasks: int, accelerators: int = 8, **fields: Any) -> Step:
+    """Return a gang that is slowed when it spans racks."""
+    step = task(accelerators, task_count=tasks, gang=True, one_rack=True)
+    return step._replace(**fields)
+
+
+def test_more_urgent_queue_is_served_first() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    bulk = fleet.add(BULK, task(8))
+    normal = fleet.add(NORMAL, task(8))
+    fleet.settle()
+    assert runs(normal)
+    assert not runs(bulk)
+
+
+def test_tasks_of_a_step_fill_one_worker_before_the_next() -> None:
+    fleet = Fleet(racks=1, per_rack=3)
+    job = fleet.add(BULK, task(1, task_count=10))
+    fleet.settle()
+    used = [unit.members[0].worker for unit in job.all_units()]
+    assert used == ["w00"] * 8 + ["w01"] * 2
+
+
+def test_tasks_that_find_no_room_wait_and_the_others_run() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(BULK, task(1, task_count=10))
+    fleet.settle()
+    assert sum(unit.active for unit in job.all_units()) == 8
+
+
+def test_task_keeps_away_from_a_worker_where_it_failed() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    job = fleet.add(BULK, task(1, task_count=2))
+    first = next(job.all_units())
+    first.avoid.add("w00")
+    fleet.settle()
+    assert first.members[0].worker == "w01"
+
+
+def test_limit_per_worker_spreads_the_tasks_of_a_step() -> None:
+    fleet = Fleet(racks=1, per_rack=3)
+    job = fleet.add(BULK, task(1, task_count=6, per_worker_limit=2))
+    fleet.settle()
+    used = [unit.members[0].worker for unit in job.all_units()]
+    assert sorted(used) == ["w00"] * 2 + ["w01"] * 2 + ["w02"] * 2
+
+
+def test_gang_runs_in_one_rack_though_others_are_fuller() -> None:
+    fleet = Fleet(racks=2, per_rack=3)
+    fleet.run_on(fleet.add(BULK, task(8)), "w00")
+    fleet.run_on(fleet.add(BULK, task(8)), "w01")
+    job = fleet.add(NORMAL, gang(2))
+    fleet.settle()
+    assert fleet.racks_of(job) == {"r1-0"}
+
+
+def test_urgent_job_stops_what_loses_least() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    dear = fleet.add(BULK, task(8))
+    cheap = fleet.add(BULK, task(8, checkpoints=True))
+    fleet.run_on(dear, "w00")
+    fleet.run_on(cheap, "w01")
+    urgent = fleet.add(URGENT, task(8))
+    decisions = fleet.decide(now_s=5.0)
+    assert [type(each) for each in decisions] == [StopUnit]
+    assert decisions[0].progress is cheap
+    fleet.apply(decisions)
+    fleet.settle(1)
+    assert runs(urgent)
+    assert runs(dear)
+
+
+def test_urgent_job_beyond_its_guarantee_gives_way_to_one_within() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    beyond = fleet.add(URGENT, task(8), team="red")
+    fleet.run_on(beyond, "w00")
+    fleet.guarantees = {"blue": 8}
+    within = fleet.add(URGENT, task(8), team="blue")
+    fleet.settle()
+    assert runs(within)
+
+
+def test_guaranteed_gang_spans_racks_where_no_rack_can_be_cleared() -> None:
+    """Slow work in time goes before fast work that never begins."""
+    fleet = Fleet(racks=2, per_rack=2)
+    fleet.guarantees = {"red": 16, "blue": 16}
+    for worker in ("w00", "w10"):
+        fleet.run_on(fleet.add(URGENT, task(8), team="red"), worker)
+    job = fleet.add(URGENT, gang(2), team="blue")
+    fleet.settle()
+    assert runs(job)
+    assert fleet.racks_of(job) == {"r0-0", "r1-0"}
+
+
+SIZES = st.sampled_from([1, 2, 4, 8])
+WIDTHS = st.integers(min_value=1, max_value=6)
+
+
+@st.composite
+def crowded_fleets(draw: st.DrawFn) -> tuple[Fleet, list[JobProgress]]:
+    """Return a full fleet, and jobs that their teams' guarantees cover."""
+    fleet = Fleet(racks=2, per_rack=3)
+    for _ in range(draw(st.integers(min_value=4, max_value=14))):
+        name = draw(st.sampled_from([URGENT, NORMAL, BULK]))
+        step = task(
+            draw(SIZES),
+            task_count=draw(WIDTHS),
+            gang=draw(st.booleans()),
+            one_rack=draw(st.booleans()),
+            checkpoints=draw(st.booleans()),
+        )
+        fleet.add(name, step, team="guest")
+    fleet.settle(1)
+    covered = []
+    left = 48
+    for team in ("blue", "red", "green"):
+        accelerators, tasks = draw(SIZES), draw(WIDTHS)
+        needed = accelerators * tasks
+        if needed > left:
+            continue
+        left -= needed
+        fleet.guarantees[team] = needed
+        step = gang(tasks, accelerators, one_rack=draw(st.booleans()))
+        covered.append(fleet.add(URGENT, step, team=team))
+    return fleet, covered
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(crowded_fleets())
+def test_every_covered_job_finds_room_at_once(
+    crowd: tuple[Fleet, list[JobProgress]],
+) -> None:
+    """Guarantees hold in whatever pieces others have left the workers."""
+    fleet, covered = crowd
+    fleet.settle(4)
+    for job in covered:
+        assert runs(job)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(crowded_fleets())
+def test_work_that_runs_is_stopped_for_urgent_work_only(
+    crowd: tuple[Fleet, list[JobProgress]],
+) -> None:
+    fleet, _ = crowd
+    by_id = {job.job_id: job for job in fleet.jobs}
+    for decision in fleet.decide():
+        if isinstance(decision, StartUnit):
+            continue
+        assert by_id[decision.for_job].job.queue == URGENT
+        assert decision.progress.job.team == "guest"
