Count a run whose start was answered too late to tell

A refusal speaks for its own try only. Where an earlier try was not answered, the worker's lists alone tell now whether the run exists.

Ruled out: two holders (one holder all the time), orders carried out late beyond their time (not_after bounds them). Test: a worker carries the first tries out without an answer and refuses later ones; failed before (a task ran twice at once).

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -211,38 +211,54 @@
             self.epoch, key, payload, not_after_s, checkpoint
         )
         self.wake()
+        unanswered = False
         while self.worker_clock_s() < not_after_s:
             if key not in self.expected or not self.owner.wants(key):
                 return
             try:
                 async with self._orders:
                     clock_s = await self.calls.start(request)
-            except FencedError:
-                self.owner.note_fenced()
-                return
-            except WorkerReplacedError:
-                self._replace(0)
-                return
-            except OrderRefusedError as error:
-                log(
-                    RUN_REFUSED,
-                    job=key.task.job_id,
-                    worker=self.worker.name,
-                    run=key.run,
-                    reason=error.reason,
-                )
-                if not error.reason:
-                    self.health.note_refused(self.clock())
-                self._end(key, ENDED_NOT_STARTED)
-                return
-            except (OrderNotSentError, OrderUnansweredError):
+            except (OrderNotSentError, OrderUnansweredError) as error:
+                unanswered |= isinstance(error, OrderUnansweredError)
                 await sleep(RETRY_S)
                 continue
+            except (
+                FencedError,
+                WorkerReplacedError,
+                OrderRefusedError,
+            ) as error:
+                self._note_start_refused(key, error, unanswered)
+                return
             self.health.note_started()
             if key in self.expected:
                 self.expected[key] = Expected(clock_s, True)
             return
 
+    def _note_start_refused(
+        self, key: RunKey, error: Exception, unanswered: bool
+    ) -> None:
+        """Take note that a worker has refused a start.
+
+        Where an earlier try was not answered, it may have been carried out:
+        then only the worker's lists tell whether the run exists.
+        """
+        if isinstance(error, FencedError):
+            self.owner.note_fenced()
+        elif isinstance(error, WorkerReplacedError):
+            self._replace(0)
+        elif isinstance(error, OrderRefusedError):
+            log(
+                RUN_REFUSED,
+                job=key.task.job_id,
+                worker=self.worker.name,
+                run=key.run,
+                reason=error.reason,
+            )
+            if not error.reason:
+                self.health.note_refused(self.clock())
+            if not unanswered:
+                self._end(key, ENDED_NOT_STARTED)
+
     def stop(self, key: RunKey) -> None:
         """Order the end of a run; the worker lists it once it has ended."""
         self.load.mark_stopping(key)
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -6,7 +6,14 @@
 from standins.operators.store import BUSY, EVERYONE, MANY, RESET, SILENT
 from tests.tasks.checker import check_finished_once, check_runs
 from tests.tasks.jobs import FOUR, GANG, ONE, WHOLE, job_id
-from tests.tasks.world import BULK, NORMAL, URGENT, World, play
+from tests.tasks.world import (
+    BULK,
+    NORMAL,
+    URGENT,
+    Scenario,
+    World,
+    play,
+)
 
 
 def other_than(world: World, name: str | None) -> str:
@@ -423,3 +430,21 @@
 
     for wait in range(4):
         play(scenario, seed=wait)
+
+
+def test_refused_repeat_of_a_start_is_no_proof_that_it_never_ran() -> None:
+    """An earlier try that was not answered may have been carried out."""
+
+    def scenario_with(lost_orders: int) -> Scenario:
+        async def scenario(world: World) -> None:
+            late_orders_s = [1.0, 1.0] + [5.0] * lost_orders
+            world.workers["w00"].late_orders_s = late_orders_s
+            await world.submit(job_id(1), [FOUR], work_s=4.0)
+            await world.wait_state(job_id(1), "completed")
+            check_finished_once(world, job_id(1))
+            check_runs(world)
+
+        return scenario
+
+    for lost_orders in range(2, 14):
+        play(scenario_with(lost_orders))
