Learn from the list of machines which silent workers are gone; move runs off workers that leave

A trial showed what tells the two kinds of silence apart: within 0.3 s the platform's list of machines showed crashed workers as down and removed ones no more, while workers that were cut off and ran on stayed listed as up.

Change: while a worker with runs is silent, the holder reads that list, and ends the runs of workers without a running machine. Runs whose pace tells that they will not be done before their worker leaves are stopped early; those that save themselves work until shortly before.

--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -164,6 +164,10 @@
     """A row of the platform's is not of the form it should have."""
 
 
+class MachineListUnavailableError(PlatformError):
+    """The platform did not say which machines are up."""
+
+
 class OrderError(DamaskstallError):
     """An order to a worker did not succeed."""
 
--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -4,7 +4,7 @@
 
 from yaml import YAMLError, safe_load
 
-from damaskstall.addresses import parse_address
+from damaskstall.addresses import Address, parse_address
 from damaskstall.errors import SettingsError
 from damaskstall.tasks.node_settings import NodeSettings
 
@@ -46,9 +46,16 @@
         stop_grace_s=float(bounds["grace_s"]),
         key_removal_s=seconds(bounds["revoke_ms"]),
         worker_lease_s=seconds(bounds["hold_maximum_ms"]),
+        machines=machines_address(value),
     )
 
 
+def machines_address(value: Any) -> Address | None:
+    """Return where the list of machines is, or None where there is none."""
+    address = (value.get("cloud_api") or {}).get("address")
+    return parse_address(address) if address else None
+
+
 def seconds(milliseconds: Any) -> float:
     """Return a time in seconds."""
     return float(milliseconds) / MILLISECONDS_PER_S
--- a/src/damaskstall/platform/node_main.py
+++ b/src/damaskstall/platform/node_main.py
@@ -70,7 +70,7 @@
         exit(USAGE_EXIT_CODE)
     send_logs(PROGRAM, LOG_LEVEL, True, LogSink(stdout.fileno()))
     network = TcpNetwork()
-    platform = OperatorsPlatform(network, settings.store)
+    platform = OperatorsPlatform(network, settings.store, settings.machines)
     node = Node(network, settings, platform, JobBodies(), boot_time_s)
     run(serve, node, path)
 
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -5,6 +5,7 @@
 from damaskstall.addresses import Address, parse_address
 from damaskstall.errors import MalformedRowError, SettingsError
 from damaskstall.network import Network
+from damaskstall.platform.machine_list import MachineList
 from damaskstall.platform.row_store import RowStore
 from damaskstall.platform.types import Row
 from damaskstall.platform.worker_calls import HttpWorkerCalls
@@ -26,10 +27,13 @@
 class OperatorsPlatform:
     """Translate between the operators' platform and the product."""
 
-    def __init__(self, network: Network, store: Address) -> None:
-        """Name the platform's store."""
+    def __init__(
+        self, network: Network, store: Address, machines: Address | None
+    ) -> None:
+        """Name the platform's store, and its list of machines if any."""
         self.network = network
         self.table = RowStore(network, store)
+        self.machines = MachineList(network, machines)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether a row's key is that of the configuration."""
@@ -62,6 +66,10 @@
                 f"The row {row.key!r} names no worker: {error!r}."
             ) from error
 
+    async def running_workers(self) -> frozenset[str]:
+        """Return the names of the workers whose machines are up."""
+        return await self.machines.running_workers()
+
     def calls_for(self, worker: WorkerInfo) -> HttpWorkerCalls:
         """Return the calls to one worker."""
         return HttpWorkerCalls(self.network, worker)
@@ -135,9 +143,18 @@
         value["state"] != "ready",
         value["service"] in state.guarded_services,
         int(value.get("born", 0)),
+        leaves_in_s(value),
     )
 
 
+def leaves_in_s(value: Any) -> float | None:
+    """Return how long a draining worker stays at least, if it says so."""
+    remaining_ms = value.get("remaining_ms")
+    if value["state"] == "ready" or remaining_ms is None:
+        return None
+    return float(remaining_ms) / MILLISECONDS_PER_S
+
+
 def rack_of(labels: frozenset[str]) -> str:
     """Return the rack among a worker's labels, or "" without one."""
     racks = [
--- /dev/null
+++ b/src/damaskstall/tasks/departures.py
@@ -0,0 +1,32 @@
+"""Judge which runs to move off a worker before it leaves.
+
+The load this answers: workers are drained and taken away some seconds later,
+at short notice also within two. What runs there then is lost.
+"""
+
+from damaskstall.tasks.model import Step
+from damaskstall.tasks.progress import Unit
+from damaskstall.tasks.stalls import is_at_work, left_of_run_s
+
+# A run is only given up if it would miss the time by more than this, since
+# its pace so far tells its end roughly.
+PACE_ERROR_RATIO = 1.25
+# Work that saves itself goes on until its stop must be ordered: a report is
+# read up to 0.5 s late (worker_list), looked at 0.5 s later at most (holder),
+# and a stop takes up to 0.2 s (bounds, stop_ms).
+SAVE_MARGIN_S = 1.2
+
+
+def should_move(
+    unit: Unit, step: Step, leaves_in_s: float, now_s: float
+) -> bool:
+    """Return whether to stop a unit now, so that it runs on elsewhere.
+
+    ``leaves_in_s`` is when the first of its workers leaves.
+    """
+    if step.endless or unit.stopping or unit.done:
+        return False
+    if step.checkpoints:
+        return leaves_in_s <= SAVE_MARGIN_S and is_at_work(unit)
+    left_s = left_of_run_s(unit, now_s)
+    return left_s is not None and left_s > leaves_in_s * PACE_ERROR_RATIO
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -129,6 +129,22 @@
 WORKER_IGNORED = Event(
     8044, "WARNING", "worker_ignored", "An entry names no usable worker."
 )
+WORKER_GONE = Event(
+    8046,
+    "WARNING",
+    "task_worker_gone",
+    "The platform lists no running machine for a silent worker: its runs "
+    "have ended.",
+)
+CENSUS_LOST = Event(
+    8047,
+    "WARNING",
+    "machine_list_lost",
+    "The list of machines does not answer while workers are silent.",
+)
+CENSUS_REGAINED = Event(
+    8048, "INFO", "machine_list_regained", "The list of machines answers."
+)
 WORKER_SUSPECTED = Event(
     8045,
     "WARNING",
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -15,7 +15,9 @@
 from damaskstall.events import log
 from damaskstall.platform.types import Row, Value
 from damaskstall.scheduler.lease import CellLease
+from damaskstall.tasks.census import Census
 from damaskstall.tasks.context import NodeContext
+from damaskstall.tasks.departures import should_move
 from damaskstall.tasks.events import (
     HOLDER_READY,
     ROW_CONFLICT,
@@ -92,6 +94,9 @@
                         self.reader.follow, table, take, self._resync
                     )
                 nursery.start_soon(self.pool.follow, nursery)
+                nursery.start_soon(
+                    Census(self.context.platform, self.pool).run
+                )
                 nursery.start_soon(self._follow_state)
                 await self.pool.wait_answered(FENCE_WAIT_S)
                 self.ready = True
@@ -312,6 +317,7 @@
             self.pool.end_orphans()
             now_s = self.context.clock()
             self._stop_stalled(now_s)
+            self._stop_leaving(now_s)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._situation(), now_s):
                     self._apply(decision)
@@ -447,6 +453,19 @@
         ran_s = self.context.clock() - unit.started_s
         self.expectations.learn(progress.job.queue, step.estimate_s, ran_s)
 
+    def _stop_leaving(self, now_s: float) -> None:
+        """Stop runs that will not be done before their workers leave."""
+        leaving = self.pool.leaving()
+        if not leaving:
+            return
+        for progress in self.jobs.values():
+            for unit in progress.all_units():
+                left = [leaving[w] for w in unit.workers() if w in leaving]
+                step = progress.step_of(unit)
+                if left and should_move(unit, step, min(left), now_s):
+                    reason = f"a worker leaves in {min(left):.1f} s"
+                    self._stop_unit(progress, unit, reason)
+
     def _stop_stalled(self, now_s: float) -> None:
         """Stop runs that stand still, so that they go on elsewhere."""
         for progress in self.jobs.values():
--- a/src/damaskstall/tasks/model.py
+++ b/src/damaskstall/tasks/model.py
@@ -175,7 +175,8 @@
     """Describe a worker as the platform's list shows it.
 
     ``incarnation`` tells one life of the worker from the next under the same
-    name. ``leaving`` says that it drains.
+    name. ``leaving`` says that it drains, and ``leaves_in_s`` for how long it
+    stays at least, as of its last report.
     """
 
     name: str
@@ -189,3 +190,4 @@
     leaving: bool
     guards_capacity: bool
     incarnation: int
+    leaves_in_s: float | None = None
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -11,6 +11,7 @@
     ``stop_grace_s`` is the time from the request to stop until the process
     is killed. ``key_removal_s`` bounds how long a removed key may still be
     accepted. ``worker_lease_s`` is the longest lease a worker grants.
+    ``machines`` is where the platform lists its machines, if it does.
     """
 
     instance: str
@@ -24,3 +25,4 @@
     stop_grace_s: float
     key_removal_s: float
     worker_lease_s: float
+    machines: Address | None = None
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -203,7 +203,7 @@
         if self.endings is None:
             self.endings = [
                 Ending(
-                    tuple(m.worker for m in unit.members if not m.ended),
+                    unit.workers(),
                     progress.step_of(unit).demand,
                     self._left_of_run_s(progress, unit),
                 )
@@ -352,12 +352,9 @@
 
     def _victim(self, progress: JobProgress, unit: Unit) -> Victim:
         step = progress.step_of(unit)
-        shares = tuple(
-            member.worker for member in unit.members if not member.ended
-        )
         ran_s = self.now_s - unit.started_s
         if step.checkpoints:
             # A stop saves what was done; the next start restores it.
             ran_s = min(ran_s, RESTORE_S)
         cost = ran_s * step.demand.cores * step.unit_size
-        return Victim(progress, unit, step.demand, shares, cost)
+        return Victim(progress, unit, step.demand, unit.workers(), cost)
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -114,6 +114,13 @@
     def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
         """Return the worker of a row; raise MalformedRowError."""
 
+    async def running_workers(self) -> frozenset[str]:
+        """Return the names of the workers whose machines are up.
+
+        What ran on any other worker has ended. Raises
+        MachineListUnavailableError where that cannot be told.
+        """
+
     def calls_for(self, worker: WorkerInfo) -> WorkerCalls:
         """Return the calls to one worker."""
 
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -101,6 +101,10 @@
         """Return whether a run of the unit may exist."""
         return bool(self.members)
 
+    def workers(self) -> tuple[str, ...]:
+        """Return the workers of tasks that may run, one for each task."""
+        return tuple(m.worker for m in self.members if not m.ended)
+
 
 class JobProgress:
     """Hold one accepted job and the state of its units.
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -135,14 +135,42 @@
             if session is not None and not member.ended:
                 session.stop(progress.run_key(unit, position))
 
+    def silent_workers(self) -> set[str]:
+        """Return the workers that do not answer and may have runs."""
+        silent = {orphan.worker for orphan in self._orphans.values()}
+        for name, session in self.sessions.items():
+            if session.load.runs and not session.reachable:
+                silent.add(name)
+        return silent
+
+    def note_gone(self, name: str) -> None:
+        """Take note that a worker does not run any more."""
+        session = self.sessions.get(name)
+        if session is not None:
+            session.note_gone()
+        for key, orphan in list(self._orphans.items()):
+            if orphan.worker == name:
+                self._end_orphan(key, orphan)
+
+    def leaving(self) -> dict[str, float]:
+        """Return the workers that leave, with in how many seconds."""
+        found = {
+            name: session.leaves_in_s()
+            for name, session in self.sessions.items()
+        }
+        return {n: left for n, left in found.items() if left is not None}
+
     def end_orphans(self) -> None:
         """End runs of unlisted workers once they have surely lapsed."""
         now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
             if now_s >= orphan.lapse_s:
-                del self._orphans[key]
-                end = EndReport(0, key, ENDED_LAPSED, "")
-                self.owner.note_end(orphan.worker, end)
+                self._end_orphan(key, orphan)
+
+    def _end_orphan(self, key: RunKey, orphan: Orphan) -> None:
+        del self._orphans[key]
+        end = EndReport(0, key, ENDED_LAPSED, "")
+        self.owner.note_end(orphan.worker, end)
 
     def is_seen(self, unit: Unit) -> bool:
         """Return whether all workers of a unit's run answer now."""
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -25,6 +25,7 @@
     SESSION_FENCED,
     SESSION_LOST,
     SESSION_REPLACED,
+    WORKER_GONE,
 )
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
@@ -143,6 +144,7 @@
         self._read_s = 0.0
         self._until_s = 0.0
         started_s = clock()
+        self._listed_s = started_s
         # Until the worker answers, an earlier holder's last extension counts.
         self._lapse_s = started_s + OUTAGE_HOLD_S + lease_limit_s(self.lease_s)
         self._stop_sent_s: dict[RunKey, float] = {}
@@ -270,6 +272,20 @@
         self._nursery.start_soon(self._send_stop, key)
         self.wake()
 
+    def leaves_in_s(self) -> float | None:
+        """Return for how long the worker stays at least, if it leaves."""
+        if self.worker.leaves_in_s is None:
+            return None
+        passed_s = self.clock() - self._listed_s
+        return max(0.0, self.worker.leaves_in_s - passed_s)
+
+    def note_gone(self) -> None:
+        """Take note that the worker does not run any more."""
+        if self.reachable or not self.load.runs:
+            return
+        log(WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs))
+        self._end_all()
+
     def wake(self) -> None:
         """Let the session look for what is to be held."""
         self._wake.set()
@@ -279,6 +295,8 @@
         """Take in the worker's entry, or that there is none."""
         self.listed = worker is not None
         if worker is not None:
+            if worker is not self.worker:
+                self._listed_s = self.clock()
             self.worker = worker
             if self.incarnation and worker.incarnation > self.incarnation:
                 self._replace(worker.incarnation)
--- /dev/null
+++ b/standins/operators/machines.py
@@ -0,0 +1,68 @@
+"""Serve the stand-in list of machines, page by page."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from trio import TASK_STATUS_IGNORED, TaskStatus
+from trio.abc import HalfCloseableStream
+
+from damaskstall.addresses import Address
+from damaskstall.http.messages import Request, Response, json_response
+from damaskstall.http.server import DrainState, ServerLimits, serve_connection
+from standins.network import MemoryNetwork
+from standins.operators.worker import StandinWorker
+
+HOST = "machines"
+ADDRESS = Address("10.0.0.2", 8524)
+PAGE_SIZE = 2
+LIMITS = ServerLimits(connections=1000, idle_timeout_s=600.0)
+
+
+class StandinMachines:
+    """List the workers' machines; ``status`` may be set to refuse calls."""
+
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        workers: Callable[[], Iterable[StandinWorker]],
+    ) -> None:
+        """Serve at ADDRESS of a network in memory."""
+        self.network = network
+        self.workers = workers
+        self.status = 200
+        self.calls = 0
+
+    async def run(
+        self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        end = self.network.end(HOST)
+        await end.serve(self._serve, ADDRESS, task_status)
+
+    async def _serve(self, stream: HalfCloseableStream) -> None:
+        await serve_connection(stream, self._handle, LIMITS, DrainState())
+
+    async def _handle(self, request: Request) -> Response:
+        self.calls += 1
+        if self.status != 200:
+            return json_response(self.status, {})
+        first = int(request.query.get("page_token", "0"))
+        entries = [entry(worker) for worker in self.workers()]
+        last = first + PAGE_SIZE
+        token = str(last) if last < len(entries) else None
+        return json_response(
+            200, {"machines": entries[first:last], "next_page_token": token}
+        )
+
+
+def entry(worker: StandinWorker) -> dict[str, Any]:
+    """Return what the list says of a worker's machine."""
+    return {
+        "machine": f"m-{worker.name}",
+        "pool": "svc",
+        "state": "up" if worker.up else "down",
+        "zone": "fd0",
+        "labels": ["a", worker.rack],
+        "capacity": worker.capacity,
+        "identifier": worker.name if worker.up else "",
+    }
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -67,6 +67,7 @@
 
     def boot(self, born: int) -> None:
         """Begin a life that knows nothing of the one before."""
+        self.up = True
         self.born = born
         self.booted_s = current_time()
         self.fence = 0
@@ -83,6 +84,7 @@
             run.ended_s = current_time()
             run.how = "lost"
         self.running = {}
+        self.up = False
         self.network.kill(self.name)
 
     async def restart(self, nursery: Nursery) -> None:
@@ -101,9 +103,15 @@
         end = self.network.end(self.name)
         await end.serve(self._serve, self.address, task_status)
 
-    def entry(self, service: str, zone: str, state: str) -> dict[str, Any]:
+    def entry(
+        self, service: str, zone: str, state: str, remaining_ms: int | None
+    ) -> dict[str, Any]:
         """Return the worker's row in the list."""
+        draining = (
+            {} if remaining_ms is None else {"remaining_ms": remaining_ms}
+        )
         return {
+            **draining,
             "service": service,
             "address": str(self.address),
             "zone": zone,
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -214,9 +214,7 @@
         await world.submit(job_id(1), [FOUR], work_s=12.0)
         await world.wait(lambda: len(world.book.runs) == 4)
         name = world.book.runs[0].worker
-        for node in world.nodes:
-            world.network.cut(node, name)
-            world.network.cut(name, node)
+        world.cut_worker(name)
         await world.wait_state(job_id(1), "completed")
         check_finished_once(world, job_id(1))
         check_runs(world)
@@ -299,13 +297,9 @@
         await world.wait(lambda: len(world.book.runs) == 4)
         await sleep(2.0)
         name = world.book.runs[0].worker
-        for node in world.nodes:
-            world.network.cut(node, name)
-            world.network.cut(name, node)
+        world.cut_worker(name)
         await sleep(6.0)
-        for node in world.nodes:
-            world.network.heal(node, name)
-            world.network.heal(name, node)
+        world.heal_worker(name)
         await world.wait_state(job_id(1), "completed")
         assert len(world.book.runs) == 4
         check_runs(world)
--- a/tests/tasks/world.py
+++ b/tests/tasks/world.py
@@ -14,6 +14,8 @@
 from damaskstall.tasks.node import Node
 from damaskstall.tasks.node_settings import NodeSettings
 from standins.network import MemoryNetwork
+from standins.operators.machines import ADDRESS as MACHINES_ADDRESS
+from standins.operators.machines import StandinMachines
 from standins.operators.runs import TICK_S, RunBook
 from standins.operators.store import ADDRESS as STORE_ADDRESS
 from standins.operators.store import OperatorsStore
@@ -90,6 +92,7 @@
         self.store = OperatorsStore(self.network)
         self.book = RunBook()
         self.workers: dict[str, StandinWorker] = {}
+        self.machines = StandinMachines(self.network, self.workers.values)
         self.nodes: dict[str, Node] = {}
         self.scopes: dict[str, CancelScope] = {}
         self.nursery: Nursery | None = None
@@ -108,6 +111,7 @@
         """Start everything and wait until one node decides."""
         self.nursery = nursery
         await nursery.start(self.store.run)
+        await nursery.start(self.machines.run)
         for worker in self.workers.values():
             await nursery.start(worker.run)
             self.list_worker(worker)
@@ -117,12 +121,28 @@
             await self.start_node(f"n{number}")
         await self.wait(lambda: self.holder() is not None)
 
-    def list_worker(self, worker: StandinWorker, state: str = "ready") -> None:
+    def list_worker(
+        self,
+        worker: StandinWorker,
+        state: str = "ready",
+        remaining_ms: int | None = None,
+    ) -> None:
         """Write a worker's entry."""
         domain = f"fd{worker.name[1]}"
-        self.store.put(
-            "servers", worker.name, worker.entry(SERVICE, domain, state)
-        )
+        entry = worker.entry(SERVICE, domain, state, remaining_ms)
+        self.store.put("servers", worker.name, entry)
+
+    def cut_worker(self, name: str) -> None:
+        """Cut a worker off from all nodes."""
+        for node in self.nodes:
+            self.network.cut(node, name)
+            self.network.cut(name, node)
+
+    def heal_worker(self, name: str) -> None:
+        """Mend what ``cut_worker`` did."""
+        for node in self.nodes:
+            self.network.heal(node, name)
+            self.network.heal(name, node)
 
     async def start_node(self, name: str) -> None:
         """Start a node, or start it anew after a kill."""
@@ -140,9 +160,10 @@
             stop_grace_s=6.0,
             key_removal_s=5.0,
             worker_lease_s=10.0,
+            machines=MACHINES_ADDRESS,
         )
         network = self.network.end(name)
-        platform = OperatorsPlatform(network, STORE_ADDRESS)
+        platform = OperatorsPlatform(network, STORE_ADDRESS, MACHINES_ADDRESS)
         node = Node(
             network, settings, platform, JobBodies(), current_time, unix_s
         )
