Read whole tables; let instances with much more processor decide

Two faults of reading: a successor that loaded jobs built the second page's key wrongly and saw none of its jobs (over 500 rows or 1 MB in a part), and counts of waiting jobs, peers and evacuations ended with the first page. Jobs are read by scans of their parts in place of one call a job, so a successor with 300 open jobs makes 16 calls in place of 308.

Strength: on the grown deployments 6 of 43 instances have four times the processor of the others, and a round of decisions takes 27 to 66 ms there against four times that. An instance states its processor in its row; where others have much more it leaves a free lease to them for 0.5 s, and a weak holder asks the strongest, once in 30 s, whether it lives and reaches the store, and then hands over.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -47,9 +47,19 @@
         key_removal_s=seconds(bounds["revoke_ms"]),
         worker_lease_s=seconds(bounds["hold_maximum_ms"]),
         machines=machines_address(value),
+        processor_cores=processor_cores(value.get("limits") or {}),
     )
 
 
+def processor_cores(limits: Any) -> float:
+    """Return what a process may use of a processor, in cores.
+
+    It gets a share of a core that is ``cores`` times as fast as one.
+    """
+    share = float(limits.get("cpu_share", 1.0))
+    return share * float(limits.get("cores", 1))
+
+
 def machines_address(value: Any) -> Address | None:
     """Return where the list of machines is, or None where there is none."""
     address = (value.get("cloud_api") or {}).get("address")
--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -5,9 +5,8 @@
 time: workers obey the highest epoch that has spoken to them.
 """
 
-from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 from uuid import uuid4
 
 from trio import CancelScope, move_on_after, open_nursery, sleep
@@ -28,6 +27,7 @@
     HOLDER_ENDED,
     HOLDER_FAILED,
     HOLDER_STARTED,
+    LEASE_HANDED_OVER,
     STORE_LOST,
     STORE_REGAINED,
 )
@@ -50,6 +50,16 @@
 SLOW_POLL_S = 0.8
 # Candidates do not all try in the same moment.
 SPREAD_S = 0.1
+# A round of decisions takes four times as long on the small instances of the
+# grown sites (0.5 of a core) as on the large ones (2.2). Where others have
+# this much more processor, an instance leaves them a few polls to step in.
+MUCH_MORE_CORES = 1.5
+WEAK_DELAY_S = 0.5
+# A holder that finds itself weak gives the lease up once in this time, so
+# that it does not go to and fro where the stronger ones do not step in.
+HAND_OVER_REST_S = 30.0
+# Asking the other must not cost the renewal that is due meanwhile.
+HAND_OVER_LIMIT_S = 0.2
 # A store that is slow, or refuses this instance so that each renewal begins
 # with a failed try, must not cost the lease: the next TTL allows for several
 # renewals as slow as the last one.
@@ -58,21 +68,30 @@
 PAGE_LIMIT = 10
 
 
+class Members(Protocol):
+    """Know the instances that are alive."""
+
+    def cores_by_name(self) -> dict[str, float]:
+        """Return the processor of this instance and of its live peers."""
+
+    async def reaches_store(self, name: str) -> bool:
+        """Return whether a peer is alive and the store answers it."""
+
+
 class Election:
     """Compete, hold and renew; remember what the holder tells."""
 
-    def __init__(
-        self, context: NodeContext, peers: Callable[[], Iterable[str]]
-    ) -> None:
-        """Start without the lease; ``peers`` names the other instances."""
+    def __init__(self, context: NodeContext, members: Members) -> None:
+        """Start without the lease."""
         self.context = context
-        self.peers = peers
+        self.members = members
         self.identity = f"{context.settings.instance}/{uuid4().hex[:8]}"
         self.holder: TaskHolder | None = None
         self.draining = False
         self.waiting: dict[str, int] = {}
         self.waiting_read_s = float("-inf")
         self.lease_fresh = False
+        self._hand_over_tried_s = float("-inf")
         self._seen_revision = -1
         self._seen_s = 0.0
         self._random = Random()
@@ -141,22 +160,37 @@
 
     def _stands_by(self) -> bool:
         """Return whether this instance is among the first to step in."""
-        names = sorted([*self.peers(), self.context.settings.instance])
-        rank = names.index(self.context.settings.instance)
-        return rank < STANDBY_COUNT
+        cores = self.members.cores_by_name()
+        names = sorted(cores, key=lambda name: (-cores[name], name))
+        return self.context.settings.instance in names[:STANDBY_COUNT]
+
+    def _delay_s(self) -> float:
+        """Return how long to leave a free lease to stronger instances."""
+        cores = self.members.cores_by_name()
+        own = cores[self.context.settings.instance]
+        if max(cores.values()) < MUCH_MORE_CORES * own:
+            return 0.0
+        return WEAK_DELAY_S
 
     def _is_free(self, row: Row | None, now_s: float) -> bool:
+        """Return whether to take the lease, by its row as read now."""
+        revision = row.revision if row is not None else ABSENT
+        if revision != self._seen_revision:
+            self._seen_revision = revision
+            self._seen_s = now_s
+        return now_s - self._seen_s >= self._free_after_s(row)
+
+    def _free_after_s(self, row: Row | None) -> float:
+        """Return for how long a row must stay as it is to be free."""
         if row is None or row.value is None:
-            return True
+            return self._delay_s()
         lease = parse_lease(row.value)
-        if row.revision != self._seen_revision:
-            self._seen_revision = row.revision
-            self._seen_s = now_s
         instance = lease.holder.partition("/")[0]
         if instance == self.context.settings.instance:
             # An earlier process of this instance held it, and is gone.
-            return True
-        return not lease.holder or now_s - self._seen_s >= lease.ttl_s
+            return 0.0
+        left_s = lease.ttl_s if lease.holder else 0.0
+        return left_s + self._delay_s()
 
     async def _acquire(
         self, row: Row | None, table_revision: int
@@ -211,6 +245,9 @@
         failing = False
         while True:
             await sleep(RENEW_S)
+            if await self._should_hand_over(holder):
+                holder.scope.cancel()
+                return
             waiting = holder.waiting_counts()
             extra: tuple[Write, ...] = ()
             if holder.ready and waiting != written:
@@ -235,6 +272,26 @@
             if extra:
                 revision, written = new_revision, waiting
 
+    async def _should_hand_over(self, holder: TaskHolder) -> bool:
+        """Return whether to leave the lease to a stronger instance now.
+
+        That one must be alive and reach the store, which is asked rarely.
+        """
+        now_s = self.context.clock()
+        if not holder.ready or not self._delay_s():
+            return False
+        if now_s - self._hand_over_tried_s < HAND_OVER_REST_S:
+            return False
+        self._hand_over_tried_s = now_s
+        cores = self.members.cores_by_name()
+        strongest = max(cores, key=lambda name: (cores[name], name))
+        alive = False
+        with move_on_after(HAND_OVER_LIMIT_S):
+            alive = await self.members.reaches_store(strongest)
+        if alive:
+            log(LEASE_HANDED_OVER, epoch=holder.lease.epoch, to=strongest)
+        return alive
+
     async def _renew_once(
         self, lease: CellLease, extra: tuple[Write, ...]
     ) -> int:
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -86,6 +86,12 @@
     "holder_failed",
     "An unexpected error ended the decisions here; the lease is given up.",
 )
+LEASE_HANDED_OVER = Event(
+    8024,
+    "INFO",
+    "lease_handed_over",
+    "This instance leaves the lease to one with much more processor.",
+)
 UNIT_STARTED = Event(
     8030, "INFO", "unit_started", "A unit was given workers and is ordered."
 )
--- a/src/damaskstall/tasks/job_desk.py
+++ b/src/damaskstall/tasks/job_desk.py
@@ -27,6 +27,7 @@
     part_prefix,
     progress_row_key,
 )
+from damaskstall.tasks.scans import scan_rows
 
 ACCEPTED = "accepted"
 REPEATED = "repeated"
@@ -39,7 +40,6 @@
 # The holder writes progress rows often; a cancellation that loses the race
 # this many times has met something else.
 CANCEL_TRIES = 8
-SCAN_LIMIT = 500
 
 
 class Outcome(NamedTuple):
@@ -143,8 +143,7 @@
         count = 0
         for part in all_parts():
             prefix = part_prefix(PROGRESS_TABLE, part)
-            page = await self.table.scan(prefix, "", SCAN_LIMIT)
-            for row in page.rows:
+            for row in (await scan_rows(self.table, prefix)).rows:
                 if row.value is not None and row.value["state"] == QUEUED:
                     count += row.value["queue"] == queue
         return count
--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -16,16 +16,16 @@
 from damaskstall.tasks.ports import WatchedTable
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.records import (
+    JOB_TABLE,
     PROGRESS_TABLE,
     all_parts,
     decode_job,
     job_id_of,
-    job_row_key,
     part_prefix,
     restore_progress,
 )
+from damaskstall.tasks.scans import scan_rows
 
-SCAN_LIMIT = 500
 # A connection that has gone silent is noticed after this and a call's limit.
 WATCH_S = 2.0
 RETRY_LIMIT_S = 0.5
@@ -109,53 +109,38 @@
             tries = 0
 
     async def _load(self) -> list[JobProgress]:
+        """Read progress first: a job's own row is written with it."""
+        progress_rows, revision = await self._scan(PROGRESS_TABLE)
+        job_rows, _ = await self._scan(JOB_TABLE)
+        found = []
+        for job_id, row in progress_rows.items():
+            job_row = job_rows.get(job_id)
+            if row.value is None or not is_open(row.value):
+                continue
+            if job_row is None or job_row.value is None:
+                continue
+            job = decode_job(job_id, job_row.value)
+            progress = self._progress(job, row.revision)
+            restore_progress(progress, row.value, self.clock())
+            found.append(progress)
+        self.revision = revision
+        return found
+
+    async def _scan(self, table: str) -> tuple[dict[str, Row], int]:
+        """Return a table's rows by job, and a revision that all are of.
+
+        Later changes may be among them, so changes are followed from there.
+        """
         rows: dict[str, Row] = {}
         revisions: list[int] = []
 
         async def scan(part: str) -> None:
-            after = ""
-            while True:
-                page = await self.table.scan(
-                    part_prefix(PROGRESS_TABLE, part), after, SCAN_LIMIT
-                )
-                revisions.append(page.revision)
-                for row in page.rows:
-                    rows[job_id_of(row.key)] = row
-                after = (
-                    part_prefix(PROGRESS_TABLE, part) + page.next_after
-                    if page.next_after
-                    else ""
-                )
-                if not after:
-                    return
+            found = await scan_rows(self.table, part_prefix(table, part))
+            revisions.append(found.revision)
+            rows.update((job_id_of(row.key), row) for row in found.rows)
 
         await self._for_parts(scan)
-        open_rows = {
-            job_id: row
-            for job_id, row in rows.items()
-            if row.value is not None and is_open(row.value)
-        }
-        jobs = await self._read_jobs(open_rows)
-        self.revision = min(revisions)
-        return jobs
-
-    async def _read_jobs(self, rows: dict[str, Row]) -> list[JobProgress]:
-        found: list[JobProgress] = []
-        wanted = iter(list(rows.items()))
-
-        async def read(part: str) -> None:
-            for job_id, row in wanted:
-                job_row = await self.table.read(job_row_key(job_id))
-                if job_row is None or job_row.value is None:
-                    continue
-                assert row.value is not None
-                job = decode_job(job_id, job_row.value)
-                progress = self._progress(job, row.revision)
-                restore_progress(progress, row.value, self.clock())
-                found.append(progress)
-
-        await self._for_parts(read)
-        return found
+        return rows, min(revisions)
 
     async def _for_parts(self, call: Callable[[str], Awaitable[None]]) -> None:
         """Make a call for each part, all at once."""
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -50,16 +50,13 @@
         """Build the parts; nothing runs yet."""
         self.network = network
         self.stopping = False
-        self.peer_address = Address(settings.ip_address, settings.peer_port)
-        self.peers = PeerBook(
-            network, settings.instance, self.peer_address, clock
-        )
+        self.peers = PeerBook(network, settings, clock)
         self.table = RelayedTable(platform.table, self.peers)
         self.follower = StateFollower(platform, self.table, clock)
         self.context = NodeContext(
             settings, platform, self.table, self.follower, clock, unix_s
         )
-        self.election = Election(self.context, self.peers.names)
+        self.election = Election(self.context, self.peers)
         desk = JobDesk(self.context, self.election)
         self.gateway = TaskGateway(self.context, desk, codec)
         self.clients = DrainState()
@@ -117,7 +114,7 @@
         bound["peers"] = await nursery.start(
             self.network.serve,
             partial(serve_calls, OwnConnection(self.table)),
-            self.peer_address,
+            self.peers.own,
         )
         nursery.start_soon(self.table.run)
         nursery.start_soon(self.peers.run, self.table)
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -12,6 +12,7 @@
     is killed. ``key_removal_s`` bounds how long a removed key may still be
     accepted. ``worker_lease_s`` is the longest lease a worker grants.
     ``machines`` is where the platform lists its machines, if it does.
+    ``processor_cores`` is what the process may use of a processor.
     """
 
     instance: str
@@ -26,3 +27,4 @@
     key_removal_s: float
     worker_lease_s: float
     machines: Address | None = None
+    processor_cores: float = 1.0
--- a/src/damaskstall/tasks/peer_book.py
+++ b/src/damaskstall/tasks/peer_book.py
@@ -6,18 +6,19 @@
 from trio import sleep
 
 from damaskstall.addresses import Address
-from damaskstall.errors import PlatformError
+from damaskstall.errors import PlatformError, TableUnavailableError
 from damaskstall.events import log
 from damaskstall.network import Network
 from damaskstall.platform.types import ABSENT, Row, Write
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.events import PEER_IGNORED
+from damaskstall.tasks.node_settings import NodeSettings
 from damaskstall.tasks.peer_table import PeerTable
 from damaskstall.tasks.ports import WatchedTable
+from damaskstall.tasks.scans import scan_rows
 
 NODE_TABLE = "node"
 PREFIX = f"{NODE_TABLE}/"
-SCAN_LIMIT = 500
 # New instances come seldom, and those that went are found out by calling.
 REFRESH_S = 4.0
 FIRST_RETRY_S = 0.3
@@ -30,17 +31,19 @@
     """Hold the peers by instance name."""
 
     def __init__(
-        self, network: Network, instance: str, own: Address, clock: Clock
+        self, network: Network, settings: NodeSettings, clock: Clock
     ) -> None:
         """Name this instance and its own address for peers."""
         self.network = network
-        self.instance = instance
-        self.own = own
+        self.instance = settings.instance
+        self.own = Address(settings.ip_address, settings.peer_port)
+        self.cores = settings.processor_cores
         self.clock = clock
         self.peers: dict[str, PeerTable] = {}
+        self._cores: dict[str, float] = {}
         self._failed_s: dict[str, float] = {}
         self._helped = ""
-        self._random = Random(instance)
+        self._random = Random(settings.instance)
 
     def names(self) -> list[str]:
         """Return the names of the peers that did not fail just now."""
@@ -52,6 +55,24 @@
             >= FAILED_REST_S
         ]
 
+    def cores_by_name(self) -> dict[str, float]:
+        """Return the processor of this instance and of its live peers."""
+        cores = {name: self._cores[name] for name in self.names()}
+        cores[self.instance] = self.cores
+        return cores
+
+    async def reaches_store(self, name: str) -> bool:
+        """Return whether a peer is alive and the store answers it."""
+        peer = self.peers.get(name)
+        if peer is None:
+            return False
+        try:
+            await peer.read(f"{PREFIX}{name}")
+        except TableUnavailableError:
+            self.note_failed(name)
+            return False
+        return True
+
     def choose(self, limit: int) -> list[tuple[str, PeerTable]]:
         """Return peers to try, the one that helped last first."""
         names = self.names()
@@ -75,18 +96,22 @@
                 if not registered:
                     await self._register(table)
                     registered = True
-                page = await table.scan(PREFIX, "", SCAN_LIMIT)
+                found = await scan_rows(table, PREFIX)
             except PlatformError:
                 # The callers of the table tell of its outages.
                 await sleep(FIRST_RETRY_S)
                 continue
-            for row in page.rows:
+            for row in found.rows:
                 self._take(row)
             await sleep(REFRESH_S)
 
     async def _register(self, table: WatchedTable) -> None:
         key = f"{PREFIX}{self.instance}"
-        value = {"host": self.own.host, "port": self.own.port}
+        value = {
+            "host": self.own.host,
+            "port": self.own.port,
+            "cores": self.cores,
+        }
         row = await table.read(key)
         if row is not None and row.value == value:
             return
@@ -99,6 +124,7 @@
             return
         try:
             address = Address(str(row.value["host"]), int(row.value["port"]))
+            self._cores[name] = float(row.value["cores"])
         except (KeyError, TypeError, ValueError) as error:
             log(PEER_IGNORED, peer=name, error=repr(error))
             return
--- a/src/damaskstall/tasks/state_follower.py
+++ b/src/damaskstall/tasks/state_follower.py
@@ -23,11 +23,11 @@
 )
 from damaskstall.tasks.model import Queue
 from damaskstall.tasks.ports import OPERATOR_TABLE, Platform, WatchedTable
+from damaskstall.tasks.scans import scan_rows
 
 # Each answer confirms the state as of its request, so keys that were removed
 # are known well within the 5 s that the platform allows (bounds, revoke_ms).
 WATCH_S = 1.0
-SCAN_LIMIT = 500
 PREFIX = f"{OPERATOR_TABLE}/"
 # After a failure the next try follows soon: the bound on a configuration in
 # force is 2 s (bounds, configuration_ms).
@@ -92,14 +92,16 @@
                 tries += 1
 
     async def _read_all(self) -> int:
-        page = await self.table.scan(PREFIX, "", SCAN_LIMIT)
-        listed = {self.platform.evacuated_domain(row.key) for row in page.rows}
+        found = await scan_rows(self.table, PREFIX)
+        listed = {
+            self.platform.evacuated_domain(row.key) for row in found.rows
+        }
         for domain in self.evacuated - listed:
             self._set_evacuated(domain, False)
-        for row in page.rows:
+        for row in found.rows:
             self._take(row)
         self._wake()
-        return page.revision
+        return found.revision
 
     async def _read_changes(self, revision: int, wait_s: float) -> int:
         page = await self.table.watch(OPERATOR_TABLE, revision, wait_s)
--- a/src/damaskstall/tasks/worker_list.py
+++ b/src/damaskstall/tasks/worker_list.py
@@ -12,13 +12,13 @@
 from damaskstall.tasks.events import WORKER_IGNORED
 from damaskstall.tasks.model import WorkerInfo
 from damaskstall.tasks.ports import WORKER_TABLE, Platform, WatchedTable
+from damaskstall.tasks.scans import scan_rows
 from damaskstall.tasks.state_follower import StateFollower
 
 # Each worker's entry changes every heartbeat, 1.5 s, so waiting for a change
 # would return at once. A worker that drains may get no start 2 s after its
 # report (bounds, drain_ms).
 POLL_S = 0.5
-SCAN_LIMIT = 500
 PREFIX = f"{WORKER_TABLE}/"
 
 
@@ -38,21 +38,13 @@
 
     async def read_all(self) -> bool:
         """Read the whole list; return whether the store gave it."""
-        rows: list[Row] = []
-        after = ""
         try:
-            while True:
-                page = await self.table.scan(PREFIX, after, SCAN_LIMIT)
-                if not after:
-                    self.revision = page.revision
-                rows += page.rows
-                after = page.next_after
-                if not after:
-                    break
+            found = await scan_rows(self.table, PREFIX)
         except TableUnavailableError:
             return False
+        self.revision = found.revision
         self.workers = {}
-        for row in rows:
+        for row in found.rows:
             self._take(row)
         return True
 
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -1,6 +1,6 @@
 """Promises hold while nodes, workers and the store fail."""
 
-from pytest import mark
+from pytest import MonkeyPatch, mark
 from trio import sleep
 
 from standins.operators.store import BUSY, EVERYONE, MANY, RESET, SILENT
@@ -442,3 +442,23 @@
 
     for lost_orders in range(2, 14):
         play(scenario_with(lost_orders))
+
+
+def test_successor_knows_all_jobs_though_they_fill_several_pages(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("standins.operators.rows.PAGE_ROWS", 2)
+
+    async def scenario(world: World) -> None:
+        numbers = range(1, 41)
+        for number in numbers:
+            await world.submit(job_id(number), [WHOLE], work_s=0.5)
+        holder = world.holder()
+        assert holder is not None
+        world.kill_node(holder)
+        node = other_than(world, None)
+        for number in numbers:
+            await world.wait_state(job_id(number), "completed", node=node)
+        check_runs(world)
+
+    play(scenario)
--- a/tests/tasks/world.py
+++ b/tests/tasks/world.py
@@ -97,6 +97,7 @@
         self.scopes: dict[str, CancelScope] = {}
         self.nursery: Nursery | None = None
         self.accepted: dict[str, float] = {}
+        self.cores: dict[str, float] = {}
         for rack in range(racks):
             for place in range(per_rack):
                 name = f"w{rack}{place}"
@@ -161,6 +162,7 @@
             key_removal_s=5.0,
             worker_lease_s=10.0,
             machines=MACHINES_ADDRESS,
+            processor_cores=self.cores.get(name, 1.0),
         )
         network = self.network.end(name)
         platform = OperatorsPlatform(network, STORE_ADDRESS, MACHINES_ADDRESS)
