Remove the rows of jobs that are over and of instances that are gone

Cause: nothing ever removed them, so a successor's load and every count of waiting jobs grew with the age of the deployment, and instances that were replaced stayed in the list of peers, where they kept the places of those that stand by for the lease.

A job's row tells since when it is over; its rows go together in one transaction once its state has been shown for status_s and a minute more. An instance renews its row every 20 s; the holder removes rows that have not changed for 90 s, and peers forget them.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -48,6 +48,7 @@
         worker_lease_s=seconds(bounds["hold_maximum_ms"]),
         machines=machines_address(value),
         processor_cores=processor_cores(value.get("limits") or {}),
+        state_kept_s=float(bounds["status_s"]),
     )
 
 
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -92,6 +92,18 @@
     "lease_handed_over",
     "This instance leaves the lease to one with much more processor.",
 )
+MEMBER_REMOVED = Event(
+    8025,
+    "INFO",
+    "member_removed",
+    "An instance has not renewed its row for long: the row is removed.",
+)
+SWEEP_FAILED = Event(
+    8026,
+    "INFO",
+    "sweep_failed",
+    "Rows that nobody needs could not be removed; they are tried again.",
+)
 UNIT_STARTED = Event(
     8030, "INFO", "unit_started", "A unit was given workers and is ordered."
 )
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -49,6 +49,7 @@
 )
 from damaskstall.tasks.situation import Situation
 from damaskstall.tasks.stalls import is_stalled
+from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_HOLD_S
 
@@ -73,6 +74,7 @@
         self.reader = JobReader(context.table, context.clock, context.unix_s)
         self.pool = WorkerPool(context, self, lease.epoch)
         self.writer = ProgressWriter(context.table, self, lease.epoch)
+        self.sweeper = Sweeper(context)
         self.expectations = Expectations()
         self.scope = CancelScope()
         self.ready = False
@@ -98,6 +100,7 @@
                     Census(self.context.platform, self.pool).run
                 )
                 nursery.start_soon(self._follow_state)
+                nursery.start_soon(self.sweeper.run)
                 await self.pool.wait_answered(FENCE_WAIT_S)
                 self.ready = True
                 log(
@@ -262,6 +265,7 @@
         while not await self.pool.list.read_all():
             await sleep(GATHER_S * 10)
         loaded = await self.reader.load()
+        self._note_over_jobs()
         # A worker's ends are acknowledged once the jobs they concern are
         # written, so no worker is spoken to before all jobs are known.
         self.pool.open_sessions(nursery)
@@ -293,6 +297,10 @@
             progress.revision = max(progress.revision, row.revision)
             self._cancel(progress)
 
+    def _note_over_jobs(self) -> None:
+        for job_id, over_unix_s in self.reader.over.items():
+            self.sweeper.note_over(job_id, over_unix_s)
+
     def _resync(self, loaded: list[JobProgress]) -> None:
         """Take in all open jobs, after changes were missed."""
         for progress in loaded:
@@ -306,7 +314,7 @@
             return
         progress.cancelled = True
         self._stop_all(progress, "the job was cancelled")
-        self._wake.set()
+        self._store(progress)
 
     # Deciding.
 
@@ -421,10 +429,13 @@
             stored = progress.stored_changes == progress.changes
             if progress.is_over() and stored:
                 log_over(progress)
+                self.sweeper.note_over(job_id, progress.over_unix_s)
                 del self.jobs[job_id]
 
     def _store(self, progress: JobProgress) -> int:
         """Have a job's progress written; return the change to wait for."""
+        if progress.over_unix_s is None and progress.is_over():
+            progress.over_unix_s = self.context.unix_s()
         count = progress.note_change()
         self.writer.add(progress)
         self._wake.set()
--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -45,6 +45,8 @@
         self.clock = clock
         self.unix_s = unix_s
         self.revision = -1
+        # The jobs that were over when last read, with since when if known.
+        self.over: dict[str, float | None] = {}
         self._random = Random()
 
     async def load(self) -> list[JobProgress]:
@@ -113,9 +115,13 @@
         progress_rows, revision = await self._scan(PROGRESS_TABLE)
         job_rows, _ = await self._scan(JOB_TABLE)
         found = []
+        self.over = {}
         for job_id, row in progress_rows.items():
             job_row = job_rows.get(job_id)
-            if row.value is None or not is_open(row.value):
+            if row.value is None:
+                continue
+            if not is_open(row.value):
+                self.over[job_id] = row.value.get("over_unix_s")
                 continue
             if job_row is None or job_row.value is None:
                 continue
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -12,6 +12,7 @@
     is killed. ``key_removal_s`` bounds how long a removed key may still be
     accepted. ``worker_lease_s`` is the longest lease a worker grants.
     ``machines`` is where the platform lists its machines, if it does.
+    ``state_kept_s`` is how long the state of a job that is over is shown.
     ``processor_cores`` is what the process may use of a processor.
     """
 
@@ -28,3 +29,4 @@
     worker_lease_s: float
     machines: Address | None = None
     processor_cores: float = 1.0
+    state_kept_s: float = 120.0
--- a/src/damaskstall/tasks/peer_book.py
+++ b/src/damaskstall/tasks/peer_book.py
@@ -22,6 +22,10 @@
 # New instances come seldom, and those that went are found out by calling.
 REFRESH_S = 4.0
 FIRST_RETRY_S = 0.3
+# An instance renews its row this often, and counts as gone when it has missed
+# several renewals; 100 instances write 5 rows a second so.
+RENEW_S = 20.0
+MEMBER_SILENCE_S = 90.0
 # A peer that could not help is left out for as long as an outage that a call
 # has just met is likely to last on.
 FAILED_REST_S = 1.0
@@ -89,13 +93,13 @@
         self._helped = name
 
     async def run(self, table: WatchedTable) -> None:
-        """Register this instance and follow the list until cancelled."""
-        registered = False
+        """Keep this instance registered and follow the list."""
+        renewed_s = float("-inf")
         while True:
             try:
-                if not registered:
+                if self.clock() - renewed_s >= RENEW_S:
                     await self._register(table)
-                    registered = True
+                    renewed_s = self.clock()
                 found = await scan_rows(table, PREFIX)
             except PlatformError:
                 # The callers of the table tell of its outages.
@@ -103,6 +107,7 @@
                 continue
             for row in found.rows:
                 self._take(row)
+            self._forget(self.peers.keys() - {name_of(r) for r in found.rows})
             await sleep(REFRESH_S)
 
     async def _register(self, table: WatchedTable) -> None:
@@ -113,13 +118,11 @@
             "cores": self.cores,
         }
         row = await table.read(key)
-        if row is not None and row.value == value:
-            return
         revision = ABSENT if row is None else row.revision
         await table.commit((Write(key, value, revision),), uuid4().hex)
 
     def _take(self, row: Row) -> None:
-        name = row.key.removeprefix(PREFIX)
+        name = name_of(row)
         if name == self.instance or row.value is None:
             return
         try:
@@ -131,3 +134,14 @@
         known = self.peers.get(name)
         if known is None or known.address != address:
             self.peers[name] = PeerTable(self.network, address)
+
+    def _forget(self, gone: set[str]) -> None:
+        """Forget peers whose rows were removed."""
+        for name in gone:
+            del self.peers[name]
+            self._cores.pop(name, None)
+
+
+def name_of(row: Row) -> str:
+    """Return the instance that a row names."""
+    return row.key.removeprefix(PREFIX)
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -130,6 +130,8 @@
         self.accepted_s = accepted_s
         self.cancelled = False
         self.failed = False
+        # Time of day at which the job was over, None before.
+        self.over_unix_s: float | None = None
         self.changes = 0
         self.stored_changes = 0
         self.first_due_s = accepted_s if first_due_s is None else first_due_s
--- a/src/damaskstall/tasks/records.py
+++ b/src/damaskstall/tasks/records.py
@@ -139,6 +139,8 @@
         value["cancelled"] = True
     if progress.failed:
         value["failed"] = True
+    if progress.over_unix_s is not None:
+        value["over_unix_s"] = progress.over_unix_s
     return value
 
 
--- a/standins/operators/rows.py
+++ b/standins/operators/rows.py
@@ -61,6 +61,10 @@
             self._set(row_id(removed), None)
         return self.version
 
+    def names(self) -> list[RowId]:
+        """Return the rows that exist."""
+        return [n for n, row in self.rows.items() if row.value is not None]
+
     def version_of(self, name: RowId) -> int:
         """Return a row's version, 0 where there is none."""
         row = self.rows.get(name)
