--- /dev/null
+++ b/bench/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Play streams of jobs of steps of tasks against the decisions alone."""
--- /dev/null
+++ b/bench/tasks/__main__.py
@@ -0,0 +1,171 @@
+"""Compare policies on drawn days.
+
+``python -m bench.tasks`` prints a table of means with 95% intervals;
+``--write`` adds it to docs/results/worth.md. ``--days``, ``--workers``,
+``--factor`` and ``--policies`` narrow or widen the run; ``--slow`` lets a
+sixth of the workers turn slow twice a day.
+"""
+
+from argparse import ArgumentParser, Namespace
+from math import sqrt
+from multiprocessing import Pool
+from pathlib import Path
+from statistics import mean, stdev
+from time import perf_counter
+from typing import NamedTuple
+
+from bench.tasks.account import CAUSES, Account, account, bound
+from bench.tasks.policies import POLICIES, only, policy_of
+from bench.tasks.streams import Load, draw_jobs
+from bench.tasks.world import CAPACITY, Slow, World
+
+PAGE = Path("docs/results/worth.md")
+PROCESSES = 4
+# Jobs that came last have ended or are past all worth by then.
+END_S = 120.0
+SLOW_EPISODES = (Slow(4.0, 7.0, 0.17, 6.5), Slow(20.0, 7.0, 0.17, 6.5))
+# 95% of a normal distribution.
+INTERVAL = 1.96
+
+
+class DayRun(NamedTuple):
+    """Name one day under one policy."""
+
+    policy: str
+    seed: int
+    workers: int
+    factor: float
+    slow: bool
+
+
+class DayResult(NamedTuple):
+    """Hold what became of a day."""
+
+    run: DayRun
+    account: Account
+    bound: float
+    took_s: float
+
+
+def play(run: DayRun) -> DayResult:
+    """Play one day."""
+    began_s = perf_counter()
+    drawn = draw_jobs(run.seed, run.workers, Load(factor=run.factor))
+    slow = SLOW_EPISODES if run.slow else ()
+    with only(run.policy):
+        world = World(
+            drawn, run.workers, policy_of(run.policy), run.seed, slow
+        )
+        found = account(world.play(END_S))
+    best = bound(drawn, run.workers * CAPACITY.accelerators)
+    return DayResult(run, found, best, perf_counter() - began_s)
+
+
+def interval(values: list[float]) -> str:
+    """Return a mean with its 95% interval."""
+    half = INTERVAL * stdev(values) / sqrt(len(values))
+    return f"{mean(values):.3f} ± {half:.3f}"
+
+
+def table(results: list[DayResult], policies: list[str]) -> str:
+    """Return the comparison as a Markdown table."""
+    heads = [
+        "policy",
+        "worth",
+        "less waste",
+        "urgent in time",
+        *CAUSES,
+        "s a day",
+    ]
+    lines = [
+        "| " + " | ".join(heads) + " |",
+        "|" + "---|" * len(heads),
+    ]
+    for policy in policies:
+        rows = [r for r in results if r.run.policy == policy]
+        accounts = [row.account for row in rows]
+        cells = [
+            policy,
+            interval([each.served for each in accounts]),
+            interval([each.priced for each in accounts]),
+            interval([each.urgent_share for each in accounts]),
+        ]
+        cells += [
+            f"{mean(each.lost[cause] / each.owed for each in accounts):.3f}"
+            for cause in CAUSES
+        ]
+        cells.append(f"{mean(row.took_s for row in rows):.1f}")
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def differences(results: list[DayResult], policies: list[str]) -> str:
+    """Return how the last policy differs from each other, day by day."""
+    by_key = {(r.run.policy, r.run.seed): r.account.priced for r in results}
+    seeds = sorted({r.run.seed for r in results})
+    last = policies[-1]
+    return "\n".join(
+        f"- {last} less {other}: "
+        + interval([by_key[last, s] - by_key[other, s] for s in seeds])
+        for other in policies[:-1]
+    )
+
+
+def report(arguments: Namespace) -> str:
+    """Play all days and return the text that tells of them."""
+    policies = arguments.policies.split(",")
+    runs = [
+        DayRun(
+            policy, seed, arguments.workers, arguments.factor, arguments.slow
+        )
+        for seed in range(arguments.first, arguments.first + arguments.days)
+        for policy in policies
+    ]
+    with Pool(PROCESSES) as pool:
+        results = pool.map(play, runs, chunksize=1)
+    best = mean(result.bound for result in results)
+    slow = ", a sixth of them slow twice" if arguments.slow else ""
+    return "\n".join(
+        [
+            f"{arguments.days} days, {arguments.workers} workers{slow}, "
+            f"load {arguments.factor}; no scheduler can exceed {best:.3f}.",
+            "",
+            table(results, policies),
+            "",
+            "Less waste, day by day:",
+            "",
+            differences(results, policies),
+            "",
+        ]
+    )
+
+
+def title(arguments: Namespace) -> str:
+    """Return the command that repeats a run."""
+    slow = " --slow" if arguments.slow else ""
+    return (
+        f"`python -m bench.tasks --days {arguments.days} --workers "
+        f"{arguments.workers} --factor {arguments.factor}{slow}`"
+    )
+
+
+def main() -> None:
+    """Run what the arguments ask for."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--days", type=int, default=20)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--workers", type=int, default=24)
+    parser.add_argument("--factor", type=float, default=1.0)
+    parser.add_argument("--slow", action="store_true")
+    parser.add_argument("--write", action="store_true")
+    arguments = parser.parse_args()
+    text = report(arguments)
+    print(text)
+    if arguments.write:
+        with PAGE.open("a", encoding="utf-8") as page:
+            page.write(f"\n## {title(arguments)}\n\n{text}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/tasks/policies.py
@@ -0,0 +1,66 @@
+"""Name the policies that are compared: ours, ours without a part, and FIFO."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from bench.tasks.world import Policy
+from damaskstall.tasks import policy as policy_module
+from damaskstall.tasks import tending as tending_module
+from damaskstall.tasks.packing import Placing, RoomPlan, pack
+from damaskstall.tasks.policy import Decision, StartUnit, decide
+from damaskstall.tasks.ranking import by_arrival
+from damaskstall.tasks.situation import Situation
+
+FIRST_FIT = "first-fit"
+FULL = "full"
+NO_RESERVATIONS = "no-reservations"
+NO_STOPS = "no-stops"
+NO_PACE = "no-pace"
+NO_WAITS = "no-waits"
+POLICIES = (FIRST_FIT, NO_STOPS, NO_RESERVATIONS, NO_PACE, NO_WAITS, FULL)
+
+# Which limit to set, in which module, to leave a part out.
+LEFT_OUT: dict[str, tuple[object, str, float]] = {
+    NO_RESERVATIONS: (policy_module, "RESERVATIONS_LIMIT", 0),
+    NO_STOPS: (policy_module, "CLEARINGS_LIMIT", 0),
+    NO_WAITS: (policy_module, "WAIT_LIMIT_S", 0),
+    NO_PACE: (tending_module, "TEND_S", float("inf")),
+}
+
+
+def first_fit(situation: Situation, now_s: float) -> list[Decision]:
+    """Place units in order of arrival on the first workers that hold them."""
+    plan = RoomPlan(situation.rooms)
+    decisions: list[Decision] = []
+    for progress in by_arrival(situation.jobs):
+        for units in progress.waiting_steps(now_s):
+            for unit in units:
+                step = progress.step_of(unit)
+                placing = Placing(step, progress.job.service, frozenset(), {})
+                workers = pack(plan, placing, plan.free)
+                if workers is None:
+                    break
+                for worker in workers:
+                    plan.take(worker, step.demand)
+                decisions.append(StartUnit(progress, unit, workers))
+    return decisions
+
+
+@contextmanager
+def only(name: str) -> Iterator[None]:
+    """Leave out the part that a policy's name says, for a while."""
+    if name not in LEFT_OUT:
+        yield
+        return
+    module, limit, value = LEFT_OUT[name]
+    before = getattr(module, limit)
+    setattr(module, limit, value)
+    try:
+        yield
+    finally:
+        setattr(module, limit, before)
+
+
+def policy_of(name: str) -> Policy:
+    """Return the decisions of a policy."""
+    return first_fit if name == FIRST_FIT else decide
--- /dev/null
+++ b/bench/tasks/streams.py
@@ -0,0 +1,205 @@
+"""Draw jobs as the operators' deployments send them.
+
+Sizes, widths, rates and worths follow the sheets of the two deployments in
+shape, not to the digit, so that a policy is not tuned to either.
+"""
+
+from math import exp
+from random import Random
+from typing import NamedTuple
+
+from damaskstall.tasks.model import (
+    AcceptedJob,
+    Demand,
+    JobDeclaration,
+    Queue,
+    Step,
+)
+
+SERVICE = "svc"
+TEAMS = ("amber", "birch", "coral", "delta")
+# A job counts by its work against the mean of its kind, at most four times
+# (RULES, The score).
+FIXED_WORTH = 0.3
+WORTH_LIMIT = 4.0
+
+
+class Kind(NamedTuple):
+    """Describe one kind of job.
+
+    ``width`` and ``work_s`` are means; ``estimate_spread`` is the deviation
+    of the declared time's logarithm; shares are of all jobs of the kind.
+    """
+
+    queue: Queue
+    per_s: float
+    width: float
+    width_limit: int
+    demand: Demand
+    accelerators: tuple[int, ...]
+    work_s: float
+    work_limit_s: float
+    gang: bool
+    one_rack_share: float
+    checkpoint_share: float
+    estimate_spread: float
+    failure_share: float
+    worth: float
+    late_worth: float
+
+
+class Load(NamedTuple):
+    """Hold how many jobs come: first a backlog, then a stream, in seconds."""
+
+    backlog_s: float = 6.0
+    backlog_factor: float = 2.0
+    length_s: float = 34.0
+    factor: float = 1.0
+
+
+class DrawnJob(NamedTuple):
+    """Hold a job with what only the workers know of it."""
+
+    job: AcceptedJob
+    kind: Kind
+    arrives_s: float
+    work_s: tuple[float, ...]
+    worth: float
+
+
+def queue(
+    name: str, priority: int, stretch: float, objective_s: float
+) -> Queue:
+    """Return a queue of the stream."""
+    return Queue(
+        name,
+        "h",
+        f"/{name}/",
+        SERVICE,
+        priority,
+        4,
+        stretch,
+        objective_s,
+        False,
+    )
+
+
+URGENT = Kind(
+    queue=queue("urgent", 0, 1.5, 0.25),
+    per_s=0.78,
+    width=3.0,
+    width_limit=18,
+    demand=Demand(7500, 20000, 0),
+    accelerators=(1, 2, 4, 8, 8),
+    work_s=2.5,
+    work_limit_s=8.0,
+    gang=True,
+    one_rack_share=0.8,
+    checkpoint_share=0.0,
+    estimate_spread=0.9,
+    failure_share=0.05,
+    worth=4.0,
+    late_worth=0.8,
+)
+LARGE = Kind(
+    queue=queue("large", 1, 3.0, 1.0),
+    per_s=0.3,
+    width=4.5,
+    width_limit=24,
+    demand=Demand(26000, 53000, 0),
+    accelerators=(1, 2, 4, 8, 8),
+    work_s=9.0,
+    work_limit_s=11.0,
+    gang=True,
+    one_rack_share=0.6,
+    checkpoint_share=0.45,
+    estimate_spread=0.5,
+    failure_share=0.03,
+    worth=3.0,
+    late_worth=0.9,
+)
+SMALL = Kind(
+    queue=queue("small", 2, 3.0, 3.0),
+    per_s=0.34,
+    width=14.0,
+    width_limit=72,
+    demand=Demand(5600, 15000, 0),
+    accelerators=(1,),
+    work_s=6.8,
+    work_limit_s=11.0,
+    gang=False,
+    one_rack_share=0.0,
+    checkpoint_share=0.45,
+    estimate_spread=0.5,
+    failure_share=0.02,
+    worth=1.0,
+    late_worth=0.3,
+)
+KINDS = (URGENT, LARGE, SMALL)
+# The rates above are for this many workers.
+RATED_WORKERS = 24
+
+
+def draw_jobs(seed: int, workers: int, load: Load) -> list[DrawnJob]:
+    """Return a day's jobs for a number of workers, by arrival."""
+    random = Random(seed)
+    found: list[DrawnJob] = []
+    for kind in KINDS:
+        rate = kind.per_s * load.factor * workers / RATED_WORKERS
+        now_s = 0.0
+        while True:
+            busy = now_s < load.backlog_s
+            factor = load.backlog_factor if busy else 1.0
+            now_s += random.expovariate(rate * factor)
+            if now_s >= load.length_s:
+                break
+            found.append(draw_job(random, kind, now_s, len(found)))
+    return sorted(found, key=lambda each: each.arrives_s)
+
+
+def draw_job(
+    random: Random, kind: Kind, arrives_s: float, number: int
+) -> DrawnJob:
+    """Return one job of a kind."""
+    width = min(kind.width_limit, 1 + int(random.expovariate(1 / kind.width)))
+    demand = kind.demand._replace(
+        accelerators=random.choice(kind.accelerators)
+    )
+    typical_s = min(kind.work_limit_s, kind.work_s * spread(random, 0.4))
+    step = Step(
+        task_count=width,
+        demand=demand,
+        estimate_s=typical_s * spread(random, kind.estimate_spread),
+        gang=kind.gang,
+        one_rack=random.random() < kind.one_rack_share,
+        checkpoints=random.random() < kind.checkpoint_share,
+    )
+    job = AcceptedJob(
+        f"{number:016x}",
+        kind.queue.name,
+        SERVICE,
+        random.choice(TEAMS),
+        arrives_s,
+        JobDeclaration("text", (step,)),
+    )
+    uneven = 0.0 if kind.gang else 0.25
+    work_s = tuple(
+        typical_s * spread(random, uneven) for _ in range(step.units)
+    )
+    return DrawnJob(job, kind, arrives_s, work_s, worth_of(kind, step, work_s))
+
+
+def spread(random: Random, deviation: float) -> float:
+    """Return a factor around 1 whose logarithm has a deviation."""
+    return exp(random.gauss(0.0, deviation))
+
+
+def worth_of(kind: Kind, step: Step, work_s: tuple[float, ...]) -> float:
+    """Return what a job earns in time."""
+    cores = step.demand.cores * step.unit_size
+    usual_accelerators = sum(kind.accelerators) / len(kind.accelerators)
+    usual = kind.demand._replace(accelerators=round(usual_accelerators))
+    mean_core_s = usual.cores * (kind.width + 1) * kind.work_s
+    share = sum(work_s) * cores / mean_core_s
+    factor = FIXED_WORTH + (1 - FIXED_WORTH) * share
+    return kind.worth * min(WORTH_LIMIT, factor)
--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -4,7 +4,7 @@
 connection whose exchange did not end cleanly is closed and never reused.
 """
 
-from collections.abc import AsyncIterable, AsyncIterator
+from collections.abc import AsyncIterable, AsyncIterator, Callable
 from json import dumps
 from select import POLLIN, poll
 from types import TracebackType
@@ -29,6 +29,7 @@
     ClosedResourceError,
     SocketStream,
     TooSlowError,
+    current_time,
     fail_after,
     move_on_after,
 )
@@ -48,6 +49,9 @@
 HEADER_LIMIT_BYTES = 16384
 JSON_LIMIT_BYTES = 16 * 1024 * 1024
 IDLE_CONNECTION_LIMIT = 8
+# The longest that an answer whose parts keep coming may take: 16 MB, the
+# limit above, take this long at 10 Mbit/s, the slowest links (site files).
+BODY_LIMIT_S = 13.0
 
 
 class ResponseStart(NamedTuple):
@@ -153,11 +157,18 @@
             else:
                 raise ConnectionLostError("The answer was cut off.")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise BodyTooLargeError past the limit."""
+    async def read_body(
+        self, limit_bytes: int, note_part: Callable[[], None] | None = None
+    ) -> bytes:
+        """Return the whole body; raise BodyTooLargeError past the limit.
+
+        ``note_part`` is called as each part comes.
+        """
         data = bytearray()
         async for part in self.receive_body():
             data += part
+            if note_part is not None:
+                note_part()
             if len(data) > limit_bytes:
                 raise BodyTooLargeError(
                     f"The answer is longer than {limit_bytes} bytes."
@@ -243,7 +254,11 @@
     def __init__(
         self, network: Network, address: Address, timeout_s: float
     ) -> None:
-        """Name the server and the time limit of one call."""
+        """Name the server and the time limit of one call.
+
+        The limit holds until the answer begins, and then between its parts:
+        a long answer over a slow link is no silent server.
+        """
         self.network = network
         self.address = address
         self.timeout_s = timeout_s
@@ -284,11 +299,17 @@
         """
         connection: HttpConnection | None = None
         try:
-            with fail_after(self.timeout_s):
+            with fail_after(self.timeout_s) as scope:
                 connection = await self._connect()
                 await connection.send(method, target, headers, body, host)
                 head = await connection.receive_head()
-                data = await connection.read_body(limit_bytes)
+                latest_s = current_time() + BODY_LIMIT_S
+
+                def note_part() -> None:
+                    next_s = current_time() + self.timeout_s
+                    scope.deadline = min(next_s, latest_s)
+
+                data = await connection.read_body(limit_bytes, note_part)
         except TooSlowError:
             if connection is None:
                 raise ConnectFailedError(
--- a/src/damaskstall/tasks/peer_table.py
+++ b/src/damaskstall/tasks/peer_table.py
@@ -40,6 +40,9 @@
 # limited to 1.2 s.
 CONNECT_LIMIT_S = 0.3
 CALL_LIMIT_S = 1.5
+# A configuration of some thousand queues, 0.5 MB, goes over two links of 10
+# Mbit/s, once to the peer and once to here.
+BULK_LIMIT_S = 4.0
 IDLE_LIMIT = 4
 
 BROKEN = (
@@ -68,7 +71,9 @@
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
         """Return rows whose key begins with a prefix, after a key."""
         arguments = {"prefix": prefix, "after": after, "limit": limit}
-        rows, next_after, revision = await self._call("scan", arguments)
+        rows, next_after, revision = await self._call(
+            "scan", arguments, BULK_LIMIT_S
+        )
         return ScanPage(tuple(Row(*row) for row in rows), next_after, revision)
 
     async def changes(
@@ -87,7 +92,7 @@
             "wait_s": wait_s,
         }
         rows, revision, complete = await self._call(
-            "watch", arguments, CALL_LIMIT_S + wait_s
+            "watch", arguments, BULK_LIMIT_S + wait_s
         )
         found = tuple(Row(*row) for row in rows)
         return ChangePage(found, revision, complete)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -16,7 +16,12 @@
 )
 from damaskstall.tasks.preemption import Victim, find_clearing
 from damaskstall.tasks.progress import JobProgress, Unit
-from damaskstall.tasks.ranking import Batch, covered_jobs, waiting_batches
+from damaskstall.tasks.ranking import (
+    Batch,
+    covered_jobs,
+    slack_of,
+    waiting_batches,
+)
 from damaskstall.tasks.reservations import (
     Ending,
     Reservation,
@@ -42,6 +47,13 @@
 # Blocked units for which room is looked for by stopping others, a round:
 # more than a few would only be planned on guesses.
 CLEARINGS_LIMIT = 8
+# Urgent work waits for room that comes by itself, since what is stopped is
+# lost: up to half of its slack, as paces tell ends roughly, and this long at
+# most. Past this age room is made at once: a covered job must begin 2.7 s
+# after its acceptance (bounds, reclaim_ms).
+WAIT_SHARE = 0.5
+WAIT_LIMIT_S = 0.8
+WAIT_AGE_LIMIT_S = 1.0
 
 
 class StartUnit(NamedTuple):
@@ -266,6 +278,8 @@
         if workers is not None:
             self._claim(batch, workers)
             return True
+        if self._room_comes(batch, placing):
+            return True
         if self.clearings >= CLEARINGS_LIMIT:
             return False
         self.clearings += 1
@@ -283,6 +297,21 @@
         self._claim(batch, clearing.workers)
         return True
 
+    def _room_comes(self, batch: Batch, placing: Placing) -> bool:
+        """Keep room for an urgent unit if enough ends by itself in time."""
+        age_s = self.now_s - batch.progress.due_s(batch.units[0].occurrence)
+        slack_s = slack_of(self.situation, batch, self.now_s)
+        limit_s = min(WAIT_LIMIT_S, WAIT_SHARE * slack_s)
+        if age_s >= WAIT_AGE_LIMIT_S or limit_s <= 0:
+            return False
+        found = reserve(self.soon, placing, self._endings(), limit_s)
+        if found is None:
+            return False
+        for worker, demand in found.kept.items():
+            self.plan.take(worker, demand)
+            self.soon.take(worker, demand)
+        return True
+
     def _claim(self, batch: Batch, workers: list[str]) -> None:
         for worker in workers:
             self.plan.take(worker, batch.step.demand)
--- a/src/damaskstall/tasks/ranking.py
+++ b/src/damaskstall/tasks/ranking.py
@@ -56,9 +56,8 @@
     expectations = situation.expectations
     objective_s = expectations.objective_s(progress, queue)
     occurrence = batch.units[0].occurrence
-    left_s = expectations.left_s(progress, occurrence)
     due_s = progress.due_s(occurrence)
-    slack_s = due_s + objective_s - left_s - now_s
+    slack_s = slack_of(situation, batch, now_s)
     late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
     if slack_s >= 0:
         lateness = 0
@@ -74,6 +73,15 @@
     )
 
 
+def slack_of(situation: Situation, batch: Batch, now_s: float) -> float:
+    """Return how long a job may still wait and meet its objective."""
+    expectations = situation.expectations
+    occurrence = batch.units[0].occurrence
+    objective_s = expectations.objective_s(batch.progress, batch.queue)
+    left_s = expectations.left_s(batch.progress, occurrence)
+    return batch.progress.due_s(occurrence) + objective_s - left_s - now_s
+
+
 def covered_jobs(situation: Situation) -> set[str]:
     """Return the urgent jobs that their teams' guarantees cover.
 
--- /dev/null
+++ b/tests/test_http_long_answers.py
@@ -0,0 +1,92 @@
+"""A long answer over a slow link is told from a silent server."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple
+
+from trio import current_time, open_nursery, sleep
+
+from damaskstall.addresses import Address
+from damaskstall.errors import ConnectionLostError
+from damaskstall.http.client import HttpClient
+from damaskstall.http.messages import Request, Response
+from damaskstall.http.server import DrainState, ServerLimits, serve_http
+from standins.network import MemoryNetwork
+from tests.virtual_time import run_virtual
+
+ADDRESS = Address("127.0.0.1", 1)
+LIMIT_S = 0.7
+PART = b"x" * 1000
+PART_INTERVAL_S = 0.3
+
+
+async def whole_body() -> AsyncIterator[bytes]:
+    """Yield a body in parts, over 3 s."""
+    for _ in range(10):
+        await sleep(PART_INTERVAL_S)
+        yield PART
+
+
+async def broken_body() -> AsyncIterator[bytes]:
+    """Yield a body that stops coming in its middle."""
+    yield PART
+    await sleep(100.0)
+
+
+async def endless_body() -> AsyncIterator[bytes]:
+    """Yield parts for ever."""
+    while True:
+        await sleep(PART_INTERVAL_S)
+        yield PART
+
+
+class Fetched(NamedTuple):
+    """Hold what a client has read, None if it gave up, and how long."""
+
+    data: bytes | None
+    took_s: float
+
+
+async def fetch(body: Callable[[], AsyncIterator[bytes]]) -> Fetched:
+    """Let a client read a body."""
+
+    async def answer(request: Request) -> Response:
+        return Response(200, body())
+
+    network = MemoryNetwork()
+    async with open_nursery() as nursery:
+        await nursery.start(
+            serve_http,
+            answer,
+            network.end("server"),
+            ADDRESS,
+            ServerLimits(),
+            DrainState(),
+        )
+        start_s = current_time()
+        client = HttpClient(network.end("client"), ADDRESS, LIMIT_S)
+        data: bytes | None = None
+        try:
+            _, data = await client.call("GET", "/")
+        except ConnectionLostError:
+            pass
+        took_s = current_time() - start_s
+        nursery.cancel_scope.cancel()
+    return Fetched(data, took_s)
+
+
+def test_answer_whose_parts_keep_coming_is_read_whole() -> None:
+    fetched = run_virtual(fetch, whole_body)
+    assert fetched.data == 10 * PART
+    assert fetched.took_s > LIMIT_S
+
+
+def test_answer_that_stops_coming_is_given_up_in_time() -> None:
+    fetched = run_virtual(fetch, broken_body)
+    assert fetched.data is None
+    assert fetched.took_s < 2 * LIMIT_S
+
+
+def test_answer_that_never_ends_is_given_up_in_the_end() -> None:
+    fetched = run_virtual(fetch, endless_body)
+    assert fetched.data is None
+    assert fetched.took_s < 20.0
