--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -101,7 +101,7 @@
 SWEEP_FAILED = Event(
     8026,
     "INFO",
-    "sweep_failed",
+    "row_sweep_failed",
     "Rows that nobody needs could not be removed; they are tried again.",
 )
 UNIT_STARTED = Event(
