--- a/bench/tasks/__main__.py
+++ b/bench/tasks/__main__.py
@@ -62,7 +62,9 @@
 
 
 def interval(values: list[float]) -> str:
-    """Return a mean with its 95% interval."""
+    """Return a mean, with its 95% interval where there are several."""
+    if len(values) < 2:
+        return f"{mean(values):.3f}"
     half = INTERVAL * stdev(values) / sqrt(len(values))
     return f"{mean(values):.3f} ± {half:.3f}"
 
