Take a list of machines that cannot be read as no answer

A malformed page would have ended the holder's decisions, and a list whose pages never end would have been read for ever. Rows of instances of an earlier version, which do not state their processor, count as one core. Test: a holder goes on deciding whatever the list answers.

--- a/src/damaskstall/platform/machine_list.py
+++ b/src/damaskstall/platform/machine_list.py
@@ -1,6 +1,6 @@
 """Read the operators' list of machines."""
 
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 from damaskstall.addresses import Address
@@ -13,6 +13,16 @@
 TIMEOUT_S = 0.5
 # A worker's entry there names it only while its machine is up.
 RUNNING = "up"
+# A list that goes on past this has lost its way: 1,000 pages of 200 entries
+# are many more machines than any deployment has.
+PAGE_LIMIT = 1000
+
+
+class MachinePage(NamedTuple):
+    """Hold one page: workers that run, and the next page's token or ""."""
+
+    running: set[str]
+    next_token: str
 
 
 class MachineList:
@@ -33,18 +43,17 @@
             raise MachineListUnavailableError("There is no list of machines.")
         found: set[str] = set()
         token = ""
-        while True:
+        for _ in range(PAGE_LIMIT):
             page = await self._page(self.client, token)
-            found.update(
-                str(machine["identifier"])
-                for machine in page["machines"]
-                if machine["state"] == RUNNING
-            )
-            token = page.get("next_page_token") or ""
+            found |= page.running
+            token = page.next_token
             if not token:
                 return frozenset(found)
+        raise MachineListUnavailableError(
+            f"The list of machines has more than {PAGE_LIMIT} pages."
+        )
 
-    async def _page(self, client: HttpClient, token: str) -> Any:
+    async def _page(self, client: HttpClient, token: str) -> MachinePage:
         query = f"?{urlencode({'page_token': token})}" if token else ""
         try:
             answer = await client.call_json("GET", f"/machines{query}")
@@ -55,4 +64,19 @@
             raise MachineListUnavailableError(
                 f"The list of machines answered {answer.status}."
             )
-        return answer.value
+        try:
+            return decode_page(answer.value)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise MachineListUnavailableError(
+                f"The list of machines cannot be read: {error!r}."
+            ) from error
+
+
+def decode_page(value: Any) -> MachinePage:
+    """Return what a page of the list tells."""
+    running = {
+        str(machine["identifier"])
+        for machine in value["machines"]
+        if machine["state"] == RUNNING
+    }
+    return MachinePage(running, str(value.get("next_page_token") or ""))
--- a/src/damaskstall/tasks/peer_book.py
+++ b/src/damaskstall/tasks/peer_book.py
@@ -127,8 +127,9 @@
             return
         try:
             address = Address(str(row.value["host"]), int(row.value["port"]))
-            self._cores[name] = float(row.value["cores"])
-        except (KeyError, TypeError, ValueError) as error:
+            # Instances of an earlier version do not state theirs.
+            self._cores[name] = float(row.value.get("cores", 1.0))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             log(PEER_IGNORED, peer=name, error=repr(error))
             return
         known = self.peers.get(name)
--- a/standins/operators/machines.py
+++ b/standins/operators/machines.py
@@ -30,6 +30,8 @@
         self.network = network
         self.workers = workers
         self.status = 200
+        # Served in place of the list where it is set.
+        self.answer: Any = None
         self.calls = 0
 
     async def run(
@@ -46,6 +48,8 @@
         self.calls += 1
         if self.status != 200:
             return json_response(self.status, {})
+        if self.answer is not None:
+            return json_response(200, self.answer)
         first = int(request.query.get("page_token", "0"))
         entries = [entry(worker) for worker in self.workers()]
         last = first + PAGE_SIZE
--- a/tests/tasks/test_departures.py
+++ b/tests/tasks/test_departures.py
@@ -1,5 +1,6 @@
 """Workers crash, leave or are cut off, and their runs go on elsewhere."""
 
+from pytest import mark
 from trio import sleep
 
 from damaskstall.tasks.departures import should_move
@@ -94,6 +95,37 @@
     play(scenario)
 
 
+@mark.parametrize(
+    "answer",
+    [
+        [],
+        "text",
+        {"machines": None},
+        {"machines": [{}]},
+        {"machines": [1]},
+        {"machines": [], "next_page_token": "again"},
+    ],
+)
+def test_list_of_machines_that_cannot_be_read_proves_nothing(
+    answer: object,
+) -> None:
+    async def scenario(world: World) -> None:
+        world.machines.answer = answer
+        await world.submit(job_id(1), [FOUR], work_s=5.0)
+        await world.wait(lambda: len(world.book.runs) == 4)
+        holder = world.holder()
+        name = world.book.runs[0].worker
+        world.cut_worker(name)
+        await sleep(2.0)
+        world.heal_worker(name)
+        await world.wait_state(job_id(1), "completed")
+        assert world.holder() == holder
+        assert len(world.book.runs) == 4
+        check_runs(world)
+
+    play(scenario)
+
+
 def test_list_of_machines_is_not_read_while_all_workers_answer() -> None:
     async def scenario(world: World) -> None:
         await world.submit(job_id(1), [FOUR], work_s=3.0)
