Tell reservations apart in a shape that found no room

Two sets of reservations of the same size were taken for one, so a step could be passed over for a round though it would fit beside the other set.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -78,7 +78,7 @@
 class Shape(NamedTuple):
     """Hold all that tells whether a unit fits, apart from the free room.
 
-    ``reservations`` counts the kept room that the unit may not use.
+    ``held`` tells by number which reservations the unit must respect.
     """
 
     service: str
@@ -86,7 +86,7 @@
     demand: Demand
     unit_size: int
     in_one_rack: bool
-    reservations: int
+    held: tuple[int, ...]
 
 
 def decide(situation: Situation, now_s: float) -> list[Decision]:
@@ -179,10 +179,14 @@
 
     def _open_plan(self, batch: Batch) -> tuple[RoomPlan, Shape]:
         """Return the room that a step's units may use, and their shape."""
-        held: list[Reservation] = []
+        held: list[int] = []
         if batch.queue.priority != URGENT_PRIORITY:
             expected_s = self._expected_s(batch)
-            held = [r for r in self.reservations if r.after_s < expected_s]
+            held = [
+                number
+                for number, each in enumerate(self.reservations)
+                if each.after_s < expected_s
+            ]
         step = batch.step
         shape = Shape(
             batch.progress.job.service,
@@ -190,9 +194,10 @@
             step.demand,
             step.unit_size,
             step.gang and step.one_rack,
-            len(held),
+            tuple(held),
         )
-        return open_plan(self.plan, held), shape
+        kept = [self.reservations[number] for number in held]
+        return open_plan(self.plan, kept), shape
 
     def _try_reserve(
         self, placing: Placing, expected_s: float, shape: Shape
