Measure latencies on the node, and tell when the store is slow

The operators ask for latency histograms on the metrics address; the node had counters only. It now measures clients' requests by method and status and the store's calls by name, and logs once when the store turns slow or is well again, which the last incident had to be read without.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -23,6 +23,15 @@
 STORE_REGAINED = Event(
     8004, "INFO", "store_regained", "The store answers this process again."
 )
+STORE_SLOW = Event(
+    8027,
+    "WARNING",
+    "store_slow",
+    "Several calls of the store in a row took ten times as long as usual.",
+)
+STORE_FAST = Event(
+    8028, "INFO", "store_fast", "The store answers as fast as usual again."
+)
 SETTINGS_APPLIED = Event(
     8005, "INFO", "settings_applied", "The settings were read anew."
 )
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -42,7 +42,7 @@
     JobDesk,
     Outcome,
 )
-from damaskstall.tasks.metrics import SUBMISSIONS
+from damaskstall.tasks.metrics import REQUEST_SECONDS, SUBMISSIONS
 from damaskstall.tasks.model import AcceptedJob, JobDeclaration, Queue
 
 # A client that is refused comes back a few times only, and a store that has
@@ -57,6 +57,7 @@
 ANSWER_MARGIN_S = 0.2
 DEFAULT_DEADLINE_S = 3.0
 BEARER = "bearer "
+METHODS = frozenset({"POST", "GET", "DELETE"})
 
 
 class JobCodec(Protocol):
@@ -87,7 +88,16 @@
         self.codec = codec
 
     async def handle(self, request: Request) -> Response:
-        """Answer one request."""
+        """Answer one request, and measure how long that takes."""
+        begun_s = self.context.clock()
+        response = await self._answer(request)
+        # Clients may send any word as a method; each label takes memory.
+        method = request.method if request.method in METHODS else "other"
+        labels = {"method": method, "status": str(response.status)}
+        REQUEST_SECONDS.observe(labels, self.context.clock() - begun_s)
+        return response
+
+    async def _answer(self, request: Request) -> Response:
         follower = self.context.follower
         if not follower.known:
             return retry_later(
--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -11,6 +11,7 @@
 from damaskstall.tasks.events import RELAY_ENDED, RELAY_STARTED
 from damaskstall.tasks.peer_book import PeerBook
 from damaskstall.tasks.ports import WatchedTable
+from damaskstall.tasks.store_speed import StoreSpeed
 
 Result = TypeVar("Result")
 
@@ -20,6 +21,7 @@
 # A peer that cannot help says so at once; more than a few such answers mean
 # that the store is away for all.
 PEER_TRIES = 3
+COMMIT = "commit"
 
 
 class RelayedTable:
@@ -29,6 +31,7 @@
         """Start with the store's own connection."""
         self.direct = direct
         self.peers = peers
+        self.speed = StoreSpeed()
         self.refused = False
         self.refused_since_s = float("inf")
         self._refused_event = Event()
@@ -58,11 +61,13 @@
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
-        return await self._call(lambda table: table.read(key))
+        return await self._call(lambda table: table.read(key), "read")
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
         """Return rows whose key begins with a prefix, after a key."""
-        return await self._call(lambda table: table.scan(prefix, after, limit))
+        return await self._call(
+            lambda table: table.scan(prefix, after, limit), "scan"
+        )
 
     async def changes(
         self, prefix: str, after_revision: int, limit: int
@@ -87,17 +92,25 @@
         the caller settles it by reading.
         """
         return await self._call(
-            lambda way: way.commit(writes, mutation_id), is_write=True
+            lambda way: way.commit(writes, mutation_id), COMMIT
         )
 
     async def _call(
         self,
         call: Callable[[WatchedTable], Awaitable[Result]],
-        is_write: bool = False,
+        timed: str = "",
     ) -> Result:
+        """Perform a call; ``timed`` names it if its time tells of the store.
+
+        A watch waits for changes, so its time tells nothing.
+        """
         if not self.refused:
             try:
-                return await call(self.direct)
+                sent_s = self.peers.clock()
+                result = await call(self.direct)
+                if timed:
+                    self.speed.note(timed, self.peers.clock() - sent_s)
+                return result
             except TableUnavailableError as refusal:
                 self._note_refused(str(refusal))
         with CancelScope() as scope:
@@ -106,7 +119,7 @@
                 return await self._relay(call)
             finally:
                 self._relayed.discard(scope)
-        return await self._call_again(call, is_write)
+        return await self._call_again(call, timed == COMMIT)
 
     async def _call_again(
         self, call: Callable[[WatchedTable], Awaitable[Result]], is_write: bool
