--- a/tests/tasks/world.py
+++ b/tests/tasks/world.py
@@ -200,6 +200,10 @@
                 return name
         return None
 
+    def other_than(self, name: str | None) -> str:
+        """Return a node other than the named one."""
+        return next(node for node in self.nodes if node != name)
+
     async def wait(
         self, condition: Callable[[], object], limit_s: float = 60.0
     ) -> float:
