--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PLOTS_READY := $(VENV)/.plots-ready
 SOURCES := src standins tests tools bench demo
 
-.PHONY: test demo lint types unit generate generated-check format capacity jobs-plot clean
+.PHONY: test demo lint types unit generate generated-check format capacity worth jobs-plot clean
 
 test: lint types generated-check unit
 
@@ -50,6 +50,9 @@
 capacity: $(PLOTS_READY)
 	$(BIN)/python -m bench.capacity
 
+worth: $(READY)
+	$(BIN)/python -m bench.tasks $(ARGS)
+
 jobs-plot: $(PLOTS_READY)
 	$(BIN)/python -m bench.jobs --plot \
 	  --versions fifo-strict,fifo-first-fit,v1-late-binding,v5-yield
