--- a/tests/tasks/situations.py
+++ b/tests/tasks/situations.py
@@ -1,6 +1,7 @@
 """Build situations for the decisions, and carry decisions out."""
 
 from collections.abc import Iterable
+from itertools import count
 from typing import Any
 
 from damaskstall.tasks.capacity import Room
@@ -63,6 +64,7 @@
             for place in range(per_rack)
         ]
         self.jobs: list[JobProgress] = []
+        self._numbers = count()
         self.guarantees: dict[str, int] = {}
         self.expectations = Expectations()
 
@@ -70,7 +72,7 @@
         self, queue_name: str, *steps: Step, team: str = "blue"
     ) -> JobProgress:
         """Hand a job in; later ones arrive later."""
-        number = len(self.jobs)
+        number = next(self._numbers)
         job = AcceptedJob(
             f"{number:016x}",
             queue_name,
--- /dev/null
+++ b/tests/tasks/test_policy_fuzz.py
@@ -0,0 +1,150 @@
+"""Decisions hold their bounds on jobs and workers of every kind, by seed."""
+
+from random import Random
+
+from pytest import mark
+
+from damaskstall.tasks.model import Step
+from damaskstall.tasks.policy import StartUnit
+from damaskstall.tasks.progress import JobProgress, Member, Unit
+from damaskstall.tasks.tending import Tender
+from tests.tasks.situations import BULK, NORMAL, URGENT, Fleet, task
+
+SEEDS = range(40)
+ROUNDS = 50
+ATTEMPTS = 3
+ENDS = ("done", "done", "failed", "lapsed", "broken")
+
+
+class Workers:
+    """Answer the tender at random."""
+
+    def __init__(self, random: Random) -> None:
+        """Draw from a source."""
+        self.random = random
+
+    def is_seen(self, worker: str) -> bool:
+        """Return whether a worker answers now."""
+        return self.random.random() < 0.9
+
+    def leaving(self) -> dict[str, float]:
+        """Return the workers that leave, with in how many seconds."""
+        if self.random.random() < 0.7:
+            return {}
+        return {"w00": self.random.uniform(0.0, 3.0)}
+
+    def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
+        """Take note of members that stand still."""
+
+    def suspect_slow(self, workers: set[str]) -> set[str]:
+        """Let all slow workers rest."""
+        return workers
+
+
+def draw_step(random: Random, number: int) -> Step:
+    """Return a step of any kind, also one that no worker can run."""
+    return task(
+        random.choice([0, 1, 2, 4, 8, 16]),
+        task_count=random.choice([1, 2, 3, 5, 12, 30]),
+        gang=random.random() < 0.5,
+        one_rack=random.random() < 0.5,
+        checkpoints=random.random() < 0.4,
+        after=tuple(range(number)) if random.random() < 0.5 else (),
+        per_worker_limit=random.choice([0, 0, 0, 1, 2]),
+        required_label=random.choice(["", "", "gold", "none"]),
+        data_rack=random.choice(["", "r0-0"]),
+        endless=random.random() < 0.05,
+        estimate_s=random.choice([0.0, 0.1, 2.0, 50.0]),
+    )
+
+
+def draw_fleet(random: Random) -> Fleet:
+    """Return racks of workers that differ."""
+    fleet = Fleet(random.choice([1, 2, 3]), random.choice([1, 2, 8]))
+    fleet.workers = [
+        worker._replace(
+            leaving=random.random() < 0.1,
+            labels=worker.labels | random.choice([{"gold"}, set(), set()]),
+            capacity=worker.capacity._replace(
+                accelerators=random.choice([8, 8, 8, 4])
+            ),
+        )
+        for worker in fleet.workers
+    ]
+    fleet.guarantees = {
+        "blue": random.randint(0, 40),
+        "red": random.randint(0, 40),
+    }
+    return fleet
+
+
+def add_job(random: Random, fleet: Fleet, now_s: float) -> None:
+    """Hand in a job of one to three steps, or of a queue that is gone."""
+    steps = [draw_step(random, n) for n in range(random.choice([1, 1, 2, 3]))]
+    queue = random.choice([URGENT, NORMAL, BULK])
+    team = random.choice(["blue", "red", "green"])
+    job = fleet.add(queue, *steps, team=team)
+    job.first_due_s = now_s
+    if random.random() < 0.1:
+        job.job = job.job._replace(queue="gone")
+
+
+def let_run(random: Random, job: JobProgress, now_s: float) -> None:
+    """Let a job's runs come on, and some of them end."""
+    for unit in job.all_units():
+        for position, member in enumerate(list(unit.members)):
+            if member.ended:
+                continue
+            member.confirmed = member.confirmed or random.random() < 0.7
+            if member.confirmed:
+                step = random.choice([0, 0, 5, 20])
+                member.pace.note(min(99, member.pace.percent + step), now_s)
+            if unit.stopping and random.random() < 0.6:
+                job.end_member(unit, position, "stopped", ATTEMPTS)
+            elif random.random() < 0.08:
+                how = random.choice(ENDS)
+                job.end_member(unit, position, how, ATTEMPTS)
+
+
+def check_starts(fleet: Fleet, starts: list[StartUnit]) -> None:
+    """Assert that each start is whole and on workers that may take it."""
+    workers = {worker.name: worker for worker in fleet.workers}
+    for start in starts:
+        step = start.progress.step_of(start.unit)
+        assert len(start.workers) == step.unit_size
+        for name in start.workers:
+            assert not workers[name].leaving
+            label = step.required_label
+            assert not label or label in workers[name].labels
+        if step.per_worker_limit and step.gang:
+            most = max(map(start.workers.count, start.workers))
+            assert most <= step.per_worker_limit
+
+
+@mark.parametrize("seed", SEEDS)
+def test_decisions_hold_their_bounds(seed: int) -> None:
+    """Nothing goes over a worker's room, and no state ends the decisions."""
+    random = Random(seed)
+    fleet = draw_fleet(random)
+    tender = Tender(Workers(random), fleet.expectations)
+    now_s = 0.0
+    for _ in range(ROUNDS):
+        now_s += random.choice([0.01, 0.2, 0.5, 1.0])
+        if random.random() < 0.6:
+            add_job(random, fleet, now_s)
+        for stop in tender.find_stops(fleet.jobs, now_s):
+            stop.unit.stopping = True
+        starts = []
+        for decision in fleet.decide(now_s):
+            if not isinstance(decision, StartUnit):
+                assert decision.unit.active
+                decision.unit.stopping = True
+                continue
+            starts.append(decision)
+            placed = [(name, 1) for name in decision.workers]
+            decision.progress.begin_run(decision.unit, placed, now_s)
+        check_starts(fleet, starts)
+        fleet.rooms()
+        for job in fleet.jobs:
+            let_run(random, job, now_s)
+        fleet.jobs = [job for job in fleet.jobs if not job.is_over()]
