Give a worker nothing new while it runs what is not counted

What was found by reading: a run that a worker lists and that this holder does not know (an earlier holder stored its start after the rows were read, and ordered it before the worker obeyed the new epoch) was ordered to stop and not counted, and its room was given to others meanwhile. The worker gets nothing new now until its list shows only runs that are counted, and runs_uncounted (8049) tells it.

Test: test_run_that_no_row_tells_of_still_counts, failed before (another task started beside the unknown run).

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -153,6 +153,13 @@
     "runs_lapsed",
     "The lease of a silent worker's runs has surely ended.",
 )
+RUNS_UNCOUNTED = Event(
+    8049,
+    "WARNING",
+    "runs_uncounted",
+    "A worker runs what this holder does not know: it gets nothing new until "
+    "that is stopped.",
+)
 WORKER_IGNORED = Event(
     8044, "WARNING", "worker_ignored", "An entry names no usable worker."
 )
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -22,6 +22,7 @@
 from damaskstall.tasks.events import (
     RUN_REFUSED,
     RUNS_LAPSED,
+    RUNS_UNCOUNTED,
     SESSION_FENCED,
     SESSION_LOST,
     SESSION_REPLACED,
@@ -131,6 +132,10 @@
         self.fenced = False
         self.reachable = False
         self.listed = True
+        # A run that is listed and not counted was started by an earlier
+        # holder whose last rows were not read. It is stopped, and takes room
+        # that nobody knows until then.
+        self.has_uncounted = False
         self.closed = False
         self.incarnation = 0
         self.acknowledged_end = 0
@@ -158,6 +163,7 @@
             self.fenced
             and self.reachable
             and not self.closed
+            and not self.has_uncounted
             and self.listed
             and not self.worker.leaving
             and self.health.may_start(self.clock())
@@ -308,7 +314,8 @@
             # A silent worker's lease is not extended, so that it lapses.
             self._until_s = self.worker_clock_s() + self.lease_s
         until_s = self._until_s
-        may_wait = self.synced and self.reachable and self.load.runs
+        has_runs = bool(self.load.runs) or self.has_uncounted
+        may_wait = self.synced and self.reachable and has_runs
         wait_s = HOLD_WAIT_S if may_wait else 0.0
         request = HoldRequest(
             self.epoch, until_s, self.acknowledged_end, wait_s
@@ -335,7 +342,9 @@
 
     def _is_idle(self) -> bool:
         """Return whether nothing runs and no end is to be acknowledged."""
-        return not self.load.runs and self._told_end >= self._listed_end
+        if self.load.runs or self.has_uncounted:
+            return False
+        return self._told_end >= self._listed_end
 
     def _note_lease(self, until_s: float) -> None:
         """Take note of how long runs may live if the worker goes silent."""
@@ -373,6 +382,7 @@
 
     def _take_lists(self, report: HoldReport) -> None:
         listed = set()
+        self._note_uncounted(report)
         for run in report.running:
             listed.add(run.key)
             if run.key in self.expected:
@@ -392,6 +402,23 @@
             gone = ENDED_LAPSED if expected.confirmed else ENDED_NOT_STARTED
             self._end(key, gone)
 
+    def _note_uncounted(self, report: HoldReport) -> None:
+        """Take note whether the worker runs what is not counted here."""
+        before = self.has_uncounted
+        self.has_uncounted = any(
+            run.key not in self.load.runs for run in report.running
+        )
+        if self.has_uncounted and not before:
+            log(
+                RUNS_UNCOUNTED,
+                worker=self.worker.name,
+                epoch=self.epoch,
+                runs=len(report.running),
+                counted=len(self.load.runs),
+            )
+        if before and not self.has_uncounted:
+            self.owner.note_room()
+
     def _note_silence(self, error: str) -> None:
         if self.reachable or not self.answered.is_set():
             log(SESSION_LOST, worker=self.worker.name, error=error)
--- a/tests/tasks/test_worker_faults.py
+++ b/tests/tasks/test_worker_faults.py
@@ -1,7 +1,8 @@
 """Promises hold while workers fail, refuse, stand still or are cut off."""
 
-from trio import sleep
+from trio import current_time, sleep
 
+from standins.operators.runs import Run
 from tests.tasks.checker import check_finished_once, check_runs
 from tests.tasks.jobs import FOUR, GANG, ONE, WHOLE, job_id
 from tests.tasks.world import (
@@ -203,3 +204,33 @@
         check_runs(world)
 
     play(scenario, racks=1, per_rack=3)
+
+
+def plant(world: World, name: str) -> None:
+    """Let a worker run what an earlier holder has started, unknown to all."""
+    unknown = "f" * 16
+    worker = world.workers[name]
+    world.book.jobs[unknown] = {"steps": [{**WHOLE, "count": 1}]}
+    world.book.work_s[unknown] = 20.0
+    number = len(world.book.runs) + 1
+    run = Run(f"{unknown}.0.0.0", number, name, current_time(), 0.0)
+    worker.running[run.task] = run
+    worker.lease_until_s = worker.clock_s() + 10.0
+    world.book.arrive(run)
+
+
+def test_run_that_no_row_tells_of_still_counts() -> None:
+    """Its worker gets nothing new before it has been stopped there."""
+
+    async def scenario(world: World) -> None:
+        holder = world.holder()
+        assert holder is not None
+        world.kill_node(holder)
+        node = world.other_than(holder)
+        await world.submit(job_id(1), [ONE], node=node)
+        plant(world, "w00")
+        await world.wait_state(job_id(1), "completed", node=node)
+        assert world.book.runs[0].how == "stopped"
+        check_runs(world)
+
+    play(scenario, racks=1, per_rack=1)
