--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -11,6 +11,8 @@
     ``stop_grace_s`` is the time from the request to stop until the process
     is killed. ``key_removal_s`` bounds how long a removed key may still be
     accepted. ``worker_lease_s`` is the longest lease a worker grants.
+    ``machines`` is where the platform lists its machines, if it does.
+    ``processor_cores`` is what the process may use of a processor.
     """
 
     instance: str
@@ -24,3 +26,5 @@
     stop_grace_s: float
     key_removal_s: float
     worker_lease_s: float
+    machines: Address | None = None
+    processor_cores: float = 1.0
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -1,6 +1,6 @@
 """Promises hold while nodes, workers and the store fail."""
 
-from pytest import mark
+from pytest import MonkeyPatch, mark
 from trio import sleep
 
 from standins.operators.store import BUSY, EVERYONE, MANY, RESET, SILENT
@@ -214,9 +214,7 @@
         await world.submit(job_id(1), [FOUR], work_s=12.0)
         await world.wait(lambda: len(world.book.runs) == 4)
         name = world.book.runs[0].worker
-        for node in world.nodes:
-            world.network.cut(node, name)
-            world.network.cut(name, node)
+        world.cut_worker(name)
         await world.wait_state(job_id(1), "completed")
         check_finished_once(world, job_id(1))
         check_runs(world)
@@ -299,13 +297,9 @@
         await world.wait(lambda: len(world.book.runs) == 4)
         await sleep(2.0)
         name = world.book.runs[0].worker
-        for node in world.nodes:
-            world.network.cut(node, name)
-            world.network.cut(name, node)
+        world.cut_worker(name)
         await sleep(6.0)
-        for node in world.nodes:
-            world.network.heal(node, name)
-            world.network.heal(name, node)
+        world.heal_worker(name)
         await world.wait_state(job_id(1), "completed")
         assert len(world.book.runs) == 4
         check_runs(world)
@@ -448,3 +442,23 @@
 
     for lost_orders in range(2, 14):
         play(scenario_with(lost_orders))
+
+
+def test_successor_knows_all_jobs_though_they_fill_several_pages(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("standins.operators.rows.PAGE_ROWS", 2)
+
+    async def scenario(world: World) -> None:
+        numbers = range(1, 41)
+        for number in numbers:
+            await world.submit(job_id(number), [WHOLE], work_s=0.5)
+        holder = world.holder()
+        assert holder is not None
+        world.kill_node(holder)
+        node = other_than(world, None)
+        for number in numbers:
+            await world.wait_state(job_id(number), "completed", node=node)
+        check_runs(world)
+
+    play(scenario)
