--- a/bench/tasks/world.py
+++ b/bench/tasks/world.py
@@ -37,7 +37,6 @@
 GUARANTEED_SHARE = 0.62
 SLOW_REST_S = 4.0
 WHOLE_PERCENT = 100
-ENDED_BY_ITSELF = ("", ENDED_DONE)
 
 
 class Slow(NamedTuple):
@@ -76,9 +75,11 @@
         self.progress = JobProgress(drawn.job, 1, drawn.arrives_s)
         step = drawn.job.declaration.steps[0]
         size = step.unit_size
-        self.left_s = {
+        # The work of each unit, by its first task.
+        self.whole_s = {
             number * size: work_s for number, work_s in enumerate(drawn.work_s)
         }
+        self.left_s = dict(self.whole_s)
         self.done_s: float | None = None
         self.thrown_away_core_s = 0.0
         self.redone_s = 0.0
@@ -206,9 +207,7 @@
         self.at(self.now_s + LOOK_S, self._look)
 
     def _tell(self, run: Run) -> None:
-        whole_s = run.job.drawn.work_s[
-            list(run.job.left_s).index(run.unit.first_index)
-        ]
+        whole_s = run.job.whole_s[run.unit.first_index]
         percent = int(WHOLE_PERCENT * (1 - run.left_s / whole_s))
         for member in run.unit.members:
             member.pace.note(min(99, percent), self.now_s)
