--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -17,7 +17,6 @@
 from damaskstall.scheduler.lease import CellLease
 from damaskstall.tasks.census import Census
 from damaskstall.tasks.context import NodeContext
-from damaskstall.tasks.departures import should_move
 from damaskstall.tasks.events import (
     HOLDER_READY,
     ROW_CONFLICT,
@@ -48,8 +47,8 @@
     log_stopped,
 )
 from damaskstall.tasks.situation import Situation
-from damaskstall.tasks.stalls import is_stalled
 from damaskstall.tasks.sweeper import Sweeper
+from damaskstall.tasks.tending import Tender
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_HOLD_S
 
@@ -76,6 +75,7 @@
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.sweeper = Sweeper(context)
         self.expectations = Expectations()
+        self.tender = Tender(self.pool, self.expectations)
         self.scope = CancelScope()
         self.ready = False
         self._wake = Event()
@@ -165,18 +165,13 @@
             return
         progress, unit, position = found
         member = unit.members[position]
-        if not member.confirmed:
-            member.confirmed = True
-            unit.seen_s = unit.percent_s = self.context.clock()
-            unit.percent = unit.first_percent = report.percent
+        member.confirmed = True
+        member.pace.note(report.percent, self.context.clock())
         if not unit.has_begun:
             unit.has_begun = True
             self._store(progress)
         if report.checkpoint:
             unit.checkpoint = report.checkpoint
-        if report.percent != unit.percent:
-            unit.percent = report.percent
-            unit.percent_s = self.context.clock()
 
     def note_end(self, worker: str, end: EndReport) -> None:
         """Take note that a run has ended, or never began."""
@@ -324,8 +319,8 @@
             self._forget_over()
             self.pool.end_orphans()
             now_s = self.context.clock()
-            self._stop_stalled(now_s)
-            self._stop_leaving(now_s)
+            for stop in self.tender.find_stops(self.jobs.values(), now_s):
+                self._stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._situation(), now_s):
                     self._apply(decision)
@@ -463,32 +458,3 @@
         step = progress.step_of(unit)
         ran_s = self.context.clock() - unit.started_s
         self.expectations.learn(progress.job.queue, step.estimate_s, ran_s)
-
-    def _stop_leaving(self, now_s: float) -> None:
-        """Stop runs that will not be done before their workers leave."""
-        leaving = self.pool.leaving()
-        if not leaving:
-            return
-        for progress in self.jobs.values():
-            for unit in progress.all_units():
-                left = [leaving[w] for w in unit.workers() if w in leaving]
-                step = progress.step_of(unit)
-                if left and should_move(unit, step, min(left), now_s):
-                    reason = f"a worker leaves in {min(left):.1f} s"
-                    self._stop_unit(progress, unit, reason)
-
-    def _stop_stalled(self, now_s: float) -> None:
-        """Stop runs that stand still, so that they go on elsewhere."""
-        for progress in self.jobs.values():
-            for unit in progress.all_units():
-                step = progress.step_of(unit)
-                if step.endless:
-                    continue
-                queue = progress.job.queue
-                expected_s = self.expectations.step_s(queue, step)
-                if unit.active and not self.pool.is_seen(unit):
-                    unit.percent_s = now_s
-                if not is_stalled(unit, expected_s, now_s):
-                    continue
-                self.pool.suspect_stalled(unit)
-                self._stop_unit(progress, unit, "it stands still")
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -18,6 +18,7 @@
     Step,
     TaskKey,
 )
+from damaskstall.tasks.pace import PaceLog
 
 # How the run of one task ended, as the worker tells it; the other ways are
 # all alike here: the task is to run again.
@@ -35,7 +36,7 @@
     of that worker; ``ended`` is empty while the run may exist.
     """
 
-    __slots__ = ("worker", "incarnation", "ended", "confirmed")
+    __slots__ = ("worker", "incarnation", "ended", "confirmed", "pace")
 
     def __init__(self, worker: str, incarnation: int) -> None:
         """Order the run on a worker."""
@@ -43,6 +44,7 @@
         self.incarnation = incarnation
         self.ended = ""
         self.confirmed = False
+        self.pace = PaceLog()
 
 
 class Unit:
@@ -67,10 +69,6 @@
         "members",
         "stopping",
         "started_s",
-        "percent",
-        "first_percent",
-        "seen_s",
-        "percent_s",
         "avoid",
         "has_begun",
     )
@@ -89,10 +87,6 @@
         self.members: list[Member] = []
         self.stopping = False
         self.started_s = 0.0
-        self.percent = 0.0
-        self.first_percent = 0.0
-        self.seen_s = 0.0
-        self.percent_s = 0.0
         self.avoid: set[str] = set()
         self.has_begun = False
 
@@ -101,6 +95,11 @@
         """Return whether a run of the unit may exist."""
         return bool(self.members)
 
+    @property
+    def percent(self) -> float:
+        """Return how far the run has come, that of its slowest member."""
+        return min((m.pace.percent for m in self.members), default=0.0)
+
     def workers(self) -> tuple[str, ...]:
         """Return the workers of tasks that may run, one for each task."""
         return tuple(m.worker for m in self.members if not m.ended)
@@ -244,10 +243,6 @@
         unit.members = [Member(*worker) for worker in workers]
         unit.stopping = False
         unit.started_s = now_s
-        unit.percent = 0.0
-        unit.first_percent = 0.0
-        unit.seen_s = now_s
-        unit.percent_s = now_s
         self.note_change()
 
     def end_member(
--- a/src/damaskstall/tasks/records.py
+++ b/src/damaskstall/tasks/records.py
@@ -206,8 +206,6 @@
     unit.avoid = set(avoid)
     unit.members = []
     unit.started_s = now_s
-    unit.percent_s = now_s
-    unit.seen_s = now_s
     unit.has_begun = True
     for worker, incarnation, ended in members:
         member = Member(worker, incarnation)
--- a/src/damaskstall/tasks/stalls.py
+++ b/src/damaskstall/tasks/stalls.py
@@ -4,14 +4,14 @@
 lists the workers as ready.
 """
 
-from damaskstall.tasks.progress import Unit
+from damaskstall.tasks.pace import LAST_PERCENT
+from damaskstall.tasks.progress import Member, Unit
 
 # The worker's percent is read twice a second; a run that loses this much
 # without a step of one percent stands still.
 STALL_S = 2.5
 # A run of hours moves by a percent in minutes.
 STALL_SHARE = 0.05
-WHOLE_PERCENT = 100.0
 
 
 def is_at_work(unit: Unit) -> bool:
@@ -21,11 +21,27 @@
     return all(member.confirmed for member in unit.members)
 
 
-def is_stalled(unit: Unit, expected_s: float, now_s: float) -> bool:
-    """Return whether a unit's run has stood still for too long."""
+def stalled_members(
+    unit: Unit, expected_s: float, now_s: float
+) -> list[Member]:
+    """Return the members of a unit's run that have stood still for too long.
+
+    A member that has done its part waits for the others of its gang.
+    """
     if not is_at_work(unit):
-        return False
-    return now_s - unit.percent_s > STALL_S + STALL_SHARE * expected_s
+        return []
+    limit_s = STALL_S + STALL_SHARE * expected_s
+    still = [
+        member
+        for member in unit.members
+        if not member.ended and now_s - member.pace.changed_s > limit_s
+    ]
+    waiting = [m for m in still if m.pace.percent >= LAST_PERCENT]
+    return (
+        still
+        if len(waiting) == len(unit.members)
+        else [member for member in still if member not in waiting]
+    )
 
 
 def left_of_run_s(unit: Unit, now_s: float) -> float | None:
@@ -33,9 +49,6 @@
 
     None where that cannot be told yet.
     """
-    grown = unit.percent - unit.first_percent
-    looked_s = unit.percent_s - unit.seen_s
-    if grown <= 0 or looked_s <= 0:
-        return None
-    left_s = (WHOLE_PERCENT - unit.percent) * looked_s / grown
-    return max(0.0, left_s - (now_s - unit.percent_s))
+    left_s = [member.pace.left_s(now_s) for member in unit.members]
+    known = [each for each in left_s if each is not None]
+    return max(known) if known and len(known) == len(left_s) else None
--- /dev/null
+++ b/src/damaskstall/tasks/tending.py
@@ -0,0 +1,113 @@
+"""Look after what runs: find the units that are better off elsewhere."""
+
+from collections.abc import Collection, Iterator
+from typing import NamedTuple, Protocol
+
+from damaskstall.tasks.departures import should_move
+from damaskstall.tasks.expectations import Expectations
+from damaskstall.tasks.progress import JobProgress, Member, Unit
+from damaskstall.tasks.slowness import (
+    find_slowdowns,
+    should_restart,
+    slow_workers,
+)
+from damaskstall.tasks.stalls import stalled_members
+
+# Workers tell percents twice a second, so looking more often shows nothing.
+TEND_S = 0.2
+
+
+class Stop(NamedTuple):
+    """Stop a unit's run, so that it goes on or begins again elsewhere."""
+
+    progress: JobProgress
+    unit: Unit
+    reason: str
+
+
+class Workers(Protocol):
+    """Know how the workers are, and learn of it."""
+
+    def is_seen(self, worker: str) -> bool:
+        """Return whether a worker answers now."""
+
+    def leaving(self) -> dict[str, float]:
+        """Return the workers that leave, with in how many seconds."""
+
+    def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
+        """Let the workers rest on which members of a unit stand still."""
+
+    def suspect_slow(self, workers: set[str]) -> set[str]:
+        """Let workers rest on which all runs are slow; return which do."""
+
+
+class Tender:
+    """Look at all running units now and then."""
+
+    def __init__(self, workers: Workers, expectations: Expectations) -> None:
+        """Look after the units on some workers."""
+        self.workers = workers
+        self.expectations = expectations
+        self._looked_s = float("-inf")
+
+    def find_stops(
+        self, jobs: Collection[JobProgress], now_s: float
+    ) -> list[Stop]:
+        """Return what to stop now, if it is time to look."""
+        if now_s - self._looked_s < TEND_S:
+            return []
+        self._looked_s = now_s
+        return [
+            *self._stalled(jobs, now_s),
+            *self._leaving(jobs, now_s),
+            *self._slow(jobs, now_s),
+        ]
+
+    def _stalled(
+        self, jobs: Collection[JobProgress], now_s: float
+    ) -> Iterator[Stop]:
+        """Yield runs that stand still."""
+        for progress in jobs:
+            for unit in progress.all_units():
+                step = progress.step_of(unit)
+                if step.endless or not unit.active:
+                    continue
+                for member in unit.members:
+                    if not self.workers.is_seen(member.worker):
+                        member.pace.note_unseen(now_s)
+                queue = progress.job.queue
+                expected_s = self.expectations.step_s(queue, step)
+                members = stalled_members(unit, expected_s, now_s)
+                if members:
+                    self.workers.suspect_stalled(unit, members)
+                    yield Stop(progress, unit, "it stands still")
+
+    def _leaving(
+        self, jobs: Collection[JobProgress], now_s: float
+    ) -> Iterator[Stop]:
+        """Yield runs that will not be done before their workers leave."""
+        leaving = self.workers.leaving()
+        if not leaving:
+            return
+        for progress in jobs:
+            for unit in progress.all_units():
+                left = [leaving[w] for w in unit.workers() if w in leaving]
+                step = progress.step_of(unit)
+                if left and should_move(unit, step, min(left), now_s):
+                    reason = f"a worker leaves in {min(left):.1f} s"
+                    yield Stop(progress, unit, reason)
+
+    def _slow(
+        self, jobs: Collection[JobProgress], now_s: float
+    ) -> Iterator[Stop]:
+        """Yield runs that slow workers hold up."""
+        slowdowns = find_slowdowns(jobs, now_s)
+        resting = self.workers.suspect_slow(slow_workers(slowdowns))
+        if not resting:
+            return
+        for each in slowdowns:
+            step = each.progress.step_of(each.unit)
+            slow = each.member.worker in resting
+            if slow and should_restart(each, step):
+                reason = f"it is {each.factor:.1f} times slower than it was"
+                yield Stop(each.progress, each.unit, reason)
--- a/src/damaskstall/tasks/worker_health.py
+++ b/src/damaskstall/tasks/worker_health.py
@@ -17,6 +17,9 @@
 FAILED_JOBS_LIMIT = 2
 FAILURE_REST_S = 5.0
 REST_LIMIT_S = 20.0
+# Slowness passes, and a worker that rests shows no pace; what it is given
+# after the rest shows it again.
+SLOW_REST_S = 4.0
 
 
 class WorkerHealth:
@@ -56,6 +59,10 @@
         self.note_bad(now_s)
         return True
 
+    def note_slow(self, now_s: float) -> None:
+        """Take note that all runs on the worker are slow."""
+        self._rest(SLOW_REST_S, now_s)
+
     def note_bad(self, now_s: float) -> None:
         """Take note that the worker does not work."""
         rest_s = FAILURE_REST_S * 2.0**self._rests
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -20,6 +20,7 @@
     ENDED_FAILED,
     ENDED_LAPSED,
     JobProgress,
+    Member,
     Unit,
 )
 from damaskstall.tasks.worker_list import WorkerList
@@ -30,6 +31,10 @@
     lease_limit_s,
 )
 
+# Workers that may rest at once because they are slow. Sites have up to 0.2 of
+# them slow (fleetbench kinds, srv_slow).
+SLOW_SHARE_LIMIT = 0.25
+
 
 class Orphan(NamedTuple):
     """Hold the worker of a run that is not listed, and when it has lapsed."""
@@ -172,10 +177,10 @@
         end = EndReport(0, key, ENDED_LAPSED, "")
         self.owner.note_end(orphan.worker, end)
 
-    def is_seen(self, unit: Unit) -> bool:
-        """Return whether all workers of a unit's run answer now."""
-        sessions = [self.sessions.get(m.worker) for m in unit.members]
-        return all(session and session.reachable for session in sessions)
+    def is_seen(self, worker: str) -> bool:
+        """Return whether a worker answers now."""
+        session = self.sessions.get(worker)
+        return session is not None and session.reachable
 
     def judge(self, worker: str, job: AcceptedJob, how: str) -> None:
         """Learn of a worker's health from how a run ended there."""
@@ -188,15 +193,46 @@
             if session.health.note_failed(job, self.context.clock()):
                 self._log_suspected(session, "runs of several jobs failed")
 
-    def suspect_stalled(self, unit: Unit) -> None:
-        """Let a worker rest, if it alone can be why a unit stands still."""
-        for member in unit.members:
+    def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
+        """Let the workers rest on which members of a unit stand still.
+
+        Where all of several do, they may wait for something else.
+        """
+        for member in members:
             unit.avoid.add(member.worker)
             session = self.sessions.get(member.worker)
-            if session is not None and len(unit.members) == 1:
+            alone = len(members) == 1 or len(members) < len(unit.members)
+            if session is not None and alone:
                 session.health.note_bad(self.context.clock())
                 self._log_suspected(session, "a run stands still")
 
+    def suspect_slow(self, workers: set[str]) -> set[str]:
+        """Let workers rest on which all runs are slow; return which do.
+
+        Only some of all workers rest at once, in case that the load is what
+        slows them.
+        """
+        now_s = self.context.clock()
+        limit = max(1, int(len(self.sessions) * SLOW_SHARE_LIMIT))
+        resting = {
+            name
+            for name, session in self.sessions.items()
+            if not session.health.may_start(now_s)
+        }
+        found = set()
+        for name in sorted(workers):
+            session = self.sessions.get(name)
+            if session is None:
+                continue
+            if name not in resting:
+                if len(resting) >= limit:
+                    continue
+                resting.add(name)
+                session.health.note_slow(now_s)
+                self._log_suspected(session, "all its runs are slow")
+            found.add(name)
+        return found
+
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON values."""
         return {
--- a/standins/operators/runs.py
+++ b/standins/operators/runs.py
@@ -90,6 +90,11 @@
         """Return how far a run has come, in whole percent."""
         return min(99, int(100 * run.worked_s / self.needed_s(run)))
 
+    def worked_s(self, run: Run) -> float:
+        """Return how long a run has worked: a gang waits for its slowest."""
+        members = [run, *self._gang(run)]
+        return min(member.worked_s for member in members)
+
     def gang_key(self, run: Run) -> tuple[str, int, int]:
         """Return what the members of one gang's run share."""
         return run.name.job_id, run.name.step, run.run
--- a/tests/tasks/test_faults.py
+++ b/tests/tasks/test_faults.py
@@ -462,3 +462,16 @@
         check_runs(world)
 
     play(scenario)
+
+
+def test_gang_of_which_one_member_stands_still_goes_on_elsewhere() -> None:
+    """Each member tells a percent of its own."""
+
+    async def scenario(world: World) -> None:
+        world.workers["w00"].stall_starts = True
+        await world.submit(job_id(1), [GANG], work_s=6.0)
+        await world.wait_state(job_id(1), "completed", limit_s=13.0)
+        assert {run.worker for run in world.book.runs[2:]}.isdisjoint({"w00"})
+        check_runs(world)
+
+    play(scenario, racks=1, per_rack=3)
