Log the evidence for each end of a run, and ends that match no run

Cause: run_ended told the outcome but not how the holder knew it, an end that matched no present run left no line, and neither did the answer to a start.

Change: run_ended and the counter damaskstall_runs_ended carry the evidence; end_unmatched and damaskstall_ends_unmatched count ignored ends; run_launched tells attempts, unanswered ones and the outcome of a start; task_worker_replaced names both incarnations and what showed the change. No decision changes.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -129,6 +129,19 @@
 UNIT_STOPPED = Event(
     8031, "INFO", "unit_stopped", "The run of a unit is being stopped."
 )
+RUN_LAUNCHED = Event(
+    8036,
+    "INFO",
+    "run_launched",
+    "The start command of a run was answered, or its attempts have ended.",
+)
+END_UNMATCHED = Event(
+    8037,
+    "WARNING",
+    "end_unmatched",
+    "A worker listed the end of a run that is not the present run of its "
+    "task: the end is ignored.",
+)
 RUN_ENDED = Event(8032, "INFO", "run_ended", "The run of a task has ended.")
 RUN_REFUSED = Event(
     8033, "INFO", "run_refused", "A worker refused to start a run."
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -30,7 +30,7 @@
 from damaskstall.tasks.machine_list_poller import MachineListPoller
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
 from damaskstall.tasks.policy import Decision, StartUnit, decide
-from damaskstall.tasks.ports import EndReport, RunReport
+from damaskstall.tasks.ports import NOT_LAUNCHED, EndReport, RunReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
@@ -40,6 +40,7 @@
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
 from damaskstall.tasks.run_log import (
+    log_end_unmatched,
     log_job_ended,
     log_run_ended,
     log_unit_started,
@@ -180,9 +181,11 @@
         """Record that a run has ended, or has never started."""
         found = self._find_run(end.key)
         if found is None:
+            self._log_if_unmatched(worker, end)
             return
         progress, unit, position = found
         if unit.members[position].worker != worker:
+            log_end_unmatched(worker, end, unit.run)
             return
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
@@ -389,8 +392,7 @@
                 session = self.pool.sessions.get(member.worker)
                 key = progress.run_key(unit, position)
                 if session is None:
-                    end = EndReport(0, key, ENDED_NOT_STARTED, "")
-                    self.record_end(member.worker, end)
+                    self._record_not_launched(member.worker, key)
                     continue
                 nursery.start_soon(
                     partial(
@@ -411,7 +413,12 @@
             for position, member in enumerate(members)
         ]
         for worker, key in keys:
-            self.record_end(worker, EndReport(0, key, ENDED_NOT_STARTED, ""))
+            self._record_not_launched(worker, key)
+
+    def _record_not_launched(self, worker: str, key: RunKey) -> None:
+        """Record the end of a run for which no command was sent."""
+        end = EndReport(0, key, ENDED_NOT_STARTED, "", NOT_LAUNCHED)
+        self.record_end(worker, end)
 
     def _stop_all(self, progress: JobProgress, reason: str) -> None:
         for unit in progress.all_units():
@@ -454,6 +461,14 @@
             return None
         return progress, unit, position
 
+    def _log_if_unmatched(self, worker: str, end: EndReport) -> None:
+        """Log an end of another run than its task's present one."""
+        progress = self.jobs.get(end.key.task.job_id)
+        found = progress.find(end.key.task) if progress is not None else None
+        present_run = found[0].run if found is not None else None
+        if present_run != end.key.run:
+            log_end_unmatched(worker, end, present_run)
+
     def _attempt_limit(self, progress: JobProgress) -> int:
         queue = self.context.configuration.queues.get(progress.job.queue)
         return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -14,7 +14,12 @@
     "damaskstall_units_started", "Runs of units that were placed on workers."
 )
 RUNS_ENDED = Counter(
-    "damaskstall_runs_ended", "Runs of tasks that ended, by how they ended."
+    "damaskstall_runs_ended",
+    "Runs of tasks that ended, by how they ended and the evidence for it.",
+)
+ENDS_UNMATCHED = Counter(
+    "damaskstall_ends_unmatched",
+    "Listed ends of runs that are not the present run, by how they ended.",
 )
 HOLDS_LEASE = Gauge(
     "damaskstall_holds_lease",
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -14,6 +14,17 @@
 OPERATOR_TABLE = "op"
 WORKER_TABLE = "servers"
 
+# Evidence for the end of a run: the worker listed the end, its reports lack
+# the run, it refused the start, another incarnation of it answers, its
+# machine is down, its lease has expired, or no start command was sent.
+REPORTED = "reported"
+MISSING = "missing"
+REFUSED = "refused"
+REPLACED = "replaced"
+MACHINE_DOWN = "machine_down"
+LEASE_EXPIRED = "lease_expired"
+NOT_LAUNCHED = "not_launched"
+
 
 class WatchedTable(TableService, Protocol):
     """Table service that can also wait for changes of one table."""
@@ -40,13 +51,15 @@
     """Report of one run that has ended on a worker.
 
     ``number`` counts the ends within one incarnation of the worker; 0 marks an
-    end that the worker did not list. ``how`` is the outcome.
+    end that the worker did not list. ``how`` is the outcome, and ``evidence``
+    tells how the end is known.
     """
 
     number: int
     key: RunKey
     how: str
     checkpoint: str
+    evidence: str = REPORTED
 
 
 class LeaseRenewal(NamedTuple):
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -2,12 +2,20 @@
 
 from damaskstall.events import log
 from damaskstall.tasks.events import (
+    END_UNMATCHED,
     RUN_ENDED,
+    RUN_LAUNCHED,
     TASK_JOB_ENDED,
     UNIT_STARTED,
     UNIT_STOPPED,
 )
-from damaskstall.tasks.metrics import NO_LABELS, RUNS_ENDED, UNITS_STARTED
+from damaskstall.tasks.metrics import (
+    ENDS_UNMATCHED,
+    NO_LABELS,
+    RUNS_ENDED,
+    UNITS_STARTED,
+)
+from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.ports import EndReport
 from damaskstall.tasks.progress import JobProgress, Unit
 
@@ -42,7 +50,7 @@
 
 def log_run_ended(worker: str, end: EndReport) -> None:
     """Log and count the end of one task's run."""
-    RUNS_ENDED.inc({"how": end.how})
+    RUNS_ENDED.inc({"how": end.how, "evidence": end.evidence})
     log(
         RUN_ENDED,
         job=end.key.task.job_id,
@@ -51,6 +59,42 @@
         run=end.key.run,
         worker=worker,
         how=end.how,
+        evidence=end.evidence,
+    )
+
+
+def log_end_unmatched(
+    worker: str, end: EndReport, present_run: int | None
+) -> None:
+    """Log an ignored end; ``present_run`` is None if the job is unknown."""
+    ENDS_UNMATCHED.inc({"how": end.how})
+    log(
+        END_UNMATCHED,
+        job=end.key.task.job_id,
+        step=end.key.task.step,
+        index=end.key.task.task_index,
+        run=end.key.run,
+        worker=worker,
+        how=end.how,
+        evidence=end.evidence,
+        present_run=present_run,
+    )
+
+
+def log_run_launched(
+    worker: str, key: RunKey, outcome: str, attempts: int, unanswered: int
+) -> None:
+    """Log the outcome of a run's start command and of its repeats."""
+    log(
+        RUN_LAUNCHED,
+        job=key.task.job_id,
+        step=key.task.step,
+        index=key.task.task_index,
+        run=key.run,
+        worker=worker,
+        outcome=outcome,
+        attempts=attempts,
+        unanswered=unanswered,
     )
 
 
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -14,7 +14,7 @@
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
-from damaskstall.tasks.ports import EndReport
+from damaskstall.tasks.ports import LEASE_EXPIRED, MACHINE_DOWN, EndReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_FAILED,
@@ -155,7 +155,7 @@
             session.record_machine_down()
         for key, orphan in list(self._orphans.items()):
             if orphan.worker == name:
-                self._end_orphan(key, orphan)
+                self._end_orphan(key, orphan, MACHINE_DOWN)
 
     def leaving_workers(self) -> dict[str, float]:
         """Return the draining workers with the seconds until they leave."""
@@ -170,11 +170,11 @@
         now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
             if now_s >= orphan.expires_s:
-                self._end_orphan(key, orphan)
+                self._end_orphan(key, orphan, LEASE_EXPIRED)
 
-    def _end_orphan(self, key: RunKey, orphan: Orphan) -> None:
+    def _end_orphan(self, key: RunKey, orphan: Orphan, evidence: str) -> None:
         del self._orphans[key]
-        end = EndReport(0, key, ENDED_LAPSED, "")
+        end = EndReport(0, key, ENDED_LAPSED, "", evidence)
         self.owner.record_end(orphan.worker, end)
 
     def is_reachable(self, worker: str) -> bool:
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -30,6 +30,11 @@
 )
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
+    LEASE_EXPIRED,
+    MACHINE_DOWN,
+    MISSING,
+    REFUSED,
+    REPLACED,
     EndReport,
     LeaseRenewal,
     RunReport,
@@ -38,6 +43,7 @@
     WorkerReport,
 )
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
+from damaskstall.tasks.run_log import log_run_launched
 from damaskstall.tasks.worker_health import WorkerHealth
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
@@ -225,15 +231,23 @@
             self.epoch, key, payload, not_after_s, checkpoint
         )
         self.wake()
-        unanswered = False
+        attempts = unanswered = 0
+
+        def log_launched(outcome: str) -> None:
+            log_run_launched(
+                self.worker.name, key, outcome, attempts, unanswered
+            )
+
         while self.worker_clock_s() < not_after_s:
             if key not in self.expected or not self.owner.should_continue(key):
+                log_launched("not needed")
                 return
+            attempts += 1
             try:
                 async with self._command_slots:
                     clock_s = await self.client.start(request)
             except (CommandNotSentError, CommandOutcomeUnknownError) as error:
-                unanswered |= isinstance(error, CommandOutcomeUnknownError)
+                unanswered += isinstance(error, CommandOutcomeUnknownError)
                 await sleep(RETRY_S)
                 continue
             except (
@@ -241,12 +255,15 @@
                 WorkerReplacedError,
                 CommandRefusedError,
             ) as error:
-                self._handle_start_refusal(key, error, unanswered)
+                log_launched(type(error).__name__)
+                self._handle_start_refusal(key, error, unanswered > 0)
                 return
+            log_launched("answered")
             self.health.record_started()
             if key in self.expected:
                 self.expected[key] = ExpectedRun(clock_s, True)
             return
+        log_launched("no answer")
 
     def _handle_start_refusal(
         self, key: RunKey, error: Exception, unanswered: bool
@@ -259,7 +276,7 @@
         if isinstance(error, FencedError):
             self.owner.step_down()
         elif isinstance(error, WorkerReplacedError):
-            self._reset_incarnation(0)
+            self._reset_incarnation(0, "start command")
         elif isinstance(error, CommandRefusedError):
             log(
                 RUN_REFUSED,
@@ -271,7 +288,7 @@
             if not error.reason:
                 self.health.record_refused(self.clock())
             if not unanswered:
-                self._end(key, ENDED_NOT_STARTED)
+                self._end(key, ENDED_NOT_STARTED, REFUSED)
 
     def stop(self, key: RunKey) -> None:
         """Send a stop command for a run, unless one was sent a moment ago.
@@ -304,7 +321,7 @@
         log(
             TASK_WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs)
         )
-        self._end_all()
+        self._end_all(MACHINE_DOWN)
 
     def wake(self) -> None:
         """Wake the session to renew the lease if runs need it."""
@@ -319,7 +336,7 @@
                 self._entry_read_s = self.clock()
             self.worker = worker
             if self.incarnation and worker.incarnation > self.incarnation:
-                self._reset_incarnation(worker.incarnation)
+                self._reset_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
     async def _renew_lease_once(self) -> bool:
@@ -341,7 +358,7 @@
             self.owner.step_down()
             return False
         except WorkerReplacedError:
-            self._reset_incarnation(0)
+            self._reset_incarnation(0, "lease renewal")
             return False
         except (
             CommandNotSentError,
@@ -372,7 +389,7 @@
 
     async def _apply_report(self, report: WorkerReport) -> None:
         if self.incarnation and report.incarnation != self.incarnation:
-            self._reset_incarnation(report.incarnation)
+            self._reset_incarnation(report.incarnation, "report")
         elif self.clock_known and report.clock_s < self._clock_s:
             # A newer answer arrived before this one.
             return
@@ -418,7 +435,7 @@
             if key in listed or report.clock_s <= expected.not_after_s:
                 continue
             outcome = ENDED_LAPSED if expected.confirmed else ENDED_NOT_STARTED
-            self._end(key, outcome)
+            self._end(key, outcome, MISSING)
 
     def _check_unknown_runs(self, report: WorkerReport) -> None:
         """Set ``has_unknown_runs`` from a report, and log new cases."""
@@ -448,9 +465,9 @@
                 worker=self.worker.name,
                 runs=len(self.load.runs),
             )
-            self._end_all()
+            self._end_all(LEASE_EXPIRED)
 
-    def _reset_incarnation(self, incarnation: int) -> None:
+    def _reset_incarnation(self, incarnation: int, source: str) -> None:
         """End all runs and begin anew with another incarnation of the worker.
 
         An ``incarnation`` of 0 means that its number is not known yet.
@@ -459,6 +476,8 @@
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
             incarnation=incarnation,
+            earlier_incarnation=self.incarnation,
+            source=source,
             runs=len(self.load.runs),
         )
         self.incarnation = incarnation
@@ -468,16 +487,17 @@
         self.clock_known = False
         self.fenced = False
         self._lease_until_s = 0.0
-        self._end_all()
+        self._end_all(REPLACED)
 
-    def _end_all(self) -> None:
+    def _end_all(self, evidence: str) -> None:
         for key in list(self.load.runs):
-            self._end(key, ENDED_LAPSED)
+            self._end(key, ENDED_LAPSED, evidence)
 
-    def _end(self, key: RunKey, how: str) -> None:
+    def _end(self, key: RunKey, how: str, evidence: str) -> None:
         """Record the end of a run that the worker does not list."""
         self.release(key)
-        self.owner.record_end(self.worker.name, EndReport(0, key, how, ""))
+        end = EndReport(0, key, how, "", evidence)
+        self.owner.record_end(self.worker.name, end)
 
     async def _send_stop(self, key: RunKey) -> None:
         try:
