Show that a late start extends the lease of a silent worker

The worker carries out a start whose answer is lost, 9.5 s after it fell silent. The start's deadline extends the lease of everything on the worker, and the session ends the earlier run before that: "AssertionError: ended while the lease lasts".

--- /dev/null
+++ b/tests/tasks/test_lease_expiry.py
@@ -0,0 +1,62 @@
+"""A silent worker's runs end only once its lease has certainly expired."""
+
+from collections.abc import Awaitable, Callable
+
+from trio import open_nursery, sleep
+
+from damaskstall.tasks.worker_session import WorkerSession
+from tests.tasks.session_fakes import (
+    DEMAND,
+    FakeWorker,
+    RecordingOwner,
+    open_session,
+    run_key,
+)
+from tests.virtual_time import run_virtual
+
+Body = Callable[[WorkerSession, FakeWorker, RecordingOwner], Awaitable[None]]
+
+
+def run_session(body: Body, clock_rate: float = 1.0) -> None:
+    """Run a test's body beside a session with a worker."""
+
+    async def main() -> None:
+        worker, owner = FakeWorker(clock_rate), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await session.answered.wait()
+            await body(session, worker, owner)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+async def launch(session: WorkerSession, index: int) -> None:
+    """Start a run through a session."""
+    key = run_key(index)
+    session.reserve(key, DEMAND)
+    await session.launch(key, "payload", "")
+
+
+async def wait_end(owner: RecordingOwner, index: int) -> None:
+    """Wait until the end of a run is recorded."""
+    for _ in range(5000):
+        if owner.ended(run_key(index)) is not None:
+            return
+        await sleep(0.01)
+    raise AssertionError("The run has no end.")
+
+
+def test_late_start_extends_the_lease_of_a_silent_worker() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        await launch(session, 1)
+        worker.loses_answers = True
+        await sleep(9.5)
+        await launch(session, 2)
+        await wait_end(owner, 1)
+        assert not worker.lease_lasts(), "ended while the lease lasts"
+
+    run_session(body, clock_rate=0.98)
