Count the deadline of a start in the lease of a silent worker

A start may be sent late, since it waits until its placement is stored. If the worker has fallen silent meanwhile, its lease was computed from the renewals alone, although the deadline of a start extends the lease of everything that runs on the worker, also if it refuses the start. The worker's runs were ended as lapsed up to 1.5 s early and started again elsewhere while they still ran.

Seen before: "AssertionError: ended while the lease lasts" in test_late_start_extends_the_lease_of_a_silent_worker. Each attempt now extends the computed expiry before it is sent, as a renewal does; the deadline is absolute, so a late execution changes nothing. The test passes, and so do all others of tests/tasks.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -245,6 +245,7 @@
             attempts += 1
             try:
                 async with self._command_slots:
+                    self._extend_lease_expiry(not_after_s)
                     clock_s = await self.client.start(request)
             except (CommandNotSentError, CommandOutcomeUnknownError) as error:
                 unanswered += isinstance(error, CommandOutcomeUnknownError)
@@ -378,7 +379,11 @@
         return self._sent_end >= self._newest_end
 
     def _extend_lease_expiry(self, until_s: float) -> None:
-        """Extend the time after which a silent worker's lease has expired."""
+        """Extend the time after which a silent worker's lease has expired.
+
+        ``until_s`` is the deadline of a command that is about to be sent:
+        that of a start extends the lease of everything on the worker too.
+        """
         if not self.clock_known:
             return
         left_s = until_s - self._clock_s
