Show that a missing list entry ends runs of a worker that runs

The stand-in list of machines can leave an entry out of one reading or of all, and can show a machine as it was before its worker started.

--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trio import TASK_STATUS_IGNORED, TaskStatus
+from trio import TASK_STATUS_IGNORED, TaskStatus, sleep
 from trio.abc import HalfCloseableStream
 
 from damaskstall.addresses import Address
@@ -36,6 +36,20 @@
         # Unless None, this answer is served instead of the list.
         self.answer: Any = None
         self.calls = 0
+        # Workers without an entry, and those whose machines are shown as they
+        # were before the workers started.
+        self.hidden: set[str] = set()
+        self.outdated: set[str] = set()
+        # Delay of each answer after its page was read.
+        self.delay_s = 0.0
+        self._hidden_once: set[str] = set()
+
+    def hide_once(self, name: str) -> None:
+        """Leave a worker's entry out of the next reading of all pages.
+
+        An entry is missed that moves to an earlier page during a reading.
+        """
+        self._hidden_once.add(name)
 
     async def run(
         self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
@@ -54,22 +68,34 @@
         if self.answer is not None:
             return json_response(200, self.answer)
         first = int(request.query.get("page_token", "0"))
-        entries = [entry(worker) for worker in self.workers()]
+        hidden = self.hidden | self._hidden_once
+        entries = [
+            entry(worker, worker.name in self.outdated)
+            for worker in self.workers()
+            if worker.name not in hidden
+        ]
         last = first + PAGE_SIZE
         token = str(last) if last < len(entries) else None
+        if token is None:
+            self._hidden_once.clear()
+        await sleep(self.delay_s)
         return json_response(
             200, {"machines": entries[first:last], "next_page_token": token}
         )
 
 
-def entry(worker: StandinWorker) -> dict[str, Any]:
-    """Return the list's entry for a worker's machine."""
+def entry(worker: StandinWorker, outdated: bool) -> dict[str, Any]:
+    """Return the list's entry for a worker's machine.
+
+    An outdated entry shows the machine before the worker started on it.
+    """
+    up = worker.up and not outdated
     return {
         "machine": f"m-{worker.name}",
         "pool": "svc",
-        "state": "up" if worker.up else "down",
+        "state": "up" if up else "down",
         "zone": "fd0",
         "labels": ["a", worker.rack],
         "capacity": worker.capacity,
-        "identifier": worker.name if worker.up else "",
+        "identifier": worker.name if up else "",
     }
--- /dev/null
+++ b/tests/tasks/test_machine_list_evidence.py
@@ -0,0 +1,58 @@
+"""Only proof that a worker has ended ends its runs early."""
+
+from trio import sleep
+
+from tests.tasks.cluster import Cluster, run_scenario
+from tests.tasks.job_specs import FOUR_TASKS, job_id
+from tests.tasks.run_checker import check_runs
+
+
+async def cut_off_worker(cluster: Cluster, run_time_s: float = 6.0) -> str:
+    """Start four runs and cut off the worker of the first; return it."""
+    await cluster.submit(job_id(1), [FOUR_TASKS], work_s=run_time_s)
+    await cluster.wait(lambda: len(cluster.history.runs) == 4)
+    name: str = cluster.history.runs[0].worker
+    cluster.disconnect_worker(name)
+    return name
+
+
+async def check_no_second_start(cluster: Cluster, name: str) -> None:
+    """Reconnect a worker and check that its runs were never started again."""
+    cluster.reconnect_worker(name)
+    await cluster.wait_state(job_id(1), "completed")
+    check_runs(cluster)
+    assert len(cluster.history.runs) == 4
+
+
+def test_entry_that_one_reading_missed_does_not_prove_a_crash() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = await cut_off_worker(cluster)
+        cluster.machines.hide_once(name)
+        await sleep(3.0)
+        assert cluster.machines.calls > 0
+        await check_no_second_start(cluster, name)
+
+    run_scenario(scenario)
+
+
+def test_entry_that_every_reading_misses_does_not_prove_a_crash() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = await cut_off_worker(cluster)
+        await sleep(1.0)
+        cluster.machines.hidden.add(name)
+        await sleep(2.0)
+        await check_no_second_start(cluster, name)
+
+    run_scenario(scenario)
+
+
+def test_list_that_is_older_than_a_worker_does_not_prove_a_crash() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = await cut_off_worker(cluster)
+        cluster.machines.outdated.add(name)
+        await sleep(1.6)
+        cluster.machines.outdated.clear()
+        await sleep(2.0)
+        await check_no_second_start(cluster, name)
+
+    run_scenario(scenario)
