End runs early only if readings prove that their worker has ended

A worker that this holder alone had lost contact with lost all its runs as soon as one reading of the list of machines lacked its name, and they started again elsewhere while the worker ran on. A name is missing without a crash if its entry moves between pages while they are read, or if the list is behind. A reading that began before the worker's last answer also counted.

Readings now keep each machine with its worker. A worker has ended if its machine's entry says so after an earlier reading showed the worker there. One that no reading has shown must be absent for 1 s from readings that lack no machine known and no worker that answers. Otherwise the lease decides. Evidence counts only for the silence in which the reading began.

A list that is behind by more than 1 s still misleads if no reading has shown the worker.

--- a/src/damaskstall/platform/machine_list.py
+++ b/src/damaskstall/platform/machine_list.py
@@ -1,4 +1,4 @@
-"""Read the running workers from the operators' list of machines."""
+"""Read the machines and their workers from the operators' list of machines."""
 
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
@@ -7,6 +7,7 @@
 from damaskstall.errors import HttpError, MachineListUnavailableError
 from damaskstall.http.client import HttpClient
 from damaskstall.network import Network
+from damaskstall.tasks.machine_evidence import MachineEntry
 
 # The list answers in a few milliseconds; when it is slow it takes 50 times as
 # long.
@@ -19,14 +20,14 @@
 
 
 class MachinePage(NamedTuple):
-    """Running workers of one page, and the token of the next page or ""."""
+    """Machines of one page, and the token of the next page or ""."""
 
-    running: set[str]
+    machines: list[MachineEntry]
     next_token: str
 
 
 class MachineList:
-    """Client of the list of machines; see ``Platform.running_workers``."""
+    """Client of the list of machines; see ``Platform.machines``."""
 
     def __init__(self, network: Network, address: Address | None) -> None:
         """Use the list at an address; None if the platform has no list."""
@@ -34,8 +35,8 @@
             HttpClient(network, address, TIMEOUT_S) if address else None
         )
 
-    async def running_workers(self) -> frozenset[str]:
-        """Return the names of the workers whose machines are up.
+    async def read_all(self) -> list[MachineEntry]:
+        """Return all entries of the list, in its order.
 
         Raises MachineListUnavailableError unless all pages can be read.
         """
@@ -43,14 +44,14 @@
             raise MachineListUnavailableError(
                 "The platform has no list of machines."
             )
-        found: set[str] = set()
+        found: list[MachineEntry] = []
         token = ""
         for _ in range(PAGE_LIMIT):
             page = await self._page(self.client, token)
-            found |= page.running
+            found += page.machines
             token = page.next_token
             if not token:
-                return frozenset(found)
+                return found
         raise MachineListUnavailableError(
             f"The list of machines has more than {PAGE_LIMIT} pages."
         )
@@ -76,9 +77,12 @@
 
 def decode_page(value: Any) -> MachinePage:
     """Return the page that a JSON value describes."""
-    running = {
-        str(machine["identifier"])
-        for machine in value["machines"]
-        if machine["state"] == RUNNING
-    }
-    return MachinePage(running, str(value.get("next_page_token") or ""))
+    machines = [decode_machine(entry) for entry in value["machines"]]
+    return MachinePage(machines, str(value.get("next_page_token") or ""))
+
+
+def decode_machine(value: Any) -> MachineEntry:
+    """Return the machine that an entry of the list describes."""
+    running = value["state"] == RUNNING
+    worker = str(value["identifier"]) if running else ""
+    return MachineEntry(str(value["machine"]), worker)
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -13,6 +13,7 @@
     DEFAULT_BODY_LIMIT_BYTES,
     DesiredState,
 )
+from damaskstall.tasks.machine_evidence import MachineEntry
 from damaskstall.tasks.model import Demand, Queue, TaskTeam, WorkerInfo
 
 CONFIGURATION_KEY = "op/config"
@@ -34,7 +35,7 @@
         """Use the platform's store, and its list of machines if any."""
         self.network = network
         self.table = RowStore(network, store)
-        self.machines = MachineList(network, machines)
+        self.machine_list = MachineList(network, machines)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether a key is that of the configuration row."""
@@ -67,9 +68,9 @@
                 f"The row {row.key!r} is not a worker's entry: {error!r}."
             ) from error
 
-    async def running_workers(self) -> frozenset[str]:
-        """Return the names of the workers whose machines are up."""
-        return await self.machines.running_workers()
+    async def machines(self) -> list[MachineEntry]:
+        """Return the machines, each with the worker that runs on it."""
+        return await self.machine_list.read_all()
 
     def client_for(self, worker: WorkerInfo) -> HttpWorkerClient:
         """Return a client of one worker."""
--- /dev/null
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -0,0 +1,104 @@
+"""Decide from readings of the list of machines which workers have ended.
+
+Entries may move between pages while the pages are read, and the list may be
+behind, so that a worker that is missing from a reading may still run. A worker
+has ended if its machine's entry says so after an earlier reading showed the
+worker on that machine. Otherwise only readings over some time count.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Set
+from typing import NamedTuple
+
+# A worker that no reading has shown must be absent from all readings for this
+# time. Each of them must list all machines that earlier readings listed, and
+# all workers that answer.
+ABSENCE_S = 1.0
+
+
+class MachineEntry(NamedTuple):
+    """One machine of the list.
+
+    ``worker`` is the name of the worker that runs on it, "" if none does.
+    """
+
+    machine: str
+    worker: str
+
+
+class MachineEvidence:
+    """The readings of one holder, and what they prove about workers."""
+
+    def __init__(self) -> None:
+        """Start without readings."""
+        self._machines: set[str] = set()
+        self._machine_of: dict[str, str] = {}
+        # For a silent worker that no reading has shown: the start of its
+        # silence, and the time of the first reading without it.
+        self._absent_since: dict[str, tuple[float, float]] = {}
+
+    def ended_workers(
+        self,
+        silent_since: Mapping[str, float],
+        answering: Set[str],
+        entries: Iterable[MachineEntry],
+        now_s: float,
+    ) -> set[str]:
+        """Return the silent workers that have ended, by a new reading.
+
+        ``silent_since`` has the start of each silent worker's present silence,
+        which began before the reading did.
+        """
+        found = list(entries)
+        complete = self._is_complete(found, answering)
+        self._machines.update(entry.machine for entry in found)
+        on_machine: dict[str, set[str]] = {}
+        for entry in found:
+            on_machine.setdefault(entry.machine, set()).add(entry.worker)
+            if entry.worker:
+                self._machine_of[entry.worker] = entry.machine
+        shown = {entry.worker for entry in found}
+        ended = set()
+        for name, since_s in silent_since.items():
+            if name in shown:
+                continue
+            machine = self._machine_of.get(name)
+            if machine is not None:
+                if machine in on_machine:
+                    ended.add(name)
+            elif complete and self._is_absent_long(name, since_s, now_s):
+                ended.add(name)
+        self._forget_absences(silent_since, shown, complete)
+        return ended
+
+    def _is_complete(
+        self, entries: list[MachineEntry], answering: Set[str]
+    ) -> bool:
+        """Return whether a reading lacks nothing that is known to exist."""
+        if not answering <= {entry.worker for entry in entries}:
+            return False
+        counts = Counter(entry.machine for entry in entries)
+        if any(count > 1 for count in counts.values()):
+            return False
+        return bool(counts) and self._machines <= counts.keys()
+
+    def _is_absent_long(self, name: str, since_s: float, now_s: float) -> bool:
+        """Return whether all readings of a silence have lacked a worker."""
+        silence_s, first_s = self._absent_since.get(name, (since_s, now_s))
+        if silence_s != since_s:
+            first_s = now_s
+        self._absent_since[name] = (since_s, first_s)
+        return now_s - first_s >= ABSENCE_S
+
+    def _forget_absences(
+        self,
+        silent_since: Mapping[str, float],
+        shown: set[str],
+        complete: bool,
+    ) -> None:
+        """Forget absences that this reading does not confirm."""
+        if not complete:
+            self._absent_since.clear()
+        for name in list(self._absent_since):
+            if name in shown or name not in silent_since:
+                del self._absent_since[name]
--- a/src/damaskstall/tasks/machine_list_poller.py
+++ b/src/damaskstall/tasks/machine_list_poller.py
@@ -3,7 +3,8 @@
 When a worker crashes or is removed, its runs would occupy capacity until
 their leases have certainly expired, 6 to 10 s later. A silent worker may also
 be partitioned and keep running. The platform, which operates the machines,
-can distinguish the two: nothing runs on a machine that is down or removed.
+can distinguish the two: nothing runs on a machine that is down or removed. A
+single reading of the list may lack a worker that runs.
 """
 
 from trio import sleep
@@ -11,6 +12,7 @@
 from damaskstall.errors import MachineListUnavailableError
 from damaskstall.events import log
 from damaskstall.tasks.events import MACHINE_LIST_LOST, MACHINE_LIST_REGAINED
+from damaskstall.tasks.machine_evidence import MachineEvidence
 from damaskstall.tasks.ports import Platform
 from damaskstall.tasks.worker_pool import WorkerPool
 
@@ -26,27 +28,38 @@
         """Poll for the workers of one pool."""
         self.platform = platform
         self.pool = pool
+        self.evidence = MachineEvidence()
         self.failing = False
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
             await sleep(POLL_INTERVAL_S)
-            silent = self.pool.silent_workers()
-            if silent:
-                await self._poll(silent)
+            silent_since = self.pool.silent_workers()
+            if silent_since:
+                await self._poll(silent_since)
 
-    async def _poll(self, silent: set[str]) -> None:
-        """End the runs of silent workers whose machines no longer run."""
+    async def _poll(self, silent_since: dict[str, float]) -> None:
+        """End the runs of silent workers that have certainly ended."""
         try:
-            running = await self.platform.running_workers()
+            entries = await self.platform.machines()
         except MachineListUnavailableError as error:
             if not self.failing:
-                log(MACHINE_LIST_LOST, silent=len(silent), error=str(error))
+                log(
+                    MACHINE_LIST_LOST,
+                    silent=len(silent_since),
+                    error=str(error),
+                )
             self.failing = True
             return
         if self.failing:
-            log(MACHINE_LIST_REGAINED, silent=len(silent))
+            log(MACHINE_LIST_REGAINED, silent=len(silent_since))
         self.failing = False
-        for name in sorted(silent - running):
-            self.pool.record_machine_stopped(name)
+        ended = self.evidence.ended_workers(
+            silent_since,
+            self.pool.answering_workers(),
+            entries,
+            self.pool.context.clock(),
+        )
+        for name in sorted(ended):
+            self.pool.record_machine_stopped(name, silent_since[name])
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -7,6 +7,7 @@
 
 from damaskstall.platform.types import ChangePage, Row, TableService
 from damaskstall.tasks.desired_state import DesiredState
+from damaskstall.tasks.machine_evidence import MachineEntry
 from damaskstall.tasks.model import RunKey, WorkerInfo
 
 # Tables that the operators and the workers write; this program only reads
@@ -137,11 +138,11 @@
     def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
         """Return the worker that a row lists; raise MalformedRowError."""
 
-    async def running_workers(self) -> frozenset[str]:
-        """Return the names of the workers whose machines are up.
+    async def machines(self) -> list[MachineEntry]:
+        """Return the machines, each with the worker that runs on it.
 
-        The runs of all other workers have ended. Raises
-        MachineListUnavailableError when the list cannot be read.
+        Entries that move during the reading may be missing or listed twice.
+        Raises MachineListUnavailableError when the list cannot be read.
         """
 
     def client_for(self, worker: WorkerInfo) -> WorkerClient:
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -40,6 +40,7 @@
     """Unlisted worker of a run, and the time at which its lease expires."""
 
     worker: str
+    adopted_s: float
     expires_s: float
 
 
@@ -123,8 +124,9 @@
                 session.wake()
                 continue
             lease_s = lease_limit_s(self.context.settings.worker_lease_s)
-            expires_s = self.context.clock() + OUTAGE_RENEWAL_LIMIT_S + lease_s
-            self._orphans[key] = Orphan(member.worker, expires_s)
+            now_s = self.context.clock()
+            expires_s = now_s + OUTAGE_RENEWAL_LIMIT_S + lease_s
+            self._orphans[key] = Orphan(member.worker, now_s, expires_s)
 
     def release(self, progress: JobProgress, unit: Unit) -> None:
         """Stop counting a unit's runs on their workers."""
@@ -140,21 +142,35 @@
             if session is not None and not member.ended:
                 session.stop(progress.run_key(unit, position))
 
-    def silent_workers(self) -> set[str]:
-        """Return the workers that are unreachable and may have runs."""
-        silent = {orphan.worker for orphan in self._orphans.values()}
+    def silent_workers(self) -> dict[str, float]:
+        """Return since when workers with runs have been unreachable."""
+        silent_since: dict[str, float] = {}
+        for orphan in self._orphans.values():
+            since_s = silent_since.get(orphan.worker, orphan.adopted_s)
+            silent_since[orphan.worker] = max(since_s, orphan.adopted_s)
         for name, session in self.sessions.items():
             if session.load.runs and not session.reachable:
-                silent.add(name)
-        return silent
+                silent_since[name] = session.silent_since_s
+        return silent_since
 
-    def record_machine_stopped(self, name: str) -> None:
-        """Record that a worker's machine is down; end the worker's runs."""
+    def answering_workers(self) -> set[str]:
+        """Return the workers that are reachable."""
+        return {
+            name
+            for name, session in self.sessions.items()
+            if session.reachable
+        }
+
+    def record_machine_stopped(self, name: str, since_s: float) -> None:
+        """Record that a worker has ended that was silent since a time.
+
+        Ends the runs that the worker had in that silence.
+        """
         session = self.sessions.get(name)
         if session is not None:
-            session.record_machine_down()
+            session.record_machine_down(since_s)
         for key, orphan in list(self._orphans.items()):
-            if orphan.worker == name:
+            if orphan.worker == name and orphan.adopted_s <= since_s:
                 self._end_orphan(key, orphan, MACHINE_DOWN)
 
     def leaving_workers(self) -> dict[str, float]:
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -160,6 +160,8 @@
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
+        # The start of the present silence, if the worker is not reachable.
+        self.silent_since_s = started_s
         # Until the worker answers, an earlier holder's last renewal applies.
         self._lease_expiry_s = (
             started_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(self.lease_s)
@@ -312,12 +314,15 @@
         passed_s = self.clock() - self._entry_read_s
         return max(0.0, self.worker.leaves_in_s - passed_s)
 
-    def record_machine_down(self) -> None:
-        """Record that the worker's machine is down: end all its runs.
+    def record_machine_down(self, since_s: float) -> None:
+        """Record that the worker has ended: end all its runs.
 
-        Does nothing while the worker answers.
+        Does nothing if the worker has answered since ``since_s``, the start of
+        the silence in which its end was observed.
         """
-        if self.reachable or not self.load.runs:
+        if self.reachable or self.silent_since_s != since_s:
+            return
+        if not self.load.runs:
             return
         log(
             TASK_WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs)
@@ -462,6 +467,8 @@
     def _record_no_answer(self, error: str) -> None:
         if self.reachable or not self.answered.is_set():
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
+        if self.reachable:
+            self.silent_since_s = self.clock()
         self.reachable = False
         self.answered.set()
         if self.clock() > self._lease_expiry_s and self.load.runs:
--- a/tests/tasks/test_machine_list_evidence.py
+++ b/tests/tasks/test_machine_list_evidence.py
@@ -1,10 +1,18 @@
 """Only proof that a worker has ended ends its runs early."""
 
-from trio import sleep
+from trio import open_nursery, sleep
 
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import FOUR_TASKS, job_id
 from tests.tasks.run_checker import check_runs
+from tests.tasks.session_fakes import (
+    DEMAND,
+    FakeWorker,
+    RecordingOwner,
+    open_session,
+    run_key,
+)
+from tests.virtual_time import run_virtual
 
 
 async def cut_off_worker(cluster: Cluster, run_time_s: float = 6.0) -> str:
@@ -56,3 +64,29 @@
         await check_no_second_start(cluster, name)
 
     run_scenario(scenario)
+
+
+def test_reading_from_before_an_answer_does_not_prove_a_crash() -> None:
+    async def main() -> None:
+        worker, owner = FakeWorker(), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await session.answered.wait()
+            session.reserve(run_key(1), DEMAND)
+            await session.launch(run_key(1), "payload", "")
+            worker.loses_answers = True
+            await sleep(1.0)
+            read_s = session.silent_since_s
+            worker.loses_answers = False
+            await sleep(1.0)
+            worker.loses_answers = True
+            await sleep(1.0)
+            assert not session.reachable
+            session.record_machine_down(read_s)
+            assert not owner.ends
+            session.record_machine_down(session.silent_since_s)
+            assert owner.ends
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
