--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -33,6 +33,7 @@
 
 PORT = 8080
 LEASE_LIMIT_S = 10.0
+EXPECTED_INSTANCE = "damaskstall-expected-instance"
 LIMITS = ServerLimits(connections=100_000, idle_timeout_s=600.0)
 NEVER_S = float("-inf")
 
@@ -87,6 +88,12 @@
         self.up = False
         self.network.kill(self.name)
 
+    async def move(self, nursery: Nursery, address: Address) -> None:
+        """Continue at another address; all connections are lost."""
+        self.network.kill(self.name)
+        self.address = address
+        await nursery.start(self.run)
+
     async def restart(self, nursery: Nursery) -> None:
         """Start again as the next incarnation under the same name."""
         self.boot(self.born + 1)
@@ -166,6 +173,8 @@
 
     async def _handle(self, request: Request) -> Response:
         body = parse_json(await request.body.read(100_000))
+        if request.headers.get(EXPECTED_INSTANCE, self.name) != self.name:
+            return json_response(421, {})
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         order = {
             "/run-start": self._start,
--- a/tests/tasks/test_lease_expiry.py
+++ b/tests/tasks/test_lease_expiry.py
@@ -11,6 +11,7 @@
     RecordingOwner,
     open_session,
     run_key,
+    worker_info,
 )
 from tests.virtual_time import run_virtual
 
@@ -60,3 +61,58 @@
         assert not worker.lease_lasts(), "ended while the lease lasts"
 
     run_session(body, clock_rate=0.98)
+
+
+def test_answer_of_another_worker_does_not_end_runs() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        await launch(session, 1)
+        worker.replaced = True
+        await sleep(1.0)
+        assert worker.lease_lasts()
+        assert not owner.ends, "ended by an answer of another worker"
+        assert not session.usable()
+        worker.replaced = False
+        await sleep(1.0)
+        assert session.usable()
+
+    run_session(body)
+
+
+def test_start_that_reaches_another_worker_ends_only_that_run() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        await launch(session, 1)
+        worker.replaced = True
+        await launch(session, 2)
+        assert [end.key for end in owner.ends] == [run_key(2)]
+        assert not session.usable()
+
+    run_session(body)
+
+
+def test_runs_of_a_replaced_worker_end_with_their_lease() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        await launch(session, 1)
+        worker.replaced = True
+        await wait_end(owner, 1)
+        assert not worker.lease_lasts()
+
+    run_session(body, clock_rate=0.98)
+
+
+def test_client_follows_the_address_of_its_worker() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        session.update(worker_info(host="10.1.0.0"))
+        assert not worker.followed
+        moved = worker_info(host="10.1.0.9")
+        session.update(moved)
+        assert worker.followed == [moved]
+
+    run_session(body)
