Treat an answer of another worker as silence of the one meant

A 421 of any command ended all runs of the named worker at once, and they started again elsewhere. It proves only that another worker has the address and that this command was not carried out: the worker meant may run on at another address. Now such an answer counts as no answer, and a start that certainly was not carried out ends as not started. The list of machines, the worker's entry or the lease decides about the other runs.

Seen before: "AssertionError: ended by an answer of another worker" and two more tests of test_lease_expiry.py. They pass now.

--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -194,7 +194,7 @@
 
 
 class WorkerReplacedError(CommandError):
-    """Another incarnation of the worker answers at its address."""
+    """Another worker answers at the address."""
 
 
 class UnsupportedJobError(DamaskstallError):
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -109,7 +109,8 @@
     have carried it out, CommandNotSentError when it was certainly not carried
     out, CommandRefusedError with the worker's reason, FencedError when the
     worker has accepted a higher epoch, and WorkerReplacedError when another
-    incarnation of the worker answers.
+    worker answers. The latter has then done nothing, and it does not tell
+    whether the worker that was meant still runs.
     """
 
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -274,12 +274,16 @@
         """Handle a worker's refusal to start a run.
 
         An earlier attempt without an answer may have been carried out. Then
-        only the worker's lists show whether the run exists.
+        only the worker's lists show whether the run exists. If another worker
+        answers, this one has not received the command, and may run on at
+        another address.
         """
         if isinstance(error, FencedError):
             self.owner.step_down()
         elif isinstance(error, WorkerReplacedError):
-            self._reset_incarnation(0, "start command")
+            self._record_no_answer(str(error))
+            if not unanswered:
+                self._end(key, ENDED_NOT_STARTED, REFUSED)
         elif isinstance(error, CommandRefusedError):
             log(
                 RUN_REFUSED,
@@ -363,13 +367,11 @@
         except FencedError:
             self.owner.step_down()
             return False
-        except WorkerReplacedError:
-            self._reset_incarnation(0, "lease renewal")
-            return False
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
             CommandRefusedError,
+            WorkerReplacedError,
         ) as error:
             self._record_no_answer(str(error))
             return False
@@ -480,10 +482,7 @@
             self._end_all(LEASE_EXPIRED)
 
     def _reset_incarnation(self, incarnation: int, source: str) -> None:
-        """End all runs and begin anew with another incarnation of the worker.
-
-        An ``incarnation`` of 0 means that its number is not known yet.
-        """
+        """End all runs; begin anew with another incarnation of the worker."""
         log(
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
