--- a/tests/tasks/test_lease_expiry.py
+++ b/tests/tasks/test_lease_expiry.py
@@ -116,3 +116,18 @@
         assert worker.followed == [moved]
 
     run_session(body)
+
+
+def test_worker_whose_runs_have_lapsed_is_used_once_it_answers() -> None:
+    async def body(
+        session: WorkerSession, worker: FakeWorker, owner: RecordingOwner
+    ) -> None:
+        await launch(session, 1)
+        worker.loses_answers = True
+        await wait_end(owner, 1)
+        worker.running.clear()
+        worker.loses_answers = False
+        await sleep(3.0)
+        assert session.usable()
+
+    run_session(body)
