Call a silent worker again after its runs have lapsed

A worker that was cut off until its runs lapsed, or were ended because of the list of machines, got no further call while it stayed listed: without runs its session was idle, so its capacity was lost to this holder for good.

Seen before: "assert session.usable()" failed 3 s after the worker answered again. A session is idle only while its worker is reachable; a silent worker is called each IDLE_RETRY_S, as intended. The test passes.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -215,7 +215,7 @@
                 self.closed = True
                 await self.client.close()
                 return
-            if self.clock_known and self._is_idle():
+            if self.clock_known and self.reachable and self._is_idle():
                 await self._wake.wait()
                 continue
             if not self.owner.may_renew_leases():
