Call a worker at the address of its present entry

A session kept calling the address of the entry that opened it. A worker whose address changed was never reached again: its runs lapsed or, once another worker had the old address, were ended at once and started again elsewhere.

The client now follows the entry: later calls go to the new address, and connections to the old one are closed with the next renewal.

--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -47,10 +47,12 @@
 
     def __init__(self, network: Network, worker: WorkerInfo) -> None:
         """Call the worker at its listed address."""
-        address = Address(worker.host, worker.port)
+        self.network = network
         self.headers = ((EXPECTED_INSTANCE, worker.name),)
-        self.renewal_client = HttpClient(network, address, COMMAND_TIMEOUT_S)
-        self.command_client = HttpClient(network, address, COMMAND_TIMEOUT_S)
+        self.renewal_client = self._client_of(worker)
+        self.command_client = self._client_of(worker)
+        # Clients of earlier addresses, with calls that may be under way.
+        self._earlier_clients: list[HttpClient] = []
 
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Renew the lease of all runs; return the running and ended runs."""
@@ -60,6 +62,7 @@
             "deadline_ms": milliseconds(request.lease_until_s),
             "wait_ms": milliseconds(request.wait_s),
         }
+        await self._close_earlier()
         self.renewal_client.timeout_s = COMMAND_TIMEOUT_S + request.wait_s
         answer = await self._call(self.renewal_client, "/hold", body)
         return decode_report(answer.value)
@@ -87,11 +90,27 @@
         }
         await self._call(self.command_client, "/run-stop", body)
 
+    def follow(self, worker: WorkerInfo) -> None:
+        """Send all further calls to the address in the worker's entry."""
+        self._earlier_clients += [self.renewal_client, self.command_client]
+        self.renewal_client = self._client_of(worker)
+        self.command_client = self._client_of(worker)
+
     async def close(self) -> None:
         """Close the connections to the worker."""
+        await self._close_earlier()
         await self.renewal_client.close()
         await self.command_client.close()
 
+    def _client_of(self, worker: WorkerInfo) -> HttpClient:
+        address = Address(worker.host, worker.port)
+        return HttpClient(self.network, address, COMMAND_TIMEOUT_S)
+
+    async def _close_earlier(self) -> None:
+        """Close the idle connections to earlier addresses."""
+        for client in self._earlier_clients:
+            await client.close()
+
     async def _call(
         self, client: HttpClient, path: str, body: dict[str, Any]
     ) -> JsonResponse:
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -122,6 +122,9 @@
     async def stop(self, epoch: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
 
+    def follow(self, worker: WorkerInfo) -> None:
+        """Send all further calls to the address in the worker's entry."""
+
     async def close(self) -> None:
         """Close the connections to the worker."""
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -344,11 +344,18 @@
         if worker is not None:
             if worker is not self.worker:
                 self._entry_read_s = self.clock()
+            self._follow_address(worker)
             self.worker = worker
             if self.incarnation and worker.incarnation > self.incarnation:
                 self._reset_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
+    def _follow_address(self, worker: WorkerInfo) -> None:
+        """Call the worker where its entry says, if that has changed."""
+        earlier = (self.worker.host, self.worker.port)
+        if (worker.host, worker.port) != earlier:
+            self.client.follow(worker)
+
     async def _renew_lease_once(self) -> bool:
         """Send one renewal; return whether the worker answered."""
         if self.clock_known and self.reachable:
