--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -7,6 +7,7 @@
 
 from damaskstall.platform.types import ChangePage, Row, TableService
 from damaskstall.tasks.desired_state import DesiredState
+from damaskstall.tasks.machine_evidence import MachineEntry
 from damaskstall.tasks.model import RunKey, WorkerInfo
 
 # Tables that the operators and the workers write; this program only reads
@@ -108,7 +109,8 @@
     have carried it out, CommandNotSentError when it was certainly not carried
     out, CommandRefusedError with the worker's reason, FencedError when the
     worker has accepted a higher epoch, and WorkerReplacedError when another
-    incarnation of the worker answers.
+    worker answers. The latter has then done nothing, and it does not tell
+    whether the worker that was meant still runs.
     """
 
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
@@ -120,6 +122,9 @@
     async def stop(self, epoch: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
 
+    def follow(self, worker: WorkerInfo) -> None:
+        """Send all further calls to the address in the worker's entry."""
+
     async def close(self) -> None:
         """Close the connections to the worker."""
 
@@ -137,11 +142,11 @@
     def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
         """Return the worker that a row lists; raise MalformedRowError."""
 
-    async def running_workers(self) -> frozenset[str]:
-        """Return the names of the workers whose machines are up.
+    async def machines(self) -> list[MachineEntry]:
+        """Return the machines, each with the worker that runs on it.
 
-        The runs of all other workers have ended. Raises
-        MachineListUnavailableError when the list cannot be read.
+        Entries that move during the reading may be missing or listed twice.
+        Raises MachineListUnavailableError when the list cannot be read.
         """
 
     def client_for(self, worker: WorkerInfo) -> WorkerClient:
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -160,6 +160,8 @@
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
+        # The start of the present silence, if the worker is not reachable.
+        self.silent_since_s = started_s
         # Until the worker answers, an earlier holder's last renewal applies.
         self._lease_expiry_s = (
             started_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(self.lease_s)
@@ -213,7 +215,7 @@
                 self.closed = True
                 await self.client.close()
                 return
-            if self.clock_known and self._is_idle():
+            if self.clock_known and self.reachable and self._is_idle():
                 await self._wake.wait()
                 continue
             if not self.owner.may_renew_leases():
@@ -245,6 +247,7 @@
             attempts += 1
             try:
                 async with self._command_slots:
+                    self._extend_lease_expiry(not_after_s)
                     clock_s = await self.client.start(request)
             except (CommandNotSentError, CommandOutcomeUnknownError) as error:
                 unanswered += isinstance(error, CommandOutcomeUnknownError)
@@ -271,12 +274,16 @@
         """Handle a worker's refusal to start a run.
 
         An earlier attempt without an answer may have been carried out. Then
-        only the worker's lists show whether the run exists.
+        only the worker's lists show whether the run exists. If another worker
+        answers, this one has not received the command, and may run on at
+        another address.
         """
         if isinstance(error, FencedError):
             self.owner.step_down()
         elif isinstance(error, WorkerReplacedError):
-            self._reset_incarnation(0, "start command")
+            self._record_no_answer(str(error))
+            if not unanswered:
+                self._end(key, ENDED_NOT_STARTED, REFUSED)
         elif isinstance(error, CommandRefusedError):
             log(
                 RUN_REFUSED,
@@ -311,12 +318,15 @@
         passed_s = self.clock() - self._entry_read_s
         return max(0.0, self.worker.leaves_in_s - passed_s)
 
-    def record_machine_down(self) -> None:
-        """Record that the worker's machine is down: end all its runs.
+    def record_machine_down(self, since_s: float) -> None:
+        """Record that the worker has ended: end all its runs.
 
-        Does nothing while the worker answers.
+        Does nothing if the worker has answered since ``since_s``, the start of
+        the silence in which its end was observed.
         """
-        if self.reachable or not self.load.runs:
+        if self.reachable or self.silent_since_s != since_s:
+            return
+        if not self.load.runs:
             return
         log(
             TASK_WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs)
@@ -334,11 +344,18 @@
         if worker is not None:
             if worker is not self.worker:
                 self._entry_read_s = self.clock()
+            self._follow_address(worker)
             self.worker = worker
             if self.incarnation and worker.incarnation > self.incarnation:
                 self._reset_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
+    def _follow_address(self, worker: WorkerInfo) -> None:
+        """Call the worker where its entry says, if that has changed."""
+        earlier = (self.worker.host, self.worker.port)
+        if (worker.host, worker.port) != earlier:
+            self.client.follow(worker)
+
     async def _renew_lease_once(self) -> bool:
         """Send one renewal; return whether the worker answered."""
         if self.clock_known and self.reachable:
@@ -357,13 +374,11 @@
         except FencedError:
             self.owner.step_down()
             return False
-        except WorkerReplacedError:
-            self._reset_incarnation(0, "lease renewal")
-            return False
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
             CommandRefusedError,
+            WorkerReplacedError,
         ) as error:
             self._record_no_answer(str(error))
             return False
@@ -378,7 +393,11 @@
         return self._sent_end >= self._newest_end
 
     def _extend_lease_expiry(self, until_s: float) -> None:
-        """Extend the time after which a silent worker's lease has expired."""
+        """Extend the time after which a silent worker's lease has expired.
+
+        ``until_s`` is the deadline of a command that is about to be sent:
+        that of a start extends the lease of everything on the worker too.
+        """
         if not self.clock_known:
             return
         left_s = until_s - self._clock_s
@@ -457,6 +476,8 @@
     def _record_no_answer(self, error: str) -> None:
         if self.reachable or not self.answered.is_set():
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
+        if self.reachable:
+            self.silent_since_s = self.clock()
         self.reachable = False
         self.answered.set()
         if self.clock() > self._lease_expiry_s and self.load.runs:
@@ -468,10 +489,7 @@
             self._end_all(LEASE_EXPIRED)
 
     def _reset_incarnation(self, incarnation: int, source: str) -> None:
-        """End all runs and begin anew with another incarnation of the worker.
-
-        An ``incarnation`` of 0 means that its number is not known yet.
-        """
+        """End all runs; begin anew with another incarnation of the worker."""
         log(
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
