--- a/src/damaskstall/tasks/machine_evidence.py
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -37,6 +37,10 @@
         # silence, and the time of the first reading without it.
         self._absent_since: dict[str, tuple[float, float]] = {}
 
+    def knows(self, workers: Set[str]) -> bool:
+        """Return whether the machines of all these workers are known."""
+        return workers <= self._machine_of.keys()
+
     def ended_workers(
         self,
         silent_since: Mapping[str, float],
