Do not take a run as missing whose end may not fit into an answer

A worker lists its unacknowledged ends 500 at a time. With more of them, as while the store accepts no write, a run whose end did not fit was in neither list and was ended as lapsed; a task that was done ran again.

Seen before: "AssertionError: ended because missing" in test_run_whose_end_does_not_fit_into_an_answer_is_not_missing. An answer with as many ends as fit now proves nothing about runs that it does not list. Once the ends are acknowledged, the next answers list the others. The test passes.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -64,6 +64,8 @@
 # the platform charges for each call to a worker.
 IDLE_RETRY_S = 1.0
 STOP_RETRY_S = 0.4
+# A worker lists at most this many ends in one answer, the oldest first.
+LISTED_ENDS_LIMIT = 500
 # Concurrent commands to one worker; each needs a connection.
 CONCURRENT_COMMAND_LIMIT = 2
 # An earlier holder renews the leases of runs until its own lease expires, and
@@ -450,6 +452,9 @@
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
+        if len(report.ended) >= LISTED_ENDS_LIMIT:
+            # The ends of runs that are not listed may follow.
+            return
         for key, expected in list(self.expected.items()):
             if key in listed or report.clock_s <= expected.not_after_s:
                 continue
