Keep a run whose worker's session has closed as an orphan

A run that was adopted between the closing of its worker's session and the next update of the sessions was counted on the closed one and dropped with it. No report, lease or list of machines ended it, and its job never completed.

Seen before: "assert 'w00' in {}" in test_run_that_is_adopted_after_its_session_closed_is_not_lost. A closed session adopts nothing; the run waits as an orphan for the next session. The test passes, the job completes.

--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -119,7 +119,7 @@
                 continue
             key = progress.run_key(unit, position)
             session = self.sessions.get(member.worker)
-            if session is not None:
+            if session is not None and not session.closed:
                 session.adopt(key, demand)
                 session.wake()
                 continue
