Show that the deadline of a start is rounded up on the wire

"assert 101.001 <= 101.0006": the worker may carry out a start later than the time after which the session takes a run that is not listed as never started.

--- a/tests/tasks/test_lease_expiry.py
+++ b/tests/tasks/test_lease_expiry.py
@@ -4,7 +4,13 @@
 
 from trio import open_nursery, sleep
 
+from damaskstall.addresses import Address
+from damaskstall.platform.worker_client import HttpWorkerClient
+from damaskstall.tasks.ports import StartRequest
 from damaskstall.tasks.worker_session import WorkerSession
+from standins.network import MemoryNetwork
+from standins.operators.run_history import RunHistory
+from standins.operators.worker import StandinWorker
 from tests.tasks.session_fakes import (
     DEMAND,
     FakeWorker,
@@ -131,3 +137,21 @@
         assert session.usable()
 
     run_session(body)
+
+
+def test_deadline_of_a_start_is_not_rounded_up() -> None:
+    async def main() -> None:
+        network, history = MemoryNetwork(), RunHistory()
+        history.jobs["job"] = {"steps": [{"count": 1}]}
+        address = Address("10.1.0.0", 8080)
+        worker = StandinWorker(network, history, "w00", address, "r0-0", {})
+        client = HttpWorkerClient(network.endpoint("n0"), worker_info())
+        async with open_nursery() as nursery:
+            await nursery.start(worker.run)
+            not_after_s = worker.clock_s() + 1.0006
+            request = StartRequest(1, run_key(0), "", not_after_s, "")
+            await client.start(request)
+            assert worker.lease_until_s <= not_after_s
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
