Round the deadline of a start down

The session takes a run as never started if a list of a later worker clock lacks it. The deadline went out rounded to the nearest millisecond, so a start could still be carried out up to 0.5 ms after that list, and the task could be started elsewhere as well.

Seen before: "assert 101.001 <= 101.0006" in test_deadline_of_a_start_is_not_rounded_up. A run of a task twice because of it was not seen. The deadline is rounded down; the test passes.

--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -1,5 +1,6 @@
 """Call a worker in the operators' protocol."""
 
+from math import floor
 from typing import Any
 
 from damaskstall.addresses import Address
@@ -73,7 +74,8 @@
             "task": encode_task_key(request.key.task),
             "run": request.key.run,
             "specification": request.payload,
-            "deadline_ms": milliseconds(request.not_after_s),
+            # Rounded down: the worker must not carry it out any later.
+            "deadline_ms": floor(request.not_after_s * MILLISECONDS_PER_S),
             "fencing_token": request.epoch,
         }
         if request.checkpoint:
