--- a/tests/tasks/test_machine_evidence.py
+++ b/tests/tasks/test_machine_evidence.py
@@ -60,3 +60,12 @@
         assert not ended(evidence, entries, 0.9)
         assert not ended(evidence, [DOWN, OTHER], 1.2)
         assert ended(evidence, [DOWN, OTHER], 2.2)
+
+
+def test_machine_that_is_removed_delays_the_proof_only_once() -> None:
+    evidence = MachineEvidence()
+    removed = MachineEntry("m3", "w3")
+    assert not ended(evidence, [DOWN, OTHER, removed], 0.0)
+    assert not ended(evidence, [DOWN, OTHER], 0.5)
+    assert not ended(evidence, [DOWN, OTHER], 0.8)
+    assert ended(evidence, [DOWN, OTHER], 1.8)
--- a/tests/tasks/test_machine_list_evidence.py
+++ b/tests/tasks/test_machine_list_evidence.py
@@ -90,3 +90,19 @@
             nursery.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+def test_idle_worker_that_crashed_too_does_not_delay_the_proof() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=4.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 4)
+        busy = {run.worker for run in cluster.history.runs}
+        idle = next(name for name in cluster.workers if name not in busy)
+        cluster.register_worker(cluster.workers[idle], "draining", 60_000)
+        await sleep(1.0)
+        cluster.workers[idle].crash()
+        cluster.workers[cluster.history.runs[0].worker].crash()
+        await cluster.wait_state(job_id(1), "completed", limit_s=8.0)
+        check_runs(cluster)
+
+    run_scenario(scenario)
