Let other machines that have gone not prevent the proof of a crash

A reading must list the workers with runs that answer, since only these are called all the time, and the machines of the reading before instead of all ever seen. Otherwise one idle worker that crashed too, or one machine that left the list, made every later reading count as incomplete.

Seen before: "The job's state is still 'running'" after 8 s in test_idle_worker_that_crashed_too_does_not_delay_the_proof, and the end not proved in test_machine_that_is_removed_delays_the_proof_only_once.

--- a/src/damaskstall/tasks/machine_evidence.py
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 # A worker that no reading has shown must be absent from all readings for this
-# time. Each of them must list all machines that earlier readings listed, and
-# all workers that answer.
+# time. Each of them must list all machines of the reading before, and all
+# workers that answer.
 ABSENCE_S = 1.0
 
 
@@ -51,7 +51,7 @@
         """
         found = list(entries)
         complete = self._is_complete(found, answering)
-        self._machines.update(entry.machine for entry in found)
+        self._machines = {entry.machine for entry in found}
         on_machine: dict[str, set[str]] = {}
         for entry in found:
             on_machine.setdefault(entry.machine, set()).add(entry.worker)
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -154,11 +154,14 @@
         return silent_since
 
     def answering_workers(self) -> set[str]:
-        """Return the workers that are reachable."""
+        """Return the reachable workers with runs.
+
+        Others are not called, and may have ended unnoticed.
+        """
         return {
             name
             for name, session in self.sessions.items()
-            if session.reachable
+            if session.reachable and session.load.runs
         }
 
     def record_machine_stopped(self, name: str, since_s: float) -> None:
