Record what proves the end of a run, and each mechanism seen failing

Each mechanism was broken once in a scratch edit and the named tests failed. One had no test: the adoption of an orphan after a reading began. It has one now, which was seen failing with the check removed.

--- a/tests/tasks/test_machine_list_evidence.py
+++ b/tests/tasks/test_machine_list_evidence.py
@@ -106,3 +106,23 @@
         check_runs(cluster)
 
     run_scenario(scenario)
+
+
+def test_reading_from_before_an_adoption_does_not_end_the_orphan() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = await cut_off_worker(cluster)
+        node = cluster.holder()
+        assert node is not None
+        holder = cluster.nodes[node].election.holder
+        assert holder is not None
+        pool, progress = holder.pool, holder.jobs[job_id(1)]
+        del pool.sessions[name]
+        for unit in progress.all_units():
+            pool.adopt(progress, unit)
+        since_s = pool.silent_workers()[name]
+        pool.record_machine_stopped(name, since_s - 0.1)
+        assert name in pool.silent_workers()
+        pool.record_machine_stopped(name, since_s)
+        assert name not in pool.silent_workers()
+
+    run_scenario(scenario)
