Show that a worker's incarnations are confused

A worker may start again under the same name.

The stand-in worker now carries out nothing while it is down, refuses commands for another instance, delays renewals, and may omit its number.

--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -35,6 +35,7 @@
 LEASE_LIMIT_S = 10.0
 LIMITS = ServerLimits(connections=100_000, idle_timeout_s=600.0)
 NEVER_S = float("-inf")
+EXPECTED_INSTANCE = "damaskstall-expected-instance"
 
 
 class StandinWorker:
@@ -60,6 +61,9 @@
         self.clock_rate = 1.0
         # Delays of the next orders, which get no answer.
         self.order_delays_s: list[float] = []
+        # Delays of the next renewals, which get no answer.
+        self.renewal_delays_s: list[float] = []
+        self.reports_born = True
         self.refuse_starts = False
         self.stall_starts = False
         self.calls: dict[str, int] = {}
@@ -122,7 +126,7 @@
             "capacity": self.capacity,
             "labels": ["a", self.rack],
             "clock_ms": round(self.clock_s() * 1000),
-            "born": self.born,
+            **({"born": self.born} if self.reports_born else {}),
             "sequence": 1,
         }
 
@@ -167,18 +171,32 @@
     async def _handle(self, request: Request) -> Response:
         body = parse_json(await request.body.read(100_000))
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        if not self.up:
+            raise ConnectionLostError("The worker is down.")
+        if request.headers.get(EXPECTED_INSTANCE, self.name) != self.name:
+            return json_response(421, self._with_clock({}))
         order = {
             "/run-start": self._start,
             "/run-stop": self._stop,
         }.get(request.path)
         if order is None:
+            if self.renewal_delays_s:
+                await self._carry_out_late(self.renewal_delays_s.pop(0))
+                await self._hold({**body, "wait_ms": 0})
+                raise ConnectionLostError("The answer is lost.")
             return await self._hold(body)
         if self.order_delays_s:
-            await sleep(self.order_delays_s.pop(0))
+            await self._carry_out_late(self.order_delays_s.pop(0))
             order(body)
             raise ConnectionLostError("The answer to the order is lost.")
         return order(body)
 
+    async def _carry_out_late(self, delay_s: float) -> None:
+        """Wait for a delay; raise if no process is up afterwards."""
+        await sleep(delay_s)
+        if not self.up:
+            raise ConnectionLostError("The worker is down.")
+
     def _fenced(self, body: dict[str, Any]) -> bool:
         token = body.get("fencing_token", 0)
         if token < self.fence:
@@ -245,7 +263,7 @@
     def _run_lists(self) -> dict[str, Any]:
         return self._with_clock(
             {
-                "born": self.born,
+                **({"born": self.born} if self.reports_born else {}),
                 "running": [
                     [
                         run.task,
