--- /dev/null
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -0,0 +1,59 @@
+"""Keep the runs that a worker's lists must contain, and find missing ones."""
+
+from typing import NamedTuple
+
+from damaskstall.tasks.model import RunKey
+from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
+
+ALWAYS_S = float("-inf")
+
+
+class ExpectedRun(NamedTuple):
+    """Time after which a worker's lists must contain a launched run.
+
+    ``not_after_s`` is on the worker's clock. If lists of a later time lack
+    the run, it has ended or never started. A confirmed run was listed, or its
+    start was answered, at ``not_after_s``.
+    """
+
+    not_after_s: float
+    confirmed: bool
+
+
+class ExpectedRuns:
+    """The runs that a worker's lists must contain."""
+
+    def __init__(self) -> None:
+        """Expect no run."""
+        self._runs: dict[RunKey, ExpectedRun] = {}
+
+    def __contains__(self, key: RunKey) -> bool:
+        """Return whether a run is expected."""
+        return key in self._runs
+
+    def add_adopted(self, key: RunKey) -> None:
+        """Expect a run that an earlier holder may have started."""
+        self._runs[key] = ExpectedRun(ALWAYS_S, False)
+
+    def add_launched(self, key: RunKey, not_after_s: float) -> None:
+        """Expect a run whose start may be carried out until a time."""
+        self._runs[key] = ExpectedRun(not_after_s, False)
+
+    def confirm(self, key: RunKey, clock_s: float) -> None:
+        """Record that an expected run existed at a time on the clock."""
+        if key in self._runs:
+            self._runs[key] = ExpectedRun(clock_s, True)
+
+    def remove(self, key: RunKey) -> None:
+        """Stop expecting a run."""
+        self._runs.pop(key, None)
+
+    def missing(
+        self, clock_s: float, listed: set[RunKey]
+    ) -> list[tuple[RunKey, str]]:
+        """Return the runs that lists of a time lack, with their outcomes."""
+        return [
+            (key, ENDED_LAPSED if run.confirmed else ENDED_NOT_STARTED)
+            for key, run in self._runs.items()
+            if key not in listed and clock_s > run.not_after_s
+        ]
--- /dev/null
+++ b/src/damaskstall/tasks/session_owner.py
@@ -0,0 +1,31 @@
+"""Define what a session with a worker asks of the scheduler."""
+
+from typing import Protocol
+
+from damaskstall.tasks.model import RunKey
+from damaskstall.tasks.ports import EndReport, RunReport
+
+
+class SessionOwner(Protocol):
+    """Receiver of the events of a session; decides what may run."""
+
+    def should_continue(self, key: RunKey) -> bool:
+        """Return whether a run should continue."""
+
+    def may_renew_leases(self) -> bool:
+        """Return whether the leases of runs may be renewed."""
+
+    def record_running(self, worker: str, report: RunReport) -> None:
+        """Record that a run is running, with its progress."""
+
+    def record_end(self, worker: str, end: EndReport) -> None:
+        """Record that a run has ended, or has never started."""
+
+    async def wait_ends_stored(self) -> None:
+        """Return once every end recorded so far is in the table."""
+
+    def request_decision(self) -> None:
+        """Request a scheduling round: a worker may have free capacity."""
+
+    def step_down(self) -> None:
+        """End this holder: the worker has accepted a higher epoch."""
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -23,10 +23,10 @@
     Member,
     Unit,
 )
+from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import (
     OUTAGE_RENEWAL_LIMIT_S,
-    SessionOwner,
     WorkerSession,
     lease_limit_s,
 )
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -5,8 +5,6 @@
 that it never started, or its lease has certainly expired.
 """
 
-from typing import NamedTuple, Protocol
-
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
 from damaskstall.errors import (
@@ -28,6 +26,7 @@
     TASK_WORKER_LOST,
     TASK_WORKER_REPLACED,
 )
+from damaskstall.tasks.expected_runs import ExpectedRuns
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
@@ -37,13 +36,13 @@
     REPLACED,
     EndReport,
     LeaseRenewal,
-    RunReport,
     StartRequest,
     WorkerClient,
     WorkerReport,
 )
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 from damaskstall.tasks.run_log import log_run_launched
+from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
@@ -79,43 +78,6 @@
     return lease_s * CLOCK_RATE_LIMIT + EXPIRY_MARGIN_S
 
 
-class SessionOwner(Protocol):
-    """Receiver of the events of a session; decides what may run."""
-
-    def should_continue(self, key: RunKey) -> bool:
-        """Return whether a run should continue."""
-
-    def may_renew_leases(self) -> bool:
-        """Return whether the leases of runs may be renewed."""
-
-    def record_running(self, worker: str, report: RunReport) -> None:
-        """Record that a run is running, with its progress."""
-
-    def record_end(self, worker: str, end: EndReport) -> None:
-        """Record that a run has ended, or has never started."""
-
-    async def wait_ends_stored(self) -> None:
-        """Return once every end recorded so far is in the table."""
-
-    def request_decision(self) -> None:
-        """Request a scheduling round: a worker may have free capacity."""
-
-    def step_down(self) -> None:
-        """End this holder: the worker has accepted a higher epoch."""
-
-
-class ExpectedRun(NamedTuple):
-    """Time after which a worker's lists must contain a launched run.
-
-    ``not_after_s`` is on the worker's clock. If lists of a later time lack
-    the run, it has ended or never started. A confirmed run was listed, or its
-    start was answered, at ``not_after_s``.
-    """
-
-    not_after_s: float
-    confirmed: bool
-
-
 class WorkerSession:
     """State of one worker under one holder, and the calls to it."""
 
@@ -137,7 +99,7 @@
         self.clock = clock
         self.load = WorkerLoad()
         self.health = WorkerHealth()
-        self.expected: dict[RunKey, ExpectedRun] = {}
+        self.expected = ExpectedRuns()
         # Whether the worker has accepted this holder's epoch.
         self.fenced = False
         self.reachable = False
@@ -192,7 +154,7 @@
     def adopt(self, key: RunKey, demand: Demand) -> None:
         """Count a run that an earlier holder may have started."""
         self.load.add(key, demand)
-        self.expected[key] = ExpectedRun(float("-inf"), False)
+        self.expected.add_adopted(key)
 
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
@@ -200,7 +162,7 @@
 
     def release(self, key: RunKey) -> None:
         """Stop counting a run; request a decision if it was counted."""
-        self.expected.pop(key, None)
+        self.expected.remove(key)
         self._stop_sent_s.pop(key, None)
         if self.load.remove(key):
             self.owner.request_decision()
@@ -226,7 +188,7 @@
         """Start a run; retry until it is answered or its window has ended."""
         first_s = self.worker_clock_s()
         not_after_s = first_s + START_WINDOW_S
-        self.expected[key] = ExpectedRun(not_after_s, False)
+        self.expected.add_launched(key, not_after_s)
         request = StartRequest(
             self.epoch, key, payload, not_after_s, checkpoint
         )
@@ -260,8 +222,7 @@
                 return
             log_launched("answered")
             self.health.record_started()
-            if key in self.expected:
-                self.expected[key] = ExpectedRun(clock_s, True)
+            self.expected.confirm(key, clock_s)
             return
         log_launched("no answer")
 
@@ -420,8 +381,7 @@
         self._check_unknown_runs(report)
         for run in report.running:
             listed.add(run.key)
-            if run.key in self.expected:
-                self.expected[run.key] = ExpectedRun(report.clock_s, True)
+            self.expected.confirm(run.key, report.clock_s)
             if self.owner.should_continue(run.key):
                 self.owner.record_running(self.worker.name, run)
             else:
@@ -431,10 +391,7 @@
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
-        for key, expected in list(self.expected.items()):
-            if key in listed or report.clock_s <= expected.not_after_s:
-                continue
-            outcome = ENDED_LAPSED if expected.confirmed else ENDED_NOT_STARTED
+        for key, outcome in self.expected.missing(report.clock_s, listed):
             self._end(key, outcome, MISSING)
 
     def _check_unknown_runs(self, report: WorkerReport) -> None:
