Show six wrong conclusions of a session from a reboot

A scripted worker sends reports and answers of two incarnations to one session. It accepts a report of the earlier one after the newer is known, ends a run because the clock of the other incarnation is higher, sends the same token and old acknowledgements to the next one, ends a run that it never sent, and starts a run by the clock of an incarnation that is gone.

--- /dev/null
+++ b/tests/tasks/test_worker_incarnations.py
@@ -0,0 +1,244 @@
+"""A session tells the incarnations of its worker apart."""
+
+from collections.abc import Awaitable, Callable
+
+from trio import current_time, open_memory_channel, open_nursery, sleep
+
+from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
+from damaskstall.tasks.ports import (
+    EndReport,
+    LeaseRenewal,
+    RunReport,
+    StartRequest,
+    WorkerReport,
+)
+from damaskstall.tasks.worker_session import WorkerSession
+from tests.virtual_time import run_virtual
+
+EPOCH = 7
+LEASE_S = 10.0
+DEMAND = Demand(1000, 1024, 1)
+KEY = RunKey(TaskKey("job", 0, 0, 0), 1)
+
+
+def worker_info(incarnation: int) -> WorkerInfo:
+    """Return the entry of an incarnation of a worker."""
+    capacity = Demand(64000, 262144, 8)
+    return WorkerInfo(
+        "w00",
+        "svc",
+        "10.1.0.0",
+        8080,
+        "fd0",
+        "r0-0",
+        frozenset(),
+        capacity,
+        False,
+        False,
+        incarnation,
+    )
+
+
+class ScriptedWorker:
+    """A worker whose answers the test sends, one for each renewal."""
+
+    def __init__(self) -> None:
+        """Record no call yet."""
+        self.renewals: list[LeaseRenewal] = []
+        self.starts: list[StartRequest] = []
+        self.start_clock_s = 0.0
+        self._send, self._receive = open_memory_channel[WorkerReport](100)
+
+    def report(
+        self,
+        clock_s: float,
+        incarnation: int,
+        running: tuple[RunKey, ...] = (),
+        ended: tuple[EndReport, ...] = (),
+    ) -> None:
+        """Answer the oldest renewal that waits, or else the next."""
+        runs = tuple(RunReport(key, "", 0.0) for key in running)
+        report = WorkerReport(clock_s, incarnation, runs, ended)
+        self._send.send_nowait(report)
+
+    async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
+        """Return the next report of the script."""
+        self.renewals.append(request)
+        return await self._receive.receive()
+
+    async def start(self, request: StartRequest) -> float:
+        """Answer with the clock of the script."""
+        self.starts.append(request)
+        return self.start_clock_s
+
+    async def stop(self, epoch: int, key: RunKey) -> None:
+        """Carry out nothing."""
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+class RecordingOwner:
+    """Owner of a session that records the ends of runs."""
+
+    def __init__(self) -> None:
+        """Record nothing yet."""
+        self.ends: list[EndReport] = []
+
+    def should_continue(self, key: RunKey) -> bool:
+        """Let all runs continue."""
+        return True
+
+    def may_renew_leases(self) -> bool:
+        """Allow all renewals."""
+        return True
+
+    def record_running(self, worker: str, report: RunReport) -> None:
+        """Record nothing."""
+
+    def record_end(self, worker: str, end: EndReport) -> None:
+        """Record an end."""
+        self.ends.append(end)
+
+    async def wait_ends_stored(self) -> None:
+        """Return at once."""
+
+    def request_decision(self) -> None:
+        """Do nothing."""
+
+    def step_down(self) -> None:
+        """Fail the test: no worker of these tests has a higher epoch."""
+        raise AssertionError("The holder stepped down.")
+
+
+Body = Callable[
+    [WorkerSession, ScriptedWorker, RecordingOwner], Awaitable[None]
+]
+
+
+def run_session(body: Body) -> None:
+    """Run a test's body beside a session with one run of incarnation 1."""
+
+    async def main() -> None:
+        worker, owner = ScriptedWorker(), RecordingOwner()
+        session = WorkerSession(
+            worker_info(1), worker, owner, EPOCH, LEASE_S, current_time
+        )
+        session.adopt(KEY, DEMAND)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            worker.report(1000.0, 1, (KEY,))
+            await sleep(0.1)
+            await body(session, worker, owner)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+def test_report_of_the_earlier_incarnation_is_passed_over() -> None:
+    """It may arrive after the list has shown the newer incarnation."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        session.update(worker_info(2))
+        worker.report(1001.0, 1)
+        await sleep(0.1)
+        assert not session.usable()
+        worker.report(5.0, 2, (KEY,))
+        await sleep(0.1)
+        assert session.usable()
+        assert not owner.ends
+
+    run_session(body)
+
+
+def test_answer_of_the_next_incarnation_to_a_start_ends_no_run() -> None:
+    """A report of the earlier one may still arrive, with a later clock."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(KEY.task, 2)
+        session.reserve(key, DEMAND)
+        worker.start_clock_s = 5.0
+        await session.launch(key, "", "")
+        worker.report(1001.0, 1, (KEY,))
+        await sleep(0.1)
+        assert not owner.ends
+        worker.report(5.2, 2, (key,))
+        await sleep(0.1)
+        assert [end.key for end in owner.ends] == [KEY]
+
+    run_session(body)
+
+
+def test_first_renewal_after_a_reboot_carries_a_higher_token() -> None:
+    """It acknowledges no end and extends no lease by the earlier clock."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        other = RunKey(TaskKey("job", 0, 0, 1), 1)
+        end = EndReport(3, other, "done", "")
+        worker.report(1001.0, 1, (KEY,), (end,))
+        worker.report(1002.0, 1, (KEY,))
+        await sleep(0.1)
+        worker.report(5.0, 2)
+        await sleep(0.1)
+        first = worker.renewals[-1]
+        assert first.epoch > worker.renewals[-2].epoch
+        assert first.acknowledged_end == 0
+        assert first.lease_until_s == 0.0
+
+    run_session(body)
+
+
+def test_end_is_acknowledged_only_until_that_is_answered() -> None:
+    """A repeated acknowledgement could reach another incarnation."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        other = RunKey(TaskKey("job", 0, 0, 1), 1)
+        end = EndReport(3, other, "done", "")
+        worker.report(1001.0, 1, (KEY,), (end,))
+        await sleep(0.1)
+        assert worker.renewals[-1].acknowledged_end == 3
+        worker.report(1002.0, 1, (KEY,))
+        await sleep(0.1)
+        assert worker.renewals[-1].acknowledged_end == 0
+
+    run_session(body)
+
+
+def test_run_that_was_not_launched_survives_a_reboot() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(TaskKey("job", 0, 0, 1), 1)
+        session.reserve(key, DEMAND)
+        worker.report(5.0, 2)
+        worker.report(5.1, 2)
+        await sleep(0.1)
+        assert [end.key for end in owner.ends] == [KEY]
+        worker.start_clock_s = 5.2
+        await session.launch(key, "", "")
+        assert [request.key for request in worker.starts] == [key]
+
+    run_session(body)
+
+
+def test_no_run_is_launched_by_the_clock_of_an_earlier_incarnation() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(TaskKey("job", 0, 0, 1), 1)
+        session.reserve(key, DEMAND)
+        session.update(worker_info(2))
+        await session.launch(key, "", "")
+        assert not worker.starts
+        assert [end.how for end in owner.ends] == ["not_started"]
+        assert key not in session.load.runs
+
+    run_session(body)
