Show that an idle worker's reboot lets a late start through

A worker without runs is not called, so nothing tells of its next incarnation unless the list of workers does. That incarnation carries out a start whose run was ended and started elsewhere: 'ran twice at once'.

Three tests are corrected. The two without incarnation numbers let a new holder open the sessions, since the present one had read a number before; the one whose number appears late now has a time limit, and fails by it. In the test of the silent incarnation the lease of its run ended while it was cut off, so that one run could not be enough; the clock is now ahead before the reboot.

--- a/tests/tasks/test_worker_reboots.py
+++ b/tests/tasks/test_worker_reboots.py
@@ -41,6 +41,14 @@
     await sleep(1.0)
 
 
+async def replace_holder(cluster: Cluster) -> None:
+    """Kill the holder and wait for the next one."""
+    holder = cluster.holder()
+    assert holder is not None
+    cluster.kill_node(holder)
+    await cluster.wait(lambda: cluster.holder() is not None)
+
+
 def test_run_started_by_the_new_incarnation_is_not_started_again() -> None:
     """A repeated start may reach an incarnation not known to the holder."""
 
@@ -109,6 +117,7 @@
     """The list shows the new incarnation before it answers."""
 
     async def scenario(cluster: Cluster) -> None:
+        await sleep(10.0)
         delay_starts(cluster, [2.5] * 20)
         await cluster.submit(job_id(1), [ONE_TASK], work_s=6.0)
         worker = await worker_with_first_start(cluster)
@@ -156,13 +165,17 @@
         for worker in cluster.workers.values():
             worker.reports_born = False
             cluster.register_worker(worker)
+        await replace_holder(cluster)
         await sleep(20.0)
-        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=3.0)
+        node = cluster.other_node(None)
+        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=3.0, node=node)
         await cluster.wait(lambda: len(cluster.history.runs) == 4)
         await sleep(1.0)
         worker = cluster.workers[cluster.history.runs[0].worker]
         await reboot(cluster, worker)
-        await cluster.wait_state(job_id(1), "completed", limit_s=6.0)
+        await cluster.wait_state(
+            job_id(1), "completed", limit_s=6.0, node=node
+        )
         check_runs(cluster)
         check_finished_once(cluster, job_id(1))
 
@@ -174,16 +187,40 @@
         for worker in cluster.workers.values():
             worker.reports_born = False
             cluster.register_worker(worker)
+        await replace_holder(cluster)
         await sleep(20.0)
         await sleep(10.0)
         delay_starts(cluster, [LATE_S] * 20)
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0)
+        node = cluster.other_node(None)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0, node=node)
         worker = await worker_with_first_start(cluster)
         await use_other_workers(cluster, worker)
         worker.reports_born = True
         await reboot(cluster, worker)
-        await cluster.wait_state(job_id(1), "completed")
+        await cluster.wait_state(
+            job_id(1), "completed", limit_s=14.0, node=node
+        )
         check_runs(cluster)
         check_finished_once(cluster, job_id(1))
 
     run_scenario(scenario)
+
+
+def test_late_start_after_its_run_ended_is_refused_by_the_next() -> None:
+    """The worker has no runs when it starts again, and is not listed."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await sleep(10.0)
+        delay_starts(cluster, [LATE_S] * 20)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0)
+        worker = await worker_with_first_start(cluster)
+        await use_other_workers(cluster, worker)
+        await cluster.wait(lambda: cluster.history.runs)
+        await sleep(1.0)
+        await reboot(cluster, worker)
+        await cluster.wait_state(job_id(1), "completed")
+        check_runs(cluster)
+        check_finished_once(cluster, job_id(1))
+
+    for seed in range(4):
+        run_scenario(scenario, seed=seed)
