Fence off commands to a worker's earlier incarnation

Callers saw, or would see, a task run twice at once, a run started again while it went on, a task run again after its end had been acknowledged, and a job that hung. A worker may start again under the same name, and its clock, its numbers of ends and its fencing token start anew. Commands name only the worker. The next incarnation carried out starts and renewals meant for the earlier one, since their token was not lower than any that it had seen. The first report with another number ended all runs, also those that it listed. A report with a lower clock but no number was ignored as overtaken, and an answer to a start set an expectation on the clock of whichever incarnation gave it.

Now a holder has fencing tokens: the epoch of its lease and those above it. A session that learns of another incarnation, by a report with another number or a lower clock, by the answer to a start with a lower clock, or by the list of workers, uses the next token. It keeps its runs counted, starts nothing, acknowledges nothing and extends no lease until a renewal with that token is answered. From then on no command with an earlier token is carried out, so the lists of that answer are final: runs that they have go on, all others have ended. Answers to calls with an earlier token conclude nothing, and a refusal of one does not end the holder. A silent worker of which the list shows a newer incarnation keeps its runs counted until it answers, its lease has certainly ended after the latest late command, or its machine is down.

A session opened again for a worker has a higher token than the one before.

What remains: a next incarnation accepts any token until the first renewal with the higher one reaches it, within 0.1 to 0.75 s while it is called. In that time it may carry out a start whose run was ended on the evidence of an earlier incarnation and started elsewhere, also after two reboots in quick succession. A reboot that changes neither number nor leads to a lower clock is not recognized.

--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -55,7 +55,7 @@
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Renew the lease of all runs; return the running and ended runs."""
         body = {
-            "fencing_token": request.epoch,
+            "fencing_token": request.token,
             "last_seen": request.acknowledged_end,
             "deadline_ms": milliseconds(request.lease_until_s),
             "wait_ms": milliseconds(request.wait_s),
@@ -71,19 +71,19 @@
             "run": request.key.run,
             "specification": request.payload,
             "deadline_ms": milliseconds(request.not_after_s),
-            "fencing_token": request.epoch,
+            "fencing_token": request.token,
         }
         if request.checkpoint:
             body["checkpoint"] = request.checkpoint
         answer = await self._call(self.command_client, "/run-start", body)
         return float(answer.value["clock_ms"]) / MILLISECONDS_PER_S
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
         body = {
             "task": encode_task_key(key.task),
             "run": key.run,
-            "fencing_token": epoch,
+            "fencing_token": token,
         }
         await self._call(self.command_client, "/run-stop", body)
 
--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -31,6 +31,7 @@
     STORE_LOST,
     STORE_REGAINED,
 )
+from damaskstall.tasks.fencing import next_epoch
 from damaskstall.tasks.holder import TaskHolder
 from damaskstall.tasks.metrics import HOLDS_LEASE, NO_LABELS
 
@@ -209,7 +210,9 @@
         if row is not None and row.value is not None:
             last_epoch = parse_lease(row.value).epoch
         new_row = LeaseRow(
-            self.identity, max(last_epoch, table_revision) + 1, LEASE_TTL_S
+            self.identity,
+            next_epoch(last_epoch, table_revision),
+            LEASE_TTL_S,
         )
         sent_s = self.context.clock()
         write = Write(
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -171,7 +171,7 @@
     8042,
     "WARNING",
     "task_worker_replaced",
-    "Another incarnation of a worker answers: its earlier runs have ended.",
+    "A worker has started again: its next lists show which runs go on.",
 )
 RUNS_LAPSED = Event(
     8043,
--- a/src/damaskstall/tasks/expected_runs.py
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from damaskstall.tasks.model import RunKey
+from damaskstall.tasks.ports import MISSING, REPLACED
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 
 ALWAYS_S = float("-inf")
@@ -12,12 +13,12 @@
     """Time after which a worker's lists must contain a launched run.
 
     ``not_after_s`` is on the worker's clock. If lists of a later time lack
-    the run, it has ended or never started. A confirmed run was listed, or its
-    start was answered, at ``not_after_s``.
+    the run, it has ended or never started, with this outcome and evidence.
     """
 
     not_after_s: float
-    confirmed: bool
+    outcome: str
+    evidence: str = MISSING
 
 
 class ExpectedRuns:
@@ -33,16 +34,21 @@
 
     def add_adopted(self, key: RunKey) -> None:
         """Expect a run that an earlier holder may have started."""
-        self._runs[key] = ExpectedRun(ALWAYS_S, False)
+        self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_NOT_STARTED)
 
     def add_launched(self, key: RunKey, not_after_s: float) -> None:
         """Expect a run whose start may be carried out until a time."""
-        self._runs[key] = ExpectedRun(not_after_s, False)
+        self._runs[key] = ExpectedRun(not_after_s, ENDED_NOT_STARTED)
 
     def confirm(self, key: RunKey, clock_s: float) -> None:
         """Record that an expected run existed at a time on the clock."""
         if key in self._runs:
-            self._runs[key] = ExpectedRun(clock_s, True)
+            self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
+
+    def expect_in_next_lists(self) -> None:
+        """Expect all runs in the first lists of another incarnation."""
+        for key in self._runs:
+            self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_LAPSED, REPLACED)
 
     def remove(self, key: RunKey) -> None:
         """Stop expecting a run."""
@@ -50,10 +56,10 @@
 
     def missing(
         self, clock_s: float, listed: set[RunKey]
-    ) -> list[tuple[RunKey, str]]:
-        """Return the runs that lists of a time lack, with their outcomes."""
+    ) -> list[tuple[RunKey, ExpectedRun]]:
+        """Return the runs that lists of a time lack."""
         return [
-            (key, ENDED_LAPSED if run.confirmed else ENDED_NOT_STARTED)
+            (key, run)
             for key, run in self._runs.items()
             if key not in listed and clock_s > run.not_after_s
         ]
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -65,12 +65,13 @@
 class LeaseRenewal(NamedTuple):
     """Request that renews a worker's lease and acknowledges ended runs.
 
+    ``token`` is the fencing token: a worker refuses a lower one than before.
     ``lease_until_s`` is on the worker's clock. ``acknowledged_end`` is the
     number of the newest end that is stored. The worker delays its answer by
     up to ``wait_s`` until a run ends.
     """
 
-    epoch: int
+    token: int
     lease_until_s: float
     acknowledged_end: int
     wait_s: float
@@ -94,7 +95,7 @@
     The worker refuses it after ``not_after_s`` on the worker's clock.
     """
 
-    epoch: int
+    token: int
     key: RunKey
     payload: str
     not_after_s: float
@@ -107,7 +108,7 @@
     Each call raises CommandOutcomeUnknownError when the worker may or may not
     have carried it out, CommandNotSentError when it was certainly not carried
     out, CommandRefusedError with the worker's reason, FencedError when the
-    worker has accepted a higher epoch, and WorkerReplacedError when another
+    worker has accepted a higher token, and WorkerReplacedError when another
     incarnation of the worker answers.
     """
 
@@ -117,7 +118,7 @@
     async def start(self, request: StartRequest) -> float:
         """Start a run; return the worker's clock in seconds."""
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
 
     async def close(self) -> None:
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -28,4 +28,4 @@
         """Request a scheduling round: a worker may have free capacity."""
 
     def step_down(self) -> None:
-        """End this holder: the worker has accepted a higher epoch."""
+        """End this holder: a worker has accepted a higher token."""
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -13,6 +13,7 @@
 from damaskstall.tasks.capacity import FreeCapacity
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
 from damaskstall.tasks.ports import LEASE_EXPIRED, MACHINE_DOWN, EndReport
 from damaskstall.tasks.progress import (
@@ -59,7 +60,7 @@
         """Create a pool for the holder of ``epoch``."""
         self.context = context
         self.owner = owner
-        self.epoch = epoch
+        self.tokens = FencingTokens(epoch)
         self.worker_list = WorkerList(
             context.platform, context.table, context.configuration
         )
@@ -80,7 +81,7 @@
                 worker,
                 self.context.platform.client_for(worker),
                 self.owner,
-                self.epoch,
+                self.tokens,
                 self.context.settings.worker_lease_s,
                 self.context.clock,
             )
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -27,11 +27,12 @@
     TASK_WORKER_REPLACED,
 )
 from damaskstall.tasks.expected_runs import ExpectedRuns
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
     MACHINE_DOWN,
-    MISSING,
+    NOT_LAUNCHED,
     REFUSED,
     REPLACED,
     EndReport,
@@ -54,6 +55,8 @@
 # The members of a gang wait 3 s for each other. The window is well under that,
 # so that a gang with a lost start is stopped before its members time out.
 START_WINDOW_S = 1.5
+# The maximum time after which a command is carried out.
+LATE_COMMAND_LIMIT_S = 12.0
 # A worker's clock may be 2% slow, and a worker that resumes after a suspension
 # kills expired runs up to 300 ms late.
 CLOCK_RATE_LIMIT = 1.02
@@ -86,21 +89,23 @@
         worker: WorkerInfo,
         client: WorkerClient,
         owner: SessionOwner,
-        epoch: int,
+        tokens: FencingTokens,
         lease_s: float,
         clock: Clock,
     ) -> None:
-        """Start a session with a worker as the holder of an epoch."""
+        """Start a session with a worker as the holder of some tokens."""
         self.worker = worker
         self.client = client
         self.owner = owner
-        self.epoch = epoch
+        self.tokens = tokens
+        # The token of all commands to the worker's present incarnation.
+        self.token = tokens.current
         self.lease_s = lease_s
         self.clock = clock
         self.load = WorkerLoad()
         self.health = WorkerHealth()
         self.expected = ExpectedRuns()
-        # Whether the worker has accepted this holder's epoch.
+        # Whether the worker has accepted the present token.
         self.fenced = False
         self.reachable = False
         self.listed = True
@@ -173,6 +178,8 @@
         while True:
             if not self.load.runs and not self.listed:
                 self.closed = True
+                # A later session with this worker has a higher token.
+                self._advance_token()
                 await self.client.close()
                 return
             if self.clock_known and self._is_idle():
@@ -186,11 +193,14 @@
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
-        first_s = self.worker_clock_s()
-        not_after_s = first_s + START_WINDOW_S
+        if not self.clock_known:
+            self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
+            return
+        known_clock_s = self._clock_s
+        not_after_s = self.worker_clock_s() + START_WINDOW_S
         self.expected.add_launched(key, not_after_s)
         request = StartRequest(
-            self.epoch, key, payload, not_after_s, checkpoint
+            self.token, key, payload, not_after_s, checkpoint
         )
         self.wake()
         attempts = unanswered = 0
@@ -201,6 +211,9 @@
             )
 
         while self.worker_clock_s() < not_after_s:
+            if request.token != self.token:
+                log_launched("another incarnation")
+                return
             if key not in self.expected or not self.owner.should_continue(key):
                 log_launched("not needed")
                 return
@@ -218,24 +231,30 @@
                 CommandRefusedError,
             ) as error:
                 log_launched(type(error).__name__)
-                self._handle_start_refusal(key, error, unanswered > 0)
+                self._handle_start_refusal(request, error, unanswered > 0)
                 return
             log_launched("answered")
             self.health.record_started()
-            self.expected.confirm(key, clock_s)
+            if request.token != self.token:
+                return
+            if clock_s < known_clock_s:
+                self._begin_incarnation(0, "start command")
+            else:
+                self.expected.confirm(key, clock_s)
             return
         log_launched("no answer")
 
     def _handle_start_refusal(
-        self, key: RunKey, error: Exception, unanswered: bool
+        self, request: StartRequest, error: Exception, unanswered: bool
     ) -> None:
         """Handle a worker's refusal to start a run.
 
         An earlier attempt without an answer may have been carried out. Then
         only the worker's lists show whether the run exists.
         """
+        key = request.key
         if isinstance(error, FencedError):
-            self.owner.step_down()
+            self._handle_fenced(request.token)
         elif isinstance(error, WorkerReplacedError):
             self._reset_incarnation(0, "start command")
         elif isinstance(error, CommandRefusedError):
@@ -292,12 +311,13 @@
     def update(self, worker: WorkerInfo | None) -> None:
         """Apply the worker's entry in the list, None if it has none."""
         self.listed = worker is not None
+        listed = self.worker.incarnation
         if worker is not None:
             if worker is not self.worker:
                 self._entry_read_s = self.clock()
             self.worker = worker
-            if self.incarnation and worker.incarnation > self.incarnation:
-                self._reset_incarnation(worker.incarnation, "list of workers")
+            if worker.incarnation > max(listed, self.incarnation):
+                self._begin_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
     async def _renew_lease_once(self) -> bool:
@@ -310,13 +330,13 @@
         may_wait = self.clock_known and self.reachable and has_runs
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
-            self.epoch, until_s, self.acknowledged_end, wait_s
+            self.token, until_s, self.acknowledged_end, wait_s
         )
         self._extend_lease_expiry(until_s)
         try:
             report = await self.client.renew_lease(request)
         except FencedError:
-            self.owner.step_down()
+            self._handle_fenced(request.token)
             return False
         except WorkerReplacedError:
             self._reset_incarnation(0, "lease renewal")
@@ -328,6 +348,9 @@
         ) as error:
             self._record_no_answer(str(error))
             return False
+        if request.token != self.token:
+            # It was sent before another incarnation was known.
+            return True
         self._sent_end = max(self._sent_end, request.acknowledged_end)
         await self._apply_report(report)
         return True
@@ -349,16 +372,15 @@
         self._lease_expiry_s = max(self._lease_expiry_s, expiry_s)
 
     async def _apply_report(self, report: WorkerReport) -> None:
-        if self.incarnation and report.incarnation != self.incarnation:
-            self._reset_incarnation(report.incarnation, "report")
-        elif self.clock_known and report.clock_s < self._clock_s:
-            # A newer answer arrived before this one.
+        if self._is_from_another_incarnation(report):
+            # Only lists that follow a renewal with a higher token are final.
+            self._begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
         self._clock_s = report.clock_s
         self._clock_read_s = self.clock()
         if not self.clock_known:
-            log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.epoch)
+            log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
             self._lease_expiry_s = self._clock_read_s + lease_limit_s(
                 self.lease_s
             )
@@ -373,8 +395,21 @@
             newest = max(end.number for end in report.ended)
             self._newest_end = max(self._newest_end, newest)
             with move_on_after(STORE_WAIT_LIMIT_S):
+                token = self.token
                 await self.owner.wait_ends_stored()
-                self.acknowledged_end = max(self.acknowledged_end, newest)
+                if token == self.token:
+                    self.acknowledged_end = max(self.acknowledged_end, newest)
+
+    def _is_from_another_incarnation(self, report: WorkerReport) -> bool:
+        """Return whether a report differs in number or has a lower clock.
+
+        Renewals are sent one after another, so no report overtakes another.
+        """
+        if not self.clock_known:
+            return False
+        if report.incarnation != self.incarnation:
+            return True
+        return report.clock_s < self._clock_s
 
     def _apply_run_lists(self, report: WorkerReport) -> None:
         listed = set()
@@ -391,8 +426,8 @@
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
-        for key, outcome in self.expected.missing(report.clock_s, listed):
-            self._end(key, outcome, MISSING)
+        for key, missing in self.expected.missing(report.clock_s, listed):
+            self._end(key, missing.outcome, missing.evidence)
 
     def _check_unknown_runs(self, report: WorkerReport) -> None:
         """Set ``has_unknown_runs`` from a report, and log new cases."""
@@ -404,7 +439,7 @@
             log(
                 RUNS_UNCOUNTED,
                 worker=self.worker.name,
-                epoch=self.epoch,
+                epoch=self.token,
                 runs=len(report.running),
                 counted=len(self.load.runs),
             )
@@ -425,9 +460,17 @@
             self._end_all(LEASE_EXPIRED)
 
     def _reset_incarnation(self, incarnation: int, source: str) -> None:
-        """End all runs and begin anew with another incarnation of the worker.
+        """End all runs and begin anew with another incarnation."""
+        self._begin_incarnation(incarnation, source)
+        self._end_all(REPLACED)
+
+    def _begin_incarnation(self, incarnation: int, source: str) -> None:
+        """Begin anew with another incarnation of the worker.
 
-        An ``incarnation`` of 0 means that its number is not known yet.
+        An ``incarnation`` of 0 means that its number is not known yet. The
+        higher token keeps commands to the earlier incarnation from being
+        carried out by this one. Once it has accepted the token, its lists
+        show which of the runs it has.
         """
         log(
             TASK_WORKER_REPLACED,
@@ -437,6 +480,7 @@
             source=source,
             runs=len(self.load.runs),
         )
+        self._advance_token()
         self.incarnation = incarnation
         self.acknowledged_end = 0
         self._newest_end = 0
@@ -444,7 +488,22 @@
         self.clock_known = False
         self.fenced = False
         self._lease_until_s = 0.0
-        self._end_all(REPLACED)
+        self._lease_expiry_s = (
+            self.clock() + LATE_COMMAND_LIMIT_S + lease_limit_s(self.lease_s)
+        )
+        self.expected.expect_in_next_lists()
+        self.wake()
+
+    def _advance_token(self) -> None:
+        """Use the next token of this holder, which ends if none is left."""
+        if not self.tokens.advance():
+            self.owner.step_down()
+        self.token = self.tokens.current
+
+    def _handle_fenced(self, token: int) -> None:
+        """Handle the refusal of a command because of its token."""
+        if token == self.token:
+            self.owner.step_down()
 
     def _end_all(self, evidence: str) -> None:
         for key in list(self.load.runs):
@@ -457,11 +516,12 @@
         self.owner.record_end(self.worker.name, end)
 
     async def _send_stop(self, key: RunKey) -> None:
+        token = self.token
         try:
             async with self._command_slots:
-                await self.client.stop(self.epoch, key)
+                await self.client.stop(token, key)
         except FencedError:
-            self.owner.step_down()
+            self._handle_fenced(token)
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -4,6 +4,12 @@
 
 from trio import current_time, open_memory_channel, open_nursery, sleep
 
+from damaskstall.errors import FencedError
+from damaskstall.tasks.fencing import (
+    EPOCH_SPACING,
+    FencingTokens,
+    next_epoch,
+)
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
     EndReport,
@@ -47,6 +53,7 @@
         self.renewals: list[LeaseRenewal] = []
         self.starts: list[StartRequest] = []
         self.start_clock_s = 0.0
+        self.start_takes_s = 0.0
         self._send, self._receive = open_memory_channel[WorkerReport](100)
 
     def report(
@@ -67,11 +74,14 @@
         return await self._receive.receive()
 
     async def start(self, request: StartRequest) -> float:
-        """Answer with the clock of the script."""
+        """Answer with the clock of the script, or refuse a lower token."""
         self.starts.append(request)
+        await sleep(self.start_takes_s)
+        if self.renewals[-1].token > request.token:
+            raise FencedError("The token is lower than an accepted one.")
         return self.start_clock_s
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Carry out nothing."""
 
     async def close(self) -> None:
@@ -84,6 +94,9 @@
     def __init__(self) -> None:
         """Record nothing yet."""
         self.ends: list[EndReport] = []
+        self.stepped_down = False
+        # The time that storing ends takes.
+        self.store_s = 0.0
 
     def should_continue(self, key: RunKey) -> bool:
         """Let all runs continue."""
@@ -101,14 +114,15 @@
         self.ends.append(end)
 
     async def wait_ends_stored(self) -> None:
-        """Return at once."""
+        """Return once the ends are stored."""
+        await sleep(self.store_s)
 
     def request_decision(self) -> None:
         """Do nothing."""
 
     def step_down(self) -> None:
-        """Fail the test: no worker of these tests has a higher epoch."""
-        raise AssertionError("The holder stepped down.")
+        """Record that the holder has to end."""
+        self.stepped_down = True
 
 
 Body = Callable[
@@ -122,7 +136,12 @@
     async def main() -> None:
         worker, owner = ScriptedWorker(), RecordingOwner()
         session = WorkerSession(
-            worker_info(1), worker, owner, EPOCH, LEASE_S, current_time
+            worker_info(1),
+            worker,
+            owner,
+            FencingTokens(EPOCH),
+            LEASE_S,
+            current_time,
         )
         session.adopt(KEY, DEMAND)
         async with open_nursery() as nursery:
@@ -187,7 +206,7 @@
         worker.report(5.0, 2)
         await sleep(0.1)
         first = worker.renewals[-1]
-        assert first.epoch > worker.renewals[-2].epoch
+        assert first.token > worker.renewals[-2].token
         assert first.acknowledged_end == 0
         assert first.lease_until_s == 0.0
 
@@ -242,3 +261,64 @@
         assert key not in session.load.runs
 
     run_session(body)
+
+
+def test_end_of_the_earlier_incarnation_is_not_acknowledged_later() -> None:
+    """The worker may start again while the end is being stored."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        owner.store_s = 0.2
+        other = RunKey(TaskKey("job", 0, 0, 1), 1)
+        end = EndReport(3, other, "done", "")
+        worker.report(1001.0, 1, (KEY,), (end,))
+        await sleep(0.1)
+        session.update(worker_info(2))
+        await sleep(0.2)
+        worker.report(5.0, 2, (KEY,))
+        await sleep(0.1)
+        tokens = {request.token for request in worker.renewals}
+        assert [
+            request.acknowledged_end
+            for request in worker.renewals
+            if request.token == max(tokens)
+        ] == [0, 0]
+
+    run_session(body)
+
+
+def test_refusal_of_an_earlier_token_does_not_end_the_holder() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(TaskKey("job", 0, 0, 1), 1)
+        session.reserve(key, DEMAND)
+        worker.start_takes_s = 0.1
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.launch, key, "", "")
+            await sleep(0.05)
+            worker.report(5.0, 2)
+            worker.report(5.1, 2, (KEY, key))
+        await sleep(0.1)
+        assert not owner.stepped_down
+        assert not owner.ends
+
+    run_session(body)
+
+
+def test_holder_ends_once_it_has_used_all_its_tokens() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        session.tokens.current = EPOCH + EPOCH_SPACING - 2
+        worker.report(5.0, 2, (KEY,))
+        worker.report(5.1, 2, (KEY,))
+        await sleep(0.1)
+        assert not owner.stepped_down
+        worker.report(3.0, 3)
+        await sleep(0.1)
+        assert owner.stepped_down
+        assert session.token < next_epoch(EPOCH, 0)
+
+    run_session(body)
--- a/tests/tasks/test_worker_reboots.py
+++ b/tests/tasks/test_worker_reboots.py
@@ -224,3 +224,29 @@
 
     for seed in range(4):
         run_scenario(scenario, seed=seed)
+
+
+def test_workers_accept_the_successor_of_a_holder_with_many_tokens() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = cluster.holder()
+        assert name is not None
+        holder = cluster.nodes[name].election.holder
+        assert holder is not None
+        holder.pool.tokens.current += 50_000
+        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=3.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 4)
+        worker = cluster.workers[cluster.history.runs[0].worker]
+        await reboot(cluster, worker)
+        await cluster.wait(lambda: worker.fence > holder.lease.epoch + 50_000)
+        await replace_holder(cluster)
+        node = cluster.other_node(None)
+        await cluster.wait_state(
+            job_id(1), "completed", limit_s=10.0, node=node
+        )
+        epoch = worker.fence
+        await sleep(3.0)
+        assert worker.fence == epoch
+        check_runs(cluster)
+        check_finished_once(cluster, job_id(1))
+
+    run_scenario(scenario)
