Acknowledge an end only until that is answered

Each renewal repeated the newest acknowledgement. The next incarnation of the worker numbers its ends anew, so a renewal that reached it, or was carried out late by it, dropped ends that nobody had read: a task that was done ran again. A worker forgets ends for good, so an acknowledgement that was answered need not be repeated, and after a silence the next renewal carries none: its answer shows first whether the worker has started again.

A renewal with an acknowledgement may still be carried out late by an incarnation that has not yet accepted a higher token.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -330,7 +330,7 @@
         may_wait = self.clock_known and self.reachable and has_runs
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
-            self.token, until_s, self.acknowledged_end, wait_s
+            self.token, until_s, self._next_acknowledgement(), wait_s
         )
         self._extend_lease_expiry(until_s)
         try:
@@ -355,6 +355,16 @@
         await self._apply_report(report)
         return True
 
+    def _next_acknowledgement(self) -> int:
+        """Return the newest end to acknowledge, 0 if there is none.
+
+        An acknowledgement is neither repeated once it was answered nor sent
+        after a silence: the next incarnation numbers its ends anew.
+        """
+        if not self.reachable or self.acknowledged_end <= self._sent_end:
+            return 0
+        return self.acknowledged_end
+
     def _is_idle(self) -> bool:
         """Return whether no run is left and all ends are acknowledged."""
         if self.load.runs or self.has_unknown_runs:
