Keep calling a worker that may yet carry out a start

A worker without runs was not called. When it started again, nothing told of that unless the list of workers did, and the next incarnation carried out a start whose run had been ended and started elsewhere: a task ran twice at once. Now a worker is called, with long polls of 0.5 s, for 12 s after a start that was not answered, the longest time after which a command is carried out, and for as long after the holder has begun, since an earlier holder's starts may be outstanding. So a reboot is noticed within a second, and the next token is accepted before most of the late starts arrive.

A start that waited for a free connection is checked again before it is sent, since its token may have been replaced meanwhile.

It costs at most 24 calls for each such start, and for each worker after an election. A start that arrives between the boot and the first call, 0.1 to 0.75 s, is still carried out.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -127,6 +127,11 @@
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
+        # Until then the worker may carry out a start that was not answered,
+        # of this or an earlier holder. It is called, so that it accepts a
+        # higher token soon after it has started again.
+        self._late_start_until_s = 0.0
+        self._expect_late_start()
         # Until the worker answers, an earlier holder's last renewal applies.
         self._lease_expiry_s = (
             started_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(self.lease_s)
@@ -189,7 +194,8 @@
                 await sleep(RETRY_S)
                 continue
             if not await self._renew_lease_once():
-                await sleep(RETRY_S if self.load.runs else IDLE_RETRY_S)
+                may_have_runs = self._may_have_runs()
+                await sleep(RETRY_S if may_have_runs else IDLE_RETRY_S)
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
@@ -211,18 +217,19 @@
             )
 
         while self.worker_clock_s() < not_after_s:
-            if request.token != self.token:
-                log_launched("another incarnation")
-                return
-            if key not in self.expected or not self.owner.should_continue(key):
-                log_launched("not needed")
-                return
-            attempts += 1
             try:
                 async with self._command_slots:
+                    if not self._should_send(request):
+                        log_launched("not needed")
+                        return
+                    attempts += 1
                     clock_s = await self.client.start(request)
-            except (CommandNotSentError, CommandOutcomeUnknownError) as error:
-                unanswered += isinstance(error, CommandOutcomeUnknownError)
+            except CommandNotSentError:
+                await sleep(RETRY_S)
+                continue
+            except CommandOutcomeUnknownError:
+                unanswered += 1
+                self._expect_late_start()
                 await sleep(RETRY_S)
                 continue
             except (
@@ -235,15 +242,33 @@
                 return
             log_launched("answered")
             self.health.record_started()
-            if request.token != self.token:
-                return
-            if clock_s < known_clock_s:
-                self._begin_incarnation(0, "start command")
-            else:
-                self.expected.confirm(key, clock_s)
+            if request.token == self.token:
+                self._confirm_start(key, clock_s, known_clock_s)
             return
         log_launched("no answer")
 
+    def _should_send(self, request: StartRequest) -> bool:
+        """Return whether a start is still needed by this incarnation."""
+        if request.token != self.token or request.key not in self.expected:
+            return False
+        return self.owner.should_continue(request.key)
+
+    def _expect_late_start(self) -> None:
+        """Note that a start without an answer may be carried out late."""
+        self._late_start_until_s = self.clock() + LATE_COMMAND_LIMIT_S
+
+    def _confirm_start(
+        self, key: RunKey, clock_s: float, known_clock_s: float
+    ) -> None:
+        """Record that a start was carried out at a time on the clock.
+
+        A time before the known one is that of another incarnation.
+        """
+        if clock_s < known_clock_s:
+            self._begin_incarnation(0, "start command")
+        else:
+            self.expected.confirm(key, clock_s)
+
     def _handle_start_refusal(
         self, request: StartRequest, error: Exception, unanswered: bool
     ) -> None:
@@ -326,8 +351,8 @@
             # A silent worker's lease is not renewed, so that it expires.
             self._lease_until_s = self.worker_clock_s() + self.lease_s
         until_s = self._lease_until_s
-        has_runs = bool(self.load.runs) or self.has_unknown_runs
-        may_wait = self.clock_known and self.reachable and has_runs
+        may_wait = self.clock_known and self.reachable
+        may_wait = may_wait and self._may_have_runs()
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
             self.token, until_s, self._next_acknowledgement(), wait_s
@@ -365,9 +390,15 @@
             return 0
         return self.acknowledged_end
 
-    def _is_idle(self) -> bool:
-        """Return whether no run is left and all ends are acknowledged."""
+    def _may_have_runs(self) -> bool:
+        """Return whether the worker may have runs, or may yet start one."""
         if self.load.runs or self.has_unknown_runs:
+            return True
+        return self.clock() < self._late_start_until_s
+
+    def _is_idle(self) -> bool:
+        """Return whether no run may exist and all ends are acknowledged."""
+        if self._may_have_runs():
             return False
         return self._sent_end >= self._newest_end
 
