--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -58,7 +58,7 @@
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Renew the lease of all runs; return the running and ended runs."""
         body = {
-            "fencing_token": request.epoch,
+            "fencing_token": request.token,
             "last_seen": request.acknowledged_end,
             "deadline_ms": milliseconds(request.lease_until_s),
             "wait_ms": milliseconds(request.wait_s),
@@ -76,19 +76,19 @@
             "specification": request.payload,
             # Rounded down: the worker must not carry it out any later.
             "deadline_ms": floor(request.not_after_s * MILLISECONDS_PER_S),
-            "fencing_token": request.epoch,
+            "fencing_token": request.token,
         }
         if request.checkpoint:
             body["checkpoint"] = request.checkpoint
         answer = await self._call(self.command_client, "/run-start", body)
         return float(answer.value["clock_ms"]) / MILLISECONDS_PER_S
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
         body = {
             "task": encode_task_key(key.task),
             "run": key.run,
-            "fencing_token": epoch,
+            "fencing_token": token,
         }
         await self._call(self.command_client, "/run-stop", body)
 
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -6,6 +6,7 @@
     CommandOutcomeUnknownError,
     WorkerReplacedError,
 )
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
     EndReport,
@@ -101,7 +102,7 @@
         await self._answer()
         return self.clock_s()
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Carry out nothing."""
         await self._deliver()
         await self._answer()
@@ -170,8 +171,8 @@
         """Do nothing."""
 
     def step_down(self) -> None:
-        """Fail the test: no worker of these tests has a higher epoch."""
-        raise AssertionError("The worker has accepted a higher epoch.")
+        """Fail the test: no worker of these tests has a higher token."""
+        raise AssertionError("The worker has accepted a higher token.")
 
 
 def open_session(
@@ -179,4 +180,5 @@
 ) -> WorkerSession:
     """Return a session with a worker; the caller runs it."""
     info = info or worker_info()
-    return WorkerSession(info, worker, owner, 1, LEASE_S, current_time)
+    tokens = FencingTokens(1)
+    return WorkerSession(info, worker, owner, tokens, LEASE_S, current_time)
