--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -25,7 +25,6 @@
     CANCEL_TABLE,
     JOB_TABLE,
     job_id_of,
-    restore_progress,
 )
 from damaskstall.tasks.machine_list_poller import MachineListPoller
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
@@ -49,6 +48,7 @@
 from damaskstall.tasks.run_monitor import RunMonitor
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
+from damaskstall.tasks.stored_runs import adopt_stored_runs
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_RENEWAL_LIMIT_S
@@ -239,28 +239,9 @@
         progress.revision = revision
         if value.get("cancelled"):
             self._cancel(progress)
-        self._adopt_stored_runs(progress, value)
+        adopt_stored_runs(progress, value, self.pool, self.context.clock())
         self._schedule_write(progress)
 
-    def _adopt_stored_runs(self, progress: JobProgress, value: Value) -> None:
-        """Adopt an earlier holder's runs that are newer than those known."""
-        other = JobProgress(progress.job, progress.revision, 0.0)
-        restore_progress(other, value, self.context.clock())
-        pairs = zip(progress.all_units(), other.all_units(), strict=True)
-        for unit, stored in pairs:
-            if stored.done and not unit.done:
-                unit.done = True
-            if stored.run < unit.run or not stored.active or unit.done:
-                continue
-            if stored.run == unit.run and unit.stored_run == unit.run:
-                continue
-            self.pool.release(progress, unit)
-            unit.run = stored.run
-            unit.stored_run = stored.run
-            unit.members = stored.members
-            unit.failures = max(unit.failures, stored.failures)
-            self.pool.adopt(progress, unit)
-
     # Loading jobs and watching for changes.
 
     async def _load(self, nursery: Nursery) -> None:
