Add failing tests of lost ends and doubled starts

In most of them an earlier holder is still running beside the ready one: it stores a run and starts it, and the ready holder has read the row before.

--- /dev/null
+++ b/tests/tasks/test_unmatched_ends.py
@@ -0,0 +1,251 @@
+"""Each end of a run takes effect before it is acknowledged."""
+
+from typing import Any
+
+from trio import sleep
+
+from damaskstall.platform.operator_rows import OperatorsPlatform
+from damaskstall.platform.types import Write
+from damaskstall.tasks.holder import TaskHolder
+from damaskstall.tasks.job_rows import job_row_key, progress_row_key
+from damaskstall.tasks.model import RUNNING, RunKey, TaskKey
+from damaskstall.tasks.ports import EndReport, StartRequest
+from standins.operators.machine_list import ADDRESS as MACHINES_ADDRESS
+from standins.operators.store import ADDRESS as STORE_ADDRESS
+from tests.tasks.cluster import NORMAL, Cluster, run_scenario
+from tests.tasks.job_specs import ONE_TASK, job_id
+from tests.tasks.run_checker import check_finished_once, check_runs
+
+DONE: list[Any] = ["1", {}]
+
+
+def running_step(run: int, worker: str, failures: int = 0) -> list[Any]:
+    """Return the stored state of a step whose only task is running."""
+    members = [[worker, 1, ""]]
+    return ["0", {"0": [run, failures, 0, "", [], members]}]
+
+
+def ready_holder(cluster: Cluster) -> TaskHolder:
+    """Return the ready holder of the cluster."""
+    name = cluster.holder()
+    assert name is not None
+    holder = cluster.nodes[name].election.holder
+    assert holder is not None
+    return holder
+
+
+class EarlierHolder:
+    """An earlier holder that is still running: it writes and starts runs."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Act beside the ready holder of a cluster."""
+        self.cluster = cluster
+        self.platform = OperatorsPlatform(
+            cluster.network.endpoint("earlier"),
+            STORE_ADDRESS,
+            MACHINES_ADDRESS,
+        )
+
+    async def store(self, number: int, step: list[Any]) -> None:
+        """Write the state of a job that has one step."""
+        key = progress_row_key(job_id(number))
+        row = await self.platform.table.read(key)
+        assert row is not None
+        value = {"state": RUNNING, "queue": NORMAL, "steps": [step]}
+        writes = (Write(key, value, row.revision),)
+        await self.platform.table.commit(writes, "0.earlier")
+
+    async def start(self, number: int, run: int, worker: str) -> None:
+        """Start a run of a job's only task."""
+        holder = ready_holder(self.cluster)
+        session = holder.pool.sessions[worker]
+        client = self.platform.client_for(session.worker)
+        key = RunKey(TaskKey(job_id(number), 0, 0, 0), run)
+        not_after_s = self.cluster.workers[worker].clock_s() + 5.0
+        payload = f"text of {job_id(number)}"
+        await client.start(
+            StartRequest(holder.lease.epoch, key, payload, not_after_s, "")
+        )
+        await client.close()
+
+    async def run_to_end(self, number: int, run: int, worker: str) -> None:
+        """Store and start a run of a job's only task; wait for its end."""
+        await self.store(number, running_step(run, worker))
+        await self.start(number, run, worker)
+        await self.cluster.wait(
+            lambda: self.cluster.history.runs[-1].how == "done"
+        )
+
+
+async def occupy_worker(cluster: Cluster) -> None:
+    """Start a long job, so that its worker is called."""
+    await cluster.submit(job_id(2), [ONE_TASK], work_s=20.0)
+    await cluster.wait(lambda: cluster.runs_of(job_id(2)))
+
+
+async def disconnect(cluster: Cluster, worker: str) -> None:
+    """Block a worker's traffic, and wait until the holder has noticed."""
+    cluster.disconnect_worker(worker)
+    session = ready_holder(cluster).pool.sessions[worker]
+    session.wake()
+    await cluster.wait(lambda: not session.reachable)
+
+
+async def wait_removed(cluster: Cluster, number: int) -> None:
+    """Wait until the holder has removed a finished job from its memory."""
+    jobs = ready_holder(cluster).jobs
+    await cluster.wait(lambda: job_id(number) not in jobs)
+
+
+def test_end_of_a_run_in_an_unread_row_is_not_dropped() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        await occupy_worker(cluster)
+        await disconnect(cluster, "w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.run_to_end(1, 1, "w00")
+        cluster.reconnect_worker("w00")
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_end_of_an_unknown_job_is_not_dropped() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        await occupy_worker(cluster)
+        cluster.store.withhold_changes = True
+        await disconnect(cluster, "w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.run_to_end(1, 1, "w00")
+        cluster.reconnect_worker("w00")
+        await sleep(2.0)
+        cluster.store.drop_history()
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_run_in_a_row_that_is_read_again_is_counted() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        cluster.store.withhold_changes = True
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.store(1, running_step(1, "w00"))
+        cluster.store.drop_history()
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_task_that_another_holder_stored_as_done_is_not_started() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        cluster.disconnect_worker("w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.store(1, DONE)
+        cluster.reconnect_worker("w00")
+        await wait_removed(cluster, 1)
+        assert await cluster.state(job_id(1)) == "completed"
+        assert not cluster.history.runs
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_run_that_completes_after_it_lapsed_stops_its_successor() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=3.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 1)
+        first = cluster.history.runs[0]
+        await disconnect(cluster, first.worker)
+        holder.pool.record_machine_stopped(first.worker)
+        await cluster.wait(lambda: len(cluster.history.runs) == 2)
+        await cluster.wait(lambda: first.how == "done")
+        cluster.reconnect_worker(first.worker)
+        await cluster.wait_state(job_id(1), "completed")
+        await wait_removed(cluster, 1)
+        check_finished_once(cluster, job_id(1))
+        assert cluster.history.runs[1].how == "stopped"
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=2)
+
+
+def test_run_that_completes_after_it_lapsed_is_not_repeated() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=3.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 1)
+        await disconnect(cluster, "w00")
+        holder.pool.record_machine_stopped("w00")
+        await cluster.wait(lambda: cluster.history.runs[0].how == "done")
+        cluster.reconnect_worker("w00")
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_end_of_a_run_with_the_number_of_an_unstored_run_is_kept() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=5.0)
+        cluster.store.write_delays_s = [0.2]
+        await cluster.wait(lambda: not cluster.store.write_delays_s)
+        unit = next(holder.jobs[job_id(1)].all_units())
+        placed = unit.members[0].worker
+        other = next(name for name in cluster.workers if name != placed)
+        await EarlierHolder(cluster).store(1, running_step(1, other))
+        key = RunKey(TaskKey(job_id(1), 0, 0, 0), 1)
+        holder.record_end(other, EndReport(1, key, "done", ""))
+        await holder.wait_ends_stored()
+        assert unit.done
+        await cluster.wait_state(job_id(1), "completed")
+        assert not cluster.history.runs
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=2)
+
+
+def test_finished_job_whose_row_is_seen_again_is_not_run_again() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        cluster.store.withhold_changes = True
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        unfinished = await holder.reader.load()
+        cluster.store.withhold_changes = False
+        await occupy_worker(cluster)
+        await wait_removed(cluster, 1)
+        table = cluster.nodes["n0"].table
+        row = await table.read(job_row_key(job_id(1)))
+        assert row is not None
+        for resync in (True, False):
+            if resync:
+                holder._resync(unfinished)
+            else:
+                holder._add_job(row)
+            assert job_id(1) not in holder.jobs
+            await sleep(1.0)
+            assert len(cluster.runs_of(job_id(1))) == 1
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_silent_worker_whose_runs_have_lapsed_is_called_again() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=15.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 1)
+        await disconnect(cluster, "w00")
+        await cluster.wait(lambda: cluster.history.runs[0].how == "lapsed")
+        await sleep(5.0)
+        cluster.reconnect_worker("w00")
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
