Stop the run of a task that another holder has stored as done

After a conflict on a job's row, a task that the row showed as done was marked as done, but the run that had just begun in memory was still launched once the merged row was written. A task that was done ran again (TWICE).

Seen: a holder reads the row with a waiting or running unit. An earlier holder that is still alive stores the unit as done and acknowledges its end. The new holder finds no run in the worker's lists, begins the next run, meets the conflict, merges the row and launches.

A unit that is done while no member of its present run is, has a superseded run. It is not continued, and it is stopped after a merge: an unlaunched run ends as not started, a launched one gets stop commands from each report, also under a later holder, since the condition follows from the stored state.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -143,6 +143,8 @@
         progress, unit, position = found
         if progress.cancelled or progress.failed or unit.stopping:
             return False
+        if unit.superseded:
+            return False
         return not unit.members[position].ended
 
     def demand_of(self, key: RunKey) -> Demand | None:
@@ -240,6 +242,7 @@
         if value.get("cancelled"):
             self._cancel(progress)
         adopt_stored_runs(progress, value, self.pool, self.context.clock())
+        self._stop_superseded(progress)
         self._schedule_write(progress)
 
     # Loading jobs and watching for changes.
@@ -406,6 +409,11 @@
             if unit.active:
                 self._stop_unit(progress, unit, reason)
 
+    def _stop_superseded(self, progress: JobProgress) -> None:
+        for unit in progress.all_units():
+            if unit.superseded:
+                self._stop_unit(progress, unit, "the task is done")
+
     def _stop_unit(
         self, progress: JobProgress, unit: Unit, reason: str
     ) -> None:
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -99,6 +99,17 @@
         """Return whether a run of the unit may exist."""
         return bool(self.members)
 
+    @property
+    def superseded(self) -> bool:
+        """Return whether another run than the present one is done.
+
+        The present run is then stopped. A run of which any member is done
+        ends by itself.
+        """
+        if not self.done or not self.active:
+            return False
+        return all(m.ended != ENDED_DONE for m in self.members)
+
     @property
     def percent(self) -> float:
         """Return the percentage of the run, that of its slowest member."""
