Adopt stored runs by the number that is stored, not that in memory

After a conflict, a run that another holder had stored was adopted only if its number was not below the newest one in memory. Numbers in memory also count runs that were never stored and so never launched, for example on workers that were lost at once. The number and the failures of a stored run that had ended were passed over too, so that a number was used twice and an attempt was not counted; and a run that was read at the start and had ended was counted again.

stored_run is now also set when a row is read. A stored unit is adopted exactly if its newest run is newer than the newest that is known to be stored. All runs after that are unlaunched, so they can be forgotten. Their number, failures, workers to avoid and checkpoint come with the adopted run, and a stop that was requested for the forgotten run does not apply to it.

--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -205,6 +205,7 @@
     """Set one unit to its stored state."""
     run, failures, failed_run, checkpoint, avoid, members = fields
     unit.run = run
+    unit.stored_run = run
     unit.failures = failures
     unit.failed_run = failed_run
     unit.checkpoint = checkpoint
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -54,10 +54,10 @@
 
     ``run`` is the number of the newest run, 0 before the first, and
     ``failed_run`` that of the newest run that failed. ``stored_run`` is the
-    newest run of this holder that is stored in the table. ``members`` is
-    empty while no run may exist. ``stopping`` states that the run is being
-    stopped, and ``has_begun`` that a run of the unit has started. ``avoid``
-    names workers on which a run failed or stalled.
+    newest run known to be in the table; a later one has not been launched.
+    ``members`` is empty while no run may exist. ``stopping`` states that the
+    run is being stopped, and ``has_begun`` that a run of the unit has started.
+    ``avoid`` names workers on which a run failed or stalled.
     """
 
     __slots__ = (
--- a/src/damaskstall/tasks/stored_runs.py
+++ b/src/damaskstall/tasks/stored_runs.py
@@ -20,20 +20,34 @@
 def adopt_stored_runs(
     progress: JobProgress, value: Value, counter: RunCounter, now_s: float
 ) -> None:
-    """Adopt an earlier holder's runs that are newer than those known."""
+    """Adopt the units whose runs in a row's value are newer than those known.
+
+    A run is launched only once it is stored, so the unstored runs of such a
+    unit are forgotten, and their numbers are used again.
+    """
     other = JobProgress(progress.job, progress.revision, 0.0)
     restore_progress(other, value, now_s)
     pairs = zip(progress.all_units(), other.all_units(), strict=True)
     for unit, stored in pairs:
-        if stored.done and not unit.done:
-            unit.done = True
-        if stored.run < unit.run or not stored.active or unit.done:
-            continue
-        if stored.run == unit.run and unit.stored_run == unit.run:
-            continue
-        counter.release(progress, unit)
-        unit.run = stored.run
-        unit.stored_run = stored.run
-        unit.members = stored.members
-        unit.failures = max(unit.failures, stored.failures)
-        counter.adopt(progress, unit)
+        unit.done = unit.done or stored.done
+        if stored.failed_run > unit.failed_run:
+            unit.failed_run = stored.failed_run
+            unit.failures = max(unit.failures, stored.failures)
+        if stored.run > unit.stored_run:
+            counter.release(progress, unit)
+            adopt_unit(unit, stored)
+            if unit.active:
+                counter.adopt(progress, unit)
+
+
+def adopt_unit(unit: Unit, stored: Unit) -> None:
+    """Replace the present run of a unit by the stored one."""
+    unit.run = stored.run
+    unit.stored_run = stored.run
+    unit.members = stored.members
+    unit.stopping = False
+    unit.started_s = stored.started_s
+    unit.has_begun = True
+    unit.avoid |= stored.avoid
+    if stored.checkpoint:
+        unit.checkpoint = stored.checkpoint
