Call a silent worker again after its runs have lapsed

A worker that did not answer until its runs had lapsed, or until its machine was listed as down, had no runs left and so counted as idle. An idle worker is not called, so it stayed unreachable and unused until the holder changed, and the ends that it still listed were never read. With all workers cut for a while, jobs waited for ever (LOST).

Only a worker that answers can be idle. A silent one is called once a second, as IDLE_RETRY_S already intended.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -372,8 +372,11 @@
         return True
 
     def _is_idle(self) -> bool:
-        """Return whether no run is left and all ends are acknowledged."""
-        if self.load.runs or self.has_unknown_runs:
+        """Return whether the worker need not be called.
+
+        It answers, no run is left and all ends are acknowledged.
+        """
+        if not self.reachable or self.load.runs or self.has_unknown_runs:
             return False
         return self._sent_end >= self._newest_end
 
