Acknowledge the end of a run only when its effect is known

An end that a worker listed was matched only against the present run of its task. The end of another run was dropped, and acknowledged all the same. So the end `done` of a run was lost, and its task started again (TWICE), where

- an earlier holder had stored and started the run after this holder read the row, or the holder had not read the job at all;
- the stored run had the number of an unstored run on another worker;
- the run had been ended as lapsed, and then completed: its end was dropped whether its successor had begun or not.

A reported end of a run that is newer than the newest known to be stored, or of an unknown job, now waits until the job's row has been read by a read that began after the report. The rows are read where the session waits until all ends are stored, so nothing is acknowledged before. An older run that is done makes its task done: the present run is stopped, counted until its end, and not followed by another. An older failure counts as an attempt if no newer one was counted. All other ends of older runs have no effect.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -25,11 +25,17 @@
     CANCEL_TABLE,
     JOB_TABLE,
     job_id_of,
+    progress_row_key,
 )
 from damaskstall.tasks.machine_list_poller import MachineListPoller
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
 from damaskstall.tasks.policy import Decision, StartUnit, decide
-from damaskstall.tasks.ports import NOT_LAUNCHED, EndReport, RunReport
+from damaskstall.tasks.ports import (
+    NOT_LAUNCHED,
+    REPORTED,
+    EndReport,
+    RunReport,
+)
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
@@ -50,6 +56,7 @@
 from damaskstall.tasks.scheduling_input import SchedulingInput
 from damaskstall.tasks.stored_runs import adopt_stored_runs
 from damaskstall.tasks.sweeper import Sweeper
+from damaskstall.tasks.unmatched_ends import UnmatchedEnds
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_RENEWAL_LIMIT_S
 
@@ -77,6 +84,7 @@
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.sweeper = Sweeper(context)
         self.estimator = RunTimeEstimator()
+        self.unmatched = UnmatchedEnds(self._refresh_job, self._settle_end)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.scope = CancelScope()
         self.ready = False
@@ -181,22 +189,25 @@
 
     def record_end(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started."""
-        found = self._find_run(end.key)
+        if end.evidence == REPORTED and self._may_be_unread(worker, end.key):
+            self.unmatched.add(worker, end)
+        else:
+            self._settle_end(worker, end)
+
+    def _settle_end(self, worker: str, end: EndReport) -> None:
+        """Record the effect of an end on the known state of its job."""
+        found = self._find_present_run(worker, end.key)
         if found is None:
-            self._log_if_unmatched(worker, end)
+            self._record_late_end(worker, end)
             return
         progress, unit, position = found
-        if unit.members[position].worker != worker:
-            log_end_unmatched(worker, end, unit.run)
-            return
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
         if end.how != ENDED_NOT_STARTED:
             unit.has_begun = True
-        if not progress.end_member(
+        progress.end_member(
             unit, position, end.how, self._attempt_limit(progress)
-        ):
-            return
+        )
         log_run_ended(worker, end)
         self.pool.record_run_outcome(worker, progress.job, end.how)
         if end.how == ENDED_DONE:
@@ -209,8 +220,28 @@
             self._stop_all(progress, "the job has failed")
         self._schedule_write(progress)
 
+    def _record_late_end(self, worker: str, end: EndReport) -> None:
+        """Record the end of a run that is not, or no longer, present."""
+        progress = self.jobs.get(end.key.task.job_id)
+        found = progress.find(end.key.task) if progress is not None else None
+        if progress is None or found is None:
+            log_end_unmatched(worker, end, None)
+            return
+        unit, _ = found
+        if unit.run != end.key.run:
+            log_end_unmatched(worker, end, unit.run)
+        limit = self._attempt_limit(progress)
+        if not progress.record_late_end(unit, end.key.run, end.how, limit):
+            return
+        log_run_ended(worker, end)
+        if progress.failed:
+            self._stop_all(progress, "the job has failed")
+        self._stop_superseded(progress)
+        self._schedule_write(progress)
+
     async def wait_ends_stored(self) -> None:
         """Return once every end recorded so far is in the table."""
+        await self.unmatched.settle_all()
         waiting = [
             (progress, progress.changes)
             for progress in self.jobs.values()
@@ -257,9 +288,14 @@
         # written, so no worker is called before all jobs are known.
         self.pool.open_sessions(nursery)
         for progress in loaded:
-            self.jobs[progress.job_id] = progress
-            for unit in progress.all_units():
-                self.pool.adopt(progress, unit)
+            self._add_read_job(progress)
+
+    def _add_read_job(self, progress: JobProgress) -> None:
+        """Add a job as its row shows it, and count its runs."""
+        self.jobs[progress.job_id] = progress
+        for unit in progress.all_units():
+            self.pool.adopt(progress, unit)
+        self._wake.set()
 
     async def _follow_state(self) -> None:
         while True:
@@ -450,13 +486,42 @@
             return None
         return progress, unit, position
 
-    def _log_if_unmatched(self, worker: str, end: EndReport) -> None:
-        """Log an end of another run than its task's present one."""
-        progress = self.jobs.get(end.key.task.job_id)
-        found = progress.find(end.key.task) if progress is not None else None
-        present_run = found[0].run if found is not None else None
-        if present_run != end.key.run:
-            log_end_unmatched(worker, end, present_run)
+    def _find_present_run(
+        self, worker: str, key: RunKey
+    ) -> tuple[JobProgress, Unit, int] | None:
+        """Return where a run belongs if it is present on a worker."""
+        found = self._find_run(key)
+        if found is None:
+            return None
+        _, unit, position = found
+        member = unit.members[position]
+        if member.worker != worker or member.ended:
+            return None
+        return found
+
+    def _may_be_unread(self, worker: str, key: RunKey) -> bool:
+        """Return whether only the row of a job may contain a run."""
+        if self._find_present_run(worker, key) is not None:
+            return False
+        progress = self.jobs.get(key.task.job_id)
+        if progress is None:
+            return key.task.job_id not in self.sweeper.finished
+        found = progress.find(key.task)
+        return found is not None and key.run > found[0].stored_run
+
+    async def _refresh_job(self, job_id: str) -> None:
+        """Read a job's row, and merge what another process has written."""
+        progress = self.jobs.get(job_id)
+        if progress is None:
+            read = await self.reader.read_job(job_id)
+            if read is not None and job_id not in self.jobs:
+                self._add_read_job(read)
+            return
+        row = await self.context.table.read(progress_row_key(job_id))
+        if row is None or row.value is None:
+            return
+        if row.revision > progress.revision and job_id in self.jobs:
+            self.merge_stored_row(progress, row.value, row.revision)
 
     def _attempt_limit(self, progress: JobProgress) -> int:
         queue = self.context.configuration.queues.get(progress.job.queue)
--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -18,7 +18,9 @@
     all_parts,
     decode_job,
     job_id_of,
+    job_row_key,
     part_prefix,
+    progress_row_key,
     restore_progress,
 )
 from damaskstall.tasks.model import FINAL_STATES, AcceptedJob
@@ -63,6 +65,19 @@
                 await sleep(min(delay_s, RETRY_LIMIT_S))
                 tries += 1
 
+    async def read_job(self, job_id: str) -> JobProgress | None:
+        """Return one job, or None unless it is known and unfinished.
+
+        Raises TableUnavailableError.
+        """
+        progress_row = await self.table.read(progress_row_key(job_id))
+        job_row = await self.table.read(job_row_key(job_id))
+        if progress_row is None or progress_row.value is None:
+            return None
+        if not is_unfinished(progress_row.value):
+            return None
+        return self._restore(job_row, progress_row)
+
     def decode_new_job(self, row: Row) -> JobProgress | None:
         """Return the job of a newly written row, or None if it was deleted."""
         if row.value is None:
@@ -122,21 +137,29 @@
         open_jobs = []
         self.finished = {}
         for job_id, row in progress_rows.items():
-            job_row = job_rows.get(job_id)
             if row.value is None:
                 continue
             if not is_unfinished(row.value):
                 self.finished[job_id] = row.value.get("over_unix_s")
                 continue
-            if job_row is None or job_row.value is None:
-                continue
-            job = decode_job(job_id, job_row.value)
-            progress = self._progress(job, row.revision)
-            restore_progress(progress, row.value, self.clock())
-            open_jobs.append(progress)
+            progress = self._restore(job_rows.get(job_id), row)
+            if progress is not None:
+                open_jobs.append(progress)
         self.revision = revision
         return open_jobs
 
+    def _restore(
+        self, job_row: Row | None, progress_row: Row
+    ) -> JobProgress | None:
+        """Return a job with its stored progress, None without declaration."""
+        if job_row is None or job_row.value is None:
+            return None
+        assert progress_row.value is not None
+        job = decode_job(job_id_of(job_row.key), job_row.value)
+        progress = self._progress(job, progress_row.revision)
+        restore_progress(progress, progress_row.value, self.clock())
+        return progress
+
     async def _scan(self, table: str) -> tuple[dict[str, Row], int]:
         """Return a table's rows by job, and the revision to watch from.
 
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -277,18 +277,38 @@
             unit.done = True
         if how == ENDED_FAILED and not endless:
             unit.avoid.add(member.worker)
-            self._count_failure(unit, attempt_limit)
+            self._count_failure(unit, unit.run, attempt_limit)
         if all(other.ended for other in unit.members):
             unit.members = []
             unit.stopping = False
         self.count_change()
         return True
 
-    def _count_failure(self, unit: Unit, attempt_limit: int) -> None:
+    def record_late_end(
+        self, unit: Unit, run: int, how: str, attempt_limit: int
+    ) -> bool:
+        """Record the outcome of a run that is over for this holder.
+
+        Return whether that had an effect: the task is done although it was
+        to run again, or a failure had not been counted.
+        """
+        if unit.done or self.step_of(unit).endless:
+            return False
+        if how == ENDED_DONE:
+            unit.done = True
+        elif how == ENDED_FAILED and run > unit.failed_run:
+            self._count_failure(unit, run, attempt_limit)
+        else:
+            return False
+        unit.has_begun = True
+        self.count_change()
+        return True
+
+    def _count_failure(self, unit: Unit, run: int, attempt_limit: int) -> None:
         """Count a failed run once, however many members report it."""
-        if unit.failed_run == unit.run or unit.done:
+        if unit.failed_run == run or unit.done:
             return
-        unit.failed_run = unit.run
+        unit.failed_run = run
         unit.failures += 1
         if unit.failures >= attempt_limit:
             self.failed = True
--- a/tests/tasks/test_unmatched_ends.py
+++ b/tests/tasks/test_unmatched_ends.py
@@ -8,13 +8,18 @@
 from damaskstall.platform.types import Write
 from damaskstall.tasks.holder import TaskHolder
 from damaskstall.tasks.job_rows import job_row_key, progress_row_key
-from damaskstall.tasks.model import RUNNING, RunKey, TaskKey
+from damaskstall.tasks.model import RUNNING, Demand, RunKey, Step, TaskKey
 from damaskstall.tasks.ports import EndReport, StartRequest
+from damaskstall.tasks.progress import JobProgress
+from damaskstall.tasks.unmatched_ends import UnmatchedEnds
 from standins.operators.machine_list import ADDRESS as MACHINES_ADDRESS
 from standins.operators.store import ADDRESS as STORE_ADDRESS
+from standins.operators.store import SILENT
 from tests.tasks.cluster import NORMAL, Cluster, run_scenario
-from tests.tasks.job_specs import ONE_TASK, job_id
+from tests.tasks.job_specs import GANG, ONE_TASK, job_id
 from tests.tasks.run_checker import check_finished_once, check_runs
+from tests.tasks.test_rows import accepted
+from tests.virtual_time import run_virtual
 
 DONE: list[Any] = ["1", {}]
 
@@ -34,6 +39,12 @@
     return holder
 
 
+def end_of_run(run: int) -> EndReport:
+    """Return the end `done` of a run of the first job's only task."""
+    key = RunKey(TaskKey(job_id(1), 0, 0, 0), run)
+    return EndReport(run, key, "done", "")
+
+
 class EarlierHolder:
     """An earlier holder that is still running: it writes and starts runs."""
 
@@ -202,8 +213,7 @@
         placed = unit.members[0].worker
         other = next(name for name in cluster.workers if name != placed)
         await EarlierHolder(cluster).store(1, running_step(1, other))
-        key = RunKey(TaskKey(job_id(1), 0, 0, 0), 1)
-        holder.record_end(other, EndReport(1, key, "done", ""))
+        holder.record_end(other, end_of_run(1))
         await holder.wait_ends_stored()
         assert unit.done
         await cluster.wait_state(job_id(1), "completed")
@@ -249,3 +259,80 @@
         check_runs(cluster)
 
     run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_unread_end_is_not_acknowledged_while_the_store_is_silent() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        await occupy_worker(cluster)
+        await disconnect(cluster, "w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.run_to_end(1, 1, "w00")
+        cluster.store.faults["n0"] = SILENT
+        cluster.reconnect_worker("w00")
+        await sleep(1.0)
+        assert cluster.runs_of(job_id(1))[0].acknowledged_s is None
+        del cluster.store.faults["n0"]
+        await cluster.wait_state(job_id(1), "completed")
+        check_finished_once(cluster, job_id(1))
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
+def test_gang_that_completes_after_a_member_lapsed_is_not_repeated() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        await cluster.submit(job_id(1), [GANG], work_s=1.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 2)
+        lost = cluster.history.runs[0].worker
+        for name in cluster.workers:
+            await disconnect(cluster, name)
+        holder.pool.record_machine_stopped(lost)
+        await cluster.wait(lambda: cluster.history.runs[0].how == "done")
+        for name in cluster.workers:
+            cluster.reconnect_worker(name)
+        await cluster.wait_state(job_id(1), "completed")
+        await wait_removed(cluster, 1)
+        assert len(cluster.history.runs) == 2
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=2)
+
+
+def test_end_kept_during_a_read_waits_for_the_next_read() -> None:
+    """A read that began before the report may lack the run."""
+
+    async def main() -> None:
+        settled: list[int] = []
+        reads: list[int] = []
+
+        async def refresh(name: str) -> None:
+            reads.append(len(settled))
+            if len(reads) == 1:
+                ends.add("w1", end_of_run(2))
+            await sleep(0.1)
+
+        def settle(worker: str, end: EndReport) -> None:
+            settled.append(end.key.run)
+
+        ends = UnmatchedEnds(refresh, settle)
+        ends.add("w1", end_of_run(1))
+        await ends.settle_all()
+        assert settled == [1, 2]
+        assert reads == [0, 1]
+
+    run_virtual(main)
+
+
+def test_late_failure_counts_as_an_attempt_once() -> None:
+    progress = JobProgress(accepted(Step(1, Demand(1, 1, 1), 1.0)), 1, 0.0)
+    unit = next(progress.all_units())
+    for _ in range(2):
+        progress.begin_run(unit, [("w1", 1)], 0.0)
+        progress.end_member(unit, 0, "lapsed", 2)
+    assert progress.record_late_end(unit, 1, "failed", 2)
+    assert not progress.record_late_end(unit, 1, "failed", 2)
+    assert (unit.failures, progress.failed) == (1, False)
+    assert progress.record_late_end(unit, 2, "failed", 2)
+    assert (unit.failures, progress.failed) == (2, True)
