Take up a job that is read again with its runs, and no finished job

When changes were missed, all jobs are read again. A job that was not known before was added without counting its stored runs on their workers, so an end of such a run was never concluded and the job waited for ever (LOST). A job that finished and was removed while the rows were read, or before its row came from the watch, was added again as unfinished; its tasks were begun anew, and only the conflict on the row could tell.

Jobs that are read are now added in one place, which counts their runs. A job that is in memory or has finished under this holder is not added again.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -304,10 +304,17 @@
 
     def _add_job(self, row: Row) -> None:
         progress = self.reader.decode_new_job(row)
-        if progress is not None and progress.job_id not in self.jobs:
+        if progress is not None and not self._is_known(progress.job_id):
             self.jobs[progress.job_id] = progress
             self._wake.set()
 
+    def _is_known(self, job_id: str) -> bool:
+        """Return whether a job is in memory, or has finished.
+
+        Rows that were read before a job finished may be handled afterwards.
+        """
+        return job_id in self.jobs or job_id in self.sweeper.finished
+
     def _apply_cancellation(self, row: Row) -> None:
         """Cancel the job that a cancellation row names.
 
@@ -327,10 +334,10 @@
     def _resync(self, loaded: list[JobProgress]) -> None:
         """Merge the jobs that were read again after changes were missed."""
         for progress in loaded:
-            known = self.jobs.setdefault(progress.job_id, progress)
-            if progress.cancelled:
-                self._cancel(known)
-        self._wake.set()
+            if not self._is_known(progress.job_id):
+                self._add_read_job(progress)
+            elif progress.cancelled and progress.job_id in self.jobs:
+                self._cancel(self.jobs[progress.job_id])
 
     def _cancel(self, progress: JobProgress) -> None:
         if progress.cancelled:
@@ -505,7 +512,7 @@
             return False
         progress = self.jobs.get(key.task.job_id)
         if progress is None:
-            return key.task.job_id not in self.sweeper.finished
+            return not self._is_known(key.task.job_id)
         found = progress.find(key.task)
         return found is not None and key.run > found[0].stored_run
 
@@ -514,7 +521,7 @@
         progress = self.jobs.get(job_id)
         if progress is None:
             read = await self.reader.read_job(job_id)
-            if read is not None and job_id not in self.jobs:
+            if read is not None and not self._is_known(job_id):
                 self._add_read_job(read)
             return
         row = await self.context.table.read(progress_row_key(job_id))
