--- a/tests/tasks/test_unmatched_ends.py
+++ b/tests/tasks/test_unmatched_ends.py
@@ -57,12 +57,12 @@
             MACHINES_ADDRESS,
         )
 
-    async def store(self, number: int, step: list[Any]) -> None:
+    async def store(self, number: int, step: list[Any], **fields: Any) -> None:
         """Write the state of a job that has one step."""
         key = progress_row_key(job_id(number))
         row = await self.platform.table.read(key)
         assert row is not None
-        value = {"state": RUNNING, "queue": NORMAL, "steps": [step]}
+        value = {"state": RUNNING, "queue": NORMAL, "steps": [step], **fields}
         writes = (Write(key, value, row.revision),)
         await self.platform.table.commit(writes, "0.earlier")
 
@@ -168,6 +168,20 @@
     run_scenario(scenario, nodes=1, racks=1, per_rack=1)
 
 
+def test_job_that_another_holder_stored_as_failed_is_not_started() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        earlier = EarlierHolder(cluster)
+        cluster.disconnect_worker("w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.2)
+        await earlier.store(1, ["0", {}], failed=True)
+        cluster.reconnect_worker("w00")
+        await wait_removed(cluster, 1)
+        assert await cluster.state(job_id(1)) == "failed"
+        assert not cluster.history.runs
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
 def test_run_that_completes_after_it_lapsed_stops_its_successor() -> None:
     async def scenario(cluster: Cluster) -> None:
         holder = ready_holder(cluster)
--- /dev/null
+++ b/tests/tasks/test_worker_session.py
@@ -0,0 +1,136 @@
+"""A session ends and starts only what it may, with a scripted worker."""
+
+from trio import current_time, open_nursery, sleep
+
+from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
+from damaskstall.tasks.ports import (
+    EndReport,
+    LeaseRenewal,
+    RunReport,
+    StartRequest,
+    WorkerReport,
+)
+from damaskstall.tasks.worker_session import WorkerSession
+from tests.virtual_time import run_virtual
+
+LISTED_ENDS_LIMIT = 500
+DEMAND = Demand(1000, 1000, 1)
+
+
+class ScriptedWorker:
+    """Worker without runs that lists its ends, a limited number at a time."""
+
+    def __init__(self, ended: list[EndReport]) -> None:
+        """List the ends that are not yet acknowledged."""
+        self.ended = ended
+        self.started: list[RunKey] = []
+
+    async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
+        """Forget the acknowledged ends; return the first of the others."""
+        await sleep(0.1)
+        self.ended = [
+            end for end in self.ended if end.number > request.acknowledged_end
+        ]
+        listed = tuple(self.ended[:LISTED_ENDS_LIMIT])
+        return WorkerReport(current_time() + 100.0, 1, (), listed)
+
+    async def start(self, request: StartRequest) -> float:
+        """Record a start."""
+        self.started.append(request.key)
+        return current_time() + 100.0
+
+    async def stop(self, epoch: int, key: RunKey) -> None:
+        """Ignore a stop."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class RecordingOwner:
+    """Owner that wants all runs to continue, and records their ends."""
+
+    def __init__(self, may_renew: bool = True) -> None:
+        """Start without ends."""
+        self.may_renew = may_renew
+        self.ends: dict[RunKey, list[str]] = {}
+
+    def should_continue(self, key: RunKey) -> bool:
+        """Let every run continue."""
+        return True
+
+    def may_renew_leases(self) -> bool:
+        """Return whether the holder's lease allows renewals."""
+        return self.may_renew
+
+    def record_running(self, worker: str, report: RunReport) -> None:
+        """Ignore a report."""
+
+    def record_end(self, worker: str, end: EndReport) -> None:
+        """Record an outcome."""
+        self.ends.setdefault(end.key, []).append(end.how)
+
+    async def wait_ends_stored(self) -> None:
+        """Return at once."""
+
+    def request_decision(self) -> None:
+        """Do nothing."""
+
+    def step_down(self) -> None:
+        """Do nothing."""
+
+
+def run_key(index: int) -> RunKey:
+    """Return the first run of a task."""
+    return RunKey(TaskKey("0" * 16, 0, 0, index), 1)
+
+
+def open_session(
+    worker: ScriptedWorker, owner: RecordingOwner
+) -> WorkerSession:
+    """Return a session with a worker."""
+    info = WorkerInfo(
+        name="w1",
+        service="svc",
+        host="10.0.0.1",
+        port=80,
+        failure_domain="fd0",
+        rack="r0",
+        labels=frozenset(),
+        capacity=Demand(64000, 64000, 8),
+        leaving=False,
+        checks_capacity=False,
+        incarnation=1,
+    )
+    return WorkerSession(info, worker, owner, 1, 10.0, current_time)
+
+
+def test_run_missing_from_a_partial_list_of_ends_has_not_lapsed() -> None:
+    async def main() -> None:
+        last = LISTED_ENDS_LIMIT
+        ended = [
+            EndReport(index + 1, run_key(index), "done", "")
+            for index in range(last + 1)
+        ]
+        owner = RecordingOwner()
+        session = open_session(ScriptedWorker(ended), owner)
+        session.adopt(run_key(last), DEMAND)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await sleep(1.0)
+            nursery.cancel_scope.cancel()
+        assert owner.ends[run_key(last)] == ["done"]
+
+    run_virtual(main)
+
+
+def test_run_is_not_started_after_the_lease_was_lost() -> None:
+    """A suspended holder may resume between the write and the start."""
+
+    async def main() -> None:
+        worker = ScriptedWorker([])
+        session = open_session(worker, RecordingOwner(may_renew=False))
+        session.reserve(run_key(0), DEMAND)
+        await session.launch(run_key(0), "", "")
+        assert not worker.started
+
+    run_virtual(main)
