Start no run after the lease was lost

A holder checked its lease when it decided on a run, but not once the run was stored, nor before it repeated a start. A process that is suspended in between and resumes after a long time still sent the start.

Each start command is now sent only while the leases of runs may be renewed. A successor already waits for that time before it ends the runs of a worker that it can not reach.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -242,6 +242,9 @@
             if key not in self.expected or not self.owner.should_continue(key):
                 log_launched("not needed")
                 return
+            if not self.owner.may_renew_leases():
+                log_launched("lease lost")
+                return
             attempts += 1
             try:
                 async with self._command_slots:
