Conclude no end from a partial list of ends

A worker lists at most 500 unacknowledged ends in one report. A run that had ended and was not among them was in neither list, so it was taken for ended or never started, and begun again although it may be done (TWICE). That needs 500 ends that no holder has acknowledged, for example after a long time without a holder on a worker with small tasks.

A report with that many ends is taken as partial: missing runs are concluded from a later report, after the listed ends are acknowledged.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -72,6 +72,8 @@
 # Maximum wait until the listed ends are stored. While the store accepts no
 # write, ends are not acknowledged and the worker lists them again.
 STORE_WAIT_LIMIT_S = 0.3
+# Maximum number of ends in one report.
+LISTED_ENDS_LIMIT = 500
 
 
 def lease_limit_s(lease_s: float) -> float:
@@ -437,6 +439,9 @@
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
+        if len(report.ended) >= LISTED_ENDS_LIMIT:
+            # The ends of other runs are listed once these are acknowledged.
+            return
         for key, expected in list(self.expected.items()):
             if key in listed or report.clock_s <= expected.not_after_s:
                 continue
