Read after a conflict that a job has failed

A holder that met a conflict took the cancellation of a job from its row, but not that it had failed. A job whose last attempt had failed under an earlier holder was started again, beyond its limit of attempts.

Evidence: test_job_that_another_holder_stored_as_failed_is_not_started failed before ('completed' == 'failed') and passes now. tests/tasks: all passed.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -273,6 +273,9 @@
         if value.get("cancelled"):
             self._cancel(progress)
         adopt_stored_runs(progress, value, self.pool, self.context.clock())
+        if value.get("failed") and not progress.failed:
+            progress.failed = True
+            self._stop_all(progress, "the job has failed")
         self._stop_superseded(progress)
         self._schedule_write(progress)
 
