--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -32,7 +32,6 @@
 from damaskstall.tasks.policy import Decision, StartUnit, decide
 from damaskstall.tasks.ports import (
     NOT_LAUNCHED,
-    REPORTED,
     EndReport,
     RunReport,
 )
@@ -44,10 +43,9 @@
     Unit,
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
+from damaskstall.tasks.run_ends import RunEnds, find_run
 from damaskstall.tasks.run_log import (
-    log_end_unmatched,
     log_job_ended,
-    log_run_ended,
     log_unit_started,
     log_unit_stopped,
 )
@@ -56,7 +54,6 @@
 from damaskstall.tasks.scheduling_input import SchedulingInput
 from damaskstall.tasks.stored_runs import adopt_stored_runs
 from damaskstall.tasks.sweeper import Sweeper
-from damaskstall.tasks.unmatched_ends import UnmatchedEnds
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_RENEWAL_LIMIT_S
 
@@ -84,7 +81,7 @@
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.sweeper = Sweeper(context)
         self.estimator = RunTimeEstimator()
-        self.unmatched = UnmatchedEnds(self._refresh_job, self._settle_end)
+        self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.scope = CancelScope()
         self.ready = False
@@ -145,7 +142,7 @@
 
     def should_continue(self, key: RunKey) -> bool:
         """Return whether a run should continue."""
-        found = self._find_run(key)
+        found = find_run(self.jobs, key)
         if found is None:
             return False
         progress, unit, position = found
@@ -157,7 +154,7 @@
 
     def demand_of(self, key: RunKey) -> Demand | None:
         """Return the demand of a current run, or None if it has ended."""
-        found = self._find_run(key)
+        found = find_run(self.jobs, key)
         if found is None:
             return None
         progress, unit, _ = found
@@ -174,7 +171,7 @@
 
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
-        found = self._find_run(report.key)
+        found = find_run(self.jobs, report.key)
         if found is None:
             return
         progress, unit, position = found
@@ -183,65 +180,17 @@
         member.pace.record(report.percent, self.context.clock())
         if not unit.has_begun:
             unit.has_begun = True
-            self._schedule_write(progress)
+            self.schedule_write(progress)
         if report.checkpoint:
             unit.checkpoint = report.checkpoint
 
     def record_end(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started."""
-        if end.evidence == REPORTED and self._may_be_unread(worker, end.key):
-            self.unmatched.add(worker, end)
-        else:
-            self._settle_end(worker, end)
-
-    def _settle_end(self, worker: str, end: EndReport) -> None:
-        """Record the effect of an end on the known state of its job."""
-        found = self._find_present_run(worker, end.key)
-        if found is None:
-            self._record_late_end(worker, end)
-            return
-        progress, unit, position = found
-        if end.checkpoint:
-            unit.checkpoint = end.checkpoint
-        if end.how != ENDED_NOT_STARTED:
-            unit.has_begun = True
-        progress.end_member(
-            unit, position, end.how, self._attempt_limit(progress)
-        )
-        log_run_ended(worker, end)
-        self.pool.record_run_outcome(worker, progress.job, end.how)
-        if end.how == ENDED_DONE:
-            self._record_duration(progress, unit)
-        elif unit.active and not unit.done:
-            self._stop_unit(
-                progress, unit, f"a task ended with outcome {end.how}"
-            )
-        if progress.failed:
-            self._stop_all(progress, "the job has failed")
-        self._schedule_write(progress)
-
-    def _record_late_end(self, worker: str, end: EndReport) -> None:
-        """Record the end of a run that is not, or no longer, present."""
-        progress = self.jobs.get(end.key.task.job_id)
-        found = progress.find(end.key.task) if progress is not None else None
-        if progress is None or found is None:
-            log_end_unmatched(worker, end, None)
-            return
-        unit, _ = found
-        if unit.run != end.key.run:
-            log_end_unmatched(worker, end, unit.run)
-        limit = self._attempt_limit(progress)
-        if not progress.record_late_end(unit, end.key.run, end.how, limit):
-            return
-        log_run_ended(worker, end)
-        if progress.failed:
-            self._stop_all(progress, "the job has failed")
-        self._stop_superseded(progress)
-        self._schedule_write(progress)
+        self.ends.record(worker, end)
 
     async def wait_ends_stored(self) -> None:
         """Return once every end recorded so far is in the table."""
-        await self.unmatched.settle_all()
+        await self.ends.settle_all()
         waiting = [
             (progress, progress.changes)
             for progress in self.jobs.values()
@@ -275,9 +224,9 @@
         adopt_stored_runs(progress, value, self.pool, self.context.clock())
         if value.get("failed") and not progress.failed:
             progress.failed = True
-            self._stop_all(progress, "the job has failed")
-        self._stop_superseded(progress)
-        self._schedule_write(progress)
+            self.stop_all(progress, "the job has failed")
+        self.stop_superseded(progress)
+        self.schedule_write(progress)
 
     # Loading jobs and watching for changes.
 
@@ -307,11 +256,11 @@
 
     def _add_job(self, row: Row) -> None:
         progress = self.reader.decode_new_job(row)
-        if progress is not None and not self._is_known(progress.job_id):
+        if progress is not None and not self.is_known(progress.job_id):
             self.jobs[progress.job_id] = progress
             self._wake.set()
 
-    def _is_known(self, job_id: str) -> bool:
+    def is_known(self, job_id: str) -> bool:
         """Return whether a job is in memory, or has finished.
 
         Rows that were read before a job finished may be handled afterwards.
@@ -337,7 +286,7 @@
     def _resync(self, loaded: list[JobProgress]) -> None:
         """Merge the jobs that were read again after changes were missed."""
         for progress in loaded:
-            if not self._is_known(progress.job_id):
+            if not self.is_known(progress.job_id):
                 self._add_read_job(progress)
             elif progress.cancelled and progress.job_id in self.jobs:
                 self._cancel(self.jobs[progress.job_id])
@@ -346,8 +295,8 @@
         if progress.cancelled:
             return
         progress.cancelled = True
-        self._stop_all(progress, "the job was cancelled")
-        self._schedule_write(progress)
+        self.stop_all(progress, "the job was cancelled")
+        self.schedule_write(progress)
 
     # Scheduling rounds.
 
@@ -358,7 +307,7 @@
             self.pool.end_expired_orphans()
             now_s = self.context.clock()
             for stop in self.monitor.find_stops(self.jobs.values(), now_s):
-                self._stop_unit(*stop)
+                self.stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._scheduling_input(), now_s):
                     self._apply(decision)
@@ -383,7 +332,7 @@
         if isinstance(decision, StartUnit):
             self._start_unit(decision)
             return
-        self._stop_unit(
+        self.stop_unit(
             decision.progress,
             decision.unit,
             f"preempted for job {decision.for_job}",
@@ -401,7 +350,7 @@
             key = progress.run_key(unit, position)
             self.pool.sessions[name].reserve(key, demand)
         log_unit_started(progress, unit, decision.workers)
-        count = self._schedule_write(progress)
+        count = self.schedule_write(progress)
         assert self._nursery is not None
         self._nursery.start_soon(self._launch, progress, unit, count)
 
@@ -450,19 +399,22 @@
         end = EndReport(0, key, ENDED_NOT_STARTED, "", NOT_LAUNCHED)
         self.record_end(worker, end)
 
-    def _stop_all(self, progress: JobProgress, reason: str) -> None:
+    def stop_all(self, progress: JobProgress, reason: str) -> None:
+        """Stop all runs of a job."""
         for unit in progress.all_units():
             if unit.active:
-                self._stop_unit(progress, unit, reason)
+                self.stop_unit(progress, unit, reason)
 
-    def _stop_superseded(self, progress: JobProgress) -> None:
+    def stop_superseded(self, progress: JobProgress) -> None:
+        """Stop the runs of tasks that are done by another run."""
         for unit in progress.all_units():
             if unit.superseded:
-                self._stop_unit(progress, unit, "the task is done")
+                self.stop_unit(progress, unit, "the task is done")
 
-    def _stop_unit(
+    def stop_unit(
         self, progress: JobProgress, unit: Unit, reason: str
     ) -> None:
+        """Stop a unit's present run."""
         if not unit.stopping:
             unit.stopping = True
             log_unit_stopped(progress, unit, reason)
@@ -476,7 +428,7 @@
                 self.sweeper.add_finished_job(job_id, progress.over_unix_s)
                 del self.jobs[job_id]
 
-    def _schedule_write(self, progress: JobProgress) -> int:
+    def schedule_write(self, progress: JobProgress) -> int:
         """Queue a job's progress for writing; return its change number."""
         if progress.over_unix_s is None and progress.is_finished():
             progress.over_unix_s = self.context.unix_s()
@@ -485,46 +437,12 @@
         self._wake.set()
         return count
 
-    def _find_run(self, key: RunKey) -> tuple[JobProgress, Unit, int] | None:
-        """Return the job, the unit and the position of a current run."""
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is None or found is None:
-            return None
-        unit, position = found
-        if unit.run != key.run or position >= len(unit.members):
-            return None
-        return progress, unit, position
-
-    def _find_present_run(
-        self, worker: str, key: RunKey
-    ) -> tuple[JobProgress, Unit, int] | None:
-        """Return where a run belongs if it is present on a worker."""
-        found = self._find_run(key)
-        if found is None:
-            return None
-        _, unit, position = found
-        member = unit.members[position]
-        if member.worker != worker or member.ended:
-            return None
-        return found
-
-    def _may_be_unread(self, worker: str, key: RunKey) -> bool:
-        """Return whether only the row of a job may contain a run."""
-        if self._find_present_run(worker, key) is not None:
-            return False
-        progress = self.jobs.get(key.task.job_id)
-        if progress is None:
-            return not self._is_known(key.task.job_id)
-        found = progress.find(key.task)
-        return found is not None and key.run > found[0].stored_run
-
-    async def _refresh_job(self, job_id: str) -> None:
+    async def refresh_job(self, job_id: str) -> None:
         """Read a job's row, and merge what another process has written."""
         progress = self.jobs.get(job_id)
         if progress is None:
             read = await self.reader.read_job(job_id)
-            if read is not None and not self._is_known(job_id):
+            if read is not None and not self.is_known(job_id):
                 self._add_read_job(read)
             return
         row = await self.context.table.read(progress_row_key(job_id))
@@ -533,13 +451,18 @@
         if row.revision > progress.revision and job_id in self.jobs:
             self.merge_stored_row(progress, row.value, row.revision)
 
-    def _attempt_limit(self, progress: JobProgress) -> int:
+    def attempt_limit(self, progress: JobProgress) -> int:
+        """Return after how many failures of a task its job fails."""
         queue = self.context.configuration.queues.get(progress.job.queue)
         return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
 
-    def _record_duration(self, progress: JobProgress, unit: Unit) -> None:
-        if unit.run > 1:
-            # A later run may resume from a checkpoint and so take less time.
+    def record_outcome(
+        self, worker: str, progress: JobProgress, unit: Unit, how: str
+    ) -> None:
+        """Learn from the outcome of a present run."""
+        self.pool.record_run_outcome(worker, progress.job, how)
+        # A later run may resume from a checkpoint and so take less time.
+        if how != ENDED_DONE or unit.run > 1:
             return
         step = progress.step_of(unit)
         ran_s = self.context.clock() - unit.started_s
--- /dev/null
+++ b/src/damaskstall/tasks/run_ends.py
@@ -0,0 +1,152 @@
+"""Record the ends of runs in the progress of their jobs."""
+
+from typing import Protocol
+
+from damaskstall.tasks.model import RunKey
+from damaskstall.tasks.ports import REPORTED, EndReport
+from damaskstall.tasks.progress import (
+    ENDED_DONE,
+    ENDED_NOT_STARTED,
+    JobProgress,
+    Unit,
+)
+from damaskstall.tasks.run_log import log_end_unmatched, log_run_ended
+from damaskstall.tasks.unmatched_ends import UnmatchedEnds
+
+Jobs = dict[str, JobProgress]
+# A job, one of its units and a position in the unit.
+FoundRun = tuple[JobProgress, Unit, int]
+
+
+def find_run(jobs: Jobs, key: RunKey) -> FoundRun | None:
+    """Return the job, the unit and the position of a current run."""
+    progress = jobs.get(key.task.job_id)
+    found = progress.find(key.task) if progress is not None else None
+    if progress is None or found is None:
+        return None
+    unit, position = found
+    if unit.run != key.run or position >= len(unit.members):
+        return None
+    return progress, unit, position
+
+
+def find_present_run(jobs: Jobs, worker: str, key: RunKey) -> FoundRun | None:
+    """Return where a run belongs if it is present on a worker."""
+    found = find_run(jobs, key)
+    if found is None:
+        return None
+    _, unit, position = found
+    member = unit.members[position]
+    if member.worker != worker or member.ended:
+        return None
+    return found
+
+
+class JobOwner(Protocol):
+    """Holder of the jobs, which acts on what an end implies."""
+
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job is in memory, or has finished."""
+
+    async def refresh_job(self, job_id: str) -> None:
+        """Read a job's row, and merge what another process has written."""
+
+    def attempt_limit(self, progress: JobProgress) -> int:
+        """Return after how many failures of a task its job fails."""
+
+    def record_outcome(
+        self, worker: str, progress: JobProgress, unit: Unit, how: str
+    ) -> None:
+        """Learn from the outcome of a present run."""
+
+    def stop_unit(
+        self, progress: JobProgress, unit: Unit, reason: str
+    ) -> None:
+        """Stop a unit's present run."""
+
+    def stop_all(self, progress: JobProgress, reason: str) -> None:
+        """Stop all runs of a job."""
+
+    def stop_superseded(self, progress: JobProgress) -> None:
+        """Stop the runs of tasks that are done by another run."""
+
+    def schedule_write(self, progress: JobProgress) -> int:
+        """Queue a job's progress for writing; return its change number."""
+
+
+class RunEnds:
+    """Recorder of the ends of runs in the progress of their jobs."""
+
+    def __init__(self, jobs: Jobs, owner: JobOwner) -> None:
+        """Record for the owner of ``jobs``."""
+        self.jobs = jobs
+        self.owner = owner
+        self.unmatched = UnmatchedEnds(owner.refresh_job, self._settle)
+
+    def record(self, worker: str, end: EndReport) -> None:
+        """Record that a run has ended, or has never started.
+
+        The end of a run that may be in an unread row is kept until
+        ``settle_all`` has read the row.
+        """
+        if end.evidence == REPORTED and self._may_be_unread(worker, end.key):
+            self.unmatched.add(worker, end)
+        else:
+            self._settle(worker, end)
+
+    async def settle_all(self) -> None:
+        """Return once the effect of each end kept so far is recorded."""
+        await self.unmatched.settle_all()
+
+    def _settle(self, worker: str, end: EndReport) -> None:
+        """Record the effect of an end on the known state of its job."""
+        found = find_present_run(self.jobs, worker, end.key)
+        if found is None:
+            self._record_late_end(worker, end)
+            return
+        progress, unit, position = found
+        if end.checkpoint:
+            unit.checkpoint = end.checkpoint
+        if end.how != ENDED_NOT_STARTED:
+            unit.has_begun = True
+        progress.end_member(
+            unit, position, end.how, self.owner.attempt_limit(progress)
+        )
+        log_run_ended(worker, end)
+        self.owner.record_outcome(worker, progress, unit, end.how)
+        if end.how != ENDED_DONE and unit.active and not unit.done:
+            self.owner.stop_unit(
+                progress, unit, f"a task ended with outcome {end.how}"
+            )
+        if progress.failed:
+            self.owner.stop_all(progress, "the job has failed")
+        self.owner.schedule_write(progress)
+
+    def _record_late_end(self, worker: str, end: EndReport) -> None:
+        """Record the end of a run that is not, or no longer, present."""
+        progress = self.jobs.get(end.key.task.job_id)
+        found = progress.find(end.key.task) if progress is not None else None
+        if progress is None or found is None:
+            log_end_unmatched(worker, end, None)
+            return
+        unit, _ = found
+        if unit.run != end.key.run:
+            log_end_unmatched(worker, end, unit.run)
+        limit = self.owner.attempt_limit(progress)
+        if not progress.record_late_end(unit, end.key.run, end.how, limit):
+            return
+        log_run_ended(worker, end)
+        if progress.failed:
+            self.owner.stop_all(progress, "the job has failed")
+        self.owner.stop_superseded(progress)
+        self.owner.schedule_write(progress)
+
+    def _may_be_unread(self, worker: str, key: RunKey) -> bool:
+        """Return whether only the row of a job may contain a run."""
+        if find_present_run(self.jobs, worker, key) is not None:
+            return False
+        progress = self.jobs.get(key.task.job_id)
+        if progress is None:
+            return not self.owner.is_known(key.task.job_id)
+        found = progress.find(key.task)
+        return found is not None and key.run > found[0].stored_run
