Test what the reading of a row adds to the end of a run

The mark as done no longer depends on the row, so three tests did not notice when the row was not read, when an unreadable row was passed over, or when the late end of a gang member was ignored. Two tests are added, and the test of the gang now lets only the lapsed member answer. Each was seen failing with the mechanism broken.

--- a/tests/tasks/test_unmatched_ends.py
+++ b/tests/tasks/test_unmatched_ends.py
@@ -4,6 +4,7 @@
 
 from trio import sleep
 
+from damaskstall.errors import TableUnavailableError
 from damaskstall.platform.operator_rows import OperatorsPlatform
 from damaskstall.platform.types import Write
 from damaskstall.tasks.holder import TaskHolder
@@ -304,6 +305,9 @@
             await disconnect(cluster, name)
         holder.pool.record_machine_stopped(lost)
         await cluster.wait(lambda: cluster.history.runs[0].how == "done")
+        unit = next(holder.jobs[job_id(1)].all_units())
+        cluster.reconnect_worker(lost)
+        await cluster.wait(lambda: unit.done, limit_s=3.0)
         for name in cluster.workers:
             cluster.reconnect_worker(name)
         await cluster.wait_state(job_id(1), "completed")
@@ -339,6 +343,46 @@
     run_virtual(main)
 
 
+def test_end_waits_until_the_row_can_be_read() -> None:
+    async def main() -> None:
+        settled: list[int] = []
+        failures = [TableUnavailableError("busy"), None]
+
+        async def refresh(name: str) -> None:
+            await sleep(0.1)
+            failure = failures.pop(0)
+            if failure is not None:
+                raise failure
+
+        def settle(worker: str, end: EndReport) -> None:
+            assert not failures
+            settled.append(end.key.run)
+
+        ends = UnmatchedEnds(refresh, settle)
+        ends.add("w1", end_of_run(1))
+        await ends.settle_all()
+        assert settled == [1]
+
+    run_virtual(main)
+
+
+def test_checkpoint_of_a_run_in_an_unread_row_is_kept() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        await occupy_worker(cluster)
+        await disconnect(cluster, "w00")
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
+        await cluster.wait(lambda: job_id(1) in holder.jobs)
+        await EarlierHolder(cluster).store(1, running_step(3, "w00"))
+        end = end_of_run(3)._replace(how="stopped", checkpoint="c1")
+        holder.record_end("w00", end)
+        await holder.wait_ends_stored()
+        unit = next(holder.jobs[job_id(1)].all_units())
+        assert (unit.run, unit.checkpoint, unit.active) == (3, "c1", False)
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
+
+
 def test_late_failure_counts_as_an_attempt_once() -> None:
     progress = JobProgress(accepted(Step(1, Demand(1, 1, 1), 1.0)), 1, 0.0)
     unit = next(progress.all_units())
