--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -23,6 +23,7 @@
     def __init__(self, ended: list[EndReport]) -> None:
         """List the ends that are not yet acknowledged."""
         self.ended = ended
+        self.incarnation = 1
         self.started: list[RunKey] = []
 
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
@@ -32,7 +33,9 @@
             end for end in self.ended if end.number > request.acknowledged_end
         ]
         listed = tuple(self.ended[:LISTED_ENDS_LIMIT])
-        return WorkerReport(current_time() + 100.0, 1, (), listed)
+        return WorkerReport(
+            current_time() + 100.0, self.incarnation, (), listed
+        )
 
     async def start(self, request: StartRequest) -> float:
         """Record a start."""
@@ -49,9 +52,10 @@
 class RecordingOwner:
     """Owner that wants all runs to continue, and records their ends."""
 
-    def __init__(self, may_renew: bool = True) -> None:
-        """Start without ends."""
+    def __init__(self, may_renew: bool = True, store_s: float = 0.0) -> None:
+        """Start without ends; it takes ``store_s`` to store them."""
         self.may_renew = may_renew
+        self.store_s = store_s
         self.ends: dict[RunKey, list[str]] = {}
 
     def should_continue(self, key: RunKey) -> bool:
@@ -70,7 +74,8 @@
         self.ends.setdefault(end.key, []).append(end.how)
 
     async def wait_ends_stored(self) -> None:
-        """Return at once."""
+        """Return once all ends are stored."""
+        await sleep(self.store_s)
 
     def request_decision(self) -> None:
         """Do nothing."""
@@ -134,3 +139,24 @@
         assert not worker.started
 
     run_virtual(main)
+
+
+def test_ends_of_the_next_incarnation_are_not_acknowledged_unread() -> None:
+    """Ends that are stored late were numbered by an earlier incarnation."""
+
+    async def main() -> None:
+        worker = ScriptedWorker([EndReport(7, run_key(0), "done", "")])
+        owner = RecordingOwner(store_s=0.2)
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await sleep(0.15)
+            assert run_key(0) in owner.ends
+            worker.incarnation = 2
+            worker.ended = [EndReport(1, run_key(1), "done", "")]
+            session.update(session.worker._replace(incarnation=2))
+            await sleep(1.0)
+            nursery.cancel_scope.cancel()
+        assert run_key(1) in owner.ends
+
+    run_virtual(main)
