--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -25,12 +25,16 @@
     CANCEL_TABLE,
     JOB_TABLE,
     job_id_of,
-    restore_progress,
+    progress_row_key,
 )
 from damaskstall.tasks.machine_list_poller import MachineListPoller
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
 from damaskstall.tasks.policy import Decision, StartUnit, decide
-from damaskstall.tasks.ports import NOT_LAUNCHED, EndReport, RunReport
+from damaskstall.tasks.ports import (
+    NOT_LAUNCHED,
+    EndReport,
+    RunReport,
+)
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
@@ -39,16 +43,16 @@
     Unit,
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
+from damaskstall.tasks.run_ends import RunEnds, find_run
 from damaskstall.tasks.run_log import (
-    log_end_unmatched,
     log_job_ended,
-    log_run_ended,
     log_unit_started,
     log_unit_stopped,
 )
 from damaskstall.tasks.run_monitor import RunMonitor
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
+from damaskstall.tasks.stored_runs import adopt_stored_runs
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.worker_pool import WorkerPool
 from damaskstall.tasks.worker_session import OUTAGE_RENEWAL_LIMIT_S
@@ -77,6 +81,7 @@
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.sweeper = Sweeper(context)
         self.estimator = RunTimeEstimator()
+        self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.scope = CancelScope()
         self.ready = False
@@ -137,17 +142,19 @@
 
     def should_continue(self, key: RunKey) -> bool:
         """Return whether a run should continue."""
-        found = self._find_run(key)
+        found = find_run(self.jobs, key)
         if found is None:
             return False
         progress, unit, position = found
         if progress.cancelled or progress.failed or unit.stopping:
             return False
+        if unit.superseded:
+            return False
         return not unit.members[position].ended
 
     def demand_of(self, key: RunKey) -> Demand | None:
         """Return the demand of a current run, or None if it has ended."""
-        found = self._find_run(key)
+        found = find_run(self.jobs, key)
         if found is None:
             return None
         progress, unit, _ = found
@@ -164,7 +171,7 @@
 
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
-        found = self._find_run(report.key)
+        found = find_run(self.jobs, report.key)
         if found is None:
             return
         progress, unit, position = found
@@ -173,42 +180,17 @@
         member.pace.record(report.percent, self.context.clock())
         if not unit.has_begun:
             unit.has_begun = True
-            self._schedule_write(progress)
+            self.schedule_write(progress)
         if report.checkpoint:
             unit.checkpoint = report.checkpoint
 
     def record_end(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started."""
-        found = self._find_run(end.key)
-        if found is None:
-            self._log_if_unmatched(worker, end)
-            return
-        progress, unit, position = found
-        if unit.members[position].worker != worker:
-            log_end_unmatched(worker, end, unit.run)
-            return
-        if end.checkpoint:
-            unit.checkpoint = end.checkpoint
-        if end.how != ENDED_NOT_STARTED:
-            unit.has_begun = True
-        if not progress.end_member(
-            unit, position, end.how, self._attempt_limit(progress)
-        ):
-            return
-        log_run_ended(worker, end)
-        self.pool.record_run_outcome(worker, progress.job, end.how)
-        if end.how == ENDED_DONE:
-            self._record_duration(progress, unit)
-        elif unit.active and not unit.done:
-            self._stop_unit(
-                progress, unit, f"a task ended with outcome {end.how}"
-            )
-        if progress.failed:
-            self._stop_all(progress, "the job has failed")
-        self._schedule_write(progress)
+        self.ends.record(worker, end)
 
     async def wait_ends_stored(self) -> None:
         """Return once every end recorded so far is in the table."""
+        await self.ends.settle_all()
         waiting = [
             (progress, progress.changes)
             for progress in self.jobs.values()
@@ -239,27 +221,12 @@
         progress.revision = revision
         if value.get("cancelled"):
             self._cancel(progress)
-        self._adopt_stored_runs(progress, value)
-        self._schedule_write(progress)
-
-    def _adopt_stored_runs(self, progress: JobProgress, value: Value) -> None:
-        """Adopt an earlier holder's runs that are newer than those known."""
-        other = JobProgress(progress.job, progress.revision, 0.0)
-        restore_progress(other, value, self.context.clock())
-        pairs = zip(progress.all_units(), other.all_units(), strict=True)
-        for unit, stored in pairs:
-            if stored.done and not unit.done:
-                unit.done = True
-            if stored.run < unit.run or not stored.active or unit.done:
-                continue
-            if stored.run == unit.run and unit.stored_run == unit.run:
-                continue
-            self.pool.release(progress, unit)
-            unit.run = stored.run
-            unit.stored_run = stored.run
-            unit.members = stored.members
-            unit.failures = max(unit.failures, stored.failures)
-            self.pool.adopt(progress, unit)
+        adopt_stored_runs(progress, value, self.pool, self.context.clock())
+        if value.get("failed") and not progress.failed:
+            progress.failed = True
+            self.stop_all(progress, "the job has failed")
+        self.stop_superseded(progress)
+        self.schedule_write(progress)
 
     # Loading jobs and watching for changes.
 
@@ -273,9 +240,14 @@
         # written, so no worker is called before all jobs are known.
         self.pool.open_sessions(nursery)
         for progress in loaded:
-            self.jobs[progress.job_id] = progress
-            for unit in progress.all_units():
-                self.pool.adopt(progress, unit)
+            self._add_read_job(progress)
+
+    def _add_read_job(self, progress: JobProgress) -> None:
+        """Add a job as its row shows it, and count its runs."""
+        self.jobs[progress.job_id] = progress
+        for unit in progress.all_units():
+            self.pool.adopt(progress, unit)
+        self._wake.set()
 
     async def _follow_state(self) -> None:
         while True:
@@ -284,10 +256,17 @@
 
     def _add_job(self, row: Row) -> None:
         progress = self.reader.decode_new_job(row)
-        if progress is not None and progress.job_id not in self.jobs:
+        if progress is not None and not self.is_known(progress.job_id):
             self.jobs[progress.job_id] = progress
             self._wake.set()
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job is in memory, or has finished.
+
+        Rows that were read before a job finished may be handled afterwards.
+        """
+        return job_id in self.jobs or job_id in self.sweeper.finished
+
     def _apply_cancellation(self, row: Row) -> None:
         """Cancel the job that a cancellation row names.
 
@@ -307,17 +286,17 @@
     def _resync(self, loaded: list[JobProgress]) -> None:
         """Merge the jobs that were read again after changes were missed."""
         for progress in loaded:
-            known = self.jobs.setdefault(progress.job_id, progress)
-            if progress.cancelled:
-                self._cancel(known)
-        self._wake.set()
+            if not self.is_known(progress.job_id):
+                self._add_read_job(progress)
+            elif progress.cancelled and progress.job_id in self.jobs:
+                self._cancel(self.jobs[progress.job_id])
 
     def _cancel(self, progress: JobProgress) -> None:
         if progress.cancelled:
             return
         progress.cancelled = True
-        self._stop_all(progress, "the job was cancelled")
-        self._schedule_write(progress)
+        self.stop_all(progress, "the job was cancelled")
+        self.schedule_write(progress)
 
     # Scheduling rounds.
 
@@ -328,7 +307,7 @@
             self.pool.end_expired_orphans()
             now_s = self.context.clock()
             for stop in self.monitor.find_stops(self.jobs.values(), now_s):
-                self._stop_unit(*stop)
+                self.stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 for decision in decide(self._scheduling_input(), now_s):
                     self._apply(decision)
@@ -353,7 +332,7 @@
         if isinstance(decision, StartUnit):
             self._start_unit(decision)
             return
-        self._stop_unit(
+        self.stop_unit(
             decision.progress,
             decision.unit,
             f"preempted for job {decision.for_job}",
@@ -371,7 +350,7 @@
             key = progress.run_key(unit, position)
             self.pool.sessions[name].reserve(key, demand)
         log_unit_started(progress, unit, decision.workers)
-        count = self._schedule_write(progress)
+        count = self.schedule_write(progress)
         assert self._nursery is not None
         self._nursery.start_soon(self._launch, progress, unit, count)
 
@@ -420,14 +399,22 @@
         end = EndReport(0, key, ENDED_NOT_STARTED, "", NOT_LAUNCHED)
         self.record_end(worker, end)
 
-    def _stop_all(self, progress: JobProgress, reason: str) -> None:
+    def stop_all(self, progress: JobProgress, reason: str) -> None:
+        """Stop all runs of a job."""
         for unit in progress.all_units():
             if unit.active:
-                self._stop_unit(progress, unit, reason)
+                self.stop_unit(progress, unit, reason)
+
+    def stop_superseded(self, progress: JobProgress) -> None:
+        """Stop the runs of tasks that are done by another run."""
+        for unit in progress.all_units():
+            if unit.superseded:
+                self.stop_unit(progress, unit, "the task is done")
 
-    def _stop_unit(
+    def stop_unit(
         self, progress: JobProgress, unit: Unit, reason: str
     ) -> None:
+        """Stop a unit's present run."""
         if not unit.stopping:
             unit.stopping = True
             log_unit_stopped(progress, unit, reason)
@@ -441,7 +428,7 @@
                 self.sweeper.add_finished_job(job_id, progress.over_unix_s)
                 del self.jobs[job_id]
 
-    def _schedule_write(self, progress: JobProgress) -> int:
+    def schedule_write(self, progress: JobProgress) -> int:
         """Queue a job's progress for writing; return its change number."""
         if progress.over_unix_s is None and progress.is_finished():
             progress.over_unix_s = self.context.unix_s()
@@ -450,32 +437,32 @@
         self._wake.set()
         return count
 
-    def _find_run(self, key: RunKey) -> tuple[JobProgress, Unit, int] | None:
-        """Return the job, the unit and the position of a current run."""
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is None or found is None:
-            return None
-        unit, position = found
-        if unit.run != key.run or position >= len(unit.members):
-            return None
-        return progress, unit, position
-
-    def _log_if_unmatched(self, worker: str, end: EndReport) -> None:
-        """Log an end of another run than its task's present one."""
-        progress = self.jobs.get(end.key.task.job_id)
-        found = progress.find(end.key.task) if progress is not None else None
-        present_run = found[0].run if found is not None else None
-        if present_run != end.key.run:
-            log_end_unmatched(worker, end, present_run)
+    async def refresh_job(self, job_id: str) -> None:
+        """Read a job's row, and merge what another process has written."""
+        progress = self.jobs.get(job_id)
+        if progress is None:
+            read = await self.reader.read_job(job_id)
+            if read is not None and not self.is_known(job_id):
+                self._add_read_job(read)
+            return
+        row = await self.context.table.read(progress_row_key(job_id))
+        if row is None or row.value is None:
+            return
+        if row.revision > progress.revision and job_id in self.jobs:
+            self.merge_stored_row(progress, row.value, row.revision)
 
-    def _attempt_limit(self, progress: JobProgress) -> int:
+    def attempt_limit(self, progress: JobProgress) -> int:
+        """Return after how many failures of a task its job fails."""
         queue = self.context.configuration.queues.get(progress.job.queue)
         return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
 
-    def _record_duration(self, progress: JobProgress, unit: Unit) -> None:
-        if unit.run > 1:
-            # A later run may resume from a checkpoint and so take less time.
+    def record_outcome(
+        self, worker: str, progress: JobProgress, unit: Unit, how: str
+    ) -> None:
+        """Learn from the outcome of a present run."""
+        self.pool.record_run_outcome(worker, progress.job, how)
+        # A later run may resume from a checkpoint and so take less time.
+        if how != ENDED_DONE or unit.run > 1:
             return
         step = progress.step_of(unit)
         ran_s = self.context.clock() - unit.started_s
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -54,10 +54,10 @@
 
     ``run`` is the number of the newest run, 0 before the first, and
     ``failed_run`` that of the newest run that failed. ``stored_run`` is the
-    newest run of this holder that is stored in the table. ``members`` is
-    empty while no run may exist. ``stopping`` states that the run is being
-    stopped, and ``has_begun`` that a run of the unit has started. ``avoid``
-    names workers on which a run failed or stalled.
+    newest run known to be in the table; a later one has not been launched.
+    ``members`` is empty while no run may exist. ``stopping`` states that the
+    run is being stopped, and ``has_begun`` that a run of the unit has started.
+    ``avoid`` names workers on which a run failed or stalled.
     """
 
     __slots__ = (
@@ -99,6 +99,17 @@
         """Return whether a run of the unit may exist."""
         return bool(self.members)
 
+    @property
+    def superseded(self) -> bool:
+        """Return whether another run than the present one is done.
+
+        The present run is then stopped. A run of which any member is done
+        ends by itself.
+        """
+        if not self.done or not self.active:
+            return False
+        return all(m.ended != ENDED_DONE for m in self.members)
+
     @property
     def percent(self) -> float:
         """Return the percentage of the run, that of its slowest member."""
@@ -266,18 +277,38 @@
             unit.done = True
         if how == ENDED_FAILED and not endless:
             unit.avoid.add(member.worker)
-            self._count_failure(unit, attempt_limit)
+            self._count_failure(unit, unit.run, attempt_limit)
         if all(other.ended for other in unit.members):
             unit.members = []
             unit.stopping = False
         self.count_change()
         return True
 
-    def _count_failure(self, unit: Unit, attempt_limit: int) -> None:
+    def record_late_end(
+        self, unit: Unit, run: int, how: str, attempt_limit: int
+    ) -> bool:
+        """Record the outcome of a run that is over for this holder.
+
+        Return whether that had an effect: the task is done although it was
+        to run again, or a failure had not been counted.
+        """
+        if unit.done or self.step_of(unit).endless:
+            return False
+        if how == ENDED_DONE:
+            unit.done = True
+        elif how == ENDED_FAILED and run > unit.failed_run:
+            self._count_failure(unit, run, attempt_limit)
+        else:
+            return False
+        unit.has_begun = True
+        self.count_change()
+        return True
+
+    def _count_failure(self, unit: Unit, run: int, attempt_limit: int) -> None:
         """Count a failed run once, however many members report it."""
-        if unit.failed_run == unit.run or unit.done:
+        if unit.failed_run == run or unit.done:
             return
-        unit.failed_run = unit.run
+        unit.failed_run = run
         unit.failures += 1
         if unit.failures >= attempt_limit:
             self.failed = True
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -255,6 +255,8 @@
         """Return whether a start is still needed by this incarnation."""
         if request.token != self.token or request.key not in self.expected:
             return False
+        if not self.owner.may_renew_leases():
+            return False
         return self.owner.should_continue(request.key)
 
     def _expect_late_start(self) -> None:
