--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -13,6 +13,10 @@
 from damaskstall.tasks.run_log import log_end_unmatched, log_run_ended
 from damaskstall.tasks.unmatched_ends import UnmatchedEnds
 
+# A worker lists an end again until it is acknowledged. Only the first time is
+# logged, unless more ends than this were logged since.
+LOGGED_ENDS_LIMIT = 1000
+
 Jobs = dict[str, JobProgress]
 # A job, one of its units and a position in the unit.
 FoundRun = tuple[JobProgress, Unit, int]
@@ -82,6 +86,7 @@
         self.jobs = jobs
         self.owner = owner
         self.unmatched = UnmatchedEnds(owner.refresh_job, self._settle)
+        self._logged: dict[tuple[str, RunKey], None] = {}
 
     def record(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started.
@@ -113,6 +118,8 @@
             unit, position, end.how, self.owner.attempt_limit(progress)
         )
         log_run_ended(worker, end)
+        if end.evidence == REPORTED:
+            self._mark_logged(worker, end.key)
         self.owner.record_outcome(worker, progress, unit, end.how)
         if end.how != ENDED_DONE and unit.active and not unit.done:
             self.owner.stop_unit(
@@ -127,11 +134,11 @@
         progress = self.jobs.get(end.key.task.job_id)
         found = progress.find(end.key.task) if progress is not None else None
         if progress is None or found is None:
-            log_end_unmatched(worker, end, None)
+            self._log_unmatched(worker, end, None)
             return
         unit, _ = found
         if unit.run != end.key.run:
-            log_end_unmatched(worker, end, unit.run)
+            self._log_unmatched(worker, end, unit.run)
         limit = self.owner.attempt_limit(progress)
         if not progress.record_late_end(unit, end.key.run, end.how, limit):
             return
@@ -141,6 +148,22 @@
         self.owner.stop_superseded(progress)
         self.owner.schedule_write(progress)
 
+    def _log_unmatched(
+        self, worker: str, end: EndReport, present_run: int | None
+    ) -> None:
+        """Log the end of a run that is not present, unless it was logged."""
+        if self._mark_logged(worker, end.key):
+            log_end_unmatched(worker, end, present_run)
+
+    def _mark_logged(self, worker: str, key: RunKey) -> bool:
+        """Remember that an end is logged; return whether that is new."""
+        if (worker, key) in self._logged:
+            return False
+        self._logged[worker, key] = None
+        if len(self._logged) > LOGGED_ENDS_LIMIT:
+            del self._logged[next(iter(self._logged))]
+        return True
+
     def _may_be_unread(self, worker: str, key: RunKey) -> bool:
         """Return whether only the row of a job may contain a run."""
         if find_present_run(self.jobs, worker, key) is not None:
