Read the clock of a worker that was idle before a start

An idle worker is not called, and the estimate of its clock may run 2% ahead. The window of a start that went to it was longer by that error, 6 s after 300 s, so a delayed start was carried out long after the others of its gang had given up.

Seen before: "gang members waited alone" in test_gang_with_a_slow_clock_stops_in_time_after_long_idleness. Reserving a run now wakes the session if the last reading is older than 10 s, that renewal is answered at once, and a start waits up to 0.25 s for it. If no answer comes, the start still uses the old estimate. A run that ends meanwhile is not started.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -55,6 +55,11 @@
 # The members of a gang wait 3 s for each other. The window is well under that,
 # so that a gang with a lost start is stopped before its members time out.
 START_WINDOW_S = 1.5
+# The clock of a worker that was idle is read again before a start if the last
+# reading is older than this, which limits the error of its estimate to 0.2 s.
+# A start waits for the reading no longer than an answer takes.
+CLOCK_AGE_LIMIT_S = 10.0
+CLOCK_WAIT_S = 0.25
 # A worker's clock may be 2% slow, and a worker that resumes after a suspension
 # kills expired runs up to 300 ms late.
 CLOCK_RATE_LIMIT = 1.02
@@ -159,6 +164,7 @@
         self.clock_known = False
         self._clock_s = 0.0
         self._clock_read_s = 0.0
+        self._clock_read = Event()
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
@@ -201,6 +207,8 @@
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
         self.load.add(key, demand)
+        if not self._clock_is_recent():
+            self.wake()
 
     def release(self, key: RunKey) -> None:
         """Stop counting a run; request a decision if it was counted."""
@@ -228,8 +236,10 @@
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
-        first_s = self.worker_clock_s()
-        not_after_s = first_s + START_WINDOW_S
+        await self._wait_recent_clock()
+        if key not in self.load.runs:
+            return
+        not_after_s = self.worker_clock_s() + START_WINDOW_S
         self.expected[key] = ExpectedRun(not_after_s, False)
         request = StartRequest(
             self.epoch, key, payload, not_after_s, checkpoint
@@ -270,6 +280,18 @@
             return
         log_launched("no answer")
 
+    def _clock_is_recent(self) -> bool:
+        """Return whether the worker's clock was read a short time ago."""
+        return self.clock() - self._clock_read_s < CLOCK_AGE_LIMIT_S
+
+    async def _wait_recent_clock(self) -> None:
+        """Wait a moment for a recent reading of the worker's clock."""
+        if self._clock_is_recent():
+            return
+        self.wake()
+        with move_on_after(CLOCK_WAIT_S):
+            await self._clock_read.wait()
+
     def _handle_start_refusal(
         self, key: RunKey, error: Exception, unanswered: bool
     ) -> None:
@@ -366,6 +388,7 @@
         until_s = self._lease_until_s
         has_runs = bool(self.load.runs) or self.has_unknown_runs
         may_wait = self.clock_known and self.reachable and has_runs
+        may_wait = may_wait and self._clock_is_recent()
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
             self.epoch, until_s, self.acknowledged_end, wait_s
@@ -417,6 +440,8 @@
         self.incarnation = report.incarnation
         self._clock_s = report.clock_s
         self._clock_read_s = self.clock()
+        self._clock_read.set()
+        self._clock_read = Event()
         if not self.clock_known:
             log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.epoch)
             self._lease_expiry_s = self._clock_read_s + lease_limit_s(
--- a/tests/tasks/test_start_windows.py
+++ b/tests/tasks/test_start_windows.py
@@ -1,10 +1,18 @@
 """The window of a start holds on the clock of a worker that was idle."""
 
-from trio import sleep
+from trio import open_nursery, sleep
 
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import GANG, job_id
 from tests.tasks.run_checker import check_finished_once, check_runs
+from tests.tasks.session_fakes import (
+    DEMAND,
+    FakeWorker,
+    RecordingOwner,
+    open_session,
+    run_key,
+)
+from tests.virtual_time import run_virtual
 
 
 def test_gang_with_a_slow_clock_stops_in_time_after_long_idleness() -> None:
@@ -19,3 +27,24 @@
         check_runs(cluster)
 
     run_scenario(scenario, racks=1)
+
+
+def test_run_that_ends_while_the_clock_is_read_is_not_started() -> None:
+    async def main() -> None:
+        worker, owner = FakeWorker(), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await session.answered.wait()
+            await sleep(60.0)
+            worker.loses_answers = True
+            session.reserve(run_key(1), DEMAND)
+            nursery.start_soon(session.launch, run_key(1), "payload", "")
+            await sleep(0.1)
+            session.release(run_key(1))
+            await sleep(2.0)
+            assert not worker.running
+            assert not session.expected
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
