--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -56,6 +56,11 @@
 START_WINDOW_S = 1.5
 # The maximum time after which a command is carried out.
 LATE_COMMAND_LIMIT_S = 12.0
+# The clock of a worker that was idle is read again before a start if the last
+# reading is older than this, which limits the error of its estimate to 0.2 s.
+# A start waits for the reading no longer than an answer takes.
+CLOCK_AGE_LIMIT_S = 10.0
+CLOCK_WAIT_S = 0.25
 # A worker's clock may be 2% slow, and a worker that resumes after a suspension
 # kills expired runs up to 300 ms late.
 CLOCK_RATE_LIMIT = 1.02
@@ -125,6 +130,7 @@
         self.clock_known = False
         self._clock_s = 0.0
         self._clock_read_s = 0.0
+        self._clock_read = Event()
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
@@ -172,6 +178,8 @@
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
         self.load.add(key, demand)
+        if not self._clock_is_recent():
+            self.wake()
 
     def release(self, key: RunKey) -> None:
         """Stop counting a run; request a decision if it was counted."""
@@ -202,6 +210,9 @@
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
+        await self._wait_recent_clock()
+        if key not in self.load.runs:
+            return
         if not self.clock_known:
             self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
             return
@@ -275,6 +286,18 @@
         else:
             self.expected.confirm(key, clock_s)
 
+    def _clock_is_recent(self) -> bool:
+        """Return whether the worker's clock was read a short time ago."""
+        return self.clock() - self._clock_read_s < CLOCK_AGE_LIMIT_S
+
+    async def _wait_recent_clock(self) -> None:
+        """Wait a moment for a recent reading of the worker's clock."""
+        if self._clock_is_recent():
+            return
+        self.wake()
+        with move_on_after(CLOCK_WAIT_S):
+            await self._clock_read.wait()
+
     def _handle_start_refusal(
         self, request: StartRequest, error: Exception, unanswered: bool
     ) -> None:
@@ -373,6 +396,7 @@
         until_s = self._lease_until_s
         may_wait = self.clock_known and self.reachable
         may_wait = may_wait and self._may_have_runs()
+        may_wait = may_wait and self._clock_is_recent()
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
             self.token, until_s, self._next_acknowledgement(), wait_s
@@ -442,6 +466,8 @@
         self.incarnation = report.incarnation
         self._clock_s = report.clock_s
         self._clock_read_s = self.clock()
+        self._clock_read.set()
+        self._clock_read = Event()
         if not self.clock_known:
             log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
             self._lease_expiry_s = self._clock_read_s + lease_limit_s(
