Prove each mechanism against confused incarnations

Four mechanisms had no test that failed; each has one now: a number that appears late, an acknowledgement after a silence, a session that is opened again, and a start repeated to the next incarnation.

--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -4,7 +4,7 @@
 
 from trio import current_time, open_memory_channel, open_nursery, sleep
 
-from damaskstall.errors import FencedError
+from damaskstall.errors import CommandOutcomeUnknownError, FencedError
 from damaskstall.tasks.fencing import (
     EPOCH_SPACING,
     FencingTokens,
@@ -54,6 +54,7 @@
         self.starts: list[StartRequest] = []
         self.start_clock_s = 0.0
         self.start_takes_s = 0.0
+        self.silent = False
         self._send, self._receive = open_memory_channel[WorkerReport](100)
 
     def report(
@@ -71,12 +72,16 @@
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Return the next report of the script."""
         self.renewals.append(request)
+        if self.silent:
+            raise CommandOutcomeUnknownError("The worker is silent.")
         return await self._receive.receive()
 
     async def start(self, request: StartRequest) -> float:
         """Answer with the clock of the script, or refuse a lower token."""
         self.starts.append(request)
         await sleep(self.start_takes_s)
+        if self.silent:
+            raise CommandOutcomeUnknownError("The worker is silent.")
         if self.renewals[-1].token > request.token:
             raise FencedError("The token is lower than an accepted one.")
         return self.start_clock_s
@@ -322,3 +327,74 @@
         assert session.token < next_epoch(EPOCH, 0)
 
     run_session(body)
+
+
+def test_number_that_appears_late_shows_another_incarnation() -> None:
+    """The clock of the next incarnation may already be higher."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        worker.report(5.0, 0, (KEY,))
+        worker.report(5.1, 0, (KEY,))
+        await sleep(0.1)
+        token = session.token
+        worker.report(6.0, 2, (KEY,))
+        await sleep(0.1)
+        assert session.token > token
+        assert not session.usable()
+
+    run_session(body)
+
+
+def test_no_end_is_acknowledged_right_after_a_silence() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        other = RunKey(TaskKey("job", 0, 0, 1), 1)
+        end = EndReport(3, other, "done", "")
+        worker.silent = True
+        worker.report(1001.0, 1, (KEY,), (end,))
+        await sleep(0.05)
+        assert worker.renewals[-1].acknowledged_end == 3
+        worker.silent = False
+        await sleep(0.2)
+        assert worker.renewals[-1].acknowledged_end == 0
+        worker.report(1002.0, 1, (KEY,), (end,))
+        await sleep(0.1)
+        assert worker.renewals[-1].acknowledged_end == 3
+
+    run_session(body)
+
+
+def test_session_opened_again_has_a_higher_token() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        token = session.token
+        session.release(KEY)
+        session.update(None)
+        worker.report(1001.0, 1)
+        await sleep(0.1)
+        assert session.closed
+        assert session.tokens.current > token
+
+    run_session(body)
+
+
+def test_start_is_not_repeated_to_the_next_incarnation() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(TaskKey("job", 0, 0, 1), 1)
+        session.reserve(key, DEMAND)
+        async with open_nursery() as nursery:
+            worker.silent = True
+            nursery.start_soon(session.launch, key, "", "")
+            await sleep(0.05)
+            worker.silent = False
+            session.update(worker_info(2))
+        assert len(worker.starts) == 1
+        assert not owner.ends
+
+    run_session(body)
