Do not apply the number of an end to the next incarnation

A session waits for the ends of a report to be stored, and then sets the number that the next renewal acknowledges. If the list of workers or a refused start showed another incarnation of the worker meanwhile, the old number was set after the reset: the new incarnation's ends up to that number were passed over as known, and acknowledged. An end `done` was lost so, and the task started again (TWICE).

The number is set only if the incarnation is still the one that reported it.

Evidence: test_ends_of_the_next_incarnation_are_not_acknowledged_unread failed before (the key of end 1 was not in the recorded ends) and passes now. tests/tasks: all passed.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -421,7 +421,9 @@
             self._newest_end = max(self._newest_end, newest)
             with move_on_after(STORE_WAIT_LIMIT_S):
                 await self.owner.wait_ends_stored()
-                self.acknowledged_end = max(self.acknowledged_end, newest)
+                # Another incarnation numbers its ends anew.
+                if self.incarnation == report.incarnation:
+                    self.acknowledged_end = max(self.acknowledged_end, newest)
 
     def _apply_run_lists(self, report: WorkerReport) -> None:
         listed = set()
