--- a/tests/tasks/test_sweeper.py
+++ b/tests/tasks/test_sweeper.py
@@ -86,3 +86,20 @@
         assert member_instances(cluster) == set(cluster.nodes)
 
     run_scenario(scenario)
+
+
+def test_job_that_was_accepted_again_is_not_removed() -> None:
+    """The answer to a removal may be lost, so that it is tried again."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=20.0)
+        holder = cluster.holder()
+        assert holder is not None
+        present = cluster.nodes[holder].election.holder
+        assert present is not None
+        present.sweeper.add_finished_job(job_id(1), 0.0)
+        await sleep(2 * SWEEP_S)
+        assert job_tables(cluster, 1) == {"job", "progress"}
+        await cluster.wait_state(job_id(1), "completed")
+
+    run_scenario(scenario)
