Remove only the rows of a job that is finished

The sweeper removed all rows of a job that had finished, without another look at its state. A job that a client had handed in again under the same ID meanwhile lost its rows although it was accepted. It runs on in memory, and is unknown to clients and to the next holder.

The progress row is read and must still show a finished job. A removal whose outcome is not known is left to the next holder. The job is no longer counted as finished once its removal was sent, so that its new row is not passed over.

--- a/src/damaskstall/tasks/sweeper.py
+++ b/src/damaskstall/tasks/sweeper.py
@@ -9,12 +9,17 @@
 
 from trio import sleep
 
-from damaskstall.errors import PlatformError, TableConflictError
+from damaskstall.errors import (
+    PlatformError,
+    TableConflictError,
+    TableUnavailableError,
+)
 from damaskstall.events import log
 from damaskstall.platform.types import Row, Write
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import MEMBER_REMOVED, ROW_SWEEP_FAILED
+from damaskstall.tasks.job_reader import is_unfinished
 from damaskstall.tasks.job_rows import (
     cancel_row_key,
     job_row_key,
@@ -68,20 +73,26 @@
             if now_unix_s - over_unix_s >= retention_s
         ]
         for job_id in due:
-            await self._remove_job(job_id)
-            del self.finished[job_id]
+            # Once its rows are removed, the job may be accepted again.
+            over_unix_s = self.finished.pop(job_id)
+            try:
+                await self._remove_job(job_id)
+            except TableUnavailableError:
+                self.finished[job_id] = over_unix_s
+                raise
 
     async def _remove_job(self, job_id: str) -> None:
-        """Remove all rows of a job in one transaction."""
+        """Remove all rows of a job in one transaction if it is finished."""
         writes = []
-        for key in (
-            job_row_key(job_id),
-            progress_row_key(job_id),
-            cancel_row_key(job_id),
-        ):
+        progress_key = progress_row_key(job_id)
+        for key in (job_row_key(job_id), progress_key, cancel_row_key(job_id)):
             row = await self.table.read(key)
-            if row is not None:
-                writes.append(Write(key, None, row.revision))
+            if row is None:
+                continue
+            if key == progress_key and row.value is not None:
+                if is_unfinished(row.value):
+                    return
+            writes.append(Write(key, None, row.revision))
         if writes:
             await self.table.commit(tuple(writes), uuid4().hex)
 
