--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -13,6 +13,7 @@
 from damaskstall.tasks.capacity import FreeCapacity
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
 from damaskstall.tasks.ports import LEASE_EXPIRED, MACHINE_DOWN, EndReport
 from damaskstall.tasks.progress import (
@@ -23,10 +24,10 @@
     Member,
     Unit,
 )
+from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_list import WorkerList
 from damaskstall.tasks.worker_session import (
     OUTAGE_RENEWAL_LIMIT_S,
-    SessionOwner,
     WorkerSession,
     lease_limit_s,
 )
@@ -40,6 +41,7 @@
     """Unlisted worker of a run, and the time at which its lease expires."""
 
     worker: str
+    adopted_s: float
     expires_s: float
 
 
@@ -59,7 +61,7 @@
         """Create a pool for the holder of ``epoch``."""
         self.context = context
         self.owner = owner
-        self.epoch = epoch
+        self.tokens = FencingTokens(epoch)
         self.worker_list = WorkerList(
             context.platform, context.table, context.configuration
         )
@@ -80,7 +82,7 @@
                 worker,
                 self.context.platform.client_for(worker),
                 self.owner,
-                self.epoch,
+                self.tokens,
                 self.context.settings.worker_lease_s,
                 self.context.clock,
             )
@@ -118,13 +120,14 @@
                 continue
             key = progress.run_key(unit, position)
             session = self.sessions.get(member.worker)
-            if session is not None:
+            if session is not None and not session.closed:
                 session.adopt(key, demand)
                 session.wake()
                 continue
             lease_s = lease_limit_s(self.context.settings.worker_lease_s)
-            expires_s = self.context.clock() + OUTAGE_RENEWAL_LIMIT_S + lease_s
-            self._orphans[key] = Orphan(member.worker, expires_s)
+            now_s = self.context.clock()
+            expires_s = now_s + OUTAGE_RENEWAL_LIMIT_S + lease_s
+            self._orphans[key] = Orphan(member.worker, now_s, expires_s)
 
     def release(self, progress: JobProgress, unit: Unit) -> None:
         """Stop counting a unit's runs on their workers."""
@@ -140,21 +143,38 @@
             if session is not None and not member.ended:
                 session.stop(progress.run_key(unit, position))
 
-    def silent_workers(self) -> set[str]:
-        """Return the workers that are unreachable and may have runs."""
-        silent = {orphan.worker for orphan in self._orphans.values()}
+    def silent_workers(self) -> dict[str, float]:
+        """Return since when workers with runs have been unreachable."""
+        silent_since: dict[str, float] = {}
+        for orphan in self._orphans.values():
+            since_s = silent_since.get(orphan.worker, orphan.adopted_s)
+            silent_since[orphan.worker] = max(since_s, orphan.adopted_s)
         for name, session in self.sessions.items():
             if session.load.runs and not session.reachable:
-                silent.add(name)
-        return silent
+                silent_since[name] = session.silent_since_s
+        return silent_since
+
+    def answering_workers(self) -> set[str]:
+        """Return the reachable workers with runs.
+
+        Others are not called, and may have ended unnoticed.
+        """
+        return {
+            name
+            for name, session in self.sessions.items()
+            if session.reachable and session.load.runs
+        }
 
-    def record_machine_stopped(self, name: str) -> None:
-        """Record that a worker's machine is down; end the worker's runs."""
+    def record_machine_stopped(self, name: str, since_s: float) -> None:
+        """Record that a worker has ended that was silent since a time.
+
+        Ends the runs that the worker had in that silence.
+        """
         session = self.sessions.get(name)
         if session is not None:
-            session.record_machine_down()
+            session.record_machine_down(since_s)
         for key, orphan in list(self._orphans.items()):
-            if orphan.worker == name:
+            if orphan.worker == name and orphan.adopted_s <= since_s:
                 self._end_orphan(key, orphan, MACHINE_DOWN)
 
     def leaving_workers(self) -> dict[str, float]:
--- a/tests/tasks/test_unmatched_ends.py
+++ b/tests/tasks/test_unmatched_ends.py
@@ -109,6 +109,12 @@
     await cluster.wait(lambda: job_id(number) not in jobs)
 
 
+def end_machine(holder: TaskHolder, name: str) -> None:
+    """Let the holder take the machine of a silent worker as down."""
+    since_s = holder.pool.sessions[name].silent_since_s
+    holder.pool.record_machine_stopped(name, since_s)
+
+
 def test_end_of_a_run_in_an_unread_row_is_not_dropped() -> None:
     async def scenario(cluster: Cluster) -> None:
         earlier = EarlierHolder(cluster)
@@ -190,7 +196,7 @@
         await cluster.wait(lambda: len(cluster.history.runs) == 1)
         first = cluster.history.runs[0]
         await disconnect(cluster, first.worker)
-        holder.pool.record_machine_stopped(first.worker)
+        end_machine(holder, first.worker)
         await cluster.wait(lambda: len(cluster.history.runs) == 2)
         await cluster.wait(lambda: first.how == "done")
         cluster.reconnect_worker(first.worker)
@@ -208,7 +214,7 @@
         await cluster.submit(job_id(1), [ONE_TASK], work_s=3.0)
         await cluster.wait(lambda: len(cluster.history.runs) == 1)
         await disconnect(cluster, "w00")
-        holder.pool.record_machine_stopped("w00")
+        end_machine(holder, "w00")
         await cluster.wait(lambda: cluster.history.runs[0].how == "done")
         cluster.reconnect_worker("w00")
         await cluster.wait_state(job_id(1), "completed")
@@ -303,7 +309,7 @@
         lost = cluster.history.runs[0].worker
         for name in cluster.workers:
             await disconnect(cluster, name)
-        holder.pool.record_machine_stopped(lost)
+        end_machine(holder, lost)
         await cluster.wait(lambda: cluster.history.runs[0].how == "done")
         unit = next(holder.jobs[job_id(1)].all_units())
         cluster.reconnect_worker(lost)
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -2,6 +2,7 @@
 
 from trio import current_time, open_nursery, sleep
 
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
     EndReport,
@@ -42,9 +43,12 @@
         self.started.append(request.key)
         return current_time() + 100.0
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Ignore a stop."""
 
+    def follow(self, worker: WorkerInfo) -> None:
+        """Stay at the address."""
+
     async def close(self) -> None:
         """Do nothing."""
 
@@ -106,7 +110,8 @@
         checks_capacity=False,
         incarnation=1,
     )
-    return WorkerSession(info, worker, owner, 1, 10.0, current_time)
+    tokens = FencingTokens(1)
+    return WorkerSession(info, worker, owner, tokens, 10.0, current_time)
 
 
 def test_run_missing_from_a_partial_list_of_ends_has_not_lapsed() -> None:
