Let the test of a lost lease reach the check of the lease

A session now reads the worker's clock before a start, so the test, which had no session running, passed also without the check. It now runs a session, starts one run under the lease and none after its loss. Seen failing with the check left out.

--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -137,11 +137,18 @@
     """A suspended holder may resume between the write and the start."""
 
     async def main() -> None:
-        worker = ScriptedWorker([])
-        session = open_session(worker, RecordingOwner(may_renew=False))
-        session.reserve(run_key(0), DEMAND)
-        await session.launch(run_key(0), "", "")
-        assert not worker.started
+        worker, owner = ScriptedWorker([]), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await sleep(0.5)
+            for may_renew in (True, False):
+                owner.may_renew = may_renew
+                key = run_key(int(may_renew))
+                session.reserve(key, DEMAND)
+                await session.launch(key, "", "")
+            nursery.cancel_scope.cancel()
+        assert worker.started == [run_key(1)]
 
     run_virtual(main)
 
