--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -32,7 +32,11 @@
     STORE_REGAINED,
 )
 from damaskstall.tasks.holder import TaskHolder
-from damaskstall.tasks.metrics import HOLDS_LEASE, NO_LABELS
+from damaskstall.tasks.metrics import (
+    HOLDS_LEASE,
+    NO_LABELS,
+    RUNS_OVERDUE,
+)
 
 # One cell for the whole service: 24 workers are too few to divide.
 CELL = "service"
@@ -242,6 +246,7 @@
             self.holder = None
             self.lease_held = False
             HOLDS_LEASE.set(NO_LABELS, 0)
+            RUNS_OVERDUE.set(NO_LABELS, 0)
             log(HOLDER_ENDED, epoch=lease.epoch, lost=lease.lost)
             with CancelScope(shield=True):
                 await self._release(lease)
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -142,6 +142,12 @@
     "A worker listed the end of a run that is not the present run of its "
     "task: the end is ignored.",
 )
+RUN_OVERDUE = Event(
+    8038,
+    "WARNING",
+    "run_overdue",
+    "A run was neither reported by its worker nor ended for some seconds.",
+)
 RUN_ENDED = Event(8032, "INFO", "run_ended", "The run of a task has ended.")
 RUN_REFUSED = Event(
     8033, "INFO", "run_refused", "A worker refused to start a run."
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -21,6 +21,10 @@
     "damaskstall_ends_unmatched",
     "Listed ends of runs that are not the present run, by how they ended.",
 )
+RUNS_OVERDUE = Gauge(
+    "damaskstall_runs_overdue",
+    "Runs that were neither reported by their worker nor ended for a while.",
+)
 HOLDS_LEASE = Gauge(
     "damaskstall_holds_lease",
     "Whether this process holds the lease (1) or not (0).",
--- a/src/damaskstall/tasks/pace.py
+++ b/src/damaskstall/tasks/pace.py
@@ -30,21 +30,24 @@
 class PaceHistory:
     """Recent progress samples of one run.
 
+    ``reported_s`` is the time of the last report, None before the first.
     ``changed_s`` is the time at which the percentage last changed or the
     worker was last unreachable.
     """
 
-    __slots__ = ("samples", "first", "percent", "changed_s")
+    __slots__ = ("samples", "first", "percent", "reported_s", "changed_s")
 
     def __init__(self) -> None:
         """Create a history without samples."""
         self.samples: deque[Sample] = deque(maxlen=SAMPLES_LIMIT)
         self.first: Sample | None = None
         self.percent = 0.0
+        self.reported_s: float | None = None
         self.changed_s = 0.0
 
     def record(self, percent: float, now_s: float) -> None:
         """Record a reported percentage."""
+        self.reported_s = now_s
         if self.first is None:
             self.first = Sample(now_s, percent)
             self.changed_s = now_s
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -5,6 +5,7 @@
     END_UNMATCHED,
     RUN_ENDED,
     RUN_LAUNCHED,
+    RUN_OVERDUE,
     TASK_JOB_ENDED,
     UNIT_STARTED,
     UNIT_STOPPED,
@@ -17,7 +18,7 @@
 )
 from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.ports import EndReport
-from damaskstall.tasks.progress import JobProgress, Unit
+from damaskstall.tasks.progress import JobProgress, Member, Unit
 
 
 def log_unit_started(
@@ -98,6 +99,20 @@
     )
 
 
+def log_run_overdue(key: RunKey, member: Member, silent_s: float) -> None:
+    """Log that nothing was heard of a run for ``silent_s``."""
+    log(
+        RUN_OVERDUE,
+        job=key.task.job_id,
+        step=key.task.step,
+        index=key.task.task_index,
+        run=key.run,
+        worker=member.worker,
+        silent_s=round(silent_s, 1),
+        confirmed=member.confirmed,
+    )
+
+
 def log_job_ended(progress: JobProgress) -> None:
     """Log that a job has reached its final state."""
     log(
--- a/src/damaskstall/tasks/run_monitor.py
+++ b/src/damaskstall/tasks/run_monitor.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from damaskstall.tasks.drain_policy import should_move
+from damaskstall.tasks.overdue_runs import OverdueRuns
 from damaskstall.tasks.progress import JobProgress, Member, Unit
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.slowness import (
@@ -51,6 +52,7 @@
         """Monitor the units on ``workers``."""
         self.workers = workers
         self.estimator = estimator
+        self.overdue = OverdueRuns()
         self._checked_s = float("-inf")
 
     def find_stops(
@@ -60,6 +62,7 @@
         if now_s - self._checked_s < CHECK_INTERVAL_S:
             return []
         self._checked_s = now_s
+        self.overdue.check(jobs, now_s)
         return [
             *self._find_stalled(jobs, now_s),
             *self._find_leaving(jobs, now_s),
