--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -7,6 +7,7 @@
 
 from damaskstall.platform.types import ChangePage, Row, TableService
 from damaskstall.tasks.desired_state import DesiredState
+from damaskstall.tasks.machine_evidence import MachineEntry
 from damaskstall.tasks.model import RunKey, WorkerInfo
 
 # Tables that the operators and the workers write; this program only reads
@@ -65,12 +66,13 @@
 class LeaseRenewal(NamedTuple):
     """Request that renews a worker's lease and acknowledges ended runs.
 
+    ``token`` is the fencing token: a worker refuses a lower one than before.
     ``lease_until_s`` is on the worker's clock. ``acknowledged_end`` is the
     number of the newest end that is stored. The worker delays its answer by
     up to ``wait_s`` until a run ends.
     """
 
-    epoch: int
+    token: int
     lease_until_s: float
     acknowledged_end: int
     wait_s: float
@@ -94,7 +96,7 @@
     The worker refuses it after ``not_after_s`` on the worker's clock.
     """
 
-    epoch: int
+    token: int
     key: RunKey
     payload: str
     not_after_s: float
@@ -107,8 +109,9 @@
     Each call raises CommandOutcomeUnknownError when the worker may or may not
     have carried it out, CommandNotSentError when it was certainly not carried
     out, CommandRefusedError with the worker's reason, FencedError when the
-    worker has accepted a higher epoch, and WorkerReplacedError when another
-    incarnation of the worker answers.
+    worker has accepted a higher token, and WorkerReplacedError when another
+    worker answers. The latter has then done nothing, and it does not tell
+    whether the worker that was meant still runs.
     """
 
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
@@ -117,9 +120,12 @@
     async def start(self, request: StartRequest) -> float:
         """Start a run; return the worker's clock in seconds."""
 
-    async def stop(self, epoch: int, key: RunKey) -> None:
+    async def stop(self, token: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
 
+    def follow(self, worker: WorkerInfo) -> None:
+        """Send all further calls to the address in the worker's entry."""
+
     async def close(self) -> None:
         """Close the connections to the worker."""
 
@@ -137,11 +143,11 @@
     def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
         """Return the worker that a row lists; raise MalformedRowError."""
 
-    async def running_workers(self) -> frozenset[str]:
-        """Return the names of the workers whose machines are up.
+    async def machines(self) -> list[MachineEntry]:
+        """Return the machines, each with the worker that runs on it.
 
-        The runs of all other workers have ended. Raises
-        MachineListUnavailableError when the list cannot be read.
+        Entries that move during the reading may be missing or listed twice.
+        Raises MachineListUnavailableError when the list cannot be read.
         """
 
     def client_for(self, worker: WorkerInfo) -> WorkerClient:
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -5,8 +5,6 @@
 that it never started, or its lease has certainly expired.
 """
 
-from typing import NamedTuple, Protocol
-
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
 from damaskstall.errors import (
@@ -28,22 +26,23 @@
     TASK_WORKER_LOST,
     TASK_WORKER_REPLACED,
 )
+from damaskstall.tasks.expected_runs import ExpectedRuns
+from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
     MACHINE_DOWN,
-    MISSING,
+    NOT_LAUNCHED,
     REFUSED,
-    REPLACED,
     EndReport,
     LeaseRenewal,
-    RunReport,
     StartRequest,
     WorkerClient,
     WorkerReport,
 )
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 from damaskstall.tasks.run_log import log_run_launched
+from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
@@ -55,6 +54,8 @@
 # The members of a gang wait 3 s for each other. The window is well under that,
 # so that a gang with a lost start is stopped before its members time out.
 START_WINDOW_S = 1.5
+# The maximum time after which a command is carried out.
+LATE_COMMAND_LIMIT_S = 12.0
 # A worker's clock may be 2% slow, and a worker that resumes after a suspension
 # kills expired runs up to 300 ms late.
 CLOCK_RATE_LIMIT = 1.02
@@ -64,6 +65,8 @@
 # the platform charges for each call to a worker.
 IDLE_RETRY_S = 1.0
 STOP_RETRY_S = 0.4
+# A worker lists at most this many ends in one answer, the oldest first.
+LISTED_ENDS_LIMIT = 500
 # Concurrent commands to one worker; each needs a connection.
 CONCURRENT_COMMAND_LIMIT = 2
 # An earlier holder renews the leases of runs until its own lease expires, and
@@ -79,43 +82,6 @@
     return lease_s * CLOCK_RATE_LIMIT + EXPIRY_MARGIN_S
 
 
-class SessionOwner(Protocol):
-    """Receiver of the events of a session; decides what may run."""
-
-    def should_continue(self, key: RunKey) -> bool:
-        """Return whether a run should continue."""
-
-    def may_renew_leases(self) -> bool:
-        """Return whether the leases of runs may be renewed."""
-
-    def record_running(self, worker: str, report: RunReport) -> None:
-        """Record that a run is running, with its progress."""
-
-    def record_end(self, worker: str, end: EndReport) -> None:
-        """Record that a run has ended, or has never started."""
-
-    async def wait_ends_stored(self) -> None:
-        """Return once every end recorded so far is in the table."""
-
-    def request_decision(self) -> None:
-        """Request a scheduling round: a worker may have free capacity."""
-
-    def step_down(self) -> None:
-        """End this holder: the worker has accepted a higher epoch."""
-
-
-class ExpectedRun(NamedTuple):
-    """Time after which a worker's lists must contain a launched run.
-
-    ``not_after_s`` is on the worker's clock. If lists of a later time lack
-    the run, it has ended or never started. A confirmed run was listed, or its
-    start was answered, at ``not_after_s``.
-    """
-
-    not_after_s: float
-    confirmed: bool
-
-
 class WorkerSession:
     """State of one worker under one holder, and the calls to it."""
 
@@ -124,21 +90,23 @@
         worker: WorkerInfo,
         client: WorkerClient,
         owner: SessionOwner,
-        epoch: int,
+        tokens: FencingTokens,
         lease_s: float,
         clock: Clock,
     ) -> None:
-        """Start a session with a worker as the holder of an epoch."""
+        """Start a session with a worker as the holder of some tokens."""
         self.worker = worker
         self.client = client
         self.owner = owner
-        self.epoch = epoch
+        self.tokens = tokens
+        # The token of all commands to the worker's present incarnation.
+        self.token = tokens.current
         self.lease_s = lease_s
         self.clock = clock
         self.load = WorkerLoad()
         self.health = WorkerHealth()
-        self.expected: dict[RunKey, ExpectedRun] = {}
-        # Whether the worker has accepted this holder's epoch.
+        self.expected = ExpectedRuns()
+        # Whether the worker has accepted the present token.
         self.fenced = False
         self.reachable = False
         self.listed = True
@@ -160,6 +128,13 @@
         self._lease_until_s = 0.0
         started_s = clock()
         self._entry_read_s = started_s
+        # The start of the present silence, if the worker is not reachable.
+        self.silent_since_s = started_s
+        # Until then the worker may carry out a start that was not answered,
+        # of this or an earlier holder. It is called, so that it accepts a
+        # higher token soon after it has started again.
+        self._late_start_until_s = 0.0
+        self._expect_late_start()
         # Until the worker answers, an earlier holder's last renewal applies.
         self._lease_expiry_s = (
             started_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(self.lease_s)
@@ -192,7 +167,7 @@
     def adopt(self, key: RunKey, demand: Demand) -> None:
         """Count a run that an earlier holder may have started."""
         self.load.add(key, demand)
-        self.expected[key] = ExpectedRun(float("-inf"), False)
+        self.expected.add_adopted(key)
 
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
@@ -200,7 +175,7 @@
 
     def release(self, key: RunKey) -> None:
         """Stop counting a run; request a decision if it was counted."""
-        self.expected.pop(key, None)
+        self.expected.remove(key)
         self._stop_sent_s.pop(key, None)
         if self.load.remove(key):
             self.owner.request_decision()
@@ -211,24 +186,30 @@
         while True:
             if not self.load.runs and not self.listed:
                 self.closed = True
+                # A later session with this worker has a higher token.
+                self._advance_token()
                 await self.client.close()
                 return
-            if self.clock_known and self._is_idle():
+            if self.clock_known and self.reachable and self._is_idle():
                 await self._wake.wait()
                 continue
             if not self.owner.may_renew_leases():
                 await sleep(RETRY_S)
                 continue
             if not await self._renew_lease_once():
-                await sleep(RETRY_S if self.load.runs else IDLE_RETRY_S)
+                may_have_runs = self._may_have_runs()
+                await sleep(RETRY_S if may_have_runs else IDLE_RETRY_S)
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
-        first_s = self.worker_clock_s()
-        not_after_s = first_s + START_WINDOW_S
-        self.expected[key] = ExpectedRun(not_after_s, False)
+        if not self.clock_known:
+            self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
+            return
+        known_clock_s = self._clock_s
+        not_after_s = self.worker_clock_s() + START_WINDOW_S
+        self.expected.add_launched(key, not_after_s)
         request = StartRequest(
-            self.epoch, key, payload, not_after_s, checkpoint
+            self.token, key, payload, not_after_s, checkpoint
         )
         self.wake()
         attempts = unanswered = 0
@@ -239,15 +220,20 @@
             )
 
         while self.worker_clock_s() < not_after_s:
-            if key not in self.expected or not self.owner.should_continue(key):
-                log_launched("not needed")
-                return
-            attempts += 1
             try:
                 async with self._command_slots:
+                    if not self._should_send(request):
+                        log_launched("not needed")
+                        return
+                    attempts += 1
+                    self._extend_lease_expiry(not_after_s)
                     clock_s = await self.client.start(request)
-            except (CommandNotSentError, CommandOutcomeUnknownError) as error:
-                unanswered += isinstance(error, CommandOutcomeUnknownError)
+            except CommandNotSentError:
+                await sleep(RETRY_S)
+                continue
+            except CommandOutcomeUnknownError:
+                unanswered += 1
+                self._expect_late_start()
                 await sleep(RETRY_S)
                 continue
             except (
@@ -256,27 +242,54 @@
                 CommandRefusedError,
             ) as error:
                 log_launched(type(error).__name__)
-                self._handle_start_refusal(key, error, unanswered > 0)
+                self._handle_start_refusal(request, error, unanswered > 0)
                 return
             log_launched("answered")
             self.health.record_started()
-            if key in self.expected:
-                self.expected[key] = ExpectedRun(clock_s, True)
+            if request.token == self.token:
+                self._confirm_start(key, clock_s, known_clock_s)
             return
         log_launched("no answer")
 
+    def _should_send(self, request: StartRequest) -> bool:
+        """Return whether a start is still needed by this incarnation."""
+        if request.token != self.token or request.key not in self.expected:
+            return False
+        return self.owner.should_continue(request.key)
+
+    def _expect_late_start(self) -> None:
+        """Note that a start without an answer may be carried out late."""
+        self._late_start_until_s = self.clock() + LATE_COMMAND_LIMIT_S
+
+    def _confirm_start(
+        self, key: RunKey, clock_s: float, known_clock_s: float
+    ) -> None:
+        """Record that a start was carried out at a time on the clock.
+
+        A time before the known one is that of another incarnation.
+        """
+        if clock_s < known_clock_s:
+            self._begin_incarnation(0, "start command")
+        else:
+            self.expected.confirm(key, clock_s)
+
     def _handle_start_refusal(
-        self, key: RunKey, error: Exception, unanswered: bool
+        self, request: StartRequest, error: Exception, unanswered: bool
     ) -> None:
         """Handle a worker's refusal to start a run.
 
         An earlier attempt without an answer may have been carried out. Then
-        only the worker's lists show whether the run exists.
+        only the worker's lists show whether the run exists. If another worker
+        answers, this one has not received the command, and may run on at
+        another address.
         """
+        key = request.key
         if isinstance(error, FencedError):
-            self.owner.step_down()
+            self._handle_fenced(request.token)
         elif isinstance(error, WorkerReplacedError):
-            self._reset_incarnation(0, "start command")
+            self._record_no_answer(str(error))
+            if not unanswered:
+                self._end(key, ENDED_NOT_STARTED, REFUSED)
         elif isinstance(error, CommandRefusedError):
             log(
                 RUN_REFUSED,
@@ -311,12 +324,15 @@
         passed_s = self.clock() - self._entry_read_s
         return max(0.0, self.worker.leaves_in_s - passed_s)
 
-    def record_machine_down(self) -> None:
-        """Record that the worker's machine is down: end all its runs.
+    def record_machine_down(self, since_s: float) -> None:
+        """Record that the worker has ended: end all its runs.
 
-        Does nothing while the worker answers.
+        Does nothing if the worker has answered since ``since_s``, the start of
+        the silence in which its end was observed.
         """
-        if self.reachable or not self.load.runs:
+        if self.reachable or self.silent_since_s != since_s:
+            return
+        if not self.load.runs:
             return
         log(
             TASK_WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs)
@@ -331,54 +347,83 @@
     def update(self, worker: WorkerInfo | None) -> None:
         """Apply the worker's entry in the list, None if it has none."""
         self.listed = worker is not None
+        listed = self.worker.incarnation
         if worker is not None:
             if worker is not self.worker:
                 self._entry_read_s = self.clock()
+            self._follow_address(worker)
             self.worker = worker
-            if self.incarnation and worker.incarnation > self.incarnation:
-                self._reset_incarnation(worker.incarnation, "list of workers")
+            if worker.incarnation > max(listed, self.incarnation):
+                self._begin_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
+    def _follow_address(self, worker: WorkerInfo) -> None:
+        """Call the worker where its entry says, if that has changed."""
+        earlier = (self.worker.host, self.worker.port)
+        if (worker.host, worker.port) != earlier:
+            self.client.follow(worker)
+
     async def _renew_lease_once(self) -> bool:
         """Send one renewal; return whether the worker answered."""
         if self.clock_known and self.reachable:
             # A silent worker's lease is not renewed, so that it expires.
             self._lease_until_s = self.worker_clock_s() + self.lease_s
         until_s = self._lease_until_s
-        has_runs = bool(self.load.runs) or self.has_unknown_runs
-        may_wait = self.clock_known and self.reachable and has_runs
+        may_wait = self.clock_known and self.reachable
+        may_wait = may_wait and self._may_have_runs()
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         request = LeaseRenewal(
-            self.epoch, until_s, self.acknowledged_end, wait_s
+            self.token, until_s, self._next_acknowledgement(), wait_s
         )
         self._extend_lease_expiry(until_s)
         try:
             report = await self.client.renew_lease(request)
         except FencedError:
-            self.owner.step_down()
-            return False
-        except WorkerReplacedError:
-            self._reset_incarnation(0, "lease renewal")
+            self._handle_fenced(request.token)
             return False
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
             CommandRefusedError,
+            WorkerReplacedError,
         ) as error:
             self._record_no_answer(str(error))
             return False
+        if request.token != self.token:
+            # It was sent before another incarnation was known.
+            return True
         self._sent_end = max(self._sent_end, request.acknowledged_end)
         await self._apply_report(report)
         return True
 
-    def _is_idle(self) -> bool:
-        """Return whether no run is left and all ends are acknowledged."""
+    def _next_acknowledgement(self) -> int:
+        """Return the newest end to acknowledge, 0 if there is none.
+
+        An acknowledgement is neither repeated once it was answered nor sent
+        after a silence: the next incarnation numbers its ends anew.
+        """
+        if not self.reachable or self.acknowledged_end <= self._sent_end:
+            return 0
+        return self.acknowledged_end
+
+    def _may_have_runs(self) -> bool:
+        """Return whether the worker may have runs, or may yet start one."""
         if self.load.runs or self.has_unknown_runs:
+            return True
+        return self.clock() < self._late_start_until_s
+
+    def _is_idle(self) -> bool:
+        """Return whether no run may exist and all ends are acknowledged."""
+        if self._may_have_runs():
             return False
         return self._sent_end >= self._newest_end
 
     def _extend_lease_expiry(self, until_s: float) -> None:
-        """Extend the time after which a silent worker's lease has expired."""
+        """Extend the time after which a silent worker's lease has expired.
+
+        ``until_s`` is the deadline of a command that is about to be sent:
+        that of a start extends the lease of everything on the worker too.
+        """
         if not self.clock_known:
             return
         left_s = until_s - self._clock_s
@@ -388,16 +433,15 @@
         self._lease_expiry_s = max(self._lease_expiry_s, expiry_s)
 
     async def _apply_report(self, report: WorkerReport) -> None:
-        if self.incarnation and report.incarnation != self.incarnation:
-            self._reset_incarnation(report.incarnation, "report")
-        elif self.clock_known and report.clock_s < self._clock_s:
-            # A newer answer arrived before this one.
+        if self._is_from_another_incarnation(report):
+            # Only lists that follow a renewal with a higher token are final.
+            self._begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
         self._clock_s = report.clock_s
         self._clock_read_s = self.clock()
         if not self.clock_known:
-            log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.epoch)
+            log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
             self._lease_expiry_s = self._clock_read_s + lease_limit_s(
                 self.lease_s
             )
@@ -412,16 +456,28 @@
             newest = max(end.number for end in report.ended)
             self._newest_end = max(self._newest_end, newest)
             with move_on_after(STORE_WAIT_LIMIT_S):
+                token = self.token
                 await self.owner.wait_ends_stored()
-                self.acknowledged_end = max(self.acknowledged_end, newest)
+                if token == self.token:
+                    self.acknowledged_end = max(self.acknowledged_end, newest)
+
+    def _is_from_another_incarnation(self, report: WorkerReport) -> bool:
+        """Return whether a report differs in number or has a lower clock.
+
+        Renewals are sent one after another, so no report overtakes another.
+        """
+        if not self.clock_known:
+            return False
+        if report.incarnation != self.incarnation:
+            return True
+        return report.clock_s < self._clock_s
 
     def _apply_run_lists(self, report: WorkerReport) -> None:
         listed = set()
         self._check_unknown_runs(report)
         for run in report.running:
             listed.add(run.key)
-            if run.key in self.expected:
-                self.expected[run.key] = ExpectedRun(report.clock_s, True)
+            self.expected.confirm(run.key, report.clock_s)
             if self.owner.should_continue(run.key):
                 self.owner.record_running(self.worker.name, run)
             else:
@@ -431,11 +487,11 @@
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
-        for key, expected in list(self.expected.items()):
-            if key in listed or report.clock_s <= expected.not_after_s:
-                continue
-            outcome = ENDED_LAPSED if expected.confirmed else ENDED_NOT_STARTED
-            self._end(key, outcome, MISSING)
+        if len(report.ended) >= LISTED_ENDS_LIMIT:
+            # The ends of runs that are not listed may follow.
+            return
+        for key, missing in self.expected.missing(report.clock_s, listed):
+            self._end(key, missing.outcome, missing.evidence)
 
     def _check_unknown_runs(self, report: WorkerReport) -> None:
         """Set ``has_unknown_runs`` from a report, and log new cases."""
@@ -447,7 +503,7 @@
             log(
                 RUNS_UNCOUNTED,
                 worker=self.worker.name,
-                epoch=self.epoch,
+                epoch=self.token,
                 runs=len(report.running),
                 counted=len(self.load.runs),
             )
@@ -457,6 +513,8 @@
     def _record_no_answer(self, error: str) -> None:
         if self.reachable or not self.answered.is_set():
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
+        if self.reachable:
+            self.silent_since_s = self.clock()
         self.reachable = False
         self.answered.set()
         if self.clock() > self._lease_expiry_s and self.load.runs:
@@ -467,10 +525,13 @@
             )
             self._end_all(LEASE_EXPIRED)
 
-    def _reset_incarnation(self, incarnation: int, source: str) -> None:
-        """End all runs and begin anew with another incarnation of the worker.
+    def _begin_incarnation(self, incarnation: int, source: str) -> None:
+        """Begin anew with another incarnation of the worker.
 
-        An ``incarnation`` of 0 means that its number is not known yet.
+        An ``incarnation`` of 0 means that its number is not known yet. The
+        higher token keeps commands to the earlier incarnation from being
+        carried out by this one. Once it has accepted the token, its lists
+        show which of the runs it has.
         """
         log(
             TASK_WORKER_REPLACED,
@@ -480,6 +541,7 @@
             source=source,
             runs=len(self.load.runs),
         )
+        self._advance_token()
         self.incarnation = incarnation
         self.acknowledged_end = 0
         self._newest_end = 0
@@ -487,7 +549,22 @@
         self.clock_known = False
         self.fenced = False
         self._lease_until_s = 0.0
-        self._end_all(REPLACED)
+        self._lease_expiry_s = (
+            self.clock() + LATE_COMMAND_LIMIT_S + lease_limit_s(self.lease_s)
+        )
+        self.expected.expect_in_next_lists()
+        self.wake()
+
+    def _advance_token(self) -> None:
+        """Use the next token of this holder, which ends if none is left."""
+        if not self.tokens.advance():
+            self.owner.step_down()
+        self.token = self.tokens.current
+
+    def _handle_fenced(self, token: int) -> None:
+        """Handle the refusal of a command because of its token."""
+        if token == self.token:
+            self.owner.step_down()
 
     def _end_all(self, evidence: str) -> None:
         for key in list(self.load.runs):
@@ -500,11 +577,12 @@
         self.owner.record_end(self.worker.name, end)
 
     async def _send_stop(self, key: RunKey) -> None:
+        token = self.token
         try:
             async with self._command_slots:
-                await self.client.stop(self.epoch, key)
+                await self.client.stop(token, key)
         except FencedError:
-            self.owner.step_down()
+            self._handle_fenced(token)
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
