Show that a replaced holder stores that a renewed lease has expired

A holder that reaches neither a worker nor the store computes that the worker's lease has expired. Its successor has renewed it and the run goes on. When the replaced holder returns before it notices the successor, it stores the end of the run. The successor has nothing to write and does not see it, but the next holder reads it and starts the task again.

--- a/tests/tasks/test_replaced_holders.py
+++ b/tests/tasks/test_replaced_holders.py
@@ -69,3 +69,44 @@
 
     for number in range(8):
         run_scenario(scenario_after(0.1 * number), per_rack=3, seed=number)
+
+
+def reconnect(cluster: Cluster, node: str, *hosts: str) -> None:
+    """Restore a node's traffic with hosts."""
+    for host in hosts:
+        cluster.network.heal(node, host)
+        cluster.network.heal(host, node)
+
+
+def test_replaced_holder_does_not_store_that_a_lease_has_expired() -> None:
+    """Its successor has renewed the lease of the worker."""
+
+    def scenario_after(wait_s: float) -> Scenario:
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.submit(job_id(1), [ONE_TASK], work_s=30.0)
+            await cluster.wait(lambda: len(cluster.history.runs) == 1)
+            await sleep(1.0)
+            node = cluster.holder()
+            assert node is not None
+            other = cluster.other_node(node)
+            unit = holder_of(cluster, node).jobs[job_id(1)].units[0][0]
+            name = unit.members[0].worker
+            cluster.network.cut(node, name)
+            cluster.network.cut(name, node)
+            await sleep(8.0)
+            isolate(cluster, node)
+            successor = cluster.nodes[other].election
+            await cluster.wait(lambda: successor.holder is not None)
+            await cluster.wait(lambda: not unit.active)
+            await sleep(wait_s)
+            reconnect(cluster, node, STORE_HOST, other)
+            await sleep(1.0)
+            reconnect(cluster, node, *cluster.workers)
+            cluster.kill_node(other)
+            await cluster.wait_state(job_id(1), "completed", node=node)
+            check_runs(cluster)
+
+        return scenario
+
+    for number in range(16):
+        run_scenario(scenario_after(0.1 * number), seed=number)
