Write no progress while the lease may have another holder

Callers could see a task run twice at the same time. A holder that was cut off or suspended kept its unstored decisions and wrote them when it reached the store again, up to 0.3 s before it noticed its successor: - it met a conflict, kept its own run, which had never been started, since its number was higher, and wrote it over the run that its successor had started; the successor adopted it, found it missing and started the next while its own was still being stopped; - it stored that a worker's lease had expired, which its successor had renewed; the holder after that started the task again.

Cause: a write was conditional on the revision of the job's row alone, not on the lease. Decisions already ended with the lease; the writes of earlier ones did not.

Change: nothing is written unless the lease is certainly held. A holder that still has it renews it within 0.15 s once the store answers, and then writes.

--- a/src/damaskstall/scheduler/cell_lease.py
+++ b/src/damaskstall/scheduler/cell_lease.py
@@ -72,6 +72,10 @@
         margin_s = self.row.ttl_s * DECISION_MARGIN_RATIO
         return not self.lost and now_s < self.expires_s - margin_s
 
+    def is_held(self, now_s: float) -> bool:
+        """Return whether no other process can have acquired the lease."""
+        return not self.lost and now_s < self.expires_s
+
     def may_renew_tasks(self, now_s: float, outage_s: float) -> bool:
         """Return whether the leases of running tasks may be renewed.
 
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -226,7 +226,15 @@
         self.lease.lost = True
         self.scope.cancel()
 
-    # Callback of the progress writer, which calls it after a conflict.
+    # Callbacks of the progress writer; it calls the second after a conflict.
+
+    def may_write(self) -> bool:
+        """Return whether the lease is certainly held.
+
+        A holder that may have been replaced does not know which runs its
+        successor has started, or which leases of workers it has renewed.
+        """
+        return self.lease.is_held(self.context.clock())
 
     def merge_stored_row(
         self, progress: JobProgress, value: Value | None, revision: int
--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -32,11 +32,16 @@
 # expected revision and its value.
 BATCH_LIMIT = 40
 RETRY_LIMIT_S = 0.5
+# The lease is renewed every 0.15 s once the store answers again.
+LEASE_CHECK_S = 0.05
 
 
 class ConflictHandler(Protocol):
     """Handles what another process has written to a job's row."""
 
+    def may_write(self) -> bool:
+        """Return whether no other holder may have replaced this one."""
+
     def merge_stored_row(
         self, progress: JobProgress, value: Value | None, revision: int
     ) -> None:
@@ -71,6 +76,9 @@
             if not self.dirty:
                 self.wake = Event()
                 await self.wake.wait()
+            if not self.handler.may_write():
+                await sleep(LEASE_CHECK_S)
+                continue
             batch = list(self.dirty.values())[:BATCH_LIMIT]
             try:
                 await self._write(batch)
