Let the stand-in worker restart under its name and lag

The stand-in differed from the protocol in several ways, and so tests could not show what follows a restart under the same name. It now answers 421 to a call that names another worker, carries out nothing while it is down, limits a report to 500 ends, and refuses a run as old only after a stop or an end. An end whose lease expired before it was read never counts as acknowledged. Starts, stops and renewals can be carried out late, also by the next incarnation, which may have another address, no 'born' and any clock. The machine list can lag, miss entries, or move them between pages.

--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -22,6 +22,9 @@
     """Server of the list of the workers' machines.
 
     Any ``status`` but 200 is the answer to all calls, without a list.
+    Workers in ``missing`` have no entry. The entries of those in ``moving``
+    move to the first page while the later ones are read, so that a reader of
+    several pages does not find them.
     """
 
     def __init__(
@@ -35,7 +38,18 @@
         self.status = 200
         # Unless None, this answer is served instead of the list.
         self.answer: Any = None
+        self.missing: set[str] = set()
+        self.moving: set[str] = set()
         self.calls = 0
+        self._lagging: dict[str, dict[str, Any]] | None = None
+
+    def lag(self) -> None:
+        """Keep showing the machines as they are now, until ``catch_up``."""
+        self._lagging = self._current()
+
+    def catch_up(self) -> None:
+        """Show the machines as they are."""
+        self._lagging = None
 
     async def run(
         self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
@@ -54,13 +68,24 @@
         if self.answer is not None:
             return json_response(200, self.answer)
         first = int(request.query.get("page_token", "0"))
-        entries = [entry(worker) for worker in self.workers()]
+        entries = self._entries(first)
         last = first + PAGE_SIZE
         token = str(last) if last < len(entries) else None
         return json_response(
             200, {"machines": entries[first:last], "next_page_token": token}
         )
 
+    def _current(self) -> dict[str, dict[str, Any]]:
+        return {worker.name: entry(worker) for worker in self.workers()}
+
+    def _entries(self, first: int) -> list[dict[str, Any]]:
+        """Return all entries, in their order while a page is read."""
+        shown = self._current() if self._lagging is None else self._lagging
+        names = [name for name in shown if name not in self.missing]
+        is_first_page = first == 0
+        names.sort(key=lambda name: (name in self.moving) == is_first_page)
+        return [shown[name] for name in names]
+
 
 def entry(worker: StandinWorker) -> dict[str, Any]:
     """Return the list's entry for a worker's machine."""
--- a/standins/operators/run_history.py
+++ b/standins/operators/run_history.py
@@ -34,7 +34,9 @@
     """One run of a task on one worker.
 
     ``how`` is its outcome, ``stop_s`` when a requested stop takes effect and
-    ``acknowledged_s`` when the outcome was acknowledged.
+    ``acknowledged_s`` when the outcome was acknowledged. ``lease_lapsed``
+    states that the worker's lease expired between the two: such an outcome
+    never counts as acknowledged.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.ended_s: float | None = None
         self.how = ""
         self.acknowledged_s: float | None = None
+        self.lease_lapsed = False
         self.stalled = False
 
 
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -1,5 +1,7 @@
 """Serve one stand-in worker: starts, stops, long polls, leases and fencing."""
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from trio import (
@@ -33,12 +35,29 @@
 
 PORT = 8080
 LEASE_LIMIT_S = 10.0
+WAIT_LIMIT_S = 2.0
+ENDS_PER_REPORT = 500
+CLOCK_BASE_S = 100.0
+UNIX_BASE_MS = 1_700_000_000_000
+EXPECTED_INSTANCE = "damaskstall-expected-instance"
 LIMITS = ServerLimits(connections=100_000, idle_timeout_s=600.0)
 NEVER_S = float("-inf")
 
 
+def unix_ms() -> int:
+    """Return the Unix time in milliseconds for the present virtual time."""
+    return UNIX_BASE_MS + round(current_time() * 1000)
+
+
 class StandinWorker:
-    """A worker that runs tasks according to the protocol."""
+    """A worker that runs tasks according to the protocol.
+
+    The next commands and the next renewals take ``order_delays_s`` and
+    ``renewal_delays_s`` to be carried out, and get no answer. One that is due
+    after a crash is dropped or, with ``next_boot_takes_late_calls``, carried
+    out by the next incarnation. Without ``reports_born``, nothing that the
+    worker says contains ``born``.
+    """
 
     def __init__(
         self,
@@ -58,25 +77,32 @@
         self.capacity = capacity
         self.speed = 1.0
         self.clock_rate = 1.0
-        # Delays of the next orders, which get no answer.
         self.order_delays_s: list[float] = []
+        self.renewal_delays_s: list[float] = []
+        self.next_boot_takes_late_calls = False
+        self.reports_born = True
         self.refuse_starts = False
         self.stall_starts = False
         self.calls: dict[str, int] = {}
-        self.boot(born=1)
+        self._booted = Event()
+        self.boot(born=unix_ms())
 
-    def boot(self, born: int) -> None:
+    def boot(self, born: int, clock_base_s: float = CLOCK_BASE_S) -> None:
         """Begin a new incarnation without the state of the previous one."""
         self.up = True
         self.born = born
         self.booted_s = current_time()
+        self.clock_base_s = clock_base_s
+        self.sequence = 0
         self.fence = 0
         self.lease_until_s = NEVER_S
-        self.running: dict[str, Run] = {}
+        self.running: dict[tuple[str, int], Run] = {}
         self.ended: list[tuple[int, Run]] = []
         self.last_number = 0
+        # By task, the highest run that was stopped or has ended.
         self.highest_runs: dict[str, int] = {}
         self._ended_event = Event()
+        self._booted.set()
 
     def crash(self) -> None:
         """End all runs without reporting them, and all connections."""
@@ -85,16 +111,27 @@
             run.how = "lost"
         self.running = {}
         self.up = False
+        self._booted = Event()
         self.network.kill(self.name)
 
-    async def restart(self, nursery: Nursery) -> None:
-        """Start again as the next incarnation under the same name."""
-        self.boot(self.born + 1)
+    async def restart(
+        self,
+        nursery: Nursery,
+        address: Address | None = None,
+        clock_base_s: float = CLOCK_BASE_S,
+    ) -> None:
+        """Start again as the next incarnation under the same name.
+
+        It listens at ``address`` if one is given, otherwise where it did.
+        """
+        self.address = address or self.address
+        self.boot(max(self.born + 1, unix_ms()), clock_base_s)
         await nursery.start(self.run)
 
     def clock_s(self) -> float:
         """Return the time on the worker's own clock."""
-        return (current_time() - self.booted_s) * self.clock_rate + 100.0
+        passed_s = current_time() - self.booted_s
+        return passed_s * self.clock_rate + self.clock_base_s
 
     async def run(
         self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
@@ -110,8 +147,10 @@
         draining = (
             {} if remaining_ms is None else {"remaining_ms": remaining_ms}
         )
+        self.sequence += 1
         return {
             **draining,
+            **self._born_field(),
             "service": service,
             "address": str(self.address),
             "zone": zone,
@@ -122,18 +161,27 @@
             "capacity": self.capacity,
             "labels": ["a", self.rack],
             "clock_ms": round(self.clock_s() * 1000),
-            "born": self.born,
-            "sequence": 1,
+            "sequence": self.sequence,
         }
 
     def tick(self, passed_s: float) -> None:
         """Advance all runs by a time; end those that are due or expired."""
-        if self.running and self.clock_s() > self.lease_until_s:
-            for run in list(self.running.values()):
-                self._end(run, "lapsed")
+        self._apply_lapse()
         for run in list(self.running.values()):
             self._work(run, passed_s)
 
+    def _apply_lapse(self) -> None:
+        """End all runs if the lease has expired.
+
+        Ends that were not acknowledged by then never count as acknowledged.
+        """
+        if self.clock_s() <= self.lease_until_s:
+            return
+        for run in list(self.running.values()):
+            self._end(run, "lapsed")
+        for _, run in self.ended:
+            run.lease_lapsed = True
+
     def _work(self, run: Run, passed_s: float) -> None:
         now_s = current_time()
         if run.stop_s is not None and now_s >= run.stop_s:
@@ -155,30 +203,54 @@
     def _end(self, run: Run, how: str) -> None:
         run.how = how
         run.ended_s = current_time()
-        del self.running[run.task]
+        del self.running[run.task, run.run]
+        self._raise_highest_run(run.task, run.run)
         self.last_number += 1
         self.ended.append((self.last_number, run))
         self._ended_event.set()
         self._ended_event = Event()
 
     async def _serve(self, stream: HalfCloseableStream) -> None:
-        await serve_connection(stream, self._handle, LIMITS, DrainState())
+        handler = partial(self._handle, self.born)
+        await serve_connection(stream, handler, LIMITS, DrainState())
 
-    async def _handle(self, request: Request) -> Response:
+    async def _handle(self, born: int, request: Request) -> Response:
+        """Handle a request on a connection to the incarnation ``born``."""
         body = parse_json(await request.body.read(100_000))
+        self._check_alive(born)
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        expected = request.headers.get(EXPECTED_INSTANCE, self.name)
+        if expected != self.name:
+            return json_response(421, self._with_clock({}))
         order = {
             "/run-start": self._start,
             "/run-stop": self._stop,
         }.get(request.path)
         if order is None:
-            return await self._hold(body)
+            return await self._hold(born, body)
         if self.order_delays_s:
-            await sleep(self.order_delays_s.pop(0))
-            order(body)
-            raise ConnectionLostError("The answer to the order is lost.")
+            await self._apply_late(
+                self.order_delays_s.pop(0), born, partial(order, body)
+            )
         return order(body)
 
+    def _check_alive(self, born: int) -> None:
+        """Raise ConnectionLostError unless the incarnation still runs."""
+        if not self.up or self.born != born:
+            raise ConnectionLostError("The worker has crashed.")
+
+    async def _apply_late(
+        self, delay_s: float, born: int, apply: Callable[[], object]
+    ) -> None:
+        """Carry out a call after a delay, then lose its answer."""
+        await sleep(delay_s)
+        if self.next_boot_takes_late_calls:
+            await self._booted.wait()
+        else:
+            self._check_alive(born)
+        apply()
+        raise ConnectionLostError("The answer to the call is lost.")
+
     def _fenced(self, body: dict[str, Any]) -> bool:
         token = body.get("fencing_token", 0)
         if token < self.fence:
@@ -197,18 +269,17 @@
         until_s = body["deadline_ms"] / 1000
         if until_s < self.clock_s():
             return self._refuse("late")
+        self._apply_lapse()
         self._extend(until_s)
         task, number = body["task"], body["run"]
-        present = self.running.get(task)
-        if present is not None and present.run == number:
+        if (task, number) in self.running:
             return json_response(200, self._with_clock({}))
         if number <= self.highest_runs.get(task, 0):
             return self._refuse("old")
         saved_s = int(body.get("checkpoint") or "0", 16) / 1000
         run = Run(task, number, self.name, current_time(), saved_s)
         run.stalled = self.stall_starts
-        self.highest_runs[task] = number
-        self.running[task] = run
+        self.running[task, number] = run
         self.history.record_start(run)
         return json_response(200, self._with_clock({}))
 
@@ -216,28 +287,45 @@
         if self._fenced(body):
             return self._refuse("fence")
         task, number = body["task"], body["run"]
-        self.highest_runs[task] = max(self.highest_runs.get(task, 0), number)
-        run = self.running.get(task)
-        if run is not None and run.run == number and run.stop_s is None:
+        self._raise_highest_run(task, number)
+        run = self.running.get((task, number))
+        if run is not None and run.stop_s is None:
             run.stop_s = current_time() + STOP_S
         return json_response(200, self._with_clock({}))
 
-    async def _hold(self, body: dict[str, Any]) -> Response:
-        if self._fenced(body):
+    def _raise_highest_run(self, task: str, number: int) -> None:
+        highest = self.highest_runs.get(task, 0)
+        self.highest_runs[task] = max(highest, number)
+
+    async def _hold(self, born: int, body: dict[str, Any]) -> Response:
+        renew = partial(self._renew, body)
+        if self.renewal_delays_s:
+            await self._apply_late(self.renewal_delays_s.pop(0), born, renew)
+        if not renew():
             return self._refuse("fence")
-        for number, run in self.ended:
-            if number <= body["last_seen"] and run.acknowledged_s is None:
-                run.acknowledged_s = current_time()
-        self.ended = [
-            entry for entry in self.ended if entry[0] > body["last_seen"]
-        ]
-        if "deadline_ms" in body:
-            self._extend(body["deadline_ms"] / 1000)
-        with move_on_after(body.get("wait_ms", 0) / 1000):
+        wait_s = min(body.get("wait_ms", 0) / 1000, WAIT_LIMIT_S)
+        with move_on_after(wait_s):
             while not self.ended:
                 await self._ended_event.wait()
+        self._check_alive(born)
         return json_response(200, self._run_lists())
 
+    def _renew(self, body: dict[str, Any]) -> bool:
+        """Renew the lease and forget ends; return False if it is fenced."""
+        if self._fenced(body):
+            return False
+        self._apply_lapse()
+        self._acknowledge(body["last_seen"])
+        if "deadline_ms" in body:
+            self._extend(body["deadline_ms"] / 1000)
+        return True
+
+    def _acknowledge(self, last_number: int) -> None:
+        for number, run in self.ended:
+            if number <= last_number and not run.lease_lapsed:
+                run.acknowledged_s = current_time()
+        self.ended = [entry for entry in self.ended if entry[0] > last_number]
+
     def _extend(self, until_s: float) -> None:
         until_s = min(until_s, self.clock_s() + LEASE_LIMIT_S)
         self.lease_until_s = max(self.lease_until_s, until_s)
@@ -245,7 +333,7 @@
     def _run_lists(self) -> dict[str, Any]:
         return self._with_clock(
             {
-                "born": self.born,
+                **self._born_field(),
                 "running": [
                     [
                         run.task,
@@ -263,11 +351,14 @@
                         run.how,
                         checkpoint_of(self.history, run),
                     ]
-                    for number, run in self.ended
+                    for number, run in self.ended[:ENDS_PER_REPORT]
                 ],
             }
         )
 
+    def _born_field(self) -> dict[str, int]:
+        return {"born": self.born} if self.reports_born else {}
+
     def _with_clock(self, value: dict[str, Any]) -> dict[str, Any]:
         return {"clock_ms": round(self.clock_s() * 1000), **value}
 
--- a/tests/tasks/test_worker_faults.py
+++ b/tests/tasks/test_worker_faults.py
@@ -227,7 +227,7 @@
     cluster.history.work_s[unknown] = 20.0
     number = len(cluster.history.runs) + 1
     run = Run(f"{unknown}.0.0.0", number, name, current_time(), 0.0)
-    worker.running[run.task] = run
+    worker.running[run.task, run.run] = run
     worker.lease_until_s = worker.clock_s() + 10.0
     cluster.history.record_start(run)
 
