--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -22,7 +22,7 @@
     """Server of the list of the workers' machines.
 
     Any ``status`` but 200 is the answer to all calls, without a list.
-    Workers in ``missing`` have no entry. The entries of those in ``moving``
+    Workers in ``hidden`` have no entry. The entries of those in ``moving``
     move to the first page while the later ones are read, so that a reader of
     several pages does not find them.
     """
@@ -38,7 +38,7 @@
         self.status = 200
         # Unless None, this answer is served instead of the list.
         self.answer: Any = None
-        self.missing: set[str] = set()
+        self.hidden: set[str] = set()
         self.moving: set[str] = set()
         self.calls = 0
         self._lagging: dict[str, dict[str, Any]] | None = None
@@ -81,7 +81,7 @@
     def _entries(self, first: int) -> list[dict[str, Any]]:
         """Return all entries, in their order while a page is read."""
         shown = self._current() if self._lagging is None else self._lagging
-        names = [name for name in shown if name not in self.missing]
+        names = [name for name in shown if name not in self.hidden]
         is_first_page = first == 0
         names.sort(key=lambda name: (name in self.moving) == is_first_page)
         return [shown[name] for name in names]
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -39,6 +39,13 @@
 ENDS_PER_REPORT = 500
 CLOCK_BASE_S = 100.0
 UNIX_BASE_MS = 1_700_000_000_000
+# What becomes of a late call if its worker has crashed before it is due: the
+# crash drops it; the next incarnation carries it out if it is up by then; the
+# next incarnation carries it out in any case; or only after another call.
+DROPPED = "dropped"
+IF_UP = "if up"
+ALWAYS = "always"
+AFTER_FIRST_CALL = "after first call"
 EXPECTED_INSTANCE = "damaskstall-expected-instance"
 LIMITS = ServerLimits(connections=100_000, idle_timeout_s=600.0)
 NEVER_S = float("-inf")
@@ -53,10 +60,9 @@
     """A worker that runs tasks according to the protocol.
 
     The next commands and the next renewals take ``order_delays_s`` and
-    ``renewal_delays_s`` to be carried out, and get no answer. One that is due
-    after a crash is dropped or, with ``next_boot_takes_late_calls``, carried
-    out by the next incarnation. Without ``reports_born``, nothing that the
-    worker says contains ``born``.
+    ``renewal_delays_s`` to be carried out, and get no answer; ``late_calls``
+    states what becomes of them after a crash. Without ``reports_born``,
+    nothing that the worker says contains ``born``.
     """
 
     def __init__(
@@ -79,7 +85,7 @@
         self.clock_rate = 1.0
         self.order_delays_s: list[float] = []
         self.renewal_delays_s: list[float] = []
-        self.next_boot_takes_late_calls = False
+        self.late_calls = IF_UP
         self.reports_born = True
         self.refuse_starts = False
         self.stall_starts = False
@@ -239,15 +245,23 @@
         if not self.up or self.born != born:
             raise ConnectionLostError("The worker has crashed.")
 
+    def _is_unused_next(self, born: int) -> bool:
+        """Return whether a later incarnation has to be called first."""
+        if self.late_calls != AFTER_FIRST_CALL or self.born == born:
+            return False
+        return self.fence == 0
+
     async def _apply_late(
         self, delay_s: float, born: int, apply: Callable[[], object]
     ) -> None:
         """Carry out a call after a delay, then lose its answer."""
         await sleep(delay_s)
-        if self.next_boot_takes_late_calls:
+        if self.late_calls == ALWAYS:
             await self._booted.wait()
-        else:
+        elif self.late_calls == DROPPED:
             self._check_alive(born)
+        elif not self.up or self._is_unused_next(born):
+            raise ConnectionLostError("The worker has crashed.")
         apply()
         raise ConnectionLostError("The answer to the call is lost.")
 
--- a/tests/test_operators_worker_standin.py
+++ b/tests/test_operators_worker_standin.py
@@ -12,6 +12,9 @@
 from standins.operators.machine_list import StandinMachineList
 from standins.operators.run_history import STOP_S, TICK_S, RunHistory
 from standins.operators.worker import (
+    AFTER_FIRST_CALL,
+    ALWAYS,
+    DROPPED,
     ENDS_PER_REPORT,
     EXPECTED_INSTANCE,
     PORT,
@@ -190,6 +193,7 @@
 
 def test_late_start_is_dropped_by_a_crash() -> None:
     async def scenario(site: Site) -> None:
+        site.worker.late_calls = DROPPED
         site.worker.order_delays_s = [0.5]
         assert (await site.start())[0] == 0
         await site.restart()
@@ -201,7 +205,7 @@
 
 def test_late_start_may_be_carried_out_by_the_next_incarnation() -> None:
     async def scenario(site: Site) -> None:
-        site.worker.next_boot_takes_late_calls = True
+        site.worker.late_calls = ALWAYS
         site.worker.order_delays_s = [0.5]
         await sleep(10.0)
         assert (await site.start())[0] == 0
@@ -213,9 +217,40 @@
     run_site(scenario)
 
 
+def test_late_start_is_lost_if_the_worker_is_down_when_it_is_due() -> None:
+    async def scenario(site: Site) -> None:
+        site.worker.order_delays_s = [0.5]
+        assert (await site.start())[0] == 0
+        site.worker.crash()
+        await sleep(1.0)
+        await site.worker.restart(site.nursery)
+        await sleep(1.0)
+        assert not site.history.runs
+
+    run_site(scenario)
+
+
+def test_late_start_may_have_to_wait_for_a_call_to_the_next() -> None:
+    async def scenario(site: Site) -> None:
+        site.worker.late_calls = AFTER_FIRST_CALL
+        await sleep(10.0)
+        site.worker.order_delays_s = [1.0, 1.0]
+        assert (await site.start())[0] == 0
+        await sleep(0.3)
+        assert (await site.start())[0] == 0
+        await site.restart()
+        await sleep(0.5)
+        assert not site.history.runs
+        await site.hold()
+        await sleep(0.5)
+        assert len(site.history.runs) == 1
+
+    run_site(scenario)
+
+
 def test_nothing_is_carried_out_while_the_worker_is_down() -> None:
     async def scenario(site: Site) -> None:
-        site.worker.next_boot_takes_late_calls = True
+        site.worker.late_calls = ALWAYS
         site.worker.order_delays_s = [0.5]
         assert (await site.start())[0] == 0
         site.worker.crash()
@@ -282,7 +317,7 @@
 
 def test_late_renewal_may_reach_the_next_incarnation() -> None:
     async def scenario(site: Site) -> None:
-        site.worker.next_boot_takes_late_calls = True
+        site.worker.late_calls = ALWAYS
         site.worker.renewal_delays_s = [2.0]
         assert await site.hold(last_seen=5) == (0, None)
         await site.restart()
@@ -400,7 +435,7 @@
         machines.moving = {"w04"}
         assert "m-w04" not in await read_machines(site)
         machines.moving = set()
-        machines.missing = {"w02"}
+        machines.hidden = {"w02"}
         assert "m-w02" not in await read_machines(site)
         assert len(await read_machines(site)) == 4
 
