--- a/tests/tasks/run_checker.py
+++ b/tests/tasks/run_checker.py
@@ -8,15 +8,20 @@
 
 def check_runs(cluster: Cluster) -> None:
     """Assert that the recorded runs satisfy all guarantees."""
+    check_tasks(cluster)
+    check_step_order(cluster)
+    check_capacity(cluster)
+    alone = [run.task for run in cluster.history.runs if run.how == "alone"]
+    assert not alone, f"gang members waited alone: {alone}"
+
+
+def check_tasks(cluster: Cluster) -> None:
+    """Assert that no task ran twice at once, or again after its end."""
     by_task: dict[str, list[Run]] = {}
     for run in cluster.history.runs:
         by_task.setdefault(run.task, []).append(run)
     for task, runs in by_task.items():
         check_single_run(task, runs)
-    check_step_order(cluster)
-    check_capacity(cluster)
-    alone = [run.task for run in cluster.history.runs if run.how == "alone"]
-    assert not alone, f"gang members waited alone: {alone}"
 
 
 def check_single_run(task: str, runs: list[Run]) -> None:
@@ -86,3 +91,20 @@
             assert (
                 len(done) == step["count"]
             ), f"{job_id} did not complete all of its tasks"
+
+
+def check_completed(cluster: Cluster, job_id: str) -> None:
+    """Assert that each task of a job, or its gang, has completed.
+
+    A task whose completion was never acknowledged may have done so again.
+    """
+    for number, step in enumerate(cluster.history.jobs[job_id]["steps"]):
+        done = {
+            run.name.task_index
+            for run in cluster.runs_of(job_id)
+            if run.name.step == number and run.how == "done"
+        }
+        needed = 1 if step.get("gang") else step["count"]
+        assert (
+            len(done) >= needed
+        ), f"{job_id} did not complete all of its tasks"
