--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trio import TASK_STATUS_IGNORED, TaskStatus
+from trio import TASK_STATUS_IGNORED, TaskStatus, sleep
 from trio.abc import HalfCloseableStream
 
 from damaskstall.addresses import Address
@@ -24,7 +24,9 @@
     Any ``status`` but 200 is the answer to all calls, without a list.
     Workers in ``hidden`` have no entry. The entries of those in ``moving``
     move to the first page while the later ones are read, so that a reader of
-    several pages does not find them.
+    several pages does not find them. Those in ``outdated`` are shown as
+    before the workers started. Each answer takes ``delay_s`` after its page
+    was read.
     """
 
     def __init__(
@@ -40,9 +42,16 @@
         self.answer: Any = None
         self.hidden: set[str] = set()
         self.moving: set[str] = set()
+        self.outdated: set[str] = set()
+        self.delay_s = 0.0
         self.calls = 0
+        self._hidden_once: set[str] = set()
         self._lagging: dict[str, dict[str, Any]] | None = None
 
+    def hide_once(self, name: str) -> None:
+        """Leave a worker's entry out of the next reading of all pages."""
+        self._hidden_once.add(name)
+
     def lag(self) -> None:
         """Keep showing the machines as they are now, until ``catch_up``."""
         self._lagging = self._current()
@@ -71,30 +80,41 @@
         entries = self._entries(first)
         last = first + PAGE_SIZE
         token = str(last) if last < len(entries) else None
+        if token is None:
+            self._hidden_once.clear()
+        await sleep(self.delay_s)
         return json_response(
             200, {"machines": entries[first:last], "next_page_token": token}
         )
 
     def _current(self) -> dict[str, dict[str, Any]]:
-        return {worker.name: entry(worker) for worker in self.workers()}
+        return {
+            worker.name: entry(worker, worker.name in self.outdated)
+            for worker in self.workers()
+        }
 
     def _entries(self, first: int) -> list[dict[str, Any]]:
         """Return all entries, in their order while a page is read."""
         shown = self._current() if self._lagging is None else self._lagging
-        names = [name for name in shown if name not in self.hidden]
+        hidden = self.hidden | self._hidden_once
+        names = [name for name in shown if name not in hidden]
         is_first_page = first == 0
         names.sort(key=lambda name: (name in self.moving) == is_first_page)
         return [shown[name] for name in names]
 
 
-def entry(worker: StandinWorker) -> dict[str, Any]:
-    """Return the list's entry for a worker's machine."""
+def entry(worker: StandinWorker, outdated: bool) -> dict[str, Any]:
+    """Return the list's entry for a worker's machine.
+
+    An outdated entry shows the machine before the worker started on it.
+    """
+    up = worker.up and not outdated
     return {
         "machine": f"m-{worker.name}",
         "pool": "svc",
-        "state": "up" if worker.up else "down",
+        "state": "up" if up else "down",
         "zone": "fd0",
         "labels": ["a", worker.rack],
         "capacity": worker.capacity,
-        "identifier": worker.name if worker.up else "",
+        "identifier": worker.name if up else "",
     }
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -120,6 +120,12 @@
         self._booted = Event()
         self.network.kill(self.name)
 
+    async def move(self, nursery: Nursery, address: Address) -> None:
+        """Continue at another address; all connections are lost."""
+        self.network.kill(self.name)
+        self.address = address
+        await nursery.start(self.run)
+
     async def restart(
         self,
         nursery: Nursery,
