--- a/tests/tasks/cluster.py
+++ b/tests/tasks/cluster.py
@@ -86,7 +86,9 @@
 class Cluster:
     """Nodes, stand-in workers and platform, with the clients' requests."""
 
-    def __init__(self, racks: int, per_rack: int) -> None:
+    def __init__(
+        self, racks: int, per_rack: int, reports_born: bool = True
+    ) -> None:
         """Create racks of workers, each rack a failure domain of its own."""
         self.network = MemoryNetwork()
         self.store = OperatorsStore(self.network)
@@ -107,6 +109,7 @@
                 self.workers[name] = StandinWorker(
                     self.network, self.history, name, address, label, CAPACITY
                 )
+                self.workers[name].reports_born = reports_born
 
     async def start(self, nursery: Nursery, nodes: int) -> None:
         """Start platform, workers and nodes; wait for a ready holder."""
@@ -298,10 +301,13 @@
 
 @asynccontextmanager
 async def open_cluster(
-    nodes: int = 2, racks: int = 2, per_rack: int = 2
+    nodes: int = 2,
+    racks: int = 2,
+    per_rack: int = 2,
+    reports_born: bool = True,
 ) -> AsyncIterator[Cluster]:
     """Yield a started cluster with a ready holder."""
-    cluster = Cluster(racks, per_rack)
+    cluster = Cluster(racks, per_rack, reports_born)
     async with open_nursery() as nursery:
         await cluster.start(nursery, nodes)
         yield cluster
@@ -311,7 +317,7 @@
 Scenario = Callable[[Cluster], Awaitable[None]]
 
 
-def run_scenario(scenario: Scenario, seed: int = 0, **sizes: int) -> None:
+def run_scenario(scenario: Scenario, seed: int = 0, **sizes: Any) -> None:
     """Run a scenario on a new cluster under virtual time."""
 
     async def main() -> None:
--- a/tests/tasks/soak_faults.py
+++ b/tests/tasks/soak_faults.py
@@ -50,7 +50,8 @@
         # Nothing can prevent that an incarnation that no holder has called yet
         # carries out a start of before.
         late_calls = random.choice((DROPPED, AFTER_FIRST_CALL))
-        self.note(f"late calls after a crash: {late_calls}")
+        born = [w.reports_born for w in cluster.workers.values()]
+        self.note(f"late calls after a crash: {late_calls}, 'born': {born[0]}")
         for worker in cluster.workers.values():
             worker.late_calls = late_calls
             worker.clock_rate = random.choice((1.0, 1.0, 0.98))
@@ -244,13 +245,15 @@
             await self._restart(worker)
 
     async def disturb_machine_list(self) -> None:
-        """Let entries of the machine list move, or let it lag."""
+        """Let the machine list fail, lag, or miss entries."""
         machines = self.cluster.machines
-        kind = self.random.choice(("moving", "lag", "status"))
+        kind = self.random.choice(("moving", "hidden", "lag", "status"))
         names = self.random.sample(list(self.cluster.workers), 2)
         self.note(f"machine list: {kind} {names}")
         if kind == "moving":
             machines.moving |= set(names)
+        elif kind == "hidden":
+            machines.hidden |= set(names)
         elif kind == "lag":
             machines.lag()
         else:
@@ -258,6 +261,8 @@
         await sleep(self.random.uniform(0.2, MACHINE_LIST_FAULT_MAX_S))
         if kind == "moving":
             machines.moving -= set(names)
+        elif kind == "hidden":
+            machines.hidden -= set(names)
         elif kind == "lag":
             machines.catch_up()
         else:
--- a/tests/tasks/test_reboot_soak.py
+++ b/tests/tasks/test_reboot_soak.py
@@ -228,6 +228,7 @@
         nodes=sizes.choice((2, 3)),
         racks=2,
         per_rack=sizes.choice((2, 3)),
+        reports_born=sizes.random() < 0.8,
     )
     if failures:
         fail(failures[0], pytrace=False)
