Take the refusal of a repeated exchange as no proof

A scheduler of the older interface could run a job twice that must run once. If an exchange reached a worker twice, the answer to the copy was 'stale sequence'. The session resolved its commands as refused, so that a run command that had been carried out counted as one that certainly never started: the attempt 'provably never ran', and a job that is not restartable was queued again.

The commands of such an exchange now count as lost: the worker may or may not have carried them out, which every caller handles.

Evidence: test_repeated_exchange_does_not_prove_that_its_run_never_started failed before with AssertionError: assert ['refused'] == ['lost'].

--- a/src/damaskstall/scheduler/worker_session.py
+++ b/src/damaskstall/scheduler/worker_session.py
@@ -35,6 +35,7 @@
 )
 
 STALE_EPOCH = "stale epoch"
+STALE_SEQUENCE = "stale sequence"
 
 DONE = "done"
 REFUSED = "refused"
@@ -285,7 +286,7 @@
         self._apply_tasks(answer)
         for index, pending in enumerate(batch):
             reason = answer.problem or answer.refused.get(index, "")
-            pending.resolve(REFUSED if reason else DONE, reason)
+            pending.resolve(outcome_of(answer, reason), reason)
         if changed:
             # Most answers contain no change and need no decision.
             self.listener.on_worker_changed(self)
@@ -315,3 +316,13 @@
         if was_reachable:
             log(WORKER_UNREACHABLE, worker=self.worker.name, reason=reason)
             self.listener.on_worker_changed(self)
+
+
+def outcome_of(answer: Answer, reason: str) -> str:
+    """Return a command's outcome from the reason for its refusal, if any.
+
+    A stale exchange may be the copy of one that was carried out before.
+    """
+    if answer.problem == STALE_SEQUENCE:
+        return COMMAND_LOST
+    return REFUSED if reason else DONE
