--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -22,6 +22,11 @@
     """Server of the list of the workers' machines.
 
     Any ``status`` but 200 is the answer to all calls, without a list.
+    Workers in ``hidden`` have no entry. The entries of those in ``moving``
+    move to the first page while the later ones are read, so that a reader of
+    several pages does not find them. Those in ``outdated`` are shown as
+    before the workers started. Each answer takes ``delay_s`` after its page
+    was read.
     """
 
     def __init__(
@@ -35,22 +40,26 @@
         self.status = 200
         # Unless None, this answer is served instead of the list.
         self.answer: Any = None
-        self.calls = 0
-        # Workers without an entry, and those whose machines are shown as they
-        # were before the workers started.
         self.hidden: set[str] = set()
+        self.moving: set[str] = set()
         self.outdated: set[str] = set()
-        # Delay of each answer after its page was read.
         self.delay_s = 0.0
+        self.calls = 0
         self._hidden_once: set[str] = set()
+        self._lagging: dict[str, dict[str, Any]] | None = None
 
     def hide_once(self, name: str) -> None:
-        """Leave a worker's entry out of the next reading of all pages.
-
-        An entry is missed that moves to an earlier page during a reading.
-        """
+        """Leave a worker's entry out of the next reading of all pages."""
         self._hidden_once.add(name)
 
+    def lag(self) -> None:
+        """Keep showing the machines as they are now, until ``catch_up``."""
+        self._lagging = self._current()
+
+    def catch_up(self) -> None:
+        """Show the machines as they are."""
+        self._lagging = None
+
     async def run(
         self, task_status: TaskStatus[Address] = TASK_STATUS_IGNORED
     ) -> None:
@@ -68,12 +77,7 @@
         if self.answer is not None:
             return json_response(200, self.answer)
         first = int(request.query.get("page_token", "0"))
-        hidden = self.hidden | self._hidden_once
-        entries = [
-            entry(worker, worker.name in self.outdated)
-            for worker in self.workers()
-            if worker.name not in hidden
-        ]
+        entries = self._entries(first)
         last = first + PAGE_SIZE
         token = str(last) if last < len(entries) else None
         if token is None:
@@ -83,6 +87,21 @@
             200, {"machines": entries[first:last], "next_page_token": token}
         )
 
+    def _current(self) -> dict[str, dict[str, Any]]:
+        return {
+            worker.name: entry(worker, worker.name in self.outdated)
+            for worker in self.workers()
+        }
+
+    def _entries(self, first: int) -> list[dict[str, Any]]:
+        """Return all entries, in their order while a page is read."""
+        shown = self._current() if self._lagging is None else self._lagging
+        hidden = self.hidden | self._hidden_once
+        names = [name for name in shown if name not in hidden]
+        is_first_page = first == 0
+        names.sort(key=lambda name: (name in self.moving) == is_first_page)
+        return [shown[name] for name in names]
+
 
 def entry(worker: StandinWorker, outdated: bool) -> dict[str, Any]:
     """Return the list's entry for a worker's machine.
