Recognize a restarted worker by ends that it should have forgotten

Callers would see a job that waits for ever, or a task that completes twice. A worker that reports no number of its incarnation, and whose clock starts ahead of the earlier one, was not recognized after a restart. Its ends had numbers that the session had acknowledged, so they were passed over and forgotten.

A worker forgets the ends up to an acknowledged number before it answers. A report that lists one of them after that answer is from another incarnation, and is treated as one with another number.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -490,15 +490,19 @@
                     self.acknowledged_end = max(self.acknowledged_end, newest)
 
     def _is_from_another_incarnation(self, report: WorkerReport) -> bool:
-        """Return whether a report differs in number or has a lower clock.
+        """Return whether a report can not be from the known incarnation.
 
-        Renewals are sent one after another, so no report overtakes another.
+        It differs in number, has a lower clock, or lists an end up to the
+        number whose acknowledgement was answered. Renewals are sent one after
+        another, so no report overtakes another.
         """
         if not self.clock_known:
             return False
         if report.incarnation != self.incarnation:
             return True
-        return report.clock_s < self._clock_s
+        if report.clock_s < self._clock_s:
+            return True
+        return any(end.number <= self._sent_end for end in report.ended)
 
     def _apply_run_lists(self, report: WorkerReport) -> None:
         listed = set()
