Compute the lease of a worker in a module of its own

The reading of the worker's clock and the expiry of its lease move to worker_lease.py; behaviour is the same.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -54,8 +54,8 @@
 from damaskstall.tasks.scheduling_input import SchedulingInput
 from damaskstall.tasks.stored_runs import adopt_stored_runs
 from damaskstall.tasks.sweeper import Sweeper
+from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
-from damaskstall.tasks.worker_session import OUTAGE_RENEWAL_LIMIT_S
 
 # Changes within this time are handled by one scheduling round.
 DECISION_BATCH_S = 0.01
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -25,12 +25,12 @@
     Unit,
 )
 from damaskstall.tasks.session_owner import SessionOwner
-from damaskstall.tasks.worker_list import WorkerList
-from damaskstall.tasks.worker_session import (
+from damaskstall.tasks.worker_lease import (
     OUTAGE_RENEWAL_LIMIT_S,
-    WorkerSession,
     lease_limit_s,
 )
+from damaskstall.tasks.worker_list import WorkerList
+from damaskstall.tasks.worker_session import WorkerSession
 
 # No worker is excluded as slow while this share of all workers is in backoff.
 # Up to 0.2 of a site's workers are slow at once.
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -44,6 +44,7 @@
 from damaskstall.tasks.run_log import log_run_launched
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
+from damaskstall.tasks.worker_lease import LATE_COMMAND_LIMIT_S, WorkerLease
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
 # detects a lost answer or a stalled run sooner, but each call to a worker
@@ -54,17 +55,6 @@
 # The members of a gang wait 3 s for each other. The window is well under that,
 # so that a gang with a lost start is stopped before its members time out.
 START_WINDOW_S = 1.5
-# The maximum time after which a command is carried out.
-LATE_COMMAND_LIMIT_S = 12.0
-# The clock of a worker that was idle is read again before a start if the last
-# reading is older than this, which limits the error of its estimate to 0.2 s.
-# A start waits for the reading no longer than an answer takes.
-CLOCK_AGE_LIMIT_S = 10.0
-CLOCK_WAIT_S = 0.25
-# A worker's clock may be 2% slow, and a worker that resumes after a suspension
-# kills expired runs up to 300 ms late.
-CLOCK_RATE_LIMIT = 1.02
-EXPIRY_MARGIN_S = 0.4
 RETRY_S = 0.1
 # A listed worker that is silent and has no runs is called less often, since
 # the platform charges for each call to a worker.
@@ -74,19 +64,11 @@
 LISTED_ENDS_LIMIT = 500
 # Concurrent commands to one worker; each needs a connection.
 CONCURRENT_COMMAND_LIMIT = 2
-# An earlier holder renews the leases of runs until its own lease expires, and
-# for this long afterwards during an outage of the store.
-OUTAGE_RENEWAL_LIMIT_S = 10.0
 # Maximum wait until the listed ends are stored. While the store accepts no
 # write, ends are not acknowledged and the worker lists them again.
 STORE_WAIT_LIMIT_S = 0.3
 
 
-def lease_limit_s(lease_s: float) -> float:
-    """Return the longest time that a worker's lease lasts on this clock."""
-    return lease_s * CLOCK_RATE_LIMIT + EXPIRY_MARGIN_S
-
-
 class WorkerSession:
     """State of one worker under one holder, and the calls to it."""
 
@@ -106,7 +88,6 @@
         self.tokens = tokens
         # The token of all commands to the worker's present incarnation.
         self.token = tokens.current
-        self.lease_s = lease_s
         self.clock = clock
         self.load = WorkerLoad()
         self.health = WorkerHealth()
@@ -127,12 +108,8 @@
         self._newest_end = 0
         self._sent_end = 0
         self.answered = Event()
-        self.clock_known = False
-        self._clock_s = 0.0
-        self._clock_read_s = 0.0
-        self._clock_read = Event()
-        self._lease_until_s = 0.0
         started_s = clock()
+        self.lease = WorkerLease(lease_s, started_s)
         self._entry_read_s = started_s
         # The start of the present silence, if the worker is not reachable.
         self.silent_since_s = started_s
@@ -141,10 +118,6 @@
         # higher token soon after it has started again.
         self._late_start_until_s = 0.0
         self._expect_late_start()
-        # Until the worker answers, an earlier holder's last renewal applies.
-        self._lease_expiry_s = (
-            started_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(self.lease_s)
-        )
         self._stop_sent_s: dict[RunKey, float] = {}
         self._command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
         self._wake = Event()
@@ -168,7 +141,7 @@
 
     def worker_clock_s(self) -> float:
         """Return the estimated present time on the worker's clock."""
-        return self._clock_s + (self.clock() - self._clock_read_s)
+        return self.lease.worker_clock_s(self.clock())
 
     def adopt(self, key: RunKey, demand: Demand) -> None:
         """Count a run that an earlier holder may have started."""
@@ -178,7 +151,7 @@
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
         self.load.add(key, demand)
-        if not self._clock_is_recent():
+        if not self.lease.clock_is_recent(self.clock()):
             self.wake()
 
     def release(self, key: RunKey) -> None:
@@ -198,7 +171,7 @@
                 self._advance_token()
                 await self.client.close()
                 return
-            if self.clock_known and self.reachable and self._is_idle():
+            if self.lease.clock_known and self.reachable and self._is_idle():
                 await self._wake.wait()
                 continue
             if not self.owner.may_renew_leases():
@@ -210,13 +183,13 @@
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
-        await self._wait_recent_clock()
+        await self._refresh_clock()
         if key not in self.load.runs:
             return
-        if not self.clock_known:
+        if not self.lease.clock_known:
             self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
             return
-        known_clock_s = self._clock_s
+        known_clock_s = self.lease.clock_s
         not_after_s = self.worker_clock_s() + START_WINDOW_S
         self.expected.add_launched(key, not_after_s)
         request = StartRequest(
@@ -237,7 +210,7 @@
                         log_launched("not needed")
                         return
                     attempts += 1
-                    self._extend_lease_expiry(not_after_s)
+                    self.lease.extend_expiry(not_after_s)
                     clock_s = await self.client.start(request)
             except CommandNotSentError:
                 await sleep(RETRY_S)
@@ -262,6 +235,12 @@
             return
         log_launched("no answer")
 
+    async def _refresh_clock(self) -> None:
+        """Wait a moment for a reading of the clock if the last one is old."""
+        if not self.lease.clock_is_recent(self.clock()):
+            self.wake()
+            await self.lease.wait_clock_read()
+
     def _should_send(self, request: StartRequest) -> bool:
         """Return whether a start is still needed by this incarnation."""
         if request.token != self.token or request.key not in self.expected:
@@ -286,18 +265,6 @@
         else:
             self.expected.confirm(key, clock_s)
 
-    def _clock_is_recent(self) -> bool:
-        """Return whether the worker's clock was read a short time ago."""
-        return self.clock() - self._clock_read_s < CLOCK_AGE_LIMIT_S
-
-    async def _wait_recent_clock(self) -> None:
-        """Wait a moment for a recent reading of the worker's clock."""
-        if self._clock_is_recent():
-            return
-        self.wake()
-        with move_on_after(CLOCK_WAIT_S):
-            await self._clock_read.wait()
-
     def _handle_start_refusal(
         self, request: StartRequest, error: Exception, unanswered: bool
     ) -> None:
@@ -390,18 +357,20 @@
 
     async def _renew_lease_once(self) -> bool:
         """Send one renewal; return whether the worker answered."""
-        if self.clock_known and self.reachable:
+        now_s = self.clock()
+        answers = self.lease.clock_known and self.reachable
+        if answers:
             # A silent worker's lease is not renewed, so that it expires.
-            self._lease_until_s = self.worker_clock_s() + self.lease_s
-        until_s = self._lease_until_s
-        may_wait = self.clock_known and self.reachable
-        may_wait = may_wait and self._may_have_runs()
-        may_wait = may_wait and self._clock_is_recent()
-        wait_s = RENEWAL_WAIT_S if may_wait else 0.0
+            self.lease.renew(now_s)
+        may_wait = answers and self._may_have_runs()
+        may_wait = may_wait and self.lease.clock_is_recent(now_s)
         request = LeaseRenewal(
-            self.token, until_s, self._next_acknowledgement(), wait_s
+            self.token,
+            self.lease.until_s,
+            self._next_acknowledgement(),
+            RENEWAL_WAIT_S if may_wait else 0.0,
         )
-        self._extend_lease_expiry(until_s)
+        self.lease.extend_expiry(request.lease_until_s)
         try:
             report = await self.client.renew_lease(request)
         except FencedError:
@@ -444,37 +413,16 @@
             return False
         return self._sent_end >= self._newest_end
 
-    def _extend_lease_expiry(self, until_s: float) -> None:
-        """Extend the time after which a silent worker's lease has expired.
-
-        ``until_s`` is the deadline of a command that is about to be sent:
-        that of a start extends the lease of everything on the worker too.
-        """
-        if not self.clock_known:
-            return
-        left_s = until_s - self._clock_s
-        expiry_s = (
-            self._clock_read_s + left_s * CLOCK_RATE_LIMIT + EXPIRY_MARGIN_S
-        )
-        self._lease_expiry_s = max(self._lease_expiry_s, expiry_s)
-
     async def _apply_report(self, report: WorkerReport) -> None:
         if self._is_from_another_incarnation(report):
             # Only lists that follow a renewal with a higher token are final.
             self._begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
-        self._clock_s = report.clock_s
-        self._clock_read_s = self.clock()
-        self._clock_read.set()
-        self._clock_read = Event()
-        if not self.clock_known:
+        if not self.lease.clock_known:
             log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
-            self._lease_expiry_s = self._clock_read_s + lease_limit_s(
-                self.lease_s
-            )
-            self.clock_known = True
             self.answered.set()
+        self.lease.record_clock(report.clock_s, self.clock())
         self.fenced = True
         if not self.reachable:
             self.reachable = True
@@ -496,11 +444,11 @@
         number whose acknowledgement was answered. Renewals are sent one after
         another, so no report overtakes another.
         """
-        if not self.clock_known:
+        if not self.lease.clock_known:
             return False
         if report.incarnation != self.incarnation:
             return True
-        if report.clock_s < self._clock_s:
+        if report.clock_s < self.lease.clock_s:
             return True
         return any(end.number <= self._sent_end for end in report.ended)
 
@@ -549,7 +497,7 @@
             self.silent_since_s = self.clock()
         self.reachable = False
         self.answered.set()
-        if self.clock() > self._lease_expiry_s and self.load.runs:
+        if self.clock() > self.lease.expires_s and self.load.runs:
             log(
                 RUNS_LAPSED,
                 worker=self.worker.name,
@@ -578,12 +526,8 @@
         self.acknowledged_end = 0
         self._newest_end = 0
         self._sent_end = 0
-        self.clock_known = False
         self.fenced = False
-        self._lease_until_s = 0.0
-        self._lease_expiry_s = (
-            self.clock() + LATE_COMMAND_LIMIT_S + lease_limit_s(self.lease_s)
-        )
+        self.lease.begin_incarnation(self.clock())
         self.expected.expect_in_next_lists()
         self.wake()
 
