Keep the runs of a silent worker that may yet be started late

A review of the fixes found that a start without an answer may still be carried out after its run was ended: the machine list or the lease shows that the worker's incarnation has ended, but the next one under the same name carries the start out up to 12 s later, and the task runs twice at once. A start whose repeat was answered may do so too, and a session that has closed could not raise the token of the next incarnation.

A run is now ended by the list of machines only if no start of it can be carried out late, or another worker runs on the machine; by the lease only if such a start's lease has expired too. A session stays open as long, starts are sent only while the worker answers and the lease of the holder is held.

Two more faults of the review are fixed with it, in the same functions: a next incarnation is not used by the entry of the earlier one, which may be of another kind; and a report without ends no longer leaves a session calling without a pause.

--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -109,7 +109,7 @@
         return HttpClient(self.network, address, COMMAND_TIMEOUT_S)
 
     async def _close_earlier(self) -> None:
-        """Close the idle connections to earlier addresses."""
+        """Close the connections to earlier addresses that no call uses."""
         for client in self._earlier_clients:
             await client.close()
 
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -140,7 +140,7 @@
     "WARNING",
     "end_unmatched",
     "A worker listed the end of a run that is not the present run of its "
-    "task: the end is ignored.",
+    "task.",
 )
 RUN_OVERDUE = Event(
     8038,
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -169,6 +169,13 @@
             self.context.clock(), OUTAGE_RENEWAL_LIMIT_S
         )
 
+    def may_start_runs(self) -> bool:
+        """Return whether start commands may be sent.
+
+        A successor that may exist does not know of them.
+        """
+        return self.lease.is_held(self.context.clock())
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
         found = find_run(self.jobs, report.key)
--- a/src/damaskstall/tasks/machine_evidence.py
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -47,9 +47,10 @@
         answering: Set[str],
         entries: Iterable[MachineEntry],
         now_s: float,
-    ) -> set[str]:
+    ) -> dict[str, bool]:
         """Return the silent workers that have ended, by a new reading.
 
+        The value states whether another worker runs on the machine.
         ``silent_since`` has the start of each silent worker's present silence,
         which began before the reading did.
         """
@@ -62,16 +63,16 @@
             if entry.worker:
                 self._machine_of[entry.worker] = entry.machine
         shown = {entry.worker for entry in found}
-        ended = set()
+        ended: dict[str, bool] = {}
         for name, since_s in silent_since.items():
             if name in shown:
                 continue
             machine = self._machine_of.get(name)
             if machine is not None:
                 if machine in on_machine:
-                    ended.add(name)
+                    ended[name] = on_machine[machine] != {""}
             elif complete and self._is_absent_long(name, since_s, now_s):
-                ended.add(name)
+                ended[name] = False
         self._forget_absences(silent_since, shown, complete)
         return ended
 
--- a/src/damaskstall/tasks/machine_list_poller.py
+++ b/src/damaskstall/tasks/machine_list_poller.py
@@ -74,5 +74,6 @@
             entries,
             self.pool.context.clock(),
         )
-        for name in sorted(ended):
-            self.pool.record_machine_stopped(name, silent_since[name])
+        for name, replaced in sorted(ended.items()):
+            since_s = silent_since[name]
+            self.pool.record_machine_stopped(name, since_s, replaced)
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -67,7 +67,10 @@
 def log_end_unmatched(
     worker: str, end: EndReport, present_run: int | None
 ) -> None:
-    """Log an ignored end; ``present_run`` is None if the job is unknown."""
+    """Log the end of a run that is not present in its task.
+
+    ``present_run`` is None if the job is unknown.
+    """
     ENDS_UNMATCHED.inc({"how": end.how})
     log(
         END_UNMATCHED,
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -15,6 +15,9 @@
     def may_renew_leases(self) -> bool:
         """Return whether the leases of runs may be renewed."""
 
+    def may_start_runs(self) -> bool:
+        """Return whether start commands may be sent."""
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
 
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -165,14 +165,17 @@
             if session.reachable and session.load.runs
         }
 
-    def record_machine_stopped(self, name: str, since_s: float) -> None:
+    def record_machine_stopped(
+        self, name: str, since_s: float, replaced: bool = False
+    ) -> None:
         """Record that a worker has ended that was silent since a time.
 
-        Ends the runs that the worker had in that silence.
+        Ends the runs that the worker had in that silence. ``replaced`` states
+        that another worker runs on its machine.
         """
         session = self.sessions.get(name)
         if session is not None:
-            session.record_machine_down(since_s)
+            session.record_machine_down(since_s, replaced)
         for key, orphan in list(self._orphans.items()):
             if orphan.worker == name and orphan.adopted_s <= since_s:
                 self._end_orphan(key, orphan, MACHINE_DOWN)
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -8,6 +8,7 @@
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
 from damaskstall.errors import (
+    CommandError,
     CommandNotSentError,
     CommandOutcomeUnknownError,
     CommandRefusedError,
@@ -26,7 +27,7 @@
     TASK_WORKER_LOST,
     TASK_WORKER_REPLACED,
 )
-from damaskstall.tasks.expected_runs import ExpectedRuns
+from damaskstall.tasks.expected_runs import ALWAYS_S, ExpectedRuns
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
@@ -44,7 +45,11 @@
 from damaskstall.tasks.run_log import log_run_launched
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
-from damaskstall.tasks.worker_lease import LATE_COMMAND_LIMIT_S, WorkerLease
+from damaskstall.tasks.worker_lease import (
+    LATE_COMMAND_LIMIT_S,
+    WorkerLease,
+    lease_limit_s,
+)
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
 # detects a lost answer or a stalled run sooner, but each call to a worker
@@ -116,8 +121,10 @@
         # Until then the worker may carry out a start that was not answered,
         # of this or an earlier holder. It is called, so that it accepts a
         # higher token soon after it has started again.
-        self._late_start_until_s = 0.0
-        self._expect_late_start()
+        self._late_start_until_s = started_s + LATE_COMMAND_LIMIT_S
+        # By run, the time until which a start that was not answered may be
+        # carried out, also by the worker's next incarnation.
+        self._late_starts: dict[RunKey, float] = {}
         self._stop_sent_s: dict[RunKey, float] = {}
         self._command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
         self._wake = Event()
@@ -131,6 +138,7 @@
             and not self.closed
             and not self.has_unknown_runs
             and self.listed
+            and not self._entry_is_outdated()
             and not self.worker.leaving
             and self.health.may_start(self.clock())
         )
@@ -158,6 +166,7 @@
         """Stop counting a run; request a decision if it was counted."""
         self.expected.remove(key)
         self._stop_sent_s.pop(key, None)
+        self._late_starts.pop(key, None)
         if self.load.remove(key):
             self.owner.request_decision()
 
@@ -165,7 +174,7 @@
         """Renew the lease and record ends until the worker is removed."""
         self._nursery = nursery
         while True:
-            if not self.load.runs and not self.listed:
+            if not self.listed and not self._may_have_runs():
                 self.closed = True
                 # A later session with this worker has a higher token.
                 self._advance_token()
@@ -178,15 +187,16 @@
                 await sleep(RETRY_S)
                 continue
             if not await self._renew_lease_once():
-                may_have_runs = self._may_have_runs()
-                await sleep(RETRY_S if may_have_runs else IDLE_RETRY_S)
+                urgent = bool(self.load.runs)
+                urgent = urgent or (self.listed and self._may_have_runs())
+                await sleep(RETRY_S if urgent else IDLE_RETRY_S)
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
         await self._refresh_clock()
         if key not in self.load.runs:
             return
-        if not self.lease.clock_known:
+        if not self.lease.clock_known or self._entry_is_outdated():
             self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
             return
         known_clock_s = self.lease.clock_s
@@ -210,14 +220,12 @@
                         log_launched("not needed")
                         return
                     attempts += 1
-                    self.lease.extend_expiry(not_after_s)
-                    clock_s = await self.client.start(request)
+                    clock_s = await self._send_start(request)
             except CommandNotSentError:
                 await sleep(RETRY_S)
                 continue
             except CommandOutcomeUnknownError:
                 unanswered += 1
-                self._expect_late_start()
                 await sleep(RETRY_S)
                 continue
             except (
@@ -245,13 +253,37 @@
         """Return whether a start is still needed by this incarnation."""
         if request.token != self.token or request.key not in self.expected:
             return False
-        if not self.owner.may_renew_leases():
+        if not self.owner.may_start_runs():
             return False
         return self.owner.should_continue(request.key)
 
-    def _expect_late_start(self) -> None:
-        """Note that a start without an answer may be carried out late."""
-        self._late_start_until_s = self.clock() + LATE_COMMAND_LIMIT_S
+    async def _send_start(self, request: StartRequest) -> float:
+        """Send a start; it may be carried out late unless it is answered.
+
+        Raises CommandNotSentError while the worker does not answer renewals,
+        whose next answer shows whether it has started again.
+        """
+        if not self.reachable:
+            raise CommandNotSentError("The worker does not answer.")
+        earlier_s = self._late_starts.get(request.key, ALWAYS_S)
+        self._expect_late_start(request.key)
+        self.lease.extend_expiry(request.not_after_s)
+        try:
+            clock_s = await self.client.start(request)
+        except CommandOutcomeUnknownError:
+            self._expect_late_start(request.key)
+            raise
+        except CommandError:
+            self._late_starts[request.key] = earlier_s
+            raise
+        self._late_starts[request.key] = earlier_s
+        return clock_s
+
+    def _expect_late_start(self, key: RunKey) -> None:
+        """Note that a start may be carried out late from now on."""
+        until_s = self.clock() + LATE_COMMAND_LIMIT_S
+        self._late_starts[key] = until_s
+        self._late_start_until_s = until_s
 
     def _confirm_start(
         self, key: RunKey, clock_s: float, known_clock_s: float
@@ -316,20 +348,23 @@
         passed_s = self.clock() - self._entry_read_s
         return max(0.0, self.worker.leaves_in_s - passed_s)
 
-    def record_machine_down(self, since_s: float) -> None:
-        """Record that the worker has ended: end all its runs.
+    def record_machine_down(
+        self, since_s: float, replaced: bool = False
+    ) -> None:
+        """Record that the worker has ended: end its runs.
 
         Does nothing if the worker has answered since ``since_s``, the start of
-        the silence in which its end was observed.
+        the silence in which its end was observed. Unless another worker has
+        ``replaced`` it on its machine, it may start again, so the runs that
+        its next incarnation may start late are kept.
         """
         if self.reachable or self.silent_since_s != since_s:
             return
-        if not self.load.runs:
+        runs = list(self.load.runs) if replaced else self._settled_runs(0.0)
+        if not runs:
             return
-        log(
-            TASK_WORKER_GONE, worker=self.worker.name, runs=len(self.load.runs)
-        )
-        self._end_all(MACHINE_DOWN)
+        log(TASK_WORKER_GONE, worker=self.worker.name, runs=len(runs))
+        self._end_runs(runs, MACHINE_DOWN)
 
     def wake(self) -> None:
         """Wake the session to renew the lease if runs need it."""
@@ -349,6 +384,14 @@
                 self._begin_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
+    def _entry_is_outdated(self) -> bool:
+        """Return whether the entry is that of an earlier incarnation.
+
+        The present one may have another capacity and other labels.
+        """
+        listed = self.worker.incarnation
+        return 0 < listed < self.incarnation
+
     def _follow_address(self, worker: WorkerInfo) -> None:
         """Call the worker where its entry says, if that has changed."""
         earlier = (self.worker.host, self.worker.port)
@@ -428,9 +471,9 @@
             self.reachable = True
             self.owner.request_decision()
         self._apply_run_lists(report)
+        self._newest_end = max((end.number for end in report.ended), default=0)
         if report.ended:
             newest = max(end.number for end in report.ended)
-            self._newest_end = max(self._newest_end, newest)
             with move_on_after(STORE_WAIT_LIMIT_S):
                 token = self.token
                 await self.owner.wait_ends_stored()
@@ -497,13 +540,12 @@
             self.silent_since_s = self.clock()
         self.reachable = False
         self.answered.set()
-        if self.clock() > self.lease.expires_s and self.load.runs:
-            log(
-                RUNS_LAPSED,
-                worker=self.worker.name,
-                runs=len(self.load.runs),
-            )
-            self._end_all(LEASE_EXPIRED)
+        if self.clock() <= self.lease.expires_s:
+            return
+        runs = self._settled_runs(lease_limit_s(self.lease.lease_s))
+        if runs:
+            log(RUNS_LAPSED, worker=self.worker.name, runs=len(runs))
+            self._end_runs(runs, LEASE_EXPIRED)
 
     def _begin_incarnation(self, incarnation: int, source: str) -> None:
         """Begin anew with another incarnation of the worker.
@@ -542,8 +584,20 @@
         if token == self.token:
             self.owner.step_down()
 
-    def _end_all(self, evidence: str) -> None:
-        for key in list(self.load.runs):
+    def _settled_runs(self, lease_s: float) -> list[RunKey]:
+        """Return the runs that no start can begin or continue any more.
+
+        A start that is carried out late gives its run a lease of ``lease_s``.
+        """
+        now_s = self.clock()
+        return [
+            key
+            for key in self.load.runs
+            if now_s >= self._late_starts.get(key, ALWAYS_S) + lease_s
+        ]
+
+    def _end_runs(self, runs: list[RunKey], evidence: str) -> None:
+        for key in runs:
             self._end(key, ENDED_LAPSED, evidence)
 
     def _end(self, key: RunKey, how: str, evidence: str) -> None:
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -150,6 +150,10 @@
         """Return the same demand for all runs."""
         return DEMAND
 
+    def may_start_runs(self) -> bool:
+        """Return whether starts are allowed."""
+        return True
+
     def may_renew_leases(self) -> bool:
         """Allow all renewals."""
         return True
--- a/tests/tasks/test_worker_reboots.py
+++ b/tests/tasks/test_worker_reboots.py
@@ -147,6 +147,7 @@
         await cluster.wait(lambda: not worker.renewal_delays_s)
         await sleep(0.1)
         await reboot(cluster, worker)
+        cluster.register_worker(worker)
         await cluster.wait(lambda: worker.running)
         await sleep(1.5)
         cluster.disconnect_worker(worker.name)
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -66,6 +66,10 @@
         """Let every run continue."""
         return True
 
+    def may_start_runs(self) -> bool:
+        """Return whether starts are allowed."""
+        return self.may_renew
+
     def may_renew_leases(self) -> bool:
         """Return whether the holder's lease allows renewals."""
         return self.may_renew
