Release the reservations of a job whose rows are gone

When a write met a conflict and the job's row no longer existed, the job was dropped, but a run that had been reserved and not yet stored stayed counted on its worker for as long as the holder lived, and the task that was to launch it waited for the write for ever.

Such a run was never launched, so it is now forgotten: its reservation is released and its unit has no members, which ends the waiting launch. wait_stored returns for a job that is no longer queued for writing. Launched runs stay counted until their workers list their ends.

Two tests failed before with: - reserved capacity: AssertionError: [[RunKey(task=TaskKey( job_id='', occurrence=0, step=0, task_index=0), run=1)], [], [], []] - wait for the write: trio.TooSlowError The third, that a launched run stays counted, passed before too. It fails when the runs are released without regard to whether they are stored.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -52,7 +52,10 @@
 from damaskstall.tasks.run_monitor import RunMonitor
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
-from damaskstall.tasks.stored_runs import adopt_stored_runs
+from damaskstall.tasks.stored_runs import (
+    adopt_stored_runs,
+    forget_unstored_runs,
+)
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
@@ -221,9 +224,14 @@
     def merge_stored_row(
         self, progress: JobProgress, value: Value | None, revision: int
     ) -> None:
-        """Merge the state that another process wrote to a job's row."""
+        """Merge the state that another process wrote to a job's row.
+
+        A job without a row is dropped. Its launched runs are counted until
+        their workers list their ends.
+        """
         if value is None:
             self.jobs.pop(progress.job_id, None)
+            forget_unstored_runs(progress, self.pool)
             return
         log(PROGRESS_CONFLICT, job=progress.job_id, revision=revision)
         progress.revision = revision
--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -69,6 +69,10 @@
         self.dirty[progress.job_id] = progress
         self.wake.set()
 
+    def is_queued(self, progress: JobProgress) -> bool:
+        """Return whether the job has changes that are yet to be written."""
+        return self.dirty.get(progress.job_id) is progress
+
     async def run(self) -> None:
         """Write queued progress until cancelled."""
         tries = 0
@@ -179,7 +183,10 @@
         self.parts[part_of(progress.job_id)].add(progress)
 
     async def wait_stored(self, progress: JobProgress, count: int) -> None:
-        """Return once the row contains the job's first ``count`` changes."""
+        """Return once the row contains the job's first ``count`` changes.
+
+        Return also once the row is gone, so that nothing more is written.
+        """
         writer = self.parts[part_of(progress.job_id)]
-        while progress.stored_changes < count:
+        while progress.stored_changes < count and writer.is_queued(progress):
             await writer.stored.wait()
--- a/src/damaskstall/tasks/stored_runs.py
+++ b/src/damaskstall/tasks/stored_runs.py
@@ -40,6 +40,15 @@
                 counter.adopt(progress, unit)
 
 
+def forget_unstored_runs(progress: JobProgress, counter: RunCounter) -> None:
+    """Forget the runs that are not stored, which were not launched."""
+    for unit in progress.all_units():
+        if unit.run > unit.stored_run:
+            counter.release(progress, unit)
+            unit.members = []
+            unit.stopping = False
+
+
 def adopt_unit(unit: Unit, stored: Unit) -> None:
     """Replace the present run of a unit by the stored one."""
     unit.run = stored.run
