Mark removed jobs for wait_stored explicitly

If the queue was bypassed, wait_stored returned before the row was written, and the run was launched unstored.

Now the writer marks a job as removed where it finds its row gone, and wait_stored returns early for such a job only.

--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Protocol
 from uuid import uuid4
+from weakref import WeakSet
 
 from trio import Event, Nursery, sleep
 
@@ -59,6 +60,8 @@
         self.handler = handler
         self.epoch = epoch
         self.dirty: dict[str, JobProgress] = {}
+        # Jobs whose rows are gone, while any task still refers to them.
+        self.removed: WeakSet[JobProgress] = WeakSet()
         self.failing = False
         self.wake = Event()
         self.stored = Event()
@@ -69,10 +72,6 @@
         self.dirty[progress.job_id] = progress
         self.wake.set()
 
-    def is_queued(self, progress: JobProgress) -> bool:
-        """Return whether the job has changes that are yet to be written."""
-        return self.dirty.get(progress.job_id) is progress
-
     async def run(self) -> None:
         """Write queued progress until cancelled."""
         tries = 0
@@ -135,6 +134,7 @@
             row = await self.table.read(progress_row_key(progress.job_id))
             if row is None:
                 self.dirty.pop(progress.job_id, None)
+                self.removed.add(progress)
                 self.handler.merge_stored_row(progress, None, 0)
             elif mutation_id and row.mutation_id == mutation_id:
                 self._mark_stored(progress, row.revision, count)
@@ -185,8 +185,10 @@
     async def wait_stored(self, progress: JobProgress, count: int) -> None:
         """Return once the row contains the job's first ``count`` changes.
 
-        Return also once the row is gone, so that nothing more is written.
+        Return also once the row was found to be gone.
         """
         writer = self.parts[part_of(progress.job_id)]
-        while progress.stored_changes < count and writer.is_queued(progress):
+        while progress.stored_changes < count:
+            if progress in writer.removed:
+                return
             await writer.stored.wait()
