--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -214,7 +214,7 @@
         self._wake.set()
 
     def step_down(self) -> None:
-        """End this holder: the workers have accepted a higher epoch."""
+        """End this holder: a worker has a higher token, or none is left."""
         self.lease.lost = True
         self.scope.cancel()
 
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -31,4 +31,4 @@
         """Request a scheduling round: a worker may have free capacity."""
 
     def step_down(self) -> None:
-        """End this holder: a worker has accepted a higher token."""
+        """End this holder: a worker has a higher token, or none is left."""
