--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -1,6 +1,6 @@
 """Log and count starts, stops and ends of units, runs and jobs."""
 
-from damaskstall.events import log
+from damaskstall.events import Field, log
 from damaskstall.tasks.events import (
     END_UNMATCHED,
     RUN_ENDED,
@@ -49,15 +49,22 @@
     )
 
 
+def run_fields(key: RunKey) -> dict[str, Field]:
+    """Return the log fields that identify a run."""
+    return {
+        "job": key.task.job_id,
+        "step": key.task.step,
+        "index": key.task.task_index,
+        "run": key.run,
+    }
+
+
 def log_run_ended(worker: str, end: EndReport) -> None:
     """Log and count the end of one task's run."""
     RUNS_ENDED.inc({"how": end.how, "evidence": end.evidence})
     log(
         RUN_ENDED,
-        job=end.key.task.job_id,
-        step=end.key.task.step,
-        index=end.key.task.task_index,
-        run=end.key.run,
+        **run_fields(end.key),
         worker=worker,
         how=end.how,
         evidence=end.evidence,
@@ -74,10 +81,7 @@
     ENDS_UNMATCHED.inc({"how": end.how})
     log(
         END_UNMATCHED,
-        job=end.key.task.job_id,
-        step=end.key.task.step,
-        index=end.key.task.task_index,
-        run=end.key.run,
+        **run_fields(end.key),
         worker=worker,
         how=end.how,
         evidence=end.evidence,
@@ -91,10 +95,7 @@
     """Log the outcome of a run's start command and of its repeats."""
     log(
         RUN_LAUNCHED,
-        job=key.task.job_id,
-        step=key.task.step,
-        index=key.task.task_index,
-        run=key.run,
+        **run_fields(key),
         worker=worker,
         outcome=outcome,
         attempts=attempts,
@@ -106,10 +107,7 @@
     """Log that nothing was heard of a run for ``silent_s``."""
     log(
         RUN_OVERDUE,
-        job=key.task.job_id,
-        step=key.task.step,
-        index=key.task.task_index,
-        run=key.run,
+        **run_fields(key),
         worker=member.worker,
         silent_s=round(silent_s, 1),
         confirmed=member.confirmed,
