--- a/tests/tasks/test_renewal_pauses.py
+++ b/tests/tasks/test_renewal_pauses.py
@@ -1,5 +1,6 @@
 """A session does not call a worker without a pause."""
 
+from pytest import MonkeyPatch
 from trio import sleep
 
 from damaskstall.tasks.ports import EndReport, LeaseRenewal, WorkerReport
@@ -12,7 +13,9 @@
 )
 
 
-def test_end_that_is_no_longer_listed_does_not_cause_a_storm() -> None:
+def test_end_that_is_no_longer_listed_does_not_cause_a_storm(
+    monkeypatch: MonkeyPatch,
+) -> None:
     """The worker started again without a sign before its end was stored."""
 
     async def body(
@@ -32,7 +35,7 @@
         worker.report(1020.0, 1, ended=(EndReport(1, KEY, "done", ""),))
         session.wake()
         await sleep(1.0)
-        worker.renew_lease = renew  # type: ignore[method-assign]
+        monkeypatch.setattr(worker, "renew_lease", renew)
         worker.report(1040.0, 1)
         await sleep(10.0)
         assert len(calls) <= 100, f"{len(calls)} calls in 10 s"
