Store which starts were answered, and expect the others late

Cause: a successor did not know which starts of the killed holder were unanswered. The list of machines ended a run whose start was still on its way, and the worker, started again under its name, carried it out beside the next run.

Weighed: counting every adopted run as possibly late for 12 s needs no mark, but it keeps a successor from replacing crashed workers for 12 s (test_successor_detects_crashed_workers_that_are_not_listed allows 7 s). So the row now has, for each unit, the members whose starts were all answered, as a third entry of a step that older versions ignore. It is written with the change that marks a unit as begun, which moves from the first report to the answer; a run that is started again costs one more change of its row.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -179,6 +179,19 @@
         """
         return self.lease.is_held(self.context.clock())
 
+    def record_settled(self, key: RunKey) -> None:
+        """Record that no start of a run can be carried out late any more.
+
+        A successor then needs no proof that the run has ended but its worker.
+        """
+        found = find_run(self.jobs, key)
+        if found is None:
+            return
+        progress, unit, position = found
+        unit.members[position].settled = True
+        unit.has_begun = True
+        self.schedule_write(progress)
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
         found = find_run(self.jobs, report.key)
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -149,11 +149,12 @@
 
 
 def encode_units(units: list[Unit]) -> list[Any]:
-    """Return the units of one step as a bit set and a mapping.
+    """Return the units of one step as a bit set and two mappings.
 
-    The hexadecimal bit set marks the units that are done. The mapping has an
-    entry by index for each unit with a run, unless it is done and no run may
-    exist.
+    The hexadecimal bit set marks the units that are done. The first mapping
+    has an entry by index for each unit with a run, unless it is done and no
+    run may exist. The second one has a bit set of the settled members of each
+    unit that has any; rows of older versions lack it.
     """
     done = sum(1 << number for number, unit in enumerate(units) if unit.done)
     unfinished = {
@@ -161,7 +162,21 @@
         for number, unit in enumerate(units)
         if unit.active or (unit.run and not unit.done)
     }
-    return [f"{done:x}", unfinished]
+    settled = {
+        str(number): f"{settled_members(unit):x}"
+        for number, unit in enumerate(units)
+        if settled_members(unit)
+    }
+    return [f"{done:x}", unfinished, settled]
+
+
+def settled_members(unit: Unit) -> int:
+    """Return a bit set of the members whose starts were all answered."""
+    return sum(
+        1 << position
+        for position, member in enumerate(unit.members)
+        if member.settled
+    )
 
 
 def encode_unit(unit: Unit) -> list[Any]:
@@ -193,12 +208,16 @@
 def restore_units(units: list[Unit], stored: list[Any], now_s: float) -> None:
     """Set the units of one step to their stored state."""
     done, unfinished = int(stored[0], 16), stored[1]
+    settled = stored[2] if len(stored) > 2 else {}
     for number, unit in enumerate(units):
         unit.done = bool(done >> number & 1)
         unit.has_begun = unit.has_begun or unit.done
         fields = unfinished.get(str(number))
         if fields is not None:
             restore_unit(unit, fields, now_s)
+        bits = int(settled.get(str(number), "0"), 16)
+        for position, member in enumerate(unit.members):
+            member.settled = bool(bits >> position & 1)
 
 
 def restore_unit(unit: Unit, fields: list[Any], now_s: float) -> None:
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -35,10 +35,19 @@
 
     ``worker`` and ``incarnation`` identify the worker on which the run was
     placed. ``ended`` is the outcome, empty while the run may exist.
-    ``confirmed`` states that the worker has reported the run as running.
+    ``confirmed`` states that the worker has reported the run as running, and
+    ``settled`` that it has answered each start command of the run, so that
+    none can be carried out late.
     """
 
-    __slots__ = ("worker", "incarnation", "ended", "confirmed", "pace")
+    __slots__ = (
+        "worker",
+        "incarnation",
+        "ended",
+        "confirmed",
+        "settled",
+        "pace",
+    )
 
     def __init__(self, worker: str, incarnation: int) -> None:
         """Create a member whose run is placed on a worker."""
@@ -46,6 +55,7 @@
         self.incarnation = incarnation
         self.ended = ""
         self.confirmed = False
+        self.settled = False
         self.pace = PaceHistory()
 
 
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -18,6 +18,12 @@
     def may_start_runs(self) -> bool:
         """Return whether start commands may be sent."""
 
+    def record_settled(self, key: RunKey) -> None:
+        """Record that a run has started and each of its starts was answered.
+
+        None of them can be carried out late any more.
+        """
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
 
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -13,6 +13,7 @@
 from damaskstall.tasks.capacity import FreeCapacity
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
+from damaskstall.tasks.expected_runs import ALWAYS_S
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
 from damaskstall.tasks.ports import LEASE_EXPIRED, MACHINE_DOWN, EndReport
@@ -26,6 +27,7 @@
 )
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_lease import (
+    LATE_COMMAND_LIMIT_S,
     OUTAGE_RENEWAL_LIMIT_S,
     lease_limit_s,
 )
@@ -38,10 +40,14 @@
 
 
 class Orphan(NamedTuple):
-    """Unlisted worker of a run, and the time at which its lease expires."""
+    """Unlisted worker of a run, and the time at which its lease expires.
+
+    A start of the run may be carried out late until ``late_start_until_s``.
+    """
 
     worker: str
     adopted_s: float
+    late_start_until_s: float
     expires_s: float
 
 
@@ -121,13 +127,24 @@
             key = progress.run_key(unit, position)
             session = self.sessions.get(member.worker)
             if session is not None and not session.closed:
-                session.adopt(key, demand)
+                session.adopt(key, demand, member.settled)
                 session.wake()
-                continue
-            lease_s = lease_limit_s(self.context.settings.worker_lease_s)
-            now_s = self.context.clock()
-            expires_s = now_s + OUTAGE_RENEWAL_LIMIT_S + lease_s
-            self._orphans[key] = Orphan(member.worker, now_s, expires_s)
+            else:
+                self._orphans[key] = self._make_orphan(member)
+
+    def _make_orphan(self, member: Member) -> Orphan:
+        """Return the orphan of a run on a worker that is not listed."""
+        now_s = self.context.clock()
+        late_start_until_s = ALWAYS_S
+        if not member.settled:
+            late_start_until_s = now_s + LATE_COMMAND_LIMIT_S
+        last_command_s = max(
+            now_s + OUTAGE_RENEWAL_LIMIT_S, late_start_until_s
+        )
+        lease_s = lease_limit_s(self.context.settings.worker_lease_s)
+        return Orphan(
+            member.worker, now_s, late_start_until_s, last_command_s + lease_s
+        )
 
     def release(self, progress: JobProgress, unit: Unit) -> None:
         """Stop counting a unit's runs on their workers."""
@@ -170,14 +187,18 @@
     ) -> None:
         """Record that a worker has ended that was silent since a time.
 
-        Ends the runs that the worker had in that silence. ``replaced`` states
-        that another worker runs on its machine.
+        Ends the runs that the worker had in that silence. Unless another
+        worker has ``replaced`` it on its machine, it may start again and
+        carry out a late start.
         """
         session = self.sessions.get(name)
         if session is not None:
             session.record_machine_down(since_s, replaced)
+        now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
-            if orphan.worker == name and orphan.adopted_s <= since_s:
+            if orphan.worker != name or orphan.adopted_s > since_s:
+                continue
+            if replaced or now_s >= orphan.late_start_until_s:
                 self._end_orphan(key, orphan, MACHINE_DOWN)
 
     def leaving_workers(self) -> dict[str, float]:
@@ -276,13 +297,15 @@
 
     def _adopt_orphans(self, session: WorkerSession) -> None:
         """Count a newly listed worker's orphaned runs in its session."""
+        now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
             if orphan.worker != session.worker.name:
                 continue
             del self._orphans[key]
             demand = self.owner.demand_of(key)
             if demand is not None:
-                session.adopt(key, demand)
+                settled = now_s >= orphan.late_start_until_s
+                session.adopt(key, demand, settled)
 
     def _log_suspected(self, session: WorkerSession, reason: str) -> None:
         until_s = session.health.backoff_until_s
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -8,7 +8,6 @@
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
 from damaskstall.errors import (
-    CommandError,
     CommandNotSentError,
     CommandOutcomeUnknownError,
     CommandRefusedError,
@@ -19,7 +18,6 @@
 from damaskstall.tasks.capacity import FreeCapacity, WorkerLoad
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.events import (
-    RUN_REFUSED,
     RUNS_LAPSED,
     RUNS_UNCOUNTED,
     TASK_WORKER_FENCED,
@@ -27,39 +25,28 @@
     TASK_WORKER_LOST,
     TASK_WORKER_REPLACED,
 )
-from damaskstall.tasks.expected_runs import ALWAYS_S, ExpectedRuns
+from damaskstall.tasks.expected_runs import ExpectedRuns
 from damaskstall.tasks.fencing import FencingTokens
+from damaskstall.tasks.late_starts import LateStarts
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
     MACHINE_DOWN,
-    NOT_LAUNCHED,
-    REFUSED,
     EndReport,
     LeaseRenewal,
-    StartRequest,
     WorkerClient,
     WorkerReport,
 )
-from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
-from damaskstall.tasks.run_log import log_run_launched
+from damaskstall.tasks.progress import ENDED_LAPSED
+from damaskstall.tasks.run_launch import RunLaunch
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
-from damaskstall.tasks.worker_lease import (
-    LATE_COMMAND_LIMIT_S,
-    WorkerLease,
-    lease_limit_s,
-)
+from damaskstall.tasks.worker_lease import WorkerLease, lease_limit_s
 
 # A worker can be asked to delay its answer by up to 2 s. A shorter wait
 # detects a lost answer or a stalled run sooner, but each call to a worker
 # costs 0.0003 of the value of a request.
 RENEWAL_WAIT_S = 0.5
-# A command may be carried out up to 12 s late, so each start command has this
-# window on the worker's clock, after which the worker does not carry it out.
-# The members of a gang wait 3 s for each other. The window is well under that,
-# so that a gang with a lost start is stopped before its members time out.
-START_WINDOW_S = 1.5
 RETRY_S = 0.1
 # A listed worker that is silent and has no runs is called less often, since
 # the platform charges for each call to a worker.
@@ -118,15 +105,9 @@
         self._entry_read_s = started_s
         # The start of the present silence, if the worker is not reachable.
         self.silent_since_s = started_s
-        # Until then the worker may carry out a start that was not answered,
-        # of this or an earlier holder. It is called, so that it accepts a
-        # higher token soon after it has started again.
-        self._late_start_until_s = started_s + LATE_COMMAND_LIMIT_S
-        # By run, the time until which a start that was not answered may be
-        # carried out, also by the worker's next incarnation.
-        self._late_starts: dict[RunKey, float] = {}
+        self.late_starts = LateStarts(started_s)
         self._stop_sent_s: dict[RunKey, float] = {}
-        self._command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
+        self.command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
         self._wake = Event()
         self._nursery: Nursery | None = None
 
@@ -138,7 +119,7 @@
             and not self.closed
             and not self.has_unknown_runs
             and self.listed
-            and not self._entry_is_outdated()
+            and not self.entry_is_outdated()
             and not self.worker.leaving
             and self.health.may_start(self.clock())
         )
@@ -151,10 +132,16 @@
         """Return the estimated present time on the worker's clock."""
         return self.lease.worker_clock_s(self.clock())
 
-    def adopt(self, key: RunKey, demand: Demand) -> None:
-        """Count a run that an earlier holder may have started."""
+    def adopt(self, key: RunKey, demand: Demand, settled: bool) -> None:
+        """Count a run that an earlier holder may have started.
+
+        Unless it is ``settled``, a start that the earlier holder sent up to
+        now may still be carried out late.
+        """
         self.load.add(key, demand)
         self.expected.add_adopted(key)
+        if not settled:
+            self.late_starts.expect(key, self.clock())
 
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
@@ -166,7 +153,7 @@
         """Stop counting a run; request a decision if it was counted."""
         self.expected.remove(key)
         self._stop_sent_s.pop(key, None)
-        self._late_starts.pop(key, None)
+        self.late_starts.remove(key)
         if self.load.remove(key):
             self.owner.request_decision()
 
@@ -193,140 +180,14 @@
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
-        await self._refresh_clock()
-        if key not in self.load.runs:
-            return
-        if not self.lease.clock_known or self._entry_is_outdated():
-            self._end(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
-            return
-        known_clock_s = self.lease.clock_s
-        not_after_s = self.worker_clock_s() + START_WINDOW_S
-        self.expected.add_launched(key, not_after_s)
-        request = StartRequest(
-            self.token, key, payload, not_after_s, checkpoint
-        )
-        self.wake()
-        attempts = unanswered = 0
-
-        def log_launched(outcome: str) -> None:
-            log_run_launched(
-                self.worker.name, key, outcome, attempts, unanswered
-            )
+        await RunLaunch(self, key).run(payload, checkpoint)
 
-        while self.worker_clock_s() < not_after_s:
-            try:
-                async with self._command_slots:
-                    if not self._should_send(request):
-                        log_launched("not needed")
-                        return
-                    attempts += 1
-                    clock_s = await self._send_start(request)
-            except CommandNotSentError:
-                await sleep(RETRY_S)
-                continue
-            except CommandOutcomeUnknownError:
-                unanswered += 1
-                await sleep(RETRY_S)
-                continue
-            except (
-                FencedError,
-                WorkerReplacedError,
-                CommandRefusedError,
-            ) as error:
-                log_launched(type(error).__name__)
-                self._handle_start_refusal(request, error, unanswered > 0)
-                return
-            log_launched("answered")
-            self.health.record_started()
-            if request.token == self.token:
-                self._confirm_start(key, clock_s, known_clock_s)
-            return
-        log_launched("no answer")
-
-    async def _refresh_clock(self) -> None:
+    async def refresh_clock(self) -> None:
         """Wait a moment for a reading of the clock if the last one is old."""
         if not self.lease.clock_is_recent(self.clock()):
             self.wake()
             await self.lease.wait_clock_read()
 
-    def _should_send(self, request: StartRequest) -> bool:
-        """Return whether a start is still needed by this incarnation."""
-        if request.token != self.token or request.key not in self.expected:
-            return False
-        if not self.owner.may_start_runs():
-            return False
-        return self.owner.should_continue(request.key)
-
-    async def _send_start(self, request: StartRequest) -> float:
-        """Send a start; it may be carried out late unless it is answered.
-
-        Raises CommandNotSentError while the worker does not answer renewals,
-        whose next answer shows whether it has started again.
-        """
-        if not self.reachable:
-            raise CommandNotSentError("The worker does not answer.")
-        earlier_s = self._late_starts.get(request.key, ALWAYS_S)
-        self._expect_late_start(request.key)
-        self.lease.extend_expiry(request.not_after_s)
-        try:
-            clock_s = await self.client.start(request)
-        except CommandOutcomeUnknownError:
-            self._expect_late_start(request.key)
-            raise
-        except CommandError:
-            self._late_starts[request.key] = earlier_s
-            raise
-        self._late_starts[request.key] = earlier_s
-        return clock_s
-
-    def _expect_late_start(self, key: RunKey) -> None:
-        """Note that a start may be carried out late from now on."""
-        until_s = self.clock() + LATE_COMMAND_LIMIT_S
-        self._late_starts[key] = until_s
-        self._late_start_until_s = until_s
-
-    def _confirm_start(
-        self, key: RunKey, clock_s: float, known_clock_s: float
-    ) -> None:
-        """Record that a start was carried out at a time on the clock.
-
-        A time before the known one is that of another incarnation.
-        """
-        if clock_s < known_clock_s:
-            self._begin_incarnation(0, "start command")
-        else:
-            self.expected.confirm(key, clock_s)
-
-    def _handle_start_refusal(
-        self, request: StartRequest, error: Exception, unanswered: bool
-    ) -> None:
-        """Handle a worker's refusal to start a run.
-
-        An earlier attempt without an answer may have been carried out. Then
-        only the worker's lists show whether the run exists. If another worker
-        answers, this one has not received the command, and may run on at
-        another address.
-        """
-        key = request.key
-        if isinstance(error, FencedError):
-            self._handle_fenced(request.token)
-        elif isinstance(error, WorkerReplacedError):
-            self._record_no_answer(str(error))
-            if not unanswered:
-                self._end(key, ENDED_NOT_STARTED, REFUSED)
-        elif isinstance(error, CommandRefusedError):
-            log(
-                RUN_REFUSED,
-                job=key.task.job_id,
-                worker=self.worker.name,
-                run=key.run,
-                reason=error.reason,
-            )
-            if not error.reason:
-                self.health.record_refused(self.clock())
-            if not unanswered:
-                self._end(key, ENDED_NOT_STARTED, REFUSED)
-
     def stop(self, key: RunKey) -> None:
         """Send a stop command for a run, unless one was sent a moment ago.
 
@@ -381,10 +242,10 @@
             self._follow_address(worker)
             self.worker = worker
             if worker.incarnation > max(listed, self.incarnation):
-                self._begin_incarnation(worker.incarnation, "list of workers")
+                self.begin_incarnation(worker.incarnation, "list of workers")
         self.wake()
 
-    def _entry_is_outdated(self) -> bool:
+    def entry_is_outdated(self) -> bool:
         """Return whether the entry is that of an earlier incarnation.
 
         The present one may have another capacity and other labels.
@@ -417,7 +278,7 @@
         try:
             report = await self.client.renew_lease(request)
         except FencedError:
-            self._handle_fenced(request.token)
+            self.handle_fenced(request.token)
             return False
         except (
             CommandNotSentError,
@@ -425,7 +286,7 @@
             CommandRefusedError,
             WorkerReplacedError,
         ) as error:
-            self._record_no_answer(str(error))
+            self.record_no_answer(str(error))
             return False
         if request.token != self.token:
             # It was sent before another incarnation was known.
@@ -448,7 +309,7 @@
         """Return whether the worker may have runs, or may yet start one."""
         if self.load.runs or self.has_unknown_runs:
             return True
-        return self.clock() < self._late_start_until_s
+        return self.clock() < self.late_starts.until_s
 
     def _is_idle(self) -> bool:
         """Return whether no run may exist and all ends are acknowledged."""
@@ -459,7 +320,7 @@
     async def _apply_report(self, report: WorkerReport) -> None:
         if self._is_from_another_incarnation(report):
             # Only lists that follow a renewal with a higher token are final.
-            self._begin_incarnation(report.incarnation, "report")
+            self.begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
         if not self.lease.clock_known:
@@ -514,7 +375,7 @@
             # The ends of runs that are not listed may follow.
             return
         for key, missing in self.expected.missing(report.clock_s, listed):
-            self._end(key, missing.outcome, missing.evidence)
+            self.end_run(key, missing.outcome, missing.evidence)
 
     def _check_unknown_runs(self, report: WorkerReport) -> None:
         """Set ``has_unknown_runs`` from a report, and log new cases."""
@@ -533,7 +394,8 @@
         if had_unknown_runs and not self.has_unknown_runs:
             self.owner.request_decision()
 
-    def _record_no_answer(self, error: str) -> None:
+    def record_no_answer(self, error: str) -> None:
+        """Record a silence; end runs whose leases have certainly expired."""
         if self.reachable or not self.answered.is_set():
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
         if self.reachable:
@@ -547,7 +409,7 @@
             log(RUNS_LAPSED, worker=self.worker.name, runs=len(runs))
             self._end_runs(runs, LEASE_EXPIRED)
 
-    def _begin_incarnation(self, incarnation: int, source: str) -> None:
+    def begin_incarnation(self, incarnation: int, source: str) -> None:
         """Begin anew with another incarnation of the worker.
 
         An ``incarnation`` of 0 means that its number is not known yet. The
@@ -579,7 +441,7 @@
             self.owner.step_down()
         self.token = self.tokens.current
 
-    def _handle_fenced(self, token: int) -> None:
+    def handle_fenced(self, token: int) -> None:
         """Handle the refusal of a command because of its token."""
         if token == self.token:
             self.owner.step_down()
@@ -593,14 +455,14 @@
         return [
             key
             for key in self.load.runs
-            if now_s >= self._late_starts.get(key, ALWAYS_S) + lease_s
+            if now_s >= self.late_starts.until(key) + lease_s
         ]
 
     def _end_runs(self, runs: list[RunKey], evidence: str) -> None:
         for key in runs:
-            self._end(key, ENDED_LAPSED, evidence)
+            self.end_run(key, ENDED_LAPSED, evidence)
 
-    def _end(self, key: RunKey, how: str, evidence: str) -> None:
+    def end_run(self, key: RunKey, how: str, evidence: str) -> None:
         """Record the end of a run that the worker does not list."""
         self.release(key)
         end = EndReport(0, key, how, "", evidence)
@@ -609,10 +471,10 @@
     async def _send_stop(self, key: RunKey) -> None:
         token = self.token
         try:
-            async with self._command_slots:
+            async with self.command_slots:
                 await self.client.stop(token, key)
         except FencedError:
-            self._handle_fenced(token)
+            self.handle_fenced(token)
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -132,16 +132,30 @@
 class RecordingOwner:
     """Owner of sessions that lets all runs continue and records ends."""
 
-    def __init__(self) -> None:
-        """Record nothing yet."""
+    def __init__(
+        self,
+        may_renew: bool = True,
+        store_s: float = 0.0,
+        may_step_down: bool = False,
+    ) -> None:
+        """Record nothing yet; it takes ``store_s`` to store ends."""
+        self.may_renew = may_renew
+        self.store_s = store_s
+        self.may_step_down = may_step_down
         self.ends: list[EndReport] = []
         self.end_times_s: list[float] = []
+        self.settled: list[RunKey] = []
         self.stores = True
+        self.stepped_down = False
 
     def ended(self, key: RunKey) -> EndReport | None:
         """Return the first recorded end of a run."""
         return next((end for end in self.ends if end.key == key), None)
 
+    def outcomes(self, key: RunKey) -> list[str]:
+        """Return the recorded outcomes of a run."""
+        return [end.how for end in self.ends if end.key == key]
+
     def should_continue(self, key: RunKey) -> bool:
         """Let all runs continue that have not ended."""
         return self.ended(key) is None
@@ -151,12 +165,16 @@
         return DEMAND
 
     def may_start_runs(self) -> bool:
-        """Return whether starts are allowed."""
-        return True
+        """Return whether the holder's lease allows starts."""
+        return self.may_renew
 
     def may_renew_leases(self) -> bool:
-        """Allow all renewals."""
-        return True
+        """Return whether the holder's lease allows renewals."""
+        return self.may_renew
+
+    def record_settled(self, key: RunKey) -> None:
+        """Record a run whose starts were all answered."""
+        self.settled.append(key)
 
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record nothing."""
@@ -170,13 +188,15 @@
         """Return once ends are stored."""
         if not self.stores:
             await sleep_forever()
+        await sleep(self.store_s)
 
     def request_decision(self) -> None:
         """Do nothing."""
 
     def step_down(self) -> None:
-        """Fail the test: no worker of these tests has a higher token."""
-        raise AssertionError("The worker has accepted a higher token.")
+        """Fail the test unless a worker with a higher token is expected."""
+        assert self.may_step_down, "The worker has accepted a higher token."
+        self.stepped_down = True
 
 
 def open_session(
--- a/tests/tasks/test_renewal_pauses.py
+++ b/tests/tasks/test_renewal_pauses.py
@@ -5,9 +5,9 @@
 
 from damaskstall.tasks.ports import EndReport, LeaseRenewal, WorkerReport
 from damaskstall.tasks.worker_session import WorkerSession
+from tests.tasks.session_fakes import RecordingOwner
 from tests.tasks.test_worker_incarnations import (
     KEY,
-    RecordingOwner,
     ScriptedWorker,
     run_session,
 )
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -20,6 +20,7 @@
 )
 from damaskstall.tasks.worker_lease import LATE_COMMAND_LIMIT_S
 from damaskstall.tasks.worker_session import WorkerSession
+from tests.tasks.session_fakes import RecordingOwner
 from tests.virtual_time import run_virtual
 
 EPOCH = 7
@@ -97,47 +98,6 @@
         """Close nothing."""
 
 
-class RecordingOwner:
-    """Owner of a session that records the ends of runs."""
-
-    def __init__(self) -> None:
-        """Record nothing yet."""
-        self.ends: list[EndReport] = []
-        self.stepped_down = False
-        # The time that storing ends takes.
-        self.store_s = 0.0
-
-    def should_continue(self, key: RunKey) -> bool:
-        """Let all runs continue."""
-        return True
-
-    def may_start_runs(self) -> bool:
-        """Return whether starts are allowed."""
-        return True
-
-    def may_renew_leases(self) -> bool:
-        """Allow all renewals."""
-        return True
-
-    def record_running(self, worker: str, report: RunReport) -> None:
-        """Record nothing."""
-
-    def record_end(self, worker: str, end: EndReport) -> None:
-        """Record an end."""
-        self.ends.append(end)
-
-    async def wait_ends_stored(self) -> None:
-        """Return once the ends are stored."""
-        await sleep(self.store_s)
-
-    def request_decision(self) -> None:
-        """Do nothing."""
-
-    def step_down(self) -> None:
-        """Record that the holder has to end."""
-        self.stepped_down = True
-
-
 Body = Callable[
     [WorkerSession, ScriptedWorker, RecordingOwner], Awaitable[None]
 ]
@@ -147,7 +107,8 @@
     """Run a test's body beside a session with one run of incarnation 1."""
 
     async def main() -> None:
-        worker, owner = ScriptedWorker(), RecordingOwner()
+        worker = ScriptedWorker()
+        owner = RecordingOwner(may_step_down=True)
         session = WorkerSession(
             worker_info(1),
             worker,
@@ -156,7 +117,7 @@
             LEASE_S,
             current_time,
         )
-        session.adopt(KEY, DEMAND)
+        session.adopt(KEY, DEMAND, settled=True)
         async with open_nursery() as nursery:
             nursery.start_soon(session.run, nursery)
             worker.report(1000.0, 1, (KEY,))
--- a/tests/tasks/test_worker_kinds.py
+++ b/tests/tasks/test_worker_kinds.py
@@ -5,8 +5,8 @@
 from damaskstall.tasks.worker_session import WorkerSession
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import job_id
+from tests.tasks.session_fakes import RecordingOwner
 from tests.tasks.test_worker_incarnations import (
-    RecordingOwner,
     ScriptedWorker,
     run_session,
     worker_info,
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -7,11 +7,11 @@
 from damaskstall.tasks.ports import (
     EndReport,
     LeaseRenewal,
-    RunReport,
     StartRequest,
     WorkerReport,
 )
 from damaskstall.tasks.worker_session import WorkerSession
+from tests.tasks.session_fakes import RecordingOwner
 from tests.virtual_time import run_virtual
 
 LISTED_ENDS_LIMIT = 500
@@ -53,45 +53,6 @@
         """Do nothing."""
 
 
-class RecordingOwner:
-    """Owner that wants all runs to continue, and records their ends."""
-
-    def __init__(self, may_renew: bool = True, store_s: float = 0.0) -> None:
-        """Start without ends; it takes ``store_s`` to store them."""
-        self.may_renew = may_renew
-        self.store_s = store_s
-        self.ends: dict[RunKey, list[str]] = {}
-
-    def should_continue(self, key: RunKey) -> bool:
-        """Let every run continue."""
-        return True
-
-    def may_start_runs(self) -> bool:
-        """Return whether starts are allowed."""
-        return self.may_renew
-
-    def may_renew_leases(self) -> bool:
-        """Return whether the holder's lease allows renewals."""
-        return self.may_renew
-
-    def record_running(self, worker: str, report: RunReport) -> None:
-        """Ignore a report."""
-
-    def record_end(self, worker: str, end: EndReport) -> None:
-        """Record an outcome."""
-        self.ends.setdefault(end.key, []).append(end.how)
-
-    async def wait_ends_stored(self) -> None:
-        """Return once all ends are stored."""
-        await sleep(self.store_s)
-
-    def request_decision(self) -> None:
-        """Do nothing."""
-
-    def step_down(self) -> None:
-        """Do nothing."""
-
-
 def run_key(index: int) -> RunKey:
     """Return the first run of a task."""
     return RunKey(TaskKey("0" * 16, 0, 0, index), 1)
@@ -127,12 +88,12 @@
         ]
         owner = RecordingOwner()
         session = open_session(ScriptedWorker(ended), owner)
-        session.adopt(run_key(last), DEMAND)
+        session.adopt(run_key(last), DEMAND, settled=True)
         async with open_nursery() as nursery:
             nursery.start_soon(session.run, nursery)
             await sleep(1.0)
             nursery.cancel_scope.cancel()
-        assert owner.ends[run_key(last)] == ["done"]
+        assert owner.outcomes(run_key(last)) == ["done"]
 
     run_virtual(main)
 
@@ -167,12 +128,12 @@
         async with open_nursery() as nursery:
             nursery.start_soon(session.run, nursery)
             await sleep(0.15)
-            assert run_key(0) in owner.ends
+            assert owner.outcomes(run_key(0))
             worker.incarnation = 2
             worker.ended = [EndReport(1, run_key(1), "done", "")]
             session.update(session.worker._replace(incarnation=2))
             await sleep(1.0)
             nursery.cancel_scope.cancel()
-        assert run_key(1) in owner.ends
+        assert owner.outcomes(run_key(1))
 
     run_virtual(main)
