Claim preempted capacity for the unit it was preempted for

Cause: a round remembered nothing of the plan of the round before. While stopped runs ended (0.1 to 0.4 s), each round planned anew; a worker that was silent for a moment, or one to avoid, moved the plan, more runs were stopped elsewhere, and other units started on what had been freed.

The capacity chosen for an urgent unit is claimed over rounds until the unit has started or no longer waits. A unit with a guarantee may take capacity claimed by one without. A new holder begins without claims.

Ruled out: keeping the capacity for every unit that waits (reservations exist for that); claims over a take-over (the stops end within 0.4 s).

--- a/bench/tasks/day_simulation.py
+++ b/bench/tasks/day_simulation.py
@@ -13,8 +13,9 @@
 
 from bench.tasks.workload import JOB_KINDS, SERVICE, TEAMS, GeneratedJob
 from damaskstall.tasks.capacity import WorkerLoad
+from damaskstall.tasks.claims import no_claims
 from damaskstall.tasks.model import Demand, WorkerInfo
-from damaskstall.tasks.policy import Decision, StartUnit
+from damaskstall.tasks.policy import RoundResult, StartUnit
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_FAILED,
@@ -95,7 +96,7 @@
         self.waited_s = {"capacity": 0.0, "fragments": 0.0}
 
 
-Policy = Callable[[SchedulingInput, float], list[Decision]]
+Policy = Callable[[SchedulingInput, float], RoundResult]
 
 
 class Simulation:
@@ -122,6 +123,7 @@
         self.finished: list[SimulatedJob] = []
         self.runs: dict[int, Run] = {}
         self.estimator = RunTimeEstimator()
+        self.claims = no_claims()
         self.monitor = RunMonitor(self, self.estimator)
         self.queues = {kind.queue.name: kind.queue for kind in JOB_KINDS}
         total = GUARANTEED_SHARE * workers * CAPACITY.accelerators
@@ -248,8 +250,11 @@
             self.guarantees,
             free_capacities,
             self.estimator,
+            self.claims,
         )
-        for decision in self.policy(inputs, self.now_s):
+        result = self.policy(inputs, self.now_s)
+        self.claims = result.claims
+        for decision in result.decisions:
             if isinstance(decision, StartUnit):
                 self._start(decision)
             else:
--- a/bench/tasks/policies.py
+++ b/bench/tasks/policies.py
@@ -7,7 +7,12 @@
 from damaskstall.tasks import policy as policy_module
 from damaskstall.tasks import run_monitor as run_monitor_module
 from damaskstall.tasks.packing import CapacityPlan, PlacementRequest, pack
-from damaskstall.tasks.policy import Decision, StartUnit, decide
+from damaskstall.tasks.policy import (
+    Decision,
+    RoundResult,
+    StartUnit,
+    decide,
+)
 from damaskstall.tasks.ranking import by_arrival
 from damaskstall.tasks.scheduling_input import SchedulingInput
 
@@ -28,7 +33,7 @@
 }
 
 
-def first_fit(inputs: SchedulingInput, now_s: float) -> list[Decision]:
+def first_fit(inputs: SchedulingInput, now_s: float) -> RoundResult:
     """Place units in order of acceptance on the first workers that fit."""
     plan = CapacityPlan(inputs.free_capacities)
     decisions: list[Decision] = []
@@ -45,7 +50,7 @@
                 for worker in workers:
                     plan.allocate(worker, step.demand)
                 decisions.append(StartUnit(progress, unit, workers))
-    return decisions
+    return RoundResult(decisions, inputs.claims, [])
 
 
 @contextmanager
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -223,3 +223,9 @@
     "worker_suspected",
     "Runs fail, stall or are slow on a worker: it gets no new run for a time.",
 )
+CLAIM_LOST = Event(
+    8050,
+    "INFO",
+    "claim_lost",
+    "A worker whose capacity was preempted for an urgent unit was given up.",
+)
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -15,6 +15,7 @@
 from damaskstall.events import log
 from damaskstall.platform.types import Row, Value
 from damaskstall.scheduler.cell_lease import CellLease
+from damaskstall.tasks.claims import no_claims
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import (
     HOLDER_READY,
@@ -29,7 +30,12 @@
 )
 from damaskstall.tasks.machine_list_poller import MachineListPoller
 from damaskstall.tasks.model import QUEUED, Demand, RunKey
-from damaskstall.tasks.policy import Decision, StartUnit, decide
+from damaskstall.tasks.policy import (
+    Decision,
+    RoundResult,
+    StartUnit,
+    decide,
+)
 from damaskstall.tasks.ports import (
     NOT_LAUNCHED,
     EndReport,
@@ -45,6 +51,7 @@
 from damaskstall.tasks.progress_writer import ProgressWriter
 from damaskstall.tasks.run_ends import RunEnds, find_run
 from damaskstall.tasks.run_log import (
+    log_claim_lost,
     log_job_ended,
     log_unit_started,
     log_unit_stopped,
@@ -84,6 +91,7 @@
         self.writer = ProgressWriter(context.table, self, lease.epoch)
         self.sweeper = Sweeper(context)
         self.estimator = RunTimeEstimator()
+        self.claims = no_claims()
         self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.scope = CancelScope()
@@ -345,8 +353,7 @@
             for stop in self.monitor.find_stops(self.jobs.values(), now_s):
                 self.stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
-                for decision in decide(self._scheduling_input(), now_s):
-                    self._apply(decision)
+                self._apply_round(decide(self._scheduling_input(), now_s))
             with move_on_after(DECISION_INTERVAL_S):
                 await self._wake.wait()
             await sleep(DECISION_BATCH_S)
@@ -362,8 +369,17 @@
             },
             self.pool.free_capacities(configuration.evacuated),
             self.estimator,
+            self.claims,
         )
 
+    def _apply_round(self, result: RoundResult) -> None:
+        """Carry out the decisions of a round, and keep its claims."""
+        self.claims = result.claims
+        for loss in result.lost_claims:
+            log_claim_lost(loss)
+        for decision in result.decisions:
+            self._apply(decision)
+
     def _apply(self, decision: Decision) -> None:
         if isinstance(decision, StartUnit):
             self._start_unit(decision)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -6,7 +6,20 @@
 
 from typing import NamedTuple
 
-from damaskstall.tasks.model import Demand
+from damaskstall.tasks.claims import (
+    PREEMPTION_FACTOR,
+    Claim,
+    ClaimedTask,
+    ClaimLoss,
+    Claims,
+    UnitKey,
+    is_ready,
+    key_of,
+    loss_reason,
+    new_claim,
+    observe,
+)
+from damaskstall.tasks.model import Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
@@ -14,7 +27,11 @@
     pack_some,
     place_unit,
 )
-from damaskstall.tasks.preemption import Victim, find_preemption
+from damaskstall.tasks.preemption import (
+    PreemptionSearch,
+    Victim,
+    find_preemption,
+)
 from damaskstall.tasks.progress import JobProgress, Unit
 from damaskstall.tasks.ranking import (
     Batch,
@@ -76,6 +93,14 @@
 Decision = StartUnit | StopUnit
 
 
+class RoundResult(NamedTuple):
+    """What one round decides: starts and stops in order, and the claims."""
+
+    decisions: list[Decision]
+    claims: Claims
+    lost_claims: list[ClaimLoss]
+
+
 class UnitShape(NamedTuple):
     """The properties of a unit that determine whether it fits.
 
@@ -90,8 +115,8 @@
     held: tuple[int, ...]
 
 
-def decide(inputs: SchedulingInput, now_s: float) -> list[Decision]:
-    """Return the units to start and to stop, in the order of the decisions."""
+def decide(inputs: SchedulingInput, now_s: float) -> RoundResult:
+    """Return the units to start and to stop, and the claims that remain."""
     return SchedulingRound(inputs, now_s).decide()
 
 
@@ -109,6 +134,9 @@
                 capacity.free_after_stops
             )
         self.decisions: list[Decision] = []
+        self.claims: dict[UnitKey, Claim] = {}
+        self.lost_claims: list[ClaimLoss] = []
+        self.preempted_cores: dict[UnitKey, float] = {}
         self.covered = covered_jobs(inputs)
         self.stopped: set[int] = set()
         self.preemption_searches = 0
@@ -119,22 +147,26 @@
         self.reservations: list[Reservation] = []
         self.expected_ends: list[ExpectedEnd] | None = None
 
-    def decide(self) -> list[Decision]:
+    def decide(self) -> RoundResult:
         """Decide on the waiting units in order; return the decisions."""
         batches = waiting_batches(self.inputs, self.covered, self.now_s)
+        self._renew_claims(batches)
         for batch in batches:
             self._decide_batch(batch)
-        return self.decisions
+        claims = Claims(self.claims, self.preempted_cores)
+        return RoundResult(self.decisions, claims, self.lost_claims)
 
     def _decide_batch(self, batch: Batch) -> None:
         """Place a step's units until one cannot be placed.
 
-        Units without workers to avoid are interchangeable and come first.
+        Units with a claim come first. Units without workers to avoid are
+        interchangeable and come before the others.
         """
-        identical = [unit for unit in batch.units if not unit.avoid]
-        avoiding = [unit for unit in batch.units if unit.avoid]
+        units = [u for u in batch.units if not self._follow_claim(batch, u)]
+        identical = [unit for unit in units if not unit.avoid]
+        avoiding = [unit for unit in units if unit.avoid]
         if batch.step.gang or batch.step.per_worker_limit:
-            waiting = batch.units
+            waiting = units
         else:
             placed = self._place_identical(batch, identical)
             waiting = identical[placed:] + avoiding
@@ -270,7 +302,7 @@
         capacity in time is spread over several racks, where it runs slower.
         If that fails too, covered units with smaller tasks are preempted.
         """
-        if self._try_preempt(batch, placement):
+        if self._try_preempt(batch, unit, placement):
             return True
         if not batch.guaranteed:
             return False
@@ -281,12 +313,20 @@
             if workers is not None:
                 self._start(batch, unit, workers)
                 return True
-            if self._try_preempt(batch, placement):
+            if self._try_preempt(batch, unit, placement):
                 return True
-        return self._try_preempt(batch, placement, smaller=True)
+        if self._try_preempt(batch, unit, placement, smaller=True):
+            return True
+        if not self._drop_uncovered_claims():
+            return False
+        return self._place_urgent(batch, unit, placement)
 
     def _try_preempt(
-        self, batch: Batch, placement: PlacementRequest, smaller: bool = False
+        self,
+        batch: Batch,
+        unit: Unit,
+        placement: PlacementRequest,
+        smaller: bool = False,
     ) -> bool:
         """Preempt runs for a unit, or wait for runs that end in time.
 
@@ -294,27 +334,194 @@
         """
         workers = place_unit(self.plan_after_stops, placement)
         if workers is not None:
-            self._allocate(batch, workers)
+            self._claim(batch, unit, new_claim(workers, self.now_s))
             return True
         if self._wait_for_ends(batch, placement):
             return True
-        if self.preemption_searches >= PREEMPTION_SEARCH_LIMIT:
+        if not self._may_preempt(batch, unit):
             return False
-        self.preemption_searches += 1
         victims = self._victims(batch, smaller)
         chosen = find_preemption(self.plan_after_stops, placement, victims)
         if chosen is None:
             return False
-        for victim in chosen.victims:
+        self._stop_victims(batch, unit, chosen.victims)
+        self._claim(batch, unit, new_claim(chosen.workers, self.now_s))
+        return True
+
+    def _may_preempt(self, batch: Batch, unit: Unit) -> bool:
+        """Return whether to search for runs to stop for a unit.
+
+        The number of searches is limited for each round, and the preempted
+        work for each unit that no guarantee covers.
+        """
+        if self.preemption_searches >= PREEMPTION_SEARCH_LIMIT:
+            return False
+        self.preemption_searches += 1
+        if batch.guaranteed:
+            return True
+        key = key_of(batch.progress, unit)
+        cores = batch.step.demand.cores * batch.step.unit_size
+        limit_cores = PREEMPTION_FACTOR * cores
+        return self.preempted_cores.get(key, 0.0) < limit_cores
+
+    def _stop_victims(
+        self, batch: Batch, unit: Unit, victims: list[Victim]
+    ) -> None:
+        key = key_of(batch.progress, unit)
+        for victim in victims:
             self.stopped.add(id(victim.unit))
             self.decisions.append(
                 StopUnit(victim.progress, victim.unit, batch.progress.job_id)
             )
             for worker in victim.task_workers:
                 self.plan_after_stops.release(worker, victim.demand)
-        self._allocate(batch, chosen.workers)
+            cores = victim.demand.cores * len(victim.task_workers)
+            earlier_cores = self.preempted_cores.get(key, 0.0)
+            self.preempted_cores[key] = earlier_cores + cores
+
+    # Claims.
+
+    def _renew_claims(self, batches: list[Batch]) -> None:
+        """Hold the capacity of the claims whose units still wait."""
+        before = self.inputs.claims
+        for batch in batches:
+            if batch.queue.priority != URGENT_PRIORITY:
+                continue
+            for unit in batch.units:
+                key = key_of(batch.progress, unit)
+                if key in before.preempted_cores:
+                    self.preempted_cores[key] = before.preempted_cores[key]
+                claim = before.by_unit.get(key)
+                if claim is not None:
+                    claim = observe(claim, self.plan, self.now_s)
+                    self._claim(batch, unit, claim)
+
+    def _claim(self, batch: Batch, unit: Unit, claim: Claim) -> None:
+        """Hold a claim's capacity, so that no other unit uses it."""
+        self.claims[key_of(batch.progress, unit)] = claim
+        for worker in claim.workers:
+            if worker in self.plan.workers:
+                self.plan.allocate(worker, batch.step.demand)
+                self.plan_after_stops.allocate(worker, batch.step.demand)
+
+    def _release_claim(self, key: UnitKey, claim: Claim, step: Step) -> None:
+        """End a claim; its capacity is available again."""
+        del self.claims[key]
+        for worker in claim.workers:
+            self.plan.release(worker, step.demand)
+            self.plan_after_stops.release(worker, step.demand)
+
+    def _follow_claim(self, batch: Batch, unit: Unit) -> bool:
+        """Start a unit with a claim, or go on waiting for the capacity.
+
+        Return False if the unit has no claim, or no longer.
+        """
+        key = key_of(batch.progress, unit)
+        claim = self.claims.get(key)
+        if claim is None:
+            return False
+        if is_ready(claim, self.plan):
+            # The unit's run takes over the capacity that the claim held.
+            del self.claims[key]
+            start = StartUnit(batch.progress, unit, claim.workers)
+            self.decisions.append(start)
+            return True
+        placement = self._placement_request(batch, unit)
+        lost = self._find_losses(batch, unit, claim, placement)
+        kept = Claim(tuple(t for t in claim.tasks if t not in lost))
+        self._release_claim(key, claim, batch.step)
+        for task in lost:
+            self._distrust_stops(task.worker)
+        workers = place_unit(self.plan, placement)
+        if workers is not None:
+            self._start(batch, unit, workers)
+            return True
+        self._claim(batch, unit, kept)
+        if not lost or self._replace_lost(batch, unit, kept, lost, placement):
+            return True
+        self._release_claim(key, kept, batch.step)
+        return False
+
+    def _find_losses(
+        self,
+        batch: Batch,
+        unit: Unit,
+        claim: Claim,
+        placement: PlacementRequest,
+    ) -> list[ClaimedTask]:
+        """Return the claimed tasks whose workers have to be given up."""
+        lost = []
+        for task in claim.tasks:
+            reason = loss_reason(
+                task, placement, self.plan, self.plan_after_stops, self.now_s
+            )
+            if reason:
+                lost.append(task)
+                self.lost_claims.append(
+                    ClaimLoss(batch.progress, unit, task.worker, reason)
+                )
+        return lost
+
+    def _distrust_stops(self, worker: str) -> None:
+        """Expect no capacity from the stops on a worker in this round."""
+        if worker in self.plan.free:
+            self.plan_after_stops.free[worker] = self.plan.free[worker]
+
+    def _replace_lost(
+        self,
+        batch: Batch,
+        unit: Unit,
+        kept: Claim,
+        lost: list[ClaimedTask],
+        placement: PlacementRequest,
+    ) -> bool:
+        """Claim other workers for the lost tasks of a claim.
+
+        Return whether there are any. The tasks that are kept stay.
+        """
+        names = self._names_beside(kept, placement)
+        names -= {task.worker for task in lost}
+        if not kept.tasks or not names or not self._may_preempt(batch, unit):
+            return False
+        victims = self._victims(batch, smaller=False)
+        search = PreemptionSearch(self.plan_after_stops, placement, victims)
+        chosen = search.search(sorted(names), len(lost))
+        if chosen is None:
+            return False
+        self._stop_victims(batch, unit, chosen.victims)
+        added = new_claim(chosen.workers, self.now_s)
+        self._release_claim(key_of(batch.progress, unit), kept, batch.step)
+        self._claim(batch, unit, Claim(kept.tasks + added.tasks))
         return True
 
+    def _names_beside(
+        self, kept: Claim, placement: PlacementRequest
+    ) -> set[str]:
+        """Return the workers on which the rest of a claimed unit may run.
+
+        A gang that is in one rack so far stays there.
+        """
+        racks = {
+            self.plan.workers[worker].rack
+            for worker in kept.workers
+            if worker in self.plan.workers
+        }
+        if len(racks) == 1 and needs_one_rack(self.plan, placement):
+            return set(self.plan.racks[racks.pop()])
+        return set(self.plan.workers)
+
+    def _drop_uncovered_claims(self) -> bool:
+        """End the claims of units that no guarantee covers.
+
+        Return whether there were any.
+        """
+        found = [key for key in self.claims if key.job_id not in self.covered]
+        jobs = {progress.job_id: progress for progress in self.inputs.jobs}
+        for key in found:
+            step = jobs[key.job_id].job.declaration.steps[key.step]
+            self._release_claim(key, self.claims[key], step)
+        return bool(found)
+
     def _wait_for_ends(
         self, batch: Batch, placement: PlacementRequest
     ) -> bool:
--- a/src/damaskstall/tasks/preemption.py
+++ b/src/damaskstall/tasks/preemption.py
@@ -61,11 +61,14 @@
             for worker in dict.fromkeys(victim.task_workers):
                 self.by_worker.setdefault(worker, []).append(victim)
 
-    def search(self, names: list[str]) -> Preemption | None:
-        """Return a preemption that places every task on ``names``, or None."""
+    def search(self, names: list[str], task_count: int) -> Preemption | None:
+        """Return a preemption that places ``task_count`` tasks, or None.
+
+        The tasks are placed on the workers ``names``.
+        """
         workers: list[str] = []
         task_counts = dict(self.placement.task_counts)
-        for _ in range(self.placement.step.unit_size):
+        for _ in range(task_count):
             placement = self.placement._replace(task_counts=task_counts)
             best = self._cheapest_worker(placement, names)
             if best is None:
@@ -134,9 +137,11 @@
     """
     if not needs_one_rack(plan, placement):
         search = PreemptionSearch(plan, placement, victims)
-        return search.search(list(plan.free))
+        return search.search(list(plan.free), placement.step.unit_size)
     found = [
-        PreemptionSearch(plan, placement, victims).search(names)
+        PreemptionSearch(plan, placement, victims).search(
+            names, placement.step.unit_size
+        )
         for names in plan.racks.values()
     ]
     candidates = [candidate for candidate in found if candidate is not None]
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -1,7 +1,9 @@
 """Log and count starts, stops and ends of units, runs and jobs."""
 
 from damaskstall.events import Field, log
+from damaskstall.tasks.claims import ClaimLoss
 from damaskstall.tasks.events import (
+    CLAIM_LOST,
     END_UNMATCHED,
     RUN_ENDED,
     RUN_LAUNCHED,
@@ -49,6 +51,18 @@
     )
 
 
+def log_claim_lost(loss: ClaimLoss) -> None:
+    """Log that a worker claimed for a unit was given up, and why."""
+    log(
+        CLAIM_LOST,
+        job=loss.progress.job_id,
+        step=loss.unit.step,
+        index=loss.unit.first_index,
+        worker=loss.worker,
+        reason=loss.reason,
+    )
+
+
 def run_fields(key: RunKey) -> dict[str, Field]:
     """Return the log fields that identify a run."""
     return {
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from damaskstall.tasks.capacity import FreeCapacity
+from damaskstall.tasks.claims import Claims
 from damaskstall.tasks.model import Queue
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
@@ -13,13 +14,17 @@
 
 
 class SchedulingInput(NamedTuple):
-    """The jobs, their queues and guarantees, and the free capacity."""
+    """The jobs, their queues and guarantees, and the free capacity.
+
+    ``claims`` is the result of the round before.
+    """
 
     jobs: list[JobProgress]
     queues: dict[str, Queue]
     guarantees: dict[str, int]
     free_capacities: list[FreeCapacity]
     estimator: RunTimeEstimator
+    claims: Claims
 
 
 def queue_of(inputs: SchedulingInput, progress: JobProgress) -> Queue:
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from damaskstall.tasks.capacity import FreeCapacity
+from damaskstall.tasks.claims import no_claims
 from damaskstall.tasks.model import (
     NO_DEMAND,
     AcceptedJob,
@@ -64,6 +65,7 @@
         self._numbers = count()
         self.guarantees: dict[str, int] = {}
         self.estimator = RunTimeEstimator()
+        self.claims = no_claims()
 
     def add(
         self, queue_name: str, *steps: Step, team: str = "blue"
@@ -114,11 +116,14 @@
             self.guarantees,
             self.free_capacities(),
             self.estimator,
+            self.claims,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
-        """Return the decisions for the current state."""
-        return decide(self.current_input(), now_s)
+        """Return the decisions for the current state; keep the claims."""
+        result = decide(self.current_input(), now_s)
+        self.claims = result.claims
+        return result.decisions
 
     def apply(self, decisions: Iterable[Decision], now_s: float = 1.0) -> None:
         """Apply decisions; starts and stops are confirmed at once."""
