Keep the estimated wait of a queue over the latency of its requests

Cause of the 429 in test_killed_entry_runs_no_request_twice: while requests wait, the rate of granted slots was averaged over one second. Requests that began together and run for 5 s grant nothing until the first one ends, so the rate fell towards 0 and the estimated wait grew beyond the deadline: a caller that came late on a busy machine was told that it would miss a deadline of 30 s although a slot was about to become free.

Change: the average spans three mean latencies, and the rate is unknown (nothing is refused for it) until a request has completed.

Tests: both new tests of test_overload.py fail before (429 for requests that are answered now). Ruled out: the queue's limit (not reached by 12 callers), the adaptive limit, which lowers slots and refuses nothing.

--- a/src/damaskstall/entry/router.py
+++ b/src/damaskstall/entry/router.py
@@ -27,7 +27,10 @@
 STATUS_UNAVAILABLE = 503
 RETRY_LIMIT_S = 30
 LOWEST_LATENCY_S = 1e-4
-RATE_WEIGHT = 0.1
+# The rate of granted slots is averaged over this time, and over several
+# latencies: requests that began together end together, with no slot between.
+RATE_WINDOW_S = 1.0
+RATE_WINDOW_LATENCIES = 3.0
 
 CallerDisconnected = Callable[[], Awaitable[None]]
 
@@ -213,14 +216,17 @@
 
         While requests wait, it is a moving average of the measured rate,
         since other services may use the same servers. Otherwise it is the
-        rate that the servers' limits and latencies allow.
+        rate that the servers' limits and latencies allow. It stays 0, which
+        means unknown, until a request has completed.
         """
         elapsed_s = now_s - self.rate_updated_s
-        if len(self.queue) and elapsed_s > 0:
-            measured_per_s = self.granted / elapsed_s
-            self.slots_per_s += RATE_WEIGHT * (
-                measured_per_s - self.slots_per_s
+        if len(self.queue) and elapsed_s > 0 and self.slots_per_s:
+            window_s = max(
+                RATE_WINDOW_S, RATE_WINDOW_LATENCIES * self.latency.mean_s
             )
+            weight = elapsed_s / (elapsed_s + window_s)
+            measured_per_s = self.granted / elapsed_s
+            self.slots_per_s += weight * (measured_per_s - self.slots_per_s)
         else:
             self.slots_per_s = self._capacity_slots_per_s(now_s)
         self.rate_updated_s = now_s
--- a/tests/requests/test_overload.py
+++ b/tests/requests/test_overload.py
@@ -1,5 +1,6 @@
 """Test that excess load is refused early and shared fairly by teams."""
 
+from functools import partial
 from typing import Any
 
 from trio import Event, open_nursery, sleep
@@ -209,3 +210,47 @@
         assert max(r.elapsed_s for r in refused) < 0.5
 
     run_in_cluster(scenario)
+
+
+def test_late_arrival_is_not_refused_while_the_first_requests_run() -> None:
+    """No request has completed, so no wait in the queue is known.
+
+    The servers hold eight requests of 6 s; more arrive one after the other.
+    The burst comes at several phases of the entry's periodic work.
+    """
+
+    async def scenario(cluster: Cluster, phase_s: float) -> None:
+        for number in range(2):
+            await cluster.add_backend(f"b{number}", service_time_s=6.0)
+        entry = await cluster.add_entry("e0")
+        await cluster.wait_for_health_checks()
+        await sleep(phase_s)
+        async with open_nursery() as nursery:
+            for number in range(12):
+                call = team_call("press", f"slow-{number}", deadline_s=20.0)
+                call = call._replace(run_s=6.0)
+                nursery.start_soon(cluster.call, entry, call)
+                await sleep(0.001 if number < 9 else 2.0)
+        assert {record.outcome for record in cluster.callers} == {ANSWERED}
+
+    for step in range(5):
+        run_in_cluster(partial(scenario, phase_s=step * 0.02), seed=1)
+
+
+def test_known_latency_keeps_the_estimated_wait_between_completions() -> None:
+    """Requests complete in bursts that are seconds apart."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.add_backend("b0", slots=4, service_time_s=4.0)
+        entry = await cluster.add_entry("e0")
+        await cluster.wait_for_health_checks()
+        async with open_nursery() as nursery:
+            first = team_call("press", "first", deadline_s=30.0)
+            await cluster.call(entry, first)
+            for number in range(6):
+                call = team_call("press", f"next-{number}", deadline_s=25.0)
+                nursery.start_soon(cluster.call, entry, call)
+                await sleep(0.01 if number < 4 else 3.5)
+        assert {record.outcome for record in cluster.callers} == {ANSWERED}
+
+    run_in_cluster(scenario, seed=1)
