--- a/src/damaskstall/errors.py
+++ b/src/damaskstall/errors.py
@@ -2,6 +2,16 @@
 
 from typing import NamedTuple
 
+# What decoding raises for a value of an unexpected shape or type. Readers of
+# other processes' messages turn these into an error of their own.
+DECODE_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 
 class DamaskstallError(Exception):
     """Base class of all exceptions that the product raises on purpose."""
--- a/src/damaskstall/platform/job_bodies.py
+++ b/src/damaskstall/platform/job_bodies.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from damaskstall.errors import (
+    DECODE_ERRORS,
     FieldProblem,
     UnsupportedJobError,
     ValidationError,
@@ -34,7 +35,7 @@
                 tuple(decode_step(step) for step in value["steps"]),
                 decode_schedule(value),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             problem = FieldProblem("body", f"The body is not a job: {error}")
             raise ValidationError((problem,)) from error
 
--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -5,7 +5,7 @@
 from yaml import YAMLError, safe_load
 
 from damaskstall.addresses import Address, parse_address
-from damaskstall.errors import SettingsError
+from damaskstall.errors import DECODE_ERRORS, SettingsError
 from damaskstall.tasks.node_settings import NodeSettings
 
 SETTINGS_VARIABLE = "DAMASKSTALL_SETTINGS"
@@ -22,7 +22,7 @@
         raise SettingsError(
             f"The settings file {path} cannot be read: {error}."
         ) from error
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except DECODE_ERRORS as error:
         raise SettingsError(
             f"The settings file {path} has a missing or invalid field: "
             f"{error!r}."
--- a/src/damaskstall/platform/machine_list.py
+++ b/src/damaskstall/platform/machine_list.py
@@ -4,7 +4,11 @@
 from urllib.parse import urlencode
 
 from damaskstall.addresses import Address
-from damaskstall.errors import HttpError, MachineListUnavailableError
+from damaskstall.errors import (
+    DECODE_ERRORS,
+    HttpError,
+    MachineListUnavailableError,
+)
 from damaskstall.http.client import HttpClient
 from damaskstall.network import Network
 from damaskstall.tasks.machine_evidence import MachineEntry
@@ -69,7 +73,7 @@
             )
         try:
             return decode_page(answer.value)
-        except (KeyError, TypeError, AttributeError) as error:
+        except DECODE_ERRORS as error:
             raise MachineListUnavailableError(
                 f"The list of machines cannot be read: {error!r}."
             ) from error
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from damaskstall.addresses import Address, parse_address
-from damaskstall.errors import MalformedRowError, SettingsError
+from damaskstall.errors import DECODE_ERRORS, MalformedRowError, SettingsError
 from damaskstall.network import Network
 from damaskstall.platform.machine_list import MachineList
 from damaskstall.platform.row_store import RowStore
@@ -52,7 +52,7 @@
         value: Any = row.value
         try:
             return decode_desired_state(value)
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             raise MalformedRowError(
                 f"The row {row.key!r} is not a configuration: {error!r}."
             ) from error
@@ -63,7 +63,7 @@
         name = row.key.removeprefix(WORKER_PREFIX)
         try:
             return decode_worker(name, value, state)
-        except (KeyError, TypeError, ValueError, SettingsError) as error:
+        except (*DECODE_ERRORS, SettingsError) as error:
             raise MalformedRowError(
                 f"The row {row.key!r} is not a worker's entry: {error!r}."
             ) from error
--- a/src/damaskstall/platform/row_store.py
+++ b/src/damaskstall/platform/row_store.py
@@ -14,6 +14,7 @@
 
 from damaskstall.addresses import Address
 from damaskstall.errors import (
+    DECODE_ERRORS,
     ConnectFailedError,
     HttpError,
     RevisionTooOldError,
@@ -81,8 +82,10 @@
 
 def decode_row(fields: Any) -> Row:
     """Return a row; one that cannot be decoded counts as deleted."""
-    location = RowLocation(fields["table"], fields["part"], fields["key"])
-    revision = fields["version_number"]
+    location = RowLocation(
+        str(fields["table"]), str(fields["part"]), str(fields["key"])
+    )
+    revision = int(fields["version_number"])
     key = key_of(location)
     if fields.get("deleted"):
         return Row(key, revision, "", None)
@@ -91,11 +94,53 @@
         if location.table in EXTERNAL_TABLES:
             return Row(key, revision, "", value)
         return Row(key, revision, value["id"], value["value"])
-    except (ValueError, KeyError, TypeError, zlib_error) as error:
+    except (*DECODE_ERRORS, zlib_error) as error:
         log(ROW_UNREADABLE, key=key, revision=revision, error=repr(error))
         return Row(key, revision, "", None)
 
 
+def decode_scan(value: Any) -> ScanPage:
+    """Return a page of rows; raise TableUnavailableError if malformed."""
+    try:
+        rows = tuple(decode_row(fields) for fields in value["rows"])
+        more = value["more_pages"] and rows
+        next_after = rows[-1].key if more else ""
+        return ScanPage(rows, next_after, int(value["version_number"]))
+    except DECODE_ERRORS as error:
+        raise malformed_page_error(error) from error
+
+
+def decode_changes(value: Any) -> ChangePage:
+    """Return a page of changes; raise TableUnavailableError if malformed."""
+    try:
+        rows = tuple(decode_row(fields) for fields in value["rows"])
+        return ChangePage(rows, int(value["version_number"]), True)
+    except DECODE_ERRORS as error:
+        raise malformed_page_error(error) from error
+
+
+def decode_revision(value: Any) -> int:
+    """Return the revision of a commit; raise TableOutcomeUnknownError."""
+    try:
+        return int(value["version_number"])
+    except DECODE_ERRORS as error:
+        raise malformed_write_error(error) from error
+
+
+def malformed_page_error(error: Exception) -> TableUnavailableError:
+    """Return the error for an answer to a read that cannot be decoded."""
+    return TableUnavailableError(
+        f"The store's answer cannot be decoded: {error!r}."
+    )
+
+
+def malformed_write_error(error: Exception) -> TableOutcomeUnknownError:
+    """Return the error for an answer to a write that cannot be decoded."""
+    return TableOutcomeUnknownError(
+        f"The store's answer cannot be decoded: {error!r}."
+    )
+
+
 class RowStore:
     """Client of the store; ``WatchedTable`` documents its calls."""
 
@@ -114,10 +159,10 @@
             "from": location.key,
             "limit": 1,
         }
-        page = await self._get(self.read_client, "/rows-get", query)
-        for fields in page["rows"]:
-            if fields["key"] == location.key:
-                return decode_row(fields)
+        answer = await self._get(self.read_client, "/rows-get", query)
+        for row in decode_scan(answer).rows:
+            if row.key == key:
+                return row
         return None
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
@@ -134,11 +179,8 @@
             "from": first,
             "limit": limit,
         }
-        page = await self._get(self.read_client, "/rows-get", query)
-        rows = tuple(decode_row(fields) for fields in page["rows"])
-        more = page["more_pages"] and rows
-        next_after = rows[-1].key if more else ""
-        return ScanPage(rows, next_after, page["version_number"])
+        answer = await self._get(self.read_client, "/rows-get", query)
+        return decode_scan(answer)
 
     async def changes(
         self, prefix: str, after_revision: int, limit: int
@@ -160,9 +202,8 @@
         }
         client = self.watch_client if wait_s else self.read_client
         client.timeout_s = READ_TIMEOUT_S + wait_s
-        page = await self._get(client, "/rows-feed", query)
-        rows = tuple(decode_row(fields) for fields in page["rows"])
-        return ChangePage(rows, page["version_number"], True)
+        answer = await self._get(client, "/rows-feed", query)
+        return decode_changes(answer)
 
     async def commit(self, writes: tuple[Write, ...], mutation_id: str) -> int:
         """Write all rows or none; return the new revision."""
@@ -177,8 +218,7 @@
             await self.write_client.close()
             raise TableOutcomeUnknownError(str(error)) from error
         if answer.status == 200:
-            revision: int = answer.value["version_number"]
-            return revision
+            return decode_revision(answer.value)
         if answer.status == 412:
             raise conflict_error(answer, writes)
         if answer.status in (429, 503):
@@ -224,12 +264,16 @@
     answer: JsonResponse, writes: tuple[Write, ...]
 ) -> TableConflictError:
     """Return the error for the first row at an unexpected revision."""
-    found = {
-        key_of(RowLocation(row["table"], row["part"], row["key"])): (
-            0 if row.get("deleted") else row["version_number"]
-        )
-        for row in answer.value.get("rows", ())
-    }
+    try:
+        found = {
+            key_of(RowLocation(row["table"], row["part"], row["key"])): (
+                0 if row.get("deleted") else int(row["version_number"])
+            )
+            for row in answer.value.get("rows", ())
+        }
+    except DECODE_ERRORS as error:
+        # Nothing was written; the caller reads the rows.
+        raise malformed_write_error(error) from error
     for write in writes:
         revision = found.get(write.key, 0)
         if revision != write.if_revision:
--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -1,10 +1,11 @@
 """Call a worker in the operators' protocol."""
 
-from math import floor
+from math import floor, isfinite
 from typing import Any
 
 from damaskstall.addresses import Address
 from damaskstall.errors import (
+    DECODE_ERRORS,
     CommandNotSentError,
     CommandOutcomeUnknownError,
     CommandRefusedError,
@@ -81,7 +82,7 @@
         if request.checkpoint:
             body["checkpoint"] = request.checkpoint
         answer = await self._call(self.command_client, "/run-start", body)
-        return float(answer.value["clock_ms"]) / MILLISECONDS_PER_S
+        return decode_clock_s(answer.value)
 
     async def stop(self, token: int, key: RunKey) -> None:
         """Stop a run; the worker lists its end once it has stopped."""
@@ -157,25 +158,47 @@
     """
     try:
         return WorkerReport(
-            value["clock_ms"] / MILLISECONDS_PER_S,
+            decode_clock_s(value),
             int(value.get("born", 0)),
-            tuple(
-                RunReport(
-                    decode_run_key(entry[0], entry[1]), entry[2], entry[3]
-                )
-                for entry in value["running"]
-            ),
-            tuple(
-                EndReport(
-                    entry[0],
-                    decode_run_key(entry[1], entry[2]),
-                    entry[3],
-                    entry[4],
-                )
-                for entry in value["ended"]
-            ),
+            tuple(decode_run(entry) for entry in value["running"]),
+            tuple(decode_end(entry) for entry in value["ended"]),
         )
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise CommandOutcomeUnknownError(
             f"The worker's lists cannot be decoded: {error!r}."
         ) from error
+
+
+def decode_clock_s(value: Any) -> float:
+    """Return the time on the worker's clock in an answer.
+
+    Raises CommandOutcomeUnknownError if it is malformed.
+    """
+    try:
+        clock_s = float(value["clock_ms"]) / MILLISECONDS_PER_S
+    except DECODE_ERRORS as error:
+        raise CommandOutcomeUnknownError(
+            f"The worker's clock cannot be decoded: {error!r}."
+        ) from error
+    if not isfinite(clock_s):
+        raise CommandOutcomeUnknownError("The worker's clock is not finite.")
+    return clock_s
+
+
+def decode_run(entry: Any) -> RunReport:
+    """Return the running run that an entry describes."""
+    return RunReport(
+        decode_run_key(entry[0], int(entry[1])),
+        str(entry[2]),
+        float(entry[3]),
+    )
+
+
+def decode_end(entry: Any) -> EndReport:
+    """Return the ended run that an entry describes."""
+    return EndReport(
+        int(entry[0]),
+        decode_run_key(entry[1], int(entry[2])),
+        str(entry[3]),
+        str(entry[4]),
+    )
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -229,3 +229,15 @@
     "claim_lost",
     "A worker whose capacity was preempted for an urgent unit was given up.",
 )
+JOB_UNREADABLE = Event(
+    8051,
+    "ERROR",
+    "job_unreadable",
+    "The rows of a job cannot be read: it is left alone.",
+)
+TASK_FAILED = Event(
+    8052,
+    "ERROR",
+    "background_task_failed",
+    "A background task met an unexpected error: it is started again.",
+)
--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -6,12 +6,20 @@
 
 from trio import open_nursery, sleep
 
-from damaskstall.errors import RevisionTooOldError, TableUnavailableError
+from damaskstall.errors import (
+    DECODE_ERRORS,
+    RevisionTooOldError,
+    TableUnavailableError,
+)
 from damaskstall.events import log
 from damaskstall.platform.types import Row
 from damaskstall.scheduler.backoff import retry_delay_s
 from damaskstall.tasks.clock import Clock
-from damaskstall.tasks.events import STORE_LOST, STORE_REGAINED
+from damaskstall.tasks.events import (
+    JOB_UNREADABLE,
+    STORE_LOST,
+    STORE_REGAINED,
+)
 from damaskstall.tasks.job_rows import (
     JOB_TABLE,
     PROGRESS_TABLE,
@@ -74,16 +82,24 @@
         job_row = await self.table.read(job_row_key(job_id))
         if progress_row is None or progress_row.value is None:
             return None
-        if not is_unfinished(progress_row.value):
+        try:
+            if not is_unfinished(progress_row.value):
+                return None
+            return self._restore(job_row, progress_row)
+        except DECODE_ERRORS as error:
+            log_unreadable(progress_row, error)
             return None
-        return self._restore(job_row, progress_row)
 
     def decode_new_job(self, row: Row) -> JobProgress | None:
         """Return the job of a newly written row, or None if it was deleted."""
         if row.value is None:
             return None
-        job = decode_job(job_id_of(row.key), row.value)
-        return self._progress(job, row.revision)
+        try:
+            job = decode_job(job_id_of(row.key), row.value)
+            return self._progress(job, row.revision)
+        except DECODE_ERRORS as error:
+            log_unreadable(row, error)
+            return None
 
     def _progress(self, job: AcceptedJob, revision: int) -> JobProgress:
         """Return a job before its first run, with times on the local clock."""
@@ -139,10 +155,14 @@
         for job_id, row in progress_rows.items():
             if row.value is None:
                 continue
-            if not is_unfinished(row.value):
-                self.finished[job_id] = row.value.get("over_unix_s")
+            try:
+                if not is_unfinished(row.value):
+                    self.finished[job_id] = row.value.get("over_unix_s")
+                    continue
+                progress = self._restore(job_rows.get(job_id), row)
+            except DECODE_ERRORS as error:
+                log_unreadable(row, error)
                 continue
-            progress = self._restore(job_rows.get(job_id), row)
             if progress is not None:
                 open_jobs.append(progress)
         self.revision = revision
@@ -199,6 +219,19 @@
             raise failed[0]
 
 
+def log_unreadable(row: Row, error: Exception) -> None:
+    """Log that a job is left alone, since its rows cannot be read.
+
+    A later version may have written them; the other jobs are scheduled.
+    """
+    log(
+        JOB_UNREADABLE,
+        job=job_id_of(row.key),
+        revision=row.revision,
+        error=repr(error),
+    )
+
+
 def is_unfinished(value: dict[str, object]) -> bool:
     """Return whether a job has no final state, or may still have runs."""
     if value["state"] not in FINAL_STATES:
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -24,6 +24,7 @@
 from damaskstall.tasks.peer_table import serve_calls
 from damaskstall.tasks.ports import Platform
 from damaskstall.tasks.relayed_table import DirectTable, RelayedTable
+from damaskstall.tasks.supervision import restart_on_error
 
 # The process may open 4,100 file descriptors. This leaves room for 200 files
 # and for the connections of its own calls.
@@ -117,10 +118,13 @@
             partial(serve_calls, DirectTable(self.table)),
             self.peers.own_address,
         )
-        nursery.start_soon(self.table.run)
-        nursery.start_soon(self.peers.run, self.table)
-        nursery.start_soon(self.configuration.run)
-        nursery.start_soon(self.election.run)
+        for name, task in (
+            ("relay", self.table.run),
+            ("peers", partial(self.peers.run, self.table)),
+            ("configuration", self.configuration.run),
+            ("election", self.election.run),
+        ):
+            nursery.start_soon(restart_on_error, name, task)
         return bound
 
     def apply_settings(self, settings: NodeSettings) -> None:
--- a/src/damaskstall/tasks/peer_directory.py
+++ b/src/damaskstall/tasks/peer_directory.py
@@ -10,7 +10,11 @@
 from trio import sleep
 
 from damaskstall.addresses import Address
-from damaskstall.errors import PlatformError, TableUnavailableError
+from damaskstall.errors import (
+    DECODE_ERRORS,
+    PlatformError,
+    TableUnavailableError,
+)
 from damaskstall.events import log
 from damaskstall.network import Network
 from damaskstall.platform.types import ABSENT, Row, Write
@@ -136,7 +140,7 @@
             address = Address(str(row.value["host"]), int(row.value["port"]))
             # Instances of an earlier version do not write their cores.
             self._peer_cores[name] = float(row.value.get("cores", 1.0))
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             log(PEER_IGNORED, peer=name, error=repr(error))
             return
         known = self.peers.get(name)
--- a/src/damaskstall/tasks/peer_table.py
+++ b/src/damaskstall/tasks/peer_table.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 from json import dumps, loads
-from typing import Any
+from typing import Any, TypeVar
 
 from trio import (
     BrokenResourceError,
@@ -18,6 +18,7 @@
 
 from damaskstall.addresses import Address
 from damaskstall.errors import (
+    DECODE_ERRORS,
     FrameError,
     RevisionTooOldError,
     TableConflictError,
@@ -30,6 +31,8 @@
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
 from damaskstall.tasks.ports import WatchedTable
 
+Result = TypeVar("Result")
+
 DONE = "done"
 UNAVAILABLE = "unavailable"
 UNKNOWN = "unknown"
@@ -66,16 +69,12 @@
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
-        fields = await self._call("read", {"key": key})
-        return None if fields is None else Row(*fields)
+        return await self._call("read", {"key": key}, decode_row)
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
         """Return rows whose key begins with a prefix, after a key."""
         arguments = {"prefix": prefix, "after": after, "limit": limit}
-        rows, next_after, revision = await self._call(
-            "scan", arguments, BULK_LIMIT_S
-        )
-        return ScanPage(tuple(Row(*row) for row in rows), next_after, revision)
+        return await self._call("scan", arguments, decode_scan, BULK_LIMIT_S)
 
     async def changes(
         self, prefix: str, after_revision: int, limit: int
@@ -95,24 +94,21 @@
             "after_revision": after_revision,
             "wait_s": wait_s,
         }
-        rows, revision, complete = await self._call(
-            "watch", arguments, BULK_LIMIT_S + wait_s
-        )
-        found = tuple(Row(*row) for row in rows)
-        return ChangePage(found, revision, complete)
+        limit_s = BULK_LIMIT_S + wait_s
+        return await self._call("watch", arguments, decode_changes, limit_s)
 
     async def commit(self, writes: tuple[Write, ...], mutation_id: str) -> int:
         """Write all rows or none; return the new revision."""
         arguments = {"writes": writes, "mutation_id": mutation_id}
-        revision: int = await self._call("commit", arguments)
-        return revision
+        return await self._call("commit", arguments, int)
 
     async def _call(
         self,
         operation: str,
         arguments: dict[str, Any],
+        decode: Callable[[Any], Result],
         limit_s: float = CALL_LIMIT_S,
-    ) -> Any:
+    ) -> Result:
         stream = await self._connect()
         call = TableCall(operation, dumps(arguments).encode())
         frame: Frame | None = None
@@ -133,7 +129,13 @@
             raise lost_reply_error(
                 operation, f"The peer {self.address} did not send a reply."
             )
-        return decode_result(frame.body)
+        try:
+            return decode(decode_result(frame.body))
+        except DECODE_ERRORS as error:
+            raise lost_reply_error(
+                operation,
+                f"The reply of {self.address} is malformed: {error!r}.",
+            ) from error
 
     async def _connect(self) -> FrameStream:
         if self._idle:
@@ -148,6 +150,34 @@
         return FrameStream(stream)
 
 
+def decode_row(value: Any) -> Row | None:
+    """Return the row in a peer's result, or None where it is absent."""
+    if value is None:
+        return None
+    key, revision, mutation_id, content = value
+    if content is not None and not isinstance(content, dict):
+        raise TypeError(f"the value of a row cannot be {content!r}")
+    return Row(str(key), int(revision), str(mutation_id), content)
+
+
+def decode_rows(values: Any) -> tuple[Row, ...]:
+    """Return the rows in a peer's result."""
+    rows = (decode_row(value) for value in values)
+    return tuple(row for row in rows if row is not None)
+
+
+def decode_scan(value: Any) -> ScanPage:
+    """Return the page of rows in a peer's result."""
+    rows, next_after, revision = value
+    return ScanPage(decode_rows(rows), str(next_after), int(revision))
+
+
+def decode_changes(value: Any) -> ChangePage:
+    """Return the page of changes in a peer's result."""
+    rows, revision, complete = value
+    return ChangePage(decode_rows(rows), int(revision), bool(complete))
+
+
 def lost_reply_error(operation: str, message: str) -> Exception:
     """Return the error of a call whose reply did not arrive.
 
@@ -202,7 +232,7 @@
         return encode_reply(UNKNOWN, str(error))
     except TableUnavailableError as error:
         return encode_reply(UNAVAILABLE, str(error))
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return encode_reply(UNAVAILABLE, f"The call is malformed: {error!r}.")
     return encode_reply(DONE, result)
 
--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -83,14 +83,14 @@
             task_status.started()
             await sleep_forever()
 
-    def put(self, table: str, key: str, value: Any) -> int:
+    def put(self, table: str, key: str, value: Any, part: str = "") -> int:
         """Write a row as operators and workers do; return its version."""
         text = b64encode(dumps(value).encode()).decode()
-        return self.put_text(table, key, text)
+        return self.put_text(table, key, text, part)
 
-    def put_text(self, table: str, key: str, text: str) -> int:
+    def put_text(self, table: str, key: str, text: str, part: str = "") -> int:
         """Write a row's base64 text; return its version."""
-        row_fields = RowId(table, "", key)._asdict()
+        row_fields = RowId(table, part, key)._asdict()
         return self._apply({"writes": [{**row_fields, "value": text}]})
 
     def remove(self, table: str, key: str) -> int:
