Keep headroom for the urgent stream, and spread preemption

Preemption also stopped cheap runs that a later, larger victim made needless, and chose the youngest run over and over.

Change: urgent_load.py predicts from the last 6 s what urgent jobs of the next 0.7 s need; that much free capacity is kept from other work that would run longer. A search drops the victims that need not be stopped. Each earlier run of a unit multiplies the cost of stopping it.

Load: a stream of urgent jobs over a backlog. Tests: test_urgent_load.py, test_policy.py (no_run_is_stopped_that_need_not_be; fails before).

--- a/bench/tasks/day_simulation.py
+++ b/bench/tasks/day_simulation.py
@@ -26,6 +26,7 @@
 from damaskstall.tasks.run_monitor import RunMonitor
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
+from damaskstall.tasks.urgent_load import UrgentLoad
 
 CAPACITY = Demand(64000, 131072, 8)
 RACK_SIZE = 8
@@ -124,6 +125,7 @@
         self.runs: dict[int, Run] = {}
         self.estimator = RunTimeEstimator()
         self.claims = no_claims()
+        self.urgent_load = UrgentLoad()
         self.monitor = RunMonitor(self, self.estimator)
         self.queues = {kind.queue.name: kind.queue for kind in JOB_KINDS}
         total = GUARANTEED_SHARE * workers * CAPACITY.accelerators
@@ -175,6 +177,10 @@
     def _arrival(self, generated: GeneratedJob) -> Callable[[], None]:
         def arrive() -> None:
             self.jobs[generated.job.job_id] = SimulatedJob(generated)
+            queue = self.queues[generated.job.queue]
+            self.urgent_load.record_job(
+                generated.job.declaration, queue.priority, self.now_s
+            )
             self._schedule_decision()
 
         return arrive
@@ -251,6 +257,7 @@
             free_capacities,
             self.estimator,
             self.claims,
+            self.urgent_load,
         )
         result = self.policy(inputs, self.now_s)
         self.claims = result.claims
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -64,6 +64,7 @@
     forget_unstored_runs,
 )
 from damaskstall.tasks.sweeper import Sweeper
+from damaskstall.tasks.urgent_load import UrgentLoad
 from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
 
@@ -92,6 +93,7 @@
         self.sweeper = Sweeper(context)
         self.estimator = RunTimeEstimator()
         self.claims = no_claims()
+        self.urgent_load = UrgentLoad()
         self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.scope = CancelScope()
@@ -302,6 +304,13 @@
         progress = self.reader.decode_new_job(row)
         if progress is not None and not self.is_known(progress.job_id):
             self.jobs[progress.job_id] = progress
+            queue = self.context.configuration.queues.get(progress.job.queue)
+            if queue is not None:
+                self.urgent_load.record_job(
+                    progress.job.declaration,
+                    queue.priority,
+                    self.context.clock(),
+                )
             self._wake.set()
 
     def is_known(self, job_id: str) -> bool:
@@ -370,6 +379,7 @@
             self.pool.free_capacities(configuration.evacuated),
             self.estimator,
             self.claims,
+            self.urgent_load,
         )
 
     def _apply_round(self, result: RoundResult) -> None:
--- a/src/damaskstall/tasks/model.py
+++ b/src/damaskstall/tasks/model.py
@@ -50,6 +50,8 @@
 
 
 NO_DEMAND = Demand(0, 0, 0)
+# The priority of the queues whose jobs may preempt others.
+URGENT_PRIORITY = 0
 
 
 class Step(NamedTuple):
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -19,13 +19,14 @@
     new_claim,
     observe,
 )
-from damaskstall.tasks.model import Demand, Step
+from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
     needs_one_rack,
     pack_some,
     place_unit,
+    racks_by_free,
 )
 from damaskstall.tasks.preemption import (
     PreemptionSearch,
@@ -46,7 +47,6 @@
     reserve,
 )
 from damaskstall.tasks.scheduling_input import (
-    URGENT_PRIORITY,
     SchedulingInput,
     queue_of,
 )
@@ -72,6 +72,16 @@
 WAIT_SHARE = 0.5
 WAIT_LIMIT_S = 0.8
 WAIT_AGE_LIMIT_S = 1.0
+# Capacity is kept free for the urgent jobs that come within this time: work
+# that began there would be preempted soon.
+HEADROOM_S = 0.7
+# Each earlier run of a unit multiplies the cost of stopping it, so that no
+# unit is preempted again and again while others are at hand.
+REPEAT_FACTOR = 3.0
+COUNTED_REPEATS_LIMIT = 6
+
+
+KEPT_HEADROOM = -1
 
 
 class StartUnit(NamedTuple):
@@ -104,7 +114,8 @@
 class UnitShape(NamedTuple):
     """The properties of a unit that determine whether it fits.
 
-    ``held`` has the indices of the reservations that the unit must respect.
+    ``held`` has the indices of the reservations that the unit must respect,
+    and ``KEPT_HEADROOM`` if it must not use the capacity for urgent jobs.
     """
 
     service: str
@@ -145,13 +156,18 @@
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
         self.reservations: list[Reservation] = []
+        self.headroom = Reservation({}, HEADROOM_S)
         self.expected_ends: list[ExpectedEnd] | None = None
 
     def decide(self) -> RoundResult:
         """Decide on the waiting units in order; return the decisions."""
         batches = waiting_batches(self.inputs, self.covered, self.now_s)
         self._renew_claims(batches)
-        for batch in batches:
+        urgent = [b for b in batches if b.queue.priority == URGENT_PRIORITY]
+        for batch in urgent:
+            self._decide_batch(batch)
+        self.headroom = self._keep_headroom()
+        for batch in batches[len(urgent) :]:
             self._decide_batch(batch)
         claims = Claims(self.claims, self.preempted_cores)
         return RoundResult(self.decisions, claims, self.lost_claims)
@@ -228,6 +244,8 @@
                 for number, each in enumerate(self.reservations)
                 if each.after_s < expected_s
             ]
+            if HEADROOM_S < expected_s:
+                held.append(KEPT_HEADROOM)
         step = batch.step
         shape = UnitShape(
             batch.progress.job.service,
@@ -237,9 +255,35 @@
             step.gang and step.one_rack,
             tuple(held),
         )
-        kept = [self.reservations[number] for number in held]
+        kept = [
+            self.reservations[number]
+            for number in held
+            if number != KEPT_HEADROOM
+        ]
+        if KEPT_HEADROOM in held:
+            kept.append(self.headroom)
         return plan_without_reserved(self.plan, kept), shape
 
+    def _keep_headroom(self) -> Reservation:
+        """Keep free capacity for the urgent jobs that come next.
+
+        Workers with more free accelerators are kept first, rack by rack, so
+        that gangs fit there.
+        """
+        needed = self.inputs.urgent_load.expected_accelerators(
+            HEADROOM_S, self.now_s
+        )
+        kept: dict[str, Demand] = {}
+        free = self.plan.free
+        for rack in reversed(racks_by_free(self.plan, 0)):
+            names = self.plan.racks[rack]
+            for name in sorted(names, key=lambda n: -free[n].accelerators):
+                if needed <= 0 or free[name].accelerators <= 0:
+                    break
+                kept[name] = free[name]
+                needed -= free[name].accelerators
+        return Reservation(kept, HEADROOM_S)
+
     def _try_reserve(
         self, placement: PlacementRequest, expected_s: float, shape: UnitShape
     ) -> None:
@@ -618,9 +662,11 @@
 
     def _victim(self, progress: JobProgress, unit: Unit) -> Victim:
         step = progress.step_of(unit)
+        repeats = min(unit.run - 1, COUNTED_REPEATS_LIMIT)
         ran_s = self.now_s - unit.started_s
         if step.checkpoints:
             # A stop writes a checkpoint, from which the next start resumes.
             ran_s = min(ran_s, RESTORE_TIME_S)
         cost = ran_s * step.demand.cores * step.unit_size
+        cost *= REPEAT_FACTOR**repeats
         return Victim(progress, unit, step.demand, unit.workers(), cost)
--- a/src/damaskstall/tasks/preemption.py
+++ b/src/damaskstall/tasks/preemption.py
@@ -118,9 +118,32 @@
             for _ in range(victim.task_workers.count(name)):
                 free = free.plus(victim.demand)
             if tasks_that_fit(placement, name, free, 1):
-                return to_stop
+                return self._needed_stops(placement, name, free, to_stop)
         return None
 
+    def _needed_stops(
+        self,
+        placement: PlacementRequest,
+        name: str,
+        free: Demand,
+        to_stop: list[Victim],
+    ) -> list[Victim]:
+        """Return the victims without those that need not be stopped.
+
+        A later victim may free enough by itself. ``free`` is the capacity
+        with all of them stopped.
+        """
+        needed = []
+        for victim in sorted(to_stop, key=lambda each: -each.cost_core_s):
+            without = free
+            for _ in range(victim.task_workers.count(name)):
+                without = without.minus(victim.demand)
+            if tasks_that_fit(placement, name, without, 1):
+                free = without
+            else:
+                needed.append(victim)
+        return needed
+
     def _stop(self, victim: Victim) -> None:
         self.chosen[id(victim.unit)] = victim
         self.cost_core_s += victim.cost_core_s + STOP_COST_CORE_S
--- a/src/damaskstall/tasks/ranking.py
+++ b/src/damaskstall/tasks/ranking.py
@@ -11,10 +11,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from damaskstall.tasks.model import Queue, Step
+from damaskstall.tasks.model import URGENT_PRIORITY, Queue, Step
 from damaskstall.tasks.progress import JobProgress, Unit
 from damaskstall.tasks.scheduling_input import (
-    URGENT_PRIORITY,
     SchedulingInput,
     queue_of,
 )
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -7,8 +7,8 @@
 from damaskstall.tasks.model import Queue
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
+from damaskstall.tasks.urgent_load import UrgentLoad
 
-URGENT_PRIORITY = 0
 # Less urgent than any priority of a queue (documented are 0 to 2).
 LAST_PRIORITY = 1000
 
@@ -25,6 +25,7 @@
     free_capacities: list[FreeCapacity]
     estimator: RunTimeEstimator
     claims: Claims
+    urgent_load: UrgentLoad
 
 
 def queue_of(inputs: SchedulingInput, progress: JobProgress) -> Queue:
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -19,6 +19,7 @@
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
+from damaskstall.tasks.urgent_load import UrgentLoad
 
 SERVICE = "svc"
 CAPACITY = Demand(64_000, 262_144, 8)
@@ -66,6 +67,7 @@
         self.guarantees: dict[str, int] = {}
         self.estimator = RunTimeEstimator()
         self.claims = no_claims()
+        self.urgent_load = UrgentLoad()
 
     def add(
         self, queue_name: str, *steps: Step, team: str = "blue"
@@ -117,6 +119,7 @@
             self.free_capacities(),
             self.estimator,
             self.claims,
+            self.urgent_load,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -220,3 +220,15 @@
             continue
         assert by_id[decision.for_job].job.queue == URGENT
         assert decision.progress.job.team == "guest"
+
+
+def test_no_run_is_stopped_that_need_not_be() -> None:
+    """The run of eight accelerators alone frees enough for the job."""
+    fleet = Fleet(racks=1, per_rack=1)
+    small = fleet.add(BULK, task(1, checkpoints=True))
+    fleet.run_on(small, "w00")
+    large = fleet.add(BULK, task(7))
+    fleet.run_on(large, "w00")
+    fleet.add(URGENT, task(7))
+    decisions = fleet.decide(now_s=5.0)
+    assert [each.progress for each in decisions] == [large]
