Count claimed capacity against a step's limit for each worker

Cause, found on reading the change again: two tasks of an urgent step with a limit for each worker could claim the same worker, since only running and just started tasks were counted, and a unit starts on its claim without another look. The new test of test_claims.py fails before ({'w00'} for both tasks) and passes now.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -607,13 +607,20 @@
     def _count_tasks(
         self, progress: JobProgress, unit: Unit
     ) -> dict[str, int]:
-        """Return a step's tasks per worker, including those just started."""
+        """Return a step's tasks per worker, including those just started.
+
+        The tasks that are to start on claimed capacity count as well.
+        """
         counts: dict[str, int] = {}
         units = progress.units_of(unit.occurrence, unit.step)
         for unit in units:
             for member in unit.members:
                 if not member.ended:
                     counts[member.worker] = counts.get(member.worker, 0) + 1
+        for sibling in units:
+            claim = self.claims.get(key_of(progress, sibling))
+            for worker in claim.workers if claim else ():
+                counts[worker] = counts.get(worker, 0) + 1
         for decision in self.decisions:
             if not isinstance(decision, StartUnit):
                 continue
--- a/tests/tasks/test_claims.py
+++ b/tests/tasks/test_claims.py
@@ -213,3 +213,18 @@
     fleet.play(STOP_ROUNDS + 1)
     assert all_running(urgent)
     assert not any(unit.run for unit in small.all_units())
+
+
+def test_claims_respect_the_limit_of_tasks_for_each_worker() -> None:
+    """The cheapest victims of both tasks run on one worker."""
+    fleet = SlowFleet(racks=1, per_rack=2)
+    for worker, saves in (("w00", True), ("w01", False)):
+        for _ in range(2):
+            job = fleet.add(BULK, task(4, checkpoints=saves))
+            fleet.run_on(job, worker)
+    step = task(4, task_count=2, per_worker_limit=1)
+    urgent = fleet.add(URGENT, step)
+    fleet.now_s = 5.0
+    fleet.play(2 * STOP_ROUNDS + 2)
+    assert all_running(urgent)
+    assert workers_of(urgent) == {"w00", "w01"}
