--- a/src/damaskstall/platform/machine_list.py
+++ b/src/damaskstall/platform/machine_list.py
@@ -11,6 +11,7 @@
 )
 from damaskstall.http.client import HttpClient
 from damaskstall.network import Network
+from damaskstall.platform.labels import rack_of
 from damaskstall.tasks.machine_evidence import MachineEntry
 
 # The list answers in a few milliseconds; when it is slow it takes 50 times as
@@ -89,4 +90,10 @@
     """Return the machine that an entry of the list describes."""
     running = value["state"] == RUNNING
     worker = str(value["identifier"]) if running else ""
-    return MachineEntry(str(value["machine"]), worker)
+    labels = frozenset(str(label) for label in value.get("labels", ()))
+    return MachineEntry(
+        str(value["machine"]),
+        worker,
+        str(value.get("zone", "")),
+        rack_of(labels),
+    )
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -5,6 +5,7 @@
 from damaskstall.addresses import Address, parse_address
 from damaskstall.errors import DECODE_ERRORS, MalformedRowError, SettingsError
 from damaskstall.network import Network
+from damaskstall.platform.labels import rack_of
 from damaskstall.platform.machine_list import MachineList
 from damaskstall.platform.row_store import RowStore
 from damaskstall.platform.types import Row
@@ -19,9 +20,6 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WORKER_PREFIX = "servers/"
-# A label that begins with this prefix and contains a hyphen names a worker's
-# rack; any other label names its kind.
-RACK_LABEL_PREFIX = "r"
 WORKER_STATES = frozenset({"ready", "draining"})
 MILLISECONDS_PER_S = 1000
 
@@ -155,13 +153,3 @@
     if value["state"] == "ready" or remaining_ms is None:
         return None
     return float(remaining_ms) / MILLISECONDS_PER_S
-
-
-def rack_of(labels: frozenset[str]) -> str:
-    """Return the rack among a worker's labels, or "" if there is none."""
-    racks = [
-        label
-        for label in sorted(labels)
-        if label.startswith(RACK_LABEL_PREFIX) and "-" in label
-    ]
-    return racks[0] if racks else ""
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -202,8 +202,8 @@
     8046,
     "WARNING",
     "task_worker_gone",
-    "The platform lists no running machine for a silent worker: its runs "
-    "have ended.",
+    "The platform's list of machines shows that a silent worker has ended: "
+    "its runs have ended.",
 )
 MACHINE_LIST_LOST = Event(
     8047,
--- a/src/damaskstall/tasks/expected_runs.py
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from damaskstall.tasks.model import RunKey
-from damaskstall.tasks.ports import MISSING, REPLACED
+from damaskstall.tasks.ports import MISSING
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 
 ALWAYS_S = float("-inf")
@@ -45,10 +45,13 @@
         if key in self._runs:
             self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
 
-    def expect_in_next_lists(self) -> None:
-        """Expect all runs in the first lists of another incarnation."""
+    def expect_in_next_lists(self, evidence: str) -> None:
+        """Expect all runs in the first lists of another incarnation.
+
+        ``evidence`` tells why the runs that these lists lack have ended.
+        """
         for key in self._runs:
-            self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_LAPSED, REPLACED)
+            self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_LAPSED, evidence)
 
     def remove(self, key: RunKey) -> None:
         """Stop expecting a run."""
--- a/src/damaskstall/tasks/machine_evidence.py
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -20,10 +20,27 @@
     """One machine of the list.
 
     ``worker`` is the name of the worker that runs on it, "" if none does.
+    ``failure_domain`` and ``rack`` are "" if they are not known.
     """
 
     machine: str
     worker: str
+    failure_domain: str = ""
+    rack: str = ""
+
+
+class EndedWorker(NamedTuple):
+    """What the readings prove about a worker that has ended.
+
+    ``replaced`` states that another worker runs on its machine, and
+    ``in_outage`` that no worker ran in its failure domain or in its rack.
+    """
+
+    replaced: bool
+    in_outage: bool
+
+
+MACHINE_EMPTY = EndedWorker(replaced=False, in_outage=False)
 
 
 class MachineEvidence:
@@ -36,6 +53,8 @@
         # For a silent worker that no reading has shown: the start of its
         # silence, and the time of the first reading without it.
         self._absent_since: dict[str, tuple[float, float]] = {}
+        # The start of the silence of each worker found in an outage.
+        self._outages: dict[str, float] = {}
 
     def knows(self, workers: Set[str]) -> bool:
         """Return whether the machines of all these workers are known."""
@@ -47,10 +66,9 @@
         answering: Set[str],
         entries: Iterable[MachineEntry],
         now_s: float,
-    ) -> dict[str, bool]:
+    ) -> dict[str, EndedWorker]:
         """Return the silent workers that have ended, by a new reading.
 
-        The value states whether another worker runs on the machine.
         ``silent_since`` has the start of each silent worker's present silence,
         which began before the reading did.
         """
@@ -63,19 +81,35 @@
             if entry.worker:
                 self._machine_of[entry.worker] = entry.machine
         shown = {entry.worker for entry in found}
-        ended: dict[str, bool] = {}
+        self._note_outages(silent_since, found)
+        ended: dict[str, EndedWorker] = {}
         for name, since_s in silent_since.items():
             if name in shown:
                 continue
             machine = self._machine_of.get(name)
             if machine is not None:
-                if machine in on_machine:
-                    ended[name] = on_machine[machine] != {""}
+                if machine not in on_machine:
+                    continue
+                replaced = on_machine[machine] != {""}
+                in_outage = self._outages.get(name) == since_s
+                ended[name] = EndedWorker(replaced, in_outage)
             elif complete and self._is_absent_long(name, since_s, now_s):
-                ended[name] = False
+                ended[name] = MACHINE_EMPTY
         self._forget_absences(silent_since, shown, complete)
         return ended
 
+    def _note_outages(
+        self, silent_since: Mapping[str, float], entries: list[MachineEntry]
+    ) -> None:
+        """Note the silent workers whose failure domain or rack is down."""
+        down = machines_in_outages(entries)
+        for name, since_s in silent_since.items():
+            if self._machine_of.get(name) in down:
+                self._outages[name] = since_s
+        for name in list(self._outages):
+            if self._outages[name] != silent_since.get(name):
+                del self._outages[name]
+
     def _is_complete(
         self, entries: list[MachineEntry], answering: Set[str]
     ) -> bool:
@@ -107,3 +141,21 @@
         for name in list(self._absent_since):
             if name in shown or name not in silent_since:
                 del self._absent_since[name]
+
+
+def machines_in_outages(entries: Iterable[MachineEntry]) -> set[str]:
+    """Return the machines of each failure domain and rack without a worker.
+
+    A group of one machine is not distinguishable from a crash.
+    """
+    groups: dict[tuple[str, str], list[MachineEntry]] = {}
+    for entry in entries:
+        for group in (("domain", entry.failure_domain), ("rack", entry.rack)):
+            if group[1]:
+                groups.setdefault(group, []).append(entry)
+    return {
+        entry.machine
+        for members in groups.values()
+        if len(members) > 1 and not any(each.worker for each in members)
+        for entry in members
+    }
--- a/src/damaskstall/tasks/machine_list_poller.py
+++ b/src/damaskstall/tasks/machine_list_poller.py
@@ -74,6 +74,5 @@
             entries,
             self.pool.context.clock(),
         )
-        for name, replaced in sorted(ended.items()):
-            since_s = silent_since[name]
-            self.pool.record_machine_stopped(name, since_s, replaced)
+        for name, found in sorted(ended.items()):
+            self.pool.record_machine_stopped(name, silent_since[name], found)
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -17,6 +17,10 @@
     "damaskstall_runs_ended",
     "Runs of tasks that ended, by how they ended and the evidence for it.",
 )
+WORKERS_LOST = Counter(
+    "damaskstall_workers_lost",
+    "Workers that ended with runs on them, by the evidence for their end.",
+)
 ENDS_UNMATCHED = Counter(
     "damaskstall_ends_unmatched",
     "Listed ends of runs that are not the present run, by how they ended.",
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -17,12 +17,15 @@
 
 # Evidence for the end of a run: the worker listed the end, its reports lack
 # the run, it refused the start, another incarnation of it answers, its
-# machine is down, its lease has expired, or no start command was sent.
+# machine is down, its whole failure domain or rack is down, it was draining
+# and has ended, its lease has expired, or no start command was sent.
 REPORTED = "reported"
 MISSING = "missing"
 REFUSED = "refused"
 REPLACED = "replaced"
 MACHINE_DOWN = "machine_down"
+OUTAGE = "outage"
+WORKER_LEFT = "worker_left"
 LEASE_EXPIRED = "lease_expired"
 NOT_LAUNCHED = "not_launched"
 
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -9,6 +9,7 @@
     RUN_LAUNCHED,
     RUN_OVERDUE,
     TASK_JOB_ENDED,
+    TASK_WORKER_GONE,
     UNIT_STARTED,
     UNIT_STOPPED,
 )
@@ -17,11 +18,15 @@
     NO_LABELS,
     RUNS_ENDED,
     UNITS_STARTED,
+    WORKERS_LOST,
 )
 from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.ports import EndReport
 from damaskstall.tasks.progress import JobProgress, Member, Unit
 
+# Maximum number of runs that the log names for one lost worker.
+LISTED_RUNS_LIMIT = 16
+
 
 def log_unit_started(
     progress: JobProgress, unit: Unit, workers: list[str]
@@ -117,6 +122,25 @@
     )
 
 
+def log_worker_lost(worker: str, runs: list[RunKey], evidence: str) -> None:
+    """Log and count a worker that has ended, with the runs it had."""
+    WORKERS_LOST.inc({"evidence": evidence})
+    log(
+        TASK_WORKER_GONE,
+        worker=worker,
+        evidence=evidence,
+        runs=len(runs),
+        tasks=",".join(run_name(key) for key in runs[:LISTED_RUNS_LIMIT]),
+    )
+
+
+def run_name(key: RunKey) -> str:
+    """Return the short name of a run: JOB.OCCURRENCE.STEP.INDEX#RUN."""
+    task = key.task
+    name = f"{task.job_id}.{task.occurrence}.{task.step}.{task.task_index}"
+    return f"{name}#{key.run}"
+
+
 def log_run_overdue(key: RunKey, member: Member, silent_s: float) -> None:
     """Log that nothing was heard of a run for ``silent_s``."""
     log(
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -15,8 +15,14 @@
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.expected_runs import ALWAYS_S
 from damaskstall.tasks.fencing import FencingTokens
+from damaskstall.tasks.machine_evidence import MACHINE_EMPTY, EndedWorker
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
-from damaskstall.tasks.ports import LEASE_EXPIRED, MACHINE_DOWN, EndReport
+from damaskstall.tasks.ports import (
+    LEASE_EXPIRED,
+    MACHINE_DOWN,
+    OUTAGE,
+    EndReport,
+)
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_FAILED,
@@ -183,23 +189,24 @@
         }
 
     def record_machine_stopped(
-        self, name: str, since_s: float, replaced: bool = False
+        self, name: str, since_s: float, found: EndedWorker = MACHINE_EMPTY
     ) -> None:
         """Record that a worker has ended that was silent since a time.
 
         Ends the runs that the worker had in that silence. Unless another
-        worker has ``replaced`` it on its machine, it may start again and
-        carry out a late start.
+        worker has replaced it on its machine, it may start again and carry
+        out a late start.
         """
         session = self.sessions.get(name)
         if session is not None:
-            session.record_machine_down(since_s, replaced)
+            session.record_machine_down(since_s, found)
+        evidence = OUTAGE if found.in_outage else MACHINE_DOWN
         now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
             if orphan.worker != name or orphan.adopted_s > since_s:
                 continue
-            if replaced or now_s >= orphan.late_start_until_s:
-                self._end_orphan(key, orphan, MACHINE_DOWN)
+            if found.replaced or now_s >= orphan.late_start_until_s:
+                self._end_orphan(key, orphan, evidence)
 
     def leaving_workers(self) -> dict[str, float]:
         """Return the draining workers with the seconds until they leave."""
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -21,17 +21,20 @@
     RUNS_LAPSED,
     RUNS_UNCOUNTED,
     TASK_WORKER_FENCED,
-    TASK_WORKER_GONE,
     TASK_WORKER_LOST,
     TASK_WORKER_REPLACED,
 )
 from damaskstall.tasks.expected_runs import ExpectedRuns
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.late_starts import LateStarts
+from damaskstall.tasks.machine_evidence import MACHINE_EMPTY, EndedWorker
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
     MACHINE_DOWN,
+    OUTAGE,
+    REPLACED,
+    WORKER_LEFT,
     EndReport,
     LeaseRenewal,
     WorkerClient,
@@ -39,6 +42,7 @@
 )
 from damaskstall.tasks.progress import ENDED_LAPSED
 from damaskstall.tasks.run_launch import RunLaunch
+from damaskstall.tasks.run_log import log_worker_lost
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
 from damaskstall.tasks.worker_lease import WorkerLease, lease_limit_s
@@ -105,6 +109,8 @@
         self._entry_read_s = started_s
         # The start of the present silence, if the worker is not reachable.
         self.silent_since_s = started_s
+        # Whether the whole failure domain or rack was down in this silence.
+        self.in_outage = False
         self.late_starts = LateStarts(started_s)
         self._stop_sent_s: dict[RunKey, float] = {}
         self.command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
@@ -210,22 +216,32 @@
         return max(0.0, self.worker.leaves_in_s - passed_s)
 
     def record_machine_down(
-        self, since_s: float, replaced: bool = False
+        self, since_s: float, found: EndedWorker = MACHINE_EMPTY
     ) -> None:
         """Record that the worker has ended: end its runs.
 
         Does nothing if the worker has answered since ``since_s``, the start of
         the silence in which its end was observed. Unless another worker has
-        ``replaced`` it on its machine, it may start again, so the runs that
-        its next incarnation may start late are kept.
+        replaced it on its machine, it may start again, so the runs that its
+        next incarnation may start late are kept.
         """
         if self.reachable or self.silent_since_s != since_s:
             return
-        runs = list(self.load.runs) if replaced else self._settled_runs(0.0)
+        self.in_outage = self.in_outage or found.in_outage
+        runs = list(self.load.runs)
+        if not found.replaced:
+            runs = self._settled_runs(0.0)
         if not runs:
             return
-        log(TASK_WORKER_GONE, worker=self.worker.name, runs=len(runs))
-        self._end_runs(runs, MACHINE_DOWN)
+        evidence = self._loss_evidence(MACHINE_DOWN)
+        log_worker_lost(self.worker.name, runs, evidence)
+        self._end_runs(runs, evidence)
+
+    def _loss_evidence(self, evidence: str) -> str:
+        """Return why the worker's runs ended if it did not just crash."""
+        if self.worker.leaving:
+            return WORKER_LEFT
+        return OUTAGE if self.in_outage else evidence
 
     def wake(self) -> None:
         """Wake the session to renew the lease if runs need it."""
@@ -240,9 +256,9 @@
             if worker is not self.worker:
                 self._entry_read_s = self.clock()
             self._follow_address(worker)
-            self.worker = worker
             if worker.incarnation > max(listed, self.incarnation):
                 self.begin_incarnation(worker.incarnation, "list of workers")
+            self.worker = worker
         self.wake()
 
     def entry_is_outdated(self) -> bool:
@@ -400,6 +416,7 @@
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
         if self.reachable:
             self.silent_since_s = self.clock()
+            self.in_outage = False
         self.reachable = False
         self.answered.set()
         if self.clock() <= self.lease.expires_s:
@@ -417,12 +434,14 @@
         carried out by this one. Once it has accepted the token, its lists
         show which of the runs it has.
         """
+        evidence = self._loss_evidence(REPLACED)
         log(
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
             incarnation=incarnation,
             earlier_incarnation=self.incarnation,
             source=source,
+            evidence=evidence,
             runs=len(self.load.runs),
         )
         self._advance_token()
@@ -432,7 +451,7 @@
         self._sent_end = 0
         self.fenced = False
         self.lease.begin_incarnation(self.clock())
-        self.expected.expect_in_next_lists()
+        self.expected.expect_in_next_lists(evidence)
         self.wake()
 
     def _advance_token(self) -> None:
--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -113,7 +113,7 @@
         "machine": f"m-{worker.name}",
         "pool": "svc",
         "state": "up" if up else "down",
-        "zone": "fd0",
+        "zone": f"fd{worker.name[1]}",
         "labels": ["a", worker.rack],
         "capacity": worker.capacity,
         "identifier": worker.name if up else "",
