--- a/standins/operators/machine_list.py
+++ b/standins/operators/machine_list.py
@@ -88,9 +88,11 @@
         )
 
     def _current(self) -> dict[str, dict[str, Any]]:
+        """Return the entries by worker, the newest one of each machine."""
+        newest = {worker.machine: worker for worker in self.workers()}
         return {
             worker.name: entry(worker, worker.name in self.outdated)
-            for worker in self.workers()
+            for worker in newest.values()
         }
 
     def _entries(self, first: int) -> list[dict[str, Any]]:
@@ -110,7 +112,7 @@
     """
     up = worker.up and not outdated
     return {
-        "machine": f"m-{worker.name}",
+        "machine": worker.machine,
         "pool": "svc",
         "state": "up" if up else "down",
         "zone": f"fd{worker.name[1]}",
--- a/standins/operators/run_history.py
+++ b/standins/operators/run_history.py
@@ -71,12 +71,15 @@
     """The submitted jobs, the recorded runs and the work that each needs.
 
     ``work_s`` overrides the estimated run time of a job's tasks.
+    ``crash_after_s`` has the tasks that crash each worker on which they run,
+    with the time from their start to the crash.
     """
 
     def __init__(self) -> None:
         """Create an empty history in which every run ends as done."""
         self.jobs: dict[str, dict[str, Any]] = {}
         self.work_s: dict[str, float] = {}
+        self.crash_after_s: dict[str, float] = {}
         self.runs: list[Run] = []
         self.choose_outcome: OutcomeChooser = lambda run: "done"
         self.started_members: dict[tuple[str, int, int], set[int]] = {}
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -80,6 +80,7 @@
         self.name = name
         self.address = address
         self.rack = rack
+        self.machine = f"m-{name}"
         self.capacity = capacity
         self.speed = 1.0
         self.clock_rate = 1.0
@@ -98,6 +99,7 @@
         self.up = True
         self.born = born
         self.booted_s = current_time()
+        self.crashed_s = NEVER_S
         self.clock_base_s = clock_base_s
         self.sequence = 0
         self.fence = 0
@@ -117,6 +119,7 @@
             run.how = "lost"
         self.running = {}
         self.up = False
+        self.crashed_s = current_time()
         self._booted = Event()
         self.network.kill(self.name)
 
@@ -179,6 +182,8 @@
     def tick(self, passed_s: float) -> None:
         """Advance all runs by a time; end those that are due or expired."""
         self._apply_lapse()
+        if any(self._crashes_worker(run) for run in self.running.values()):
+            self.crash()
         for run in list(self.running.values()):
             self._work(run, passed_s)
 
@@ -194,6 +199,12 @@
         for _, run in self.ended:
             run.lease_lapsed = True
 
+    def _crashes_worker(self, run: Run) -> bool:
+        after_s = self.history.crash_after_s.get(run.task)
+        if after_s is None:
+            return False
+        return current_time() - run.started_s >= after_s
+
     def _work(self, run: Run, passed_s: float) -> None:
         now_s = current_time()
         if run.stop_s is not None and now_s >= run.stop_s:
--- a/tests/tasks/cluster.py
+++ b/tests/tasks/cluster.py
@@ -30,6 +30,8 @@
 CAPACITY = {"cpu": 64000, "task_memory_mb": 262144, "gpus": 8}
 CLIENT_LIMIT_S = 3.0
 UNIX_BASE_S = 1_700_000_000.0
+# Appended to the name of a worker by the one that replaces it.
+RENAMED_SUFFIX = "+"
 FRONT_PORT, READY_PORT, METRICS_PORT = 8000, 8001, 8002
 
 
@@ -136,6 +138,29 @@
         entry = worker.entry(SERVICE, domain, state, remaining_ms)
         self.store.put("servers", worker.name, entry)
 
+    async def replace_worker(self, name: str) -> StandinWorker:
+        """Start another worker on the machine of one that has crashed.
+
+        It has a name of its own, and the address of the earlier worker.
+        """
+        earlier = self.workers[name]
+        renamed = f"{name}{RENAMED_SUFFIX}"
+        worker = StandinWorker(
+            self.network,
+            self.history,
+            renamed,
+            earlier.address,
+            earlier.rack,
+            earlier.capacity,
+        )
+        worker.machine = earlier.machine
+        self.history.racks[renamed] = earlier.rack
+        self.workers[renamed] = worker
+        assert self.nursery is not None
+        await self.nursery.start(worker.run)
+        self.register_worker(worker)
+        return worker
+
     def disconnect_worker(self, name: str) -> None:
         """Block all traffic between a worker and the nodes."""
         for node in self.nodes:
--- a/tests/tasks/run_checker.py
+++ b/tests/tasks/run_checker.py
@@ -5,6 +5,11 @@
 from standins.operators.run_history import Run
 from tests.tasks.cluster import Cluster
 
+# How the stand-in worker records the end of a run by a crash.
+LOST = "lost"
+CRASHES_BEFORE_LIMIT = 3
+STARTS_AFTER_CRASHES = 2
+
 
 def check_runs(cluster: Cluster) -> None:
     """Assert that the recorded runs satisfy all guarantees."""
@@ -38,6 +43,25 @@
             ), f"{task} ran again after its end"
 
 
+def check_crash_budget(cluster: Cluster) -> None:
+    """Assert that no task that crashes workers is started too often.
+
+    Once three workers have crashed under it, it is started at most twice.
+    """
+    for task in cluster.history.crash_after_s:
+        runs = [run for run in cluster.history.runs if run.task == task]
+        crashes_s = sorted(
+            run.ended_s or 0.0 for run in runs if run.how == LOST
+        )
+        if len(crashes_s) < CRASHES_BEFORE_LIMIT:
+            continue
+        third_s = crashes_s[CRASHES_BEFORE_LIMIT - 1]
+        later = [run for run in runs if run.started_s > third_s]
+        assert (
+            len(later) <= STARTS_AFTER_CRASHES
+        ), f"{task} was started {len(later)} times after three crashes"
+
+
 def check_step_order(cluster: Cluster) -> None:
     """Assert that no task started before the steps it depends on ended."""
     for run in cluster.history.runs:
--- /dev/null
+++ b/tests/tasks/test_deadly_tasks.py
@@ -0,0 +1,147 @@
+"""A task that crashes its workers is given up, and no other one is."""
+
+from functools import partial
+
+from trio import current_time, sleep
+
+from standins.operators.worker import StandinWorker
+from tests.tasks.cluster import BULK, URGENT, Cluster, run_scenario
+from tests.tasks.job_specs import FOUR_TASKS, GANG, ONE_TASK, job_id
+from tests.tasks.run_checker import (
+    LOST,
+    check_completed,
+    check_crash_budget,
+    check_runs,
+)
+
+RETURN_S = 3.0
+UNLISTED_S = 4.5
+DEADLY_JOB = job_id(1)
+EIGHT_TASKS = {**FOUR_TASKS, "count": 8}
+
+
+def task_name(job: str, index: int = 0) -> str:
+    """Return the name of a task of a job's first step."""
+    return f"{job}.0.0.{index}"
+
+
+async def return_workers(cluster: Cluster, renamed: bool) -> None:
+    """Start each crashed worker again after RETURN_S, until cancelled."""
+    handled: dict[str, float] = {}
+    while True:
+        await sleep(0.05)
+        now_s = current_time()
+        for worker in list(cluster.workers.values()):
+            if worker.up or now_s - worker.crashed_s < RETURN_S:
+                continue
+            if handled.get(worker.name) == worker.crashed_s:
+                continue
+            handled[worker.name] = worker.crashed_s
+            await return_worker(cluster, worker, renamed)
+
+
+async def return_worker(
+    cluster: Cluster, worker: StandinWorker, renamed: bool
+) -> None:
+    """Start a worker again, under its name or as another one."""
+    assert cluster.nursery is not None
+    if not renamed:
+        await worker.restart(cluster.nursery)
+        cluster.register_worker(worker)
+        return
+    await cluster.replace_worker(worker.name)
+    cluster.nursery.start_soon(unlist_later, cluster, worker.name)
+
+
+async def unlist_later(cluster: Cluster, name: str) -> None:
+    """Remove a silent worker's entry as the platform does."""
+    await sleep(UNLISTED_S - RETURN_S)
+    cluster.store.remove("servers", name)
+
+
+async def play_beside_others(cluster: Cluster, renamed: bool) -> None:
+    """Run a deadly task beside other jobs until all of them have ended."""
+    assert cluster.nursery is not None
+    cluster.nursery.start_soon(return_workers, cluster, renamed)
+    cluster.history.crash_after_s[task_name(DEADLY_JOB, 3)] = 0.02
+    others = [job_id(number) for number in range(2, 8)]
+    for job in others:
+        await cluster.submit(job, [EIGHT_TASKS], work_s=2.0)
+    await cluster.submit(DEADLY_JOB, [EIGHT_TASKS], work_s=2.0)
+    await cluster.wait_state(DEADLY_JOB, "failed")
+    for job in others:
+        await cluster.wait_state(job, "completed")
+        check_completed(cluster, job)
+    check_crash_budget(cluster)
+    check_runs(cluster)
+
+
+def test_task_that_crashes_its_workers_is_given_up() -> None:
+    play = partial(play_beside_others, renamed=False)
+    run_scenario(play, racks=3, per_rack=4)
+
+
+def test_task_whose_crashed_workers_are_replaced_is_given_up() -> None:
+    play = partial(play_beside_others, renamed=True)
+    run_scenario(play, racks=3, per_rack=4)
+
+
+def test_gang_with_a_member_that_crashes_its_workers_is_given_up() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(return_workers, cluster, True)
+        cluster.history.crash_after_s[task_name(DEADLY_JOB, 1)] = 0.02
+        await cluster.submit(DEADLY_JOB, [GANG], URGENT, work_s=2.0)
+        await cluster.wait_state(DEADLY_JOB, "failed", URGENT)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=3, per_rack=4)
+
+
+def test_crashes_under_a_task_are_known_after_each_take_over() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(return_workers, cluster, True)
+        task = task_name(DEADLY_JOB)
+        cluster.history.crash_after_s[task] = 0.02
+        await cluster.submit(DEADLY_JOB, [ONE_TASK], BULK, work_s=2.0)
+        for crashes in (1, 2, 3):
+            await wait_crashes(cluster, task, crashes)
+            await sleep(1.0)
+            holder = cluster.holder()
+            assert holder is not None
+            cluster.kill_node(holder)
+            await cluster.start_node(holder)
+            await cluster.wait(lambda: cluster.holder() is not None)
+        node = cluster.other_node(None)
+        await cluster.wait_state(DEADLY_JOB, "failed", BULK, node=node)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=3, per_rack=4)
+
+
+def test_crash_noticed_after_the_next_start_counts() -> None:
+    """While no list of machines is read, only the lease ends a run."""
+
+    async def scenario(cluster: Cluster) -> None:
+        task = task_name(DEADLY_JOB)
+        cluster.history.crash_after_s[task] = 0.02
+        await cluster.submit(DEADLY_JOB, [ONE_TASK], work_s=2.0)
+        cluster.machines.status = 503
+        await wait_crashes(cluster, task, 3)
+        cluster.machines.status = 200
+        await cluster.wait_state(DEADLY_JOB, "failed", limit_s=90.0)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=3, per_rack=4)
+
+
+async def wait_crashes(cluster: Cluster, task: str, count: int) -> None:
+    """Wait until a number of workers have crashed under a task."""
+    runs = cluster.history.runs
+    await cluster.wait(
+        lambda: sum(r.task == task and r.how == LOST for r in runs) >= count
+    )
