Count the crashes of workers under a task, isolate it, and give it up

What callers saw: one job's task crashed worker after worker, every 0.3 s, up to 106 times, and the jobs beside it lost their work as often.

Cause: an end without an outcome of its own (lapsed, with the worker) only meant that the task runs again, however often. Nothing told such ends apart, limited them, or kept tasks that had met a crash away from others. The class of fault: a retry without a budget, in which the work may be what breaks its executor.

Change: a run that may have started and ended as its worker crashed counts once in its unit, and the count is stored in the job's row. Two such units are kept apart where possible; after two crashes a unit runs on workers without other runs, and nothing starts beside it for 5 s; after four crashes its job fails. A worker that is silent, draining, or down with its whole failure domain or rack does not count; a run that lapsed counts if its worker is found to have crashed within 30 s; a run whose start was never sent does not count. Urgent work under a guarantee may end an isolation.

Why it works: a unit that crashes its workers meets one start after the third crash at most (two are allowed). A unit beside it meets at most two crashes before it is isolated, so it is not given up.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -241,3 +241,10 @@
     "background_task_failed",
     "A background task met an unexpected error: it is started again.",
 )
+CRASH_COUNTED = Event(
+    8053,
+    "WARNING",
+    "crash_counted",
+    "A worker crashed under a run of a unit, which is isolated after several "
+    "crashes and then given up.",
+)
--- a/src/damaskstall/tasks/expected_runs.py
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from damaskstall.tasks.model import RunKey
-from damaskstall.tasks.ports import MISSING
+from damaskstall.tasks.ports import MISSING, NOT_LAUNCHED
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 
 ALWAYS_S = float("-inf")
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         """Expect no run."""
         self._runs: dict[RunKey, ExpectedRun] = {}
+        self._sent: set[RunKey] = set()
 
     def __contains__(self, key: RunKey) -> bool:
         """Return whether a run is expected."""
@@ -34,6 +35,7 @@
 
     def add_adopted(self, key: RunKey) -> None:
         """Expect a run that an earlier holder may have started."""
+        self._sent.add(key)
         self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_NOT_STARTED)
 
     def add_launched(self, key: RunKey, not_after_s: float) -> None:
@@ -43,18 +45,38 @@
     def confirm(self, key: RunKey, clock_s: float) -> None:
         """Record that an expected run existed at a time on the clock."""
         if key in self._runs:
+            self._sent.add(key)
             self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
 
+    def mark_sent(self, key: RunKey) -> bool:
+        """Record that a start is being sent; return whether one was before."""
+        was_sent = key in self._sent
+        self._sent.add(key)
+        return was_sent
+
+    def mark_not_sent(self, key: RunKey) -> None:
+        """Record that no start of a run has reached its worker."""
+        self._sent.discard(key)
+
+    def may_have_started(self, key: RunKey) -> bool:
+        """Return whether a start of a run may have reached its worker."""
+        return key in self._sent
+
     def expect_in_next_lists(self, evidence: str) -> None:
         """Expect all runs in the first lists of another incarnation.
 
         ``evidence`` tells why the runs that these lists lack have ended.
         """
         for key in self._runs:
-            self._runs[key] = ExpectedRun(ALWAYS_S, ENDED_LAPSED, evidence)
+            if key in self._sent:
+                run = ExpectedRun(ALWAYS_S, ENDED_LAPSED, evidence)
+            else:
+                run = ExpectedRun(ALWAYS_S, ENDED_NOT_STARTED, NOT_LAUNCHED)
+            self._runs[key] = run
 
     def remove(self, key: RunKey) -> None:
         """Stop expecting a run."""
+        self._sent.discard(key)
         self._runs.pop(key, None)
 
     def missing(
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -221,6 +221,10 @@
         """Record that a run has ended, or has never started."""
         self.ends.record(worker, end)
 
+    def record_crash(self, key: RunKey) -> None:
+        """Record that the worker of a run that has ended had crashed."""
+        self.ends.record_late_crash(key)
+
     async def wait_ends_stored(self) -> None:
         """Return once every end recorded so far is in the table."""
         await self.ends.settle_all()
@@ -518,6 +522,10 @@
         queue = self.context.configuration.queues.get(progress.job.queue)
         return NO_ATTEMPT_LIMIT if queue is None else queue.attempt_limit
 
+    def run_age_s(self, unit: Unit) -> float:
+        """Return the time since a unit's present run was placed."""
+        return self.context.clock() - unit.started_s
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
--- /dev/null
+++ b/src/damaskstall/tasks/isolation.py
@@ -0,0 +1,43 @@
+"""Keep apart the units under which workers have crashed.
+
+A task may crash each worker that starts it. Which of the tasks on a crashed
+worker did so is not known. So units under which a worker has crashed are kept
+apart from one another where possible. After two crashes, a unit only starts on
+workers without other runs, and nothing else starts there for a while: a crash
+then ends no work of others and has only one explanation.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskstall.tasks.progress import JobProgress, Unit
+
+ISOLATION_CRASHES = 2
+# Nothing else starts beside an isolated run for this long.
+ISOLATION_S = 5.0
+
+
+class SuspectWorkers(NamedTuple):
+    """Workers on which suspected units run, and those kept for them alone."""
+
+    shared: set[str]
+    isolated: set[str]
+
+
+def needs_isolation(unit: Unit) -> bool:
+    """Return whether a unit may only start on workers without other runs."""
+    return len(unit.crashed_runs) >= ISOLATION_CRASHES
+
+
+def find_suspect_workers(
+    jobs: Iterable[JobProgress], now_s: float
+) -> SuspectWorkers:
+    """Return the workers of the suspected units that run."""
+    found = SuspectWorkers(set(), set())
+    for progress in jobs:
+        for unit in progress.suspects:
+            found.shared.update(unit.workers())
+            is_recent = now_s - unit.started_s < ISOLATION_S
+            if is_recent and needs_isolation(unit):
+                found.isolated.update(unit.workers())
+    return found
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -149,12 +149,13 @@
 
 
 def encode_units(units: list[Unit]) -> list[Any]:
-    """Return the units of one step as a bit set and two mappings.
+    """Return the units of one step as a bit set and three mappings.
 
     The hexadecimal bit set marks the units that are done. The first mapping
     has an entry by index for each unit with a run, unless it is done and no
     run may exist. The second one has a bit set of the settled members of each
-    unit that has any; rows of older versions lack it.
+    unit that has any, and the third the runs of each unfinished unit under
+    which a worker crashed. Rows of older versions lack the last two.
     """
     done = sum(1 << number for number, unit in enumerate(units) if unit.done)
     unfinished = {
@@ -167,7 +168,12 @@
         for number, unit in enumerate(units)
         if settled_members(unit)
     }
-    return [f"{done:x}", unfinished, settled]
+    crashed = {
+        str(number): sorted(unit.crashed_runs)
+        for number, unit in enumerate(units)
+        if unit.crashed_runs and not unit.done
+    }
+    return [f"{done:x}", unfinished, settled, crashed]
 
 
 def settled_members(unit: Unit) -> int:
@@ -203,6 +209,9 @@
     progress.failed = bool(value.get("failed"))
     for units, stored in zip(progress.units, value["steps"], strict=False):
         restore_units(units, stored, now_s)
+        crashed = stored[3] if len(stored) > 3 else {}
+        for number, runs in crashed.items():
+            progress.add_crashes(units[int(number)], {int(r) for r in runs})
 
 
 def restore_units(units: list[Unit], stored: list[Any], now_s: float) -> None:
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from damaskstall.tasks.capacity import FreeCapacity
-from damaskstall.tasks.model import Demand, Step, WorkerInfo
+from damaskstall.tasks.model import NO_DEMAND, Demand, Step, WorkerInfo
 
 # More tasks than fit on any idle worker.
 UNBOUNDED_TASKS = 1_000_000
@@ -41,6 +41,21 @@
         """Allocate the demand of one task on a worker."""
         self.free[worker] = self.free[worker].minus(demand)
 
+    def close(self, worker: str) -> Demand:
+        """Allocate all free capacity of a worker; return it."""
+        if worker not in self.free:
+            return NO_DEMAND
+        cpu_millicores, memory_mb, accelerators = self.free[worker]
+        free = Demand(
+            max(0, cpu_millicores), max(0, memory_mb), max(0, accelerators)
+        )
+        self.allocate(worker, free)
+        return free
+
+    def is_idle(self, worker: str) -> bool:
+        """Return whether nothing is allocated on a worker."""
+        return self.free[worker] == self.workers[worker].capacity
+
     def release(self, worker: str, demand: Demand) -> None:
         """Release the demand of one task; ignore an unknown worker."""
         if worker in self.free:
@@ -51,13 +66,15 @@
     """The constraints on the placement of one unit.
 
     ``task_counts`` is the number of the step's tasks that each worker already
-    has, and ``avoid`` names workers to use only as a last resort.
+    has, and ``avoid`` names workers to use only as a last resort. A unit that
+    is to run ``alone`` only fits on workers without other runs.
     """
 
     step: Step
     service: str
     avoid: frozenset[str]
     task_counts: dict[str, int]
+    alone: bool = False
 
 
 WorkerFilter = Callable[[WorkerInfo], bool]
@@ -117,6 +134,7 @@
         name
         for name in names
         if may_run(placement, plan.workers[name])
+        and (plan.is_idle(name) or not placement.alone)
         and tasks_that_fit(placement, name, plan.free[name], 1)
     ]
     usable.sort(key=lambda name: packing_order(plan, placement, name))
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -19,6 +19,10 @@
     new_claim,
     observe,
 )
+from damaskstall.tasks.isolation import (
+    find_suspect_workers,
+    needs_isolation,
+)
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
@@ -116,6 +120,7 @@
 
     ``held`` has the indices of the reservations that the unit must respect,
     and ``KEPT_HEADROOM`` if it must not use the capacity for urgent jobs.
+    A unit that is to run ``alone`` needs workers without other runs.
     """
 
     service: str
@@ -124,6 +129,12 @@
     unit_size: int
     in_one_rack: bool
     held: tuple[int, ...]
+    alone: bool
+
+
+def is_interchangeable(unit: Unit) -> bool:
+    """Return whether a unit may start wherever others of its step may."""
+    return not unit.avoid and not unit.crashed_runs
 
 
 def decide(inputs: SchedulingInput, now_s: float) -> RoundResult:
@@ -144,6 +155,11 @@
             self.plan_after_stops.free[capacity.worker.name] = (
                 capacity.free_after_stops
             )
+        self.suspects = find_suspect_workers(inputs.jobs, now_s)
+        # The free capacity of isolated workers, now and after stops.
+        self.closed: dict[str, tuple[Demand, Demand]] = {}
+        for worker in self.suspects.isolated:
+            self._close(worker)
         self.decisions: list[Decision] = []
         self.claims: dict[UnitKey, Claim] = {}
         self.lost_claims: list[ClaimLoss] = []
@@ -176,16 +192,18 @@
         """Place a step's units until one cannot be placed.
 
         Units with a claim come first. Units without workers to avoid are
-        interchangeable and come before the others.
+        interchangeable and come before the others, and units that need
+        isolation come last.
         """
         units = [u for u in batch.units if not self._follow_claim(batch, u)]
-        identical = [unit for unit in units if not unit.avoid]
-        avoiding = [unit for unit in units if unit.avoid]
+        units.sort(key=needs_isolation)
         if batch.step.gang or batch.step.per_worker_limit:
             waiting = units
         else:
+            identical = [u for u in units if is_interchangeable(u)]
             placed = self._place_identical(batch, identical)
-            waiting = identical[placed:] + avoiding
+            others = [u for u in units if not is_interchangeable(u)]
+            waiting = identical[placed:] + others
         for unit in waiting:
             if not self._try_place(batch, unit):
                 return
@@ -209,7 +227,7 @@
         Return whether the unit has capacity, now or soon.
         """
         placement = self._placement_request(batch, unit)
-        plan, shape = self._available_plan(batch)
+        plan, shape = self._available_plan(batch, placement.alone)
         # Free capacity only shrinks during a round, so a shape that did not
         # fit is not tried again. With a limit per worker, units of the same
         # shape differ, so each of them is tried.
@@ -220,13 +238,18 @@
                 return True
             if not batch.step.per_worker_limit:
                 self.unplaceable.add(shape)
-        if batch.queue.priority == URGENT_PRIORITY:
+        if batch.queue.priority == URGENT_PRIORITY and not placement.alone:
             return self._place_urgent(batch, unit, placement)
         self._try_reserve(placement, self._expected_s(batch), shape)
         return False
 
     def _start(self, batch: Batch, unit: Unit, workers: list[str]) -> None:
         self._allocate(batch, workers)
+        if unit.crashed_runs:
+            self.suspects.shared.update(workers)
+        if needs_isolation(unit):
+            for worker in workers:
+                self._close(worker)
         self.decisions.append(StartUnit(batch.progress, unit, workers))
 
     def _expected_s(self, batch: Batch) -> float:
@@ -234,7 +257,28 @@
             batch.queue.name, batch.step
         )
 
-    def _available_plan(self, batch: Batch) -> tuple[CapacityPlan, UnitShape]:
+    def _close(self, worker: str) -> None:
+        """Let nothing else start on a worker in this round."""
+        if worker not in self.closed:
+            free = self.plan.close(worker)
+            self.closed[worker] = free, self.plan_after_stops.close(worker)
+
+    def _open(self, worker: str) -> None:
+        """Let units start again on a worker that was closed."""
+        free, free_after_stops = self.closed.pop(worker)
+        self.plan.release(worker, free)
+        self.plan_after_stops.release(worker, free_after_stops)
+
+    def _open_closed_workers(self) -> bool:
+        """Let units start on closed workers; return if there are any."""
+        closed = list(self.closed)
+        for worker in closed:
+            self._open(worker)
+        return bool(closed)
+
+    def _available_plan(
+        self, batch: Batch, alone: bool = False
+    ) -> tuple[CapacityPlan, UnitShape]:
         """Return the capacity that a step's units may use, and their shape."""
         held: list[int] = []
         if batch.queue.priority != URGENT_PRIORITY:
@@ -254,6 +298,7 @@
             step.unit_size,
             step.gang and step.one_rack,
             tuple(held),
+            alone,
         )
         kept = [
             self.reservations[number]
@@ -344,7 +389,8 @@
         The capacity may still be in use by runs that end soon. For a job that
         is covered by its team's guarantee, a gang for which no rack has
         capacity in time is spread over several racks, where it runs slower.
-        If that fails too, covered units with smaller tasks are preempted.
+        If that fails too, covered units with smaller tasks are preempted, and
+        then the isolation of suspected units ends.
         """
         if self._try_preempt(batch, unit, placement):
             return True
@@ -362,7 +408,8 @@
         if self._try_preempt(batch, unit, placement, smaller=True):
             return True
         if not self._drop_uncovered_claims():
-            return False
+            if not self._open_closed_workers():
+                return False
         return self._place_urgent(batch, unit, placement)
 
     def _try_preempt(
@@ -444,6 +491,8 @@
         """Hold a claim's capacity, so that no other unit uses it."""
         self.claims[key_of(batch.progress, unit)] = claim
         for worker in claim.workers:
+            if worker in self.closed:
+                self._open(worker)
             if worker in self.plan.workers:
                 self.plan.allocate(worker, batch.step.demand)
                 self.plan_after_stops.allocate(worker, batch.step.demand)
@@ -471,7 +520,8 @@
             self.decisions.append(start)
             return True
         placement = self._placement_request(batch, unit)
-        lost = self._find_losses(batch, unit, claim, placement)
+        failed_on = placement._replace(avoid=frozenset(unit.avoid))
+        lost = self._find_losses(batch, unit, claim, failed_on)
         kept = Claim(tuple(t for t in claim.tasks if t not in lost))
         self._release_claim(key, claim, batch.step)
         for task in lost:
@@ -597,11 +647,15 @@
         task_counts: dict[str, int] = {}
         if batch.step.per_worker_limit:
             task_counts = self._count_tasks(batch.progress, unit)
+        avoid = frozenset(unit.avoid)
+        if unit.crashed_runs:
+            avoid |= self.suspects.shared
         return PlacementRequest(
             batch.step,
             batch.progress.job.service,
-            frozenset(unit.avoid),
+            avoid,
             task_counts,
+            needs_isolation(unit),
         )
 
     def _count_tasks(
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -28,6 +28,10 @@
 WORKER_LEFT = "worker_left"
 LEASE_EXPIRED = "lease_expired"
 NOT_LAUNCHED = "not_launched"
+# Evidence that a worker crashed while the run was there. A worker that is
+# silent or cut off, that drains, or that is lost with all others around it
+# has not crashed because of its runs.
+CRASH_EVIDENCE = frozenset({MACHINE_DOWN, REPLACED})
 
 
 class WatchedTable(TableService, Protocol):
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -20,6 +20,13 @@
 )
 from damaskstall.tasks.pace import PaceHistory
 
+# A task is given up once this many workers have crashed under it, the last
+# ones while it ran apart from others (see isolation.py).
+CRASH_LIMIT = 4
+# A run this long breaks the row: earlier crashes do not count any more, so
+# that a task which runs for weeks is not given up for unrelated crashes.
+CRASH_MEMORY_S = 600.0
+
 # Outcomes of the run of one task, as the worker reports them. Any other
 # outcome only means that the task has to run again.
 ENDED_DONE = "done"
@@ -67,7 +74,8 @@
     newest run known to be in the table; a later one has not been launched.
     ``members`` is empty while no run may exist. ``stopping`` states that the
     run is being stopped, and ``has_begun`` that a run of the unit has started.
-    ``avoid`` names workers on which a run failed or stalled.
+    ``avoid`` names workers on which a run failed or stalled, and
+    ``crashed_runs`` has the numbers of the runs under which a worker crashed.
     """
 
     __slots__ = (
@@ -84,6 +92,7 @@
         "stopping",
         "started_s",
         "avoid",
+        "crashed_runs",
         "has_begun",
     )
 
@@ -102,6 +111,7 @@
         self.stopping = False
         self.started_s = 0.0
         self.avoid: set[str] = set()
+        self.crashed_runs: set[int] = set()
         self.has_begun = False
 
     @property
@@ -157,6 +167,8 @@
         self.failed = False
         # Unix time at which the job finished, None before.
         self.over_unix_s: float | None = None
+        # The units under which a worker has crashed.
+        self.suspects: list[Unit] = []
         self.changes = 0
         self.stored_changes = 0
         self.first_due_s = accepted_s if first_due_s is None else first_due_s
@@ -291,9 +303,41 @@
         if all(other.ended for other in unit.members):
             unit.members = []
             unit.stopping = False
+            self._give_up_suspect(unit)
+        self.count_change()
+        return True
+
+    def record_crash(self, unit: Unit, run: int, ran_s: float) -> bool:
+        """Record that a worker crashed under a run that lasted ``ran_s``.
+
+        Return whether that was unknown. However many workers of a gang's run
+        crash, they count once.
+        """
+        if unit.done or run in unit.crashed_runs:
+            return False
+        if ran_s >= CRASH_MEMORY_S:
+            unit.crashed_runs.clear()
+        self.add_crashes(unit, {run})
+        self._give_up_suspect(unit)
         self.count_change()
         return True
 
+    def add_crashes(self, unit: Unit, runs: set[int]) -> None:
+        """Add runs under which a worker is known to have crashed."""
+        unit.crashed_runs |= runs
+        if unit.crashed_runs and unit not in self.suspects:
+            self.suspects.append(unit)
+
+    def _give_up_suspect(self, unit: Unit) -> None:
+        """Fail the job if too many workers have crashed under a unit.
+
+        A run that goes on may still succeed.
+        """
+        if unit.done or any(not m.ended for m in unit.members):
+            return
+        if len(unit.crashed_runs) >= CRASH_LIMIT:
+            self.failed = True
+
     def record_late_end(
         self, unit: Unit, run: int, how: str, attempt_limit: int
     ) -> bool:
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -55,6 +55,9 @@
     if found is None:
         return None
     after_s, workers = found
+    if placement.alone:
+        kept = {worker: plan.copy().close(worker) for worker in workers}
+        return Reservation(kept, after_s)
     return Reservation(
         reserved_capacity(
             plan, placement.step.demand, workers, expected_ends, after_s
@@ -104,6 +107,8 @@
     plan: CapacityPlan, placement: PlacementRequest, worker: str
 ) -> int:
     """Return how many of a unit's tasks fit on a worker."""
+    if placement.alone and not plan.is_idle(worker):
+        return 0
     return tasks_that_fit(
         placement, worker, plan.free[worker], placement.step.unit_size
     )
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -3,14 +3,18 @@
 from typing import Protocol
 
 from damaskstall.tasks.model import RunKey
-from damaskstall.tasks.ports import REPORTED, EndReport
+from damaskstall.tasks.ports import CRASH_EVIDENCE, REPORTED, EndReport
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
     JobProgress,
     Unit,
 )
-from damaskstall.tasks.run_log import log_end_unmatched, log_run_ended
+from damaskstall.tasks.run_log import (
+    log_crash_counted,
+    log_end_unmatched,
+    log_run_ended,
+)
 from damaskstall.tasks.unmatched_ends import UnmatchedEnds
 
 # A worker lists an end again until it is acknowledged. Only the first time is
@@ -58,6 +62,9 @@
     def attempt_limit(self, progress: JobProgress) -> int:
         """Return after how many failures of a task its job fails."""
 
+    def run_age_s(self, unit: Unit) -> float:
+        """Return the time since a unit's present run was placed."""
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
@@ -118,6 +125,9 @@
             unit, position, end.how, self.owner.attempt_limit(progress)
         )
         log_run_ended(worker, end)
+        if end.evidence in CRASH_EVIDENCE:
+            ran_s = self.owner.run_age_s(unit)
+            self._count_crash(progress, unit, end.key.run, ran_s)
         if end.evidence == REPORTED:
             self._mark_logged(worker, end.key)
         self.owner.record_outcome(worker, progress, unit, end.how)
@@ -129,6 +139,23 @@
             self.owner.stop_all(progress, "the job has failed")
         self.owner.schedule_write(progress)
 
+    def record_late_crash(self, key: RunKey) -> None:
+        """Record that the worker of a run that has ended had crashed."""
+        progress = self.jobs.get(key.task.job_id)
+        found = progress.find(key.task) if progress is not None else None
+        if progress is None or found is None:
+            return
+        self._count_crash(progress, found[0], key.run, 0.0)
+        if progress.failed:
+            self.owner.stop_all(progress, "the job has failed")
+        self.owner.schedule_write(progress)
+
+    def _count_crash(
+        self, progress: JobProgress, unit: Unit, run: int, ran_s: float
+    ) -> None:
+        if progress.record_crash(unit, run, ran_s):
+            log_crash_counted(progress, unit, run)
+
     def _record_late_end(self, worker: str, end: EndReport) -> None:
         """Record the end of a run that is not, or no longer, present."""
         progress = self.jobs.get(end.key.task.job_id)
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -164,6 +164,7 @@
         earlier_s = target.late_starts.until(self.key)
         target.late_starts.expect(self.key, target.clock())
         target.lease.extend_expiry(request.not_after_s)
+        was_sent = target.expected.mark_sent(self.key)
         try:
             clock_s = await target.client.start(request)
         except CommandOutcomeUnknownError:
@@ -171,6 +172,8 @@
             raise
         except CommandError:
             target.late_starts.reset(self.key, earlier_s)
+            if not was_sent:
+                target.expected.mark_not_sent(self.key)
             raise
         target.late_starts.reset(self.key, earlier_s)
         return clock_s
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -4,6 +4,7 @@
 from damaskstall.tasks.claims import ClaimLoss
 from damaskstall.tasks.events import (
     CLAIM_LOST,
+    CRASH_COUNTED,
     END_UNMATCHED,
     RUN_ENDED,
     RUN_LAUNCHED,
@@ -134,6 +135,19 @@
     )
 
 
+def log_crash_counted(progress: JobProgress, unit: Unit, run: int) -> None:
+    """Log that a worker crashed under a unit's run."""
+    log(
+        CRASH_COUNTED,
+        job=progress.job_id,
+        step=unit.step,
+        index=unit.first_index,
+        run=run,
+        crashes=len(unit.crashed_runs),
+        given_up=progress.failed,
+    )
+
+
 def run_name(key: RunKey) -> str:
     """Return the short name of a run: JOB.OCCURRENCE.STEP.INDEX#RUN."""
     task = key.task
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -30,6 +30,9 @@
     def record_end(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started."""
 
+    def record_crash(self, key: RunKey) -> None:
+        """Record that the worker of a run that has ended had crashed."""
+
     async def wait_ends_stored(self) -> None:
         """Return once every end recorded so far is in the table."""
 
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -173,7 +173,8 @@
             since_s = silent_since.get(orphan.worker, orphan.adopted_s)
             silent_since[orphan.worker] = max(since_s, orphan.adopted_s)
         for name, session in self.sessions.items():
-            if session.load.runs and not session.reachable:
+            has_runs = bool(session.load.runs) or session.has_lapsed_runs()
+            if has_runs and not session.reachable:
                 silent_since[name] = session.silent_since_s
         return silent_since
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -30,8 +30,10 @@
 from damaskstall.tasks.machine_evidence import MACHINE_EMPTY, EndedWorker
 from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.ports import (
+    CRASH_EVIDENCE,
     LEASE_EXPIRED,
     MACHINE_DOWN,
+    NOT_LAUNCHED,
     OUTAGE,
     REPLACED,
     WORKER_LEFT,
@@ -40,7 +42,7 @@
     WorkerClient,
     WorkerReport,
 )
-from damaskstall.tasks.progress import ENDED_LAPSED
+from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 from damaskstall.tasks.run_launch import RunLaunch
 from damaskstall.tasks.run_log import log_worker_lost
 from damaskstall.tasks.session_owner import SessionOwner
@@ -63,6 +65,8 @@
 # Maximum wait until the listed ends are stored. While the store accepts no
 # write, ends are not acknowledged and the worker lists them again.
 STORE_WAIT_LIMIT_S = 0.3
+# The list of machines may be unavailable for longer than a lease lasts.
+LAPSED_RUNS_KEPT_S = 30.0
 
 
 class WorkerSession:
@@ -111,6 +115,10 @@
         self.silent_since_s = started_s
         # Whether the whole failure domain or rack was down in this silence.
         self.in_outage = False
+        # The runs that lapsed in this silence; until the given time a crash
+        # of the worker is still attributed to them.
+        self._lapsed_runs: list[RunKey] = []
+        self._judged_until_s = started_s
         self.late_starts = LateStarts(started_s)
         self._stop_sent_s: dict[RunKey, float] = {}
         self.command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
@@ -167,7 +175,7 @@
         """Renew the lease and record ends until the worker is removed."""
         self._nursery = nursery
         while True:
-            if not self.listed and not self._may_have_runs():
+            if self._may_close():
                 self.closed = True
                 # A later session with this worker has a higher token.
                 self._advance_token()
@@ -228,6 +236,7 @@
         if self.reachable or self.silent_since_s != since_s:
             return
         self.in_outage = self.in_outage or found.in_outage
+        self._judge_lapsed_runs(self._loss_evidence(MACHINE_DOWN))
         runs = list(self.load.runs)
         if not found.replaced:
             runs = self._settled_runs(0.0)
@@ -237,6 +246,17 @@
         log_worker_lost(self.worker.name, runs, evidence)
         self._end_runs(runs, evidence)
 
+    def has_lapsed_runs(self) -> bool:
+        """Return whether runs lapsed here whose worker may have crashed."""
+        return bool(self._lapsed_runs) and self.clock() < self._judged_until_s
+
+    def _judge_lapsed_runs(self, evidence: str) -> None:
+        """Report the runs that lapsed in this silence if it was a crash."""
+        runs, self._lapsed_runs = self._lapsed_runs, []
+        if evidence in CRASH_EVIDENCE:
+            for key in runs:
+                self.owner.record_crash(key)
+
     def _loss_evidence(self, evidence: str) -> str:
         """Return why the worker's runs ended if it did not just crash."""
         if self.worker.leaving:
@@ -327,6 +347,12 @@
             return True
         return self.clock() < self.late_starts.until_s
 
+    def _may_close(self) -> bool:
+        """Return whether nothing more is to be learnt about the worker."""
+        if self.listed or self._may_have_runs():
+            return False
+        return not self.has_lapsed_runs()
+
     def _is_idle(self) -> bool:
         """Return whether no run may exist and all ends are acknowledged."""
         if self._may_have_runs():
@@ -346,6 +372,7 @@
         self.fenced = True
         if not self.reachable:
             self.reachable = True
+            self._lapsed_runs = []
             self.owner.request_decision()
         self._apply_run_lists(report)
         self._newest_end = max((end.number for end in report.ended), default=0)
@@ -424,6 +451,9 @@
         runs = self._settled_runs(lease_limit_s(self.lease.lease_s))
         if runs:
             log(RUNS_LAPSED, worker=self.worker.name, runs=len(runs))
+            sent = [k for k in runs if self.expected.may_have_started(k)]
+            self._lapsed_runs += sent
+            self._judged_until_s = self.clock() + LAPSED_RUNS_KEPT_S
             self._end_runs(runs, LEASE_EXPIRED)
 
     def begin_incarnation(self, incarnation: int, source: str) -> None:
@@ -435,6 +465,7 @@
         show which of the runs it has.
         """
         evidence = self._loss_evidence(REPLACED)
+        self._judge_lapsed_runs(evidence)
         log(
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
@@ -479,7 +510,10 @@
 
     def _end_runs(self, runs: list[RunKey], evidence: str) -> None:
         for key in runs:
-            self.end_run(key, ENDED_LAPSED, evidence)
+            if self.expected.may_have_started(key):
+                self.end_run(key, ENDED_LAPSED, evidence)
+            else:
+                self.end_run(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
 
     def end_run(self, key: RunKey, how: str, evidence: str) -> None:
         """Record the end of a run that the worker does not list."""
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -145,6 +145,7 @@
         self.ends: list[EndReport] = []
         self.end_times_s: list[float] = []
         self.settled: list[RunKey] = []
+        self.crashes: list[RunKey] = []
         self.stores = True
         self.stepped_down = False
 
@@ -184,6 +185,10 @@
         self.ends.append(end)
         self.end_times_s.append(current_time())
 
+    def record_crash(self, key: RunKey) -> None:
+        """Record the crash of a worker whose run has ended."""
+        self.crashes.append(key)
+
     async def wait_ends_stored(self) -> None:
         """Return once ends are stored."""
         if not self.stores:
