--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -5,7 +5,13 @@
 from trio import current_time, sleep
 
 from standins.operators.worker import StandinWorker
-from tests.tasks.cluster import BULK, URGENT, Cluster, run_scenario
+from tests.tasks.cluster import (
+    BULK,
+    NORMAL,
+    URGENT,
+    Cluster,
+    run_scenario,
+)
 from tests.tasks.job_specs import FOUR_TASKS, GANG, ONE_TASK, job_id
 from tests.tasks.run_checker import (
     LOST,
@@ -145,3 +151,113 @@
     await cluster.wait(
         lambda: sum(r.task == task and r.how == LOST for r in runs) >= count
     )
+
+
+def suspected_jobs(cluster: Cluster) -> list[str]:
+    """Return the holder's jobs under whose tasks workers have crashed."""
+    name = cluster.holder()
+    holder = cluster.nodes[name].election.holder if name else None
+    if holder is None:
+        return []
+    return [job for job, p in holder.jobs.items() if p.suspects]
+
+
+async def submit_long_job(cluster: Cluster) -> str:
+    """Run a job of four long tasks; return the worker of the first one."""
+    await cluster.submit(DEADLY_JOB, [FOUR_TASKS], work_s=20.0)
+    await cluster.wait(lambda: len(cluster.history.runs) == 4)
+    await sleep(1.0)
+    worker: str = cluster.history.runs[0].worker
+    return worker
+
+
+def test_silence_is_no_crash_under_the_tasks_of_a_worker() -> None:
+    """For a moment, and until the lease of its runs has expired."""
+
+    async def scenario(cluster: Cluster) -> None:
+        name = await submit_long_job(cluster)
+        for silence_s in (2.0, 14.0):
+            cluster.disconnect_worker(name)
+            await sleep(silence_s)
+            cluster.reconnect_worker(name)
+            await sleep(2.0)
+            assert suspected_jobs(cluster) == []
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    run_scenario(scenario)
+
+
+def test_withdrawal_is_no_crash_under_the_tasks_of_a_worker() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        name = await submit_long_job(cluster)
+        worker = cluster.workers[name]
+        cluster.register_worker(worker, "draining", remaining_ms=100)
+        await sleep(0.6)
+        worker.crash()
+        for _ in range(40):
+            await sleep(0.1)
+            assert suspected_jobs(cluster) == []
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    run_scenario(scenario)
+
+
+def test_outage_of_a_domain_is_no_crash_under_its_tasks() -> None:
+    """Its workers return under their names, or others replace them."""
+
+    async def play(cluster: Cluster, renamed: bool) -> None:
+        name = await submit_long_job(cluster)
+        domain = [w for w in cluster.workers.values() if w.name[1] == name[1]]
+        for worker in domain:
+            worker.crash()
+        for _ in range(20):
+            await sleep(0.1)
+            assert suspected_jobs(cluster) == []
+        for worker in domain:
+            await return_worker(cluster, worker, renamed)
+        for _ in range(20):
+            await sleep(0.1)
+            assert suspected_jobs(cluster) == []
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    for renamed in (False, True):
+        run_scenario(partial(play, renamed=renamed))
+
+
+def test_crash_before_a_start_was_sent_is_no_crash_under_it() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for worker in cluster.workers.values():
+            worker.crash()
+        await cluster.submit(DEADLY_JOB, [FOUR_TASKS], work_s=1.0)
+        for _ in range(20):
+            await sleep(0.1)
+            assert suspected_jobs(cluster) == []
+        for worker in cluster.workers.values():
+            await return_worker(cluster, worker, renamed=False)
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    run_scenario(scenario, racks=3, per_rack=1)
+
+
+def test_no_innocent_job_fails_beside_many_deadly_ones() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(return_workers, cluster, True)
+        deadly = [job_id(number) for number in range(10, 16)]
+        others = [job_id(number) for number in range(20, 30)]
+        for job in deadly:
+            cluster.history.crash_after_s[task_name(job, 2)] = 0.02
+        for job, other in zip(deadly, others, strict=False):
+            await cluster.submit(job, [EIGHT_TASKS], work_s=1.0)
+            await cluster.submit(other, [EIGHT_TASKS], work_s=3.0)
+        for job in others[len(deadly) :]:
+            await cluster.submit(job, [GANG], URGENT, work_s=2.0)
+        for job in deadly:
+            await cluster.wait_state(job, "failed", limit_s=120.0)
+        for job in others:
+            queue = URGENT if job in others[len(deadly) :] else NORMAL
+            await cluster.wait_state(job, "completed", queue, limit_s=120.0)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=3, per_rack=4)
--- /dev/null
+++ b/tests/tasks/test_isolation.py
@@ -0,0 +1,201 @@
+"""Where units under which workers have crashed may start."""
+
+from damaskstall.tasks.isolation import ISOLATION_S
+from damaskstall.tasks.job_rows import encode_progress, restore_progress
+from damaskstall.tasks.policy import StartUnit, StopUnit
+from damaskstall.tasks.progress import CRASH_MEMORY_S, JobProgress, Unit
+from damaskstall.tasks.stored_runs import adopt_stored_runs
+from tests.tasks.fleet import BULK, NORMAL, URGENT, Fleet, task
+
+
+def crash(progress: JobProgress, count: int) -> Unit:
+    """Record a number of crashes under a job's first unit; return it."""
+    unit = next(progress.all_units())
+    for _ in range(count):
+        unit.run += 1
+        progress.record_crash(unit, unit.run, ran_s=0.1)
+    return unit
+
+
+def started_on(fleet: Fleet, now_s: float = 1.0) -> dict[str, list[str]]:
+    """Return by job the workers on which one round starts units."""
+    found: dict[str, list[str]] = {}
+    for decision in fleet.decide(now_s):
+        if isinstance(decision, StartUnit):
+            workers = found.setdefault(decision.progress.job_id, [])
+            workers += decision.workers
+    return found
+
+
+def test_suspected_units_start_on_different_workers() -> None:
+    fleet = Fleet(racks=1, per_rack=3)
+    jobs = [fleet.add(NORMAL, task(1)) for _ in range(3)]
+    for job in jobs:
+        crash(job, 1)
+    workers = started_on(fleet)
+    assert len({workers[job.job_id][0] for job in jobs}) == 3
+
+
+def test_suspected_units_start_together_where_there_is_no_other_worker() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=1)
+    jobs = [fleet.add(NORMAL, task(1)) for _ in range(3)]
+    for job in jobs:
+        crash(job, 1)
+    assert len(started_on(fleet)) == 3
+
+
+def test_unit_after_two_crashes_starts_on_an_idle_worker() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(1)), "w00")
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    assert started_on(fleet) == {suspect.job_id: ["w01"]}
+
+
+def test_nothing_starts_beside_an_isolated_unit_until_its_time_is_over() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=1)
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    fleet.decide_and_apply(now_s=1.0)
+    other = fleet.add(NORMAL, task(1))
+    assert started_on(fleet, now_s=0.9 + ISOLATION_S) == {}
+    assert started_on(fleet, now_s=1.1 + ISOLATION_S) == {
+        other.job_id: ["w00"]
+    }
+
+
+def test_isolated_unit_in_the_same_round_keeps_its_worker() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    first, second = (fleet.add(NORMAL, task(1)) for _ in range(2))
+    crash(first, 2)
+    crash(second, 2)
+    assert len(started_on(fleet)) == 1
+
+
+def test_small_tasks_do_not_starve_a_unit_that_needs_isolation() -> None:
+    """As tasks end one by one, no worker would ever be idle by chance."""
+    fleet = Fleet(racks=1, per_rack=2)
+    running = [fleet.add(BULK, task(2)) for _ in range(8)]
+    for number, job in enumerate(running):
+        fleet.run_on(job, f"w0{number % 2}")
+    suspect = fleet.add(NORMAL, task(1))
+    unit = crash(suspect, 2)
+    now_s = 0.0
+    for _ in range(40):
+        now_s += 0.25
+        ended = min(
+            (u for job in fleet.jobs[:8] for u in job.all_units() if u.active),
+            key=lambda u: u.started_s,
+        )
+        if now_s - ended.started_s >= 1.0:
+            ended.members = []
+        fleet.apply(fleet.decide(now_s), now_s)
+        if unit.active:
+            return
+    raise AssertionError("The unit has not started within 10 s.")
+
+
+def test_urgent_unit_that_needs_isolation_preempts_nothing() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.run_on(fleet.add(BULK, task(1)), "w00")
+    suspect = fleet.add(URGENT, task(1))
+    crash(suspect, 2)
+    decisions = fleet.decide()
+    assert not any(isinstance(d, StopUnit) for d in decisions)
+
+
+def test_guaranteed_unit_does_not_wait_for_the_end_of_an_isolation() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.guarantees = {"red": 4}
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    fleet.decide_and_apply()
+    urgent = fleet.add(URGENT, task(4), team="red")
+    for step in range(4):
+        fleet.apply(fleet.decide(1.0 + step * 0.1), 1.0 + step * 0.1)
+    assert next(urgent.all_units()).active
+
+
+def test_job_fails_after_four_crashes_under_one_unit() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    crash(job, 3)
+    assert not job.failed
+    crash(job, 1)
+    assert job.failed
+
+
+def test_several_crashes_under_one_run_of_a_gang_count_once() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    job = fleet.add(NORMAL, task(8, task_count=2, gang=True))
+    unit = next(job.all_units())
+    assert job.record_crash(unit, 1, 0.1)
+    assert not job.record_crash(unit, 1, 0.1)
+    assert unit.crashed_runs == {1}
+
+
+def test_crash_that_is_noticed_late_does_not_fail_a_job_that_runs() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    unit = crash(job, 3)
+    job.begin_run(unit, [("w00", 1)], 1.0)
+    job.record_crash(unit, 4, 0.0)
+    assert not job.failed
+    job.end_member(unit, 0, "lapsed", attempt_limit=3)
+    assert job.failed
+
+
+def test_crashes_before_a_long_run_do_not_count() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1, endless=True))
+    unit = crash(job, 3)
+    job.record_crash(unit, 4, CRASH_MEMORY_S)
+    assert unit.crashed_runs == {4}
+    assert not job.failed
+
+
+def test_crashes_are_stored_in_the_row() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1, task_count=3))
+    unit = job.units[0][1]
+    job.record_crash(unit, 2, 0.1)
+    value = encode_progress(job)
+    successor = JobProgress(job.job, 1, 0.0)
+    restore_progress(successor, value, 0.0)
+    assert successor.units[0][1].crashed_runs == {2}
+    assert successor.suspects == [successor.units[0][1]]
+
+
+def test_row_of_an_older_version_shows_no_crashes() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    crash(job, 1)
+    value = encode_progress(job)
+    value["steps"] = [step[:3] for step in value["steps"]]
+    successor = JobProgress(job.job, 1, 0.0)
+    restore_progress(successor, value, 0.0)
+    assert successor.suspects == []
+
+
+class NoRuns:
+    """Counter of runs that ignores all of them."""
+
+    def adopt(self, progress: JobProgress, unit: Unit) -> None:
+        """Ignore the runs of a unit."""
+
+    def release(self, progress: JobProgress, unit: Unit) -> None:
+        """Ignore the runs of a unit."""
+
+
+def test_crashes_that_another_holder_stored_are_merged() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    other = JobProgress(job.job, 1, 0.0)
+    crash(other, 2)
+    crash(job, 1)
+    adopt_stored_runs(job, encode_progress(other), NoRuns(), 0.0)
+    assert next(job.all_units()).crashed_runs == {1, 2}
