--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -191,7 +191,7 @@
     async def scenario(cluster: Cluster) -> None:
         name = await submit_long_job(cluster)
         worker = cluster.workers[name]
-        cluster.register_worker(worker, "draining", remaining_ms=100)
+        cluster.register_worker(worker, "draining", remaining_ms=60_000)
         await sleep(0.6)
         worker.crash()
         for _ in range(40):
