Send no start to a worker whose capacity has shrunk since it was placed

A start is decided on the capacity in the worker's newest entry, but was sent and repeated for up to 1.5 s whatever entries came meanwhile. The worker's present capacity is now compared with its load, with the runs that are being stopped, before each try.

Proof: test_start_that_a_shrunk_capacity_no_longer_holds_is_not_sent fails without the change.

--- a/src/damaskstall/tasks/capacity.py
+++ b/src/damaskstall/tasks/capacity.py
@@ -63,6 +63,10 @@
             self.stopping = self.stopping.minus(allocation.demand)
         return True
 
+    def fits(self, worker: WorkerInfo) -> bool:
+        """Return whether the load is within the worker's present capacity."""
+        return min(worker.capacity.minus(self.used)) >= 0
+
     def free_capacity(self, worker: WorkerInfo) -> FreeCapacity:
         """Return the free capacity of the worker that has this load."""
         free = worker.capacity.minus(self.used)
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -112,6 +112,9 @@
                     if not self._should_send(request):
                         self._log("not needed")
                         return
+                    if not target.load.fits(target.worker):
+                        self._give_up_for_capacity()
+                        return
                     self.attempts += 1
                     clock_s = await self._send(request)
             except CommandNotSentError:
@@ -151,6 +154,16 @@
             return False
         return target.owner.should_continue(self.key)
 
+    def _give_up_for_capacity(self) -> None:
+        """Send no start to a worker whose capacity has shrunk meanwhile.
+
+        After an attempt without an answer, the worker's lists show whether
+        the run exists.
+        """
+        self._log("the capacity has shrunk")
+        if not self.unanswered:
+            self.target.end_run(self.key, ENDED_NOT_STARTED, NOT_LAUNCHED)
+
     async def _send(self, request: StartRequest) -> float:
         """Send the start; it may be carried out late unless it is answered.
 
--- a/standins/operators/worker.py
+++ b/standins/operators/worker.py
@@ -82,6 +82,10 @@
         self.rack = rack
         self.machine = f"m-{name}"
         self.capacity = capacity
+        # The time of each change of the capacity, and the capacity since.
+        self.capacities: list[tuple[float, dict[str, int]]] = [
+            (NEVER_S, capacity)
+        ]
         self.speed = 1.0
         self.clock_rate = 1.0
         self.order_delays_s: list[float] = []
@@ -123,6 +127,29 @@
         self._booted = Event()
         self.network.kill(self.name)
 
+    def resize(self, **capacity: int) -> None:
+        """Change the capacity from now on; the next entry shows it."""
+        self.capacity = {**self.capacity, **capacity}
+        self.capacities.append((current_time(), self.capacity))
+
+    def capacity_limits(
+        self, since_s: float, until_s: float
+    ) -> dict[str, int]:
+        """Return the highest capacity of a period, by resource."""
+        changes_s = [start_s for start_s, _ in self.capacities[1:]]
+        ends_s = [*changes_s, float("inf")]
+        in_force = [
+            capacity
+            for (start_s, capacity), end_s in zip(
+                self.capacities, ends_s, strict=True
+            )
+            if start_s <= until_s and end_s > since_s
+        ]
+        return {
+            name: max(capacity[name] for capacity in in_force)
+            for name in self.capacity
+        }
+
     async def move(self, nursery: Nursery, address: Address) -> None:
         """Continue at another address; all connections are lost."""
         self.network.kill(self.name)
