Give the worker of the 501 runs room for them

The test started 501 runs on a worker with 8 accelerators, each of which needs some. Since a start that exceeds the worker's capacity is not sent, they did not start. The worker now has the capacity for all of them; the assertions and the number of runs are as before.

--- a/tests/tasks/test_missing_runs.py
+++ b/tests/tasks/test_missing_runs.py
@@ -2,12 +2,14 @@
 
 from trio import open_nursery, sleep
 
+from damaskstall.tasks.model import Demand
 from tests.tasks.session_fakes import (
     DEMAND,
     FakeWorker,
     RecordingOwner,
     open_session,
     run_key,
+    worker_info,
 )
 from tests.virtual_time import run_virtual
 
@@ -18,11 +20,13 @@
     async def main() -> None:
         worker, owner = FakeWorker(), RecordingOwner()
         owner.stores = False
-        session = open_session(worker, owner)
+        count = ENDS_PER_ANSWER + 1
+        capacity = Demand(*(amount * count for amount in DEMAND))
+        info = worker_info()._replace(capacity=capacity)
+        session = open_session(worker, owner, info)
         async with open_nursery() as nursery:
             nursery.start_soon(session.run, nursery)
             await session.answered.wait()
-            count = ENDS_PER_ANSWER + 1
             for index in range(count):
                 session.reserve(run_key(index), DEMAND)
                 await session.launch(run_key(index), "payload", "")
