Run the tests that do not depend on the real clock side by side

Its tests under virtual time give the same result beside any load, so four of them run at once (pytest-xdist); those on real sockets or with measured times are marked real_time and run one by one after them.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 PLOTS_READY := $(VENV)/.plots-ready
+TEST_WORKERS := 4
 SOURCES := src standins tests tools bench demo
 
 .PHONY: test demo lint types unit generate generated-check format capacity worth jobs-plot clean
@@ -33,7 +34,8 @@
 	$(BIN)/python -m tools.generate_api --check
 
 unit: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not real_time" -n $(TEST_WORKERS)
+	$(BIN)/python -m pytest -m real_time
 
 generate: $(READY)
 	$(BIN)/python tools/generate.py
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,24 @@
-"""Make test runs repeatable and deselect the known failures."""
+"""Make test runs repeatable, mark real-time tests, pass over known failures."""
 
 from pathlib import Path
 
 from hypothesis import settings
-from pytest import Config, Item, TerminalReporter
+from pytest import Config, Item, TerminalReporter, hookimpl, mark
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 TEST_FIELD = "test: "
 
+# The tests of these files depend on the real clock: on sockets of this machine
+# or on measured times. All others give the same result beside any load.
+REAL_TIME_PATHS = (
+    "tests/processes/",
+    "tests/requests/test_bench_bounds.py",
+    "tests/requests/test_processes.py",
+    "tests/resources/test_cli.py",
+    "tests/test_decision_cost.py",
+    "tests/test_log_sink.py",
+)
+
 settings.register_profile(
     "repeatable", derandomize=True, deadline=None, database=None
 )
@@ -26,8 +37,12 @@
     }
 
 
+@hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: Config, items: list[Item]) -> None:
-    """Deselect the known failures, but only in a run of the whole suite."""
+    """Mark real-time tests; deselect known failures in whole runs only."""
+    for item in items:
+        if item.nodeid.startswith(REAL_TIME_PATHS):
+            item.add_marker(mark.real_time)
     if config.args_source is not Config.ArgsSource.TESTPATHS:
         return
     listed = known_red()
