--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Make test runs repeatable, mark real-time tests, pass over known failures."""
+"""Make test runs repeatable, and pass over the known failures."""
 
 from pathlib import Path
 
