--- a/tests/requests/test_answers.py
+++ b/tests/requests/test_answers.py
@@ -93,6 +93,20 @@
     run_in_cluster(scenario)
 
 
+def test_request_that_fails_each_server_is_sent_to_three_at_most() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster, backends=6)
+        for backend in cluster.backends.values():
+            backend.set_faults(FaultRule("dropped"))
+        call = CallSpec("deadly", service="index")
+        record = await cluster.call(cluster.entries["e1"], call)
+        assert record.outcome == UNKNOWN
+        runs = sum(len(b.core.records) for b in cluster.backends.values())
+        assert 1 <= runs <= 3
+
+    run_in_cluster(scenario)
+
+
 def test_refused_retry_does_not_hide_that_the_first_attempt_ran() -> None:
     async def scenario(cluster: Cluster) -> None:
         await start(cluster, backends=1)
