Count crashes under the jobs of blocks too, isolate them, and give them up

An attempt under which a worker's incarnation changed, after a task may have run, now counts in the job's row. After two the job is placed on whole workers, so that no other job runs beside it; after four it fails.

--- a/src/damaskstall/resources/records.py
+++ b/src/damaskstall/resources/records.py
@@ -5,7 +5,7 @@
 "status"}`` in the resource's row; the row's revision is the resource version.
 """
 
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 KINDS = ("team", "job", "failure_domain", "backend_service")
 
@@ -112,7 +112,8 @@
 
     ``tasks`` lists the worker names of the latest attempt in task order.
     ``block`` is the list of first worker, hosts, first accelerator and
-    accelerators per host, counted within the cell.
+    accelerators per host, counted within the cell. ``crashes`` is the number
+    of attempts under which a worker crashed, absent if there was none.
     """
 
     state: str
@@ -130,6 +131,7 @@
     created_unix_s: float
     started_unix_s: float
     ended_unix_s: float
+    crashes: NotRequired[int]
 
 
 class Resource(NamedTuple):
--- a/src/damaskstall/scheduler/attempt.py
+++ b/src/damaskstall/scheduler/attempt.py
@@ -62,6 +62,8 @@
         self.started_s = 0.0
         self.stop: Outcome | None = None
         self.in_policy = False
+        # The incarnation of each task's worker, "" if it is not known yet.
+        self.boots = tuple(s.boot if s else "" for s in sessions)
         # Tasks whose worker may have accepted the run command.
         self.maybe_ran: set[int] = set()
         self._changed = Event()
@@ -146,6 +148,18 @@
             return Outcome(LOST, f"The task on {worker} did not start.")
         return Outcome(LOST, f"The task on {worker} was {report.state}.")
 
+    def has_crashed_worker(self) -> bool:
+        """Return whether a worker has started again since the attempt began.
+
+        It does not count if no task may have run there.
+        """
+        if not self.adopted and not self.maybe_ran:
+            return False
+        return any(
+            session is not None and boot and session.boot != boot
+            for session, boot in zip(self.sessions, self.boots, strict=True)
+        )
+
     def provably_never_ran(self) -> bool:
         """Return whether it is certain that no task of the attempt has run."""
         if not self.adopted:
--- a/src/damaskstall/scheduler/cell_queue.py
+++ b/src/damaskstall/scheduler/cell_queue.py
@@ -1,9 +1,10 @@
 """Add queued jobs to one cell's policy, staggered by claim rank."""
 
-from damaskstall.placement.model import Policy, QueuedJob, Shape
+from damaskstall.placement.model import Cell, Policy, QueuedJob, Shape
 from damaskstall.resources.records import JobSpec
 from damaskstall.scheduler.context import SchedulerContext
 from damaskstall.scheduler.job_cache import JobEntry
+from damaskstall.scheduler.job_status import ISOLATION_CRASHES
 
 DEFER_S = 0.5
 
@@ -13,16 +14,39 @@
     return Shape(spec["hosts"], spec["accelerators_per_host"])
 
 
+def widest_worker(cell: Cell) -> int:
+    """Return the largest number of accelerators of a cell's workers."""
+    return max((w.accelerators for w in cell.workers), default=0)
+
+
+def isolated_shape(entry: JobEntry, worker_accelerators: int) -> Shape:
+    """Return the shape of a job, whole workers after several crashes.
+
+    So no other job runs on a worker that this one may crash.
+    """
+    shape = shape_of(entry.spec)
+    if entry.status.get("crashes", 0) < ISOLATION_CRASHES:
+        return shape
+    return Shape(shape.hosts, worker_accelerators)
+
+
 def queued_job(
-    entry: JobEntry, now_s: float, now_unix_s: float, preferred: bool
+    entry: JobEntry,
+    now_s: float,
+    now_unix_s: float,
+    preferred: bool,
+    worker_accelerators: int,
 ) -> QueuedJob:
-    """Return a job for the policy; it counts as waiting since its creation."""
+    """Return a job for the policy; it counts as waiting since its creation.
+
+    ``worker_accelerators`` is the number that a worker of the cell has.
+    """
     waited_s = max(0.0, now_unix_s - entry.status["created_unix_s"])
     spec = entry.spec
     return QueuedJob(
         entry.name,
         spec["team"],
-        shape_of(spec),
+        isolated_shape(entry, worker_accelerators),
         spec["estimate_s"],
         spec["urgent"],
         spec["checkpointable"],
@@ -42,11 +66,12 @@
     """
 
     def __init__(
-        self, context: SchedulerContext, cell: str, policy: Policy
+        self, context: SchedulerContext, cell: Cell, policy: Policy
     ) -> None:
         """Create an empty queue that admits jobs to a cell's policy."""
         self.context = context
-        self.cell = cell
+        self.cell = cell.name
+        self.worker_accelerators = widest_worker(cell)
         self.policy = policy
         self.due_s: dict[str, float] = {}
         self.admitted: set[str] = set()
@@ -125,4 +150,8 @@
         self.admitted.add(entry.name)
         preferred = self.rank(entry) == 0
         now_unix_s = self.context.unix_s()
-        self.policy.add(queued_job(entry, now_s, now_unix_s, preferred))
+        self.policy.add(
+            queued_job(
+                entry, now_s, now_unix_s, preferred, self.worker_accelerators
+            )
+        )
--- a/src/damaskstall/scheduler/cell_runner.py
+++ b/src/damaskstall/scheduler/cell_runner.py
@@ -57,7 +57,7 @@
         self.lease = lease
         self.cell = cell
         self.policy = context.planner.make_policy(cell)
-        self.queue = CellQueue(context, cell.name, self.policy)
+        self.queue = CellQueue(context, cell, self.policy)
         self.workers = CellWorkers(context, lease, cell, self)
         self.queue_updates = QueueUpdates(context, cell.name)
         self.gang_runner = GangRunner(
@@ -352,7 +352,13 @@
         attempt.in_policy = True
         self.policy.adopt(
             RunningJob(
-                queued_job(entry, now_s, now_unix_s, True),
+                queued_job(
+                    entry,
+                    now_s,
+                    now_unix_s,
+                    True,
+                    self.queue.worker_accelerators,
+                ),
                 attempt.block,
                 attempt.started_s,
                 entry.status["guaranteed"],
