Measure the holder's own delay and the duration of its rounds

Callers saw workers logged as silent, and could not tell whether these or the holder itself was late: the log had no duration of a round and no delay of the process.

A background task of the holder sleeps for 0.05 s and records by how much it woke up late. A delay above 0.2 s is logged as holder_delayed (8054), at most once a second, with the last round's duration and the numbers of open jobs, waiting units and workers; holder_caught_up (8055) follows after 3 s without one. damaskstall_round_seconds is a histogram of the rounds, and damaskstall_holder_delay_seconds the greatest delay of the last 5 s.

No decision is changed.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -250,6 +250,7 @@
             self.lease_held = False
             HOLDS_LEASE.set(NO_LABELS, 0)
             RUNS_OVERDUE.set(NO_LABELS, 0)
+            holder.own_load.reset_metrics()
             log(HOLDER_ENDED, epoch=lease.epoch, lost=lease.lost)
             with CancelScope(shield=True):
                 await self._release(lease)
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -248,3 +248,15 @@
     "A worker crashed under a run of a unit, which is isolated after several "
     "crashes and then given up.",
 )
+HOLDER_DELAYED = Event(
+    8054,
+    "WARNING",
+    "holder_delayed",
+    "The holder's event loop ran late: answers of workers are read late too.",
+)
+HOLDER_CAUGHT_UP = Event(
+    8055,
+    "INFO",
+    "holder_caught_up",
+    "The holder's event loop has run on time again for some seconds.",
+)
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -21,6 +21,7 @@
     HOLDER_READY,
     PROGRESS_CONFLICT,
 )
+from damaskstall.tasks.holder_load import HolderLoad, WorkCounts
 from damaskstall.tasks.job_reader import JobReader
 from damaskstall.tasks.job_rows import (
     CANCEL_TABLE,
@@ -96,6 +97,7 @@
         self.urgent_load = UrgentLoad()
         self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
+        self.own_load = HolderLoad(self._count_work)
         self.scope = CancelScope()
         self.ready = False
         self._wake = Event()
@@ -106,6 +108,7 @@
         with self.scope:
             async with open_nursery() as nursery:
                 self._nursery = nursery
+                nursery.start_soon(self.own_load.probe, self.context.clock)
                 await self._load(nursery)
                 self.writer.start(nursery)
                 for table, handle in (
@@ -360,6 +363,7 @@
     async def _decide_forever(self) -> None:
         while True:
             self._wake = Event()
+            began_s = self.context.clock()
             self._remove_finished_jobs()
             self.pool.end_expired_orphans()
             now_s = self.context.clock()
@@ -367,10 +371,22 @@
                 self.stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 self._apply_round(decide(self._scheduling_input(), now_s))
+            self.own_load.record_round(self.context.clock() - began_s)
             with move_on_after(DECISION_INTERVAL_S):
                 await self._wake.wait()
             await sleep(DECISION_BATCH_S)
 
+    def _count_work(self) -> WorkCounts:
+        now_s = self.context.clock()
+        waiting_units = sum(
+            len(units)
+            for progress in self.jobs.values()
+            for units in progress.waiting_steps(now_s)
+        )
+        return WorkCounts(
+            len(self.jobs), waiting_units, len(self.pool.sessions)
+        )
+
     def _scheduling_input(self) -> SchedulingInput:
         configuration = self.context.configuration
         return SchedulingInput(
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -43,3 +43,12 @@
     "Latency of an answered call to the platform's store, by call.",
     buckets=BUCKETS_S,
 )
+ROUND_SECONDS = Histogram(
+    "damaskstall_round_seconds",
+    "Duration of a scheduling round of the holder.",
+    buckets=BUCKETS_S,
+)
+HOLDER_DELAY_SECONDS = Gauge(
+    "damaskstall_holder_delay_seconds",
+    "Greatest recent delay of the holder's event loop.",
+)
