Reproduce a slow holder that never reaches its workers again

A holder whose processor needs longer to connect to all workers than a worker has time to answer gives up every connection and begins again, although all workers answer.

--- a/tests/tasks/cluster.py
+++ b/tests/tasks/cluster.py
@@ -9,6 +9,7 @@
 
 from damaskstall.addresses import Address
 from damaskstall.http.client import HttpClient
+from damaskstall.network import Network
 from damaskstall.platform.job_bodies import JobBodyCodec
 from damaskstall.platform.operator_rows import OperatorsPlatform
 from damaskstall.tasks.node import Node
@@ -20,6 +21,7 @@
 from standins.operators.store import ADDRESS as STORE_ADDRESS
 from standins.operators.store import OperatorsStore
 from standins.operators.worker import PORT, StandinWorker
+from tests.tasks.slow_processor import SlowProcessorNetwork
 from tests.virtual_time import run_virtual
 
 SERVICE = "svc"
@@ -32,6 +34,8 @@
 UNIX_BASE_S = 1_700_000_000.0
 # Appended to the name of a worker by the one that replaces it.
 RENAMED_SUFFIX = "+"
+# The processor time of connections and calls on a slow node.
+SLOW_CONNECT_S, SLOW_CALL_S = 0.005, 0.0005
 FRONT_PORT, READY_PORT, METRICS_PORT = 8000, 8001, 8002
 
 
@@ -102,6 +106,8 @@
         self.nursery: Nursery | None = None
         self.accepted: dict[str, float] = {}
         self.cores: dict[str, float] = {}
+        # The nodes whose processor is slow.
+        self.slow_nodes: set[str] = set()
         for rack in range(racks):
             for position in range(per_rack):
                 name = f"w{rack}{position}"
@@ -192,7 +198,11 @@
             machines=MACHINES_ADDRESS,
             processor_cores=self.cores.get(name, 1.0),
         )
-        network = self.network.endpoint(name)
+        network: Network = self.network.endpoint(name)
+        if name in self.slow_nodes:
+            network = SlowProcessorNetwork(
+                network, SLOW_CONNECT_S, SLOW_CALL_S
+            )
         platform = OperatorsPlatform(network, STORE_ADDRESS, MACHINES_ADDRESS)
         node = Node(
             network, settings, platform, JobBodyCodec(), current_time, unix_s
--- /dev/null
+++ b/tests/tasks/test_slow_holder.py
@@ -0,0 +1,63 @@
+"""A holder whose processor is slow reaches its workers all the same."""
+
+from trio import current_time, sleep
+
+from tests.tasks.cluster import Cluster, run_scenario
+from tests.tasks.job_specs import FOUR_TASKS, job_id
+from tests.tasks.run_checker import check_runs
+from tests.tasks.slow_processor import use_processor
+
+# To connect to and call all 240 workers takes 1.4 s of processor time, more
+# than the 0.25 s within which a worker has to answer.
+RACKS, PER_RACK = 12, 20
+# The operators count an instance as in touch 3 s after a disturbance.
+REACHED_LIMIT_S = 3.0
+
+
+def reachable_workers(cluster: Cluster) -> int:
+    """Return how many workers the holder reaches, 0 without a holder."""
+    name = cluster.holder()
+    if name is None:
+        return 0
+    holder = cluster.nodes[name].election.holder
+    assert holder is not None
+    return sum(s.reachable for s in holder.pool.sessions.values())
+
+
+async def take_over_slowly(cluster: Cluster) -> None:
+    """Replace the holder by a node with a slow processor."""
+    cluster.slow_nodes.add("n1")
+    await cluster.start_node("n1")
+    await sleep(1.0)
+    cluster.kill_node("n0")
+    await cluster.wait(lambda: cluster.holder() == "n1")
+
+
+def test_successor_with_a_slow_processor_reaches_all_workers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await take_over_slowly(cluster)
+        await cluster.wait(
+            lambda: reachable_workers(cluster) == RACKS * PER_RACK,
+            REACHED_LIMIT_S,
+        )
+
+    run_scenario(scenario, nodes=1, racks=RACKS, per_rack=PER_RACK)
+
+
+def test_holder_that_missed_all_answers_at_once_reaches_the_workers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await take_over_slowly(cluster)
+        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=8.0, node="n1")
+        await sleep(2.0)
+        paused_s = current_time()
+        use_processor(1.0)
+        assert current_time() - paused_s >= 1.0
+        await sleep(0.1)
+        await cluster.wait(
+            lambda: reachable_workers(cluster) == RACKS * PER_RACK,
+            REACHED_LIMIT_S,
+        )
+        await cluster.wait_state(job_id(1), "completed", node="n1")
+        check_runs(cluster)
+
+    run_scenario(scenario, nodes=1, racks=RACKS, per_rack=PER_RACK)
