Pause after a scheduling round for as long as it took

Cause: a round followed the previous one after 10 ms. While many units wait, a round takes 0.1 s or more and changes keep arriving, so the rounds used up the processor, and the sessions with the workers hardly ran.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -71,6 +71,9 @@
 
 # Changes within this time are handled by one scheduling round.
 DECISION_BATCH_S = 0.01
+# The pause after a round, as a multiple of its duration. Nothing else runs
+# during a round, and the answers of workers must be read in time.
+PAUSE_PER_ROUND = 1.0
 # A round also runs without a change, since the order of waiting work depends
 # on time.
 DECISION_INTERVAL_S = 0.5
@@ -379,7 +382,7 @@
             self.own_load.record_round(took_s)
             with move_on_after(DECISION_INTERVAL_S):
                 await self._wake.wait()
-            await sleep(DECISION_BATCH_S)
+            await sleep(max(DECISION_BATCH_S, took_s * PAUSE_PER_ROUND))
 
     def _count_work(self) -> WorkCounts:
         now_s = self.context.clock()
--- a/tests/tasks/test_slow_holder.py
+++ b/tests/tasks/test_slow_holder.py
@@ -13,6 +13,7 @@
 # To connect to and call all 240 workers takes 1.4 s of processor time, more
 # than the 0.25 s within which a worker has to answer.
 RACKS, PER_RACK = 24, 10
+HALF_OF_RACKS = 12
 # The operators count an instance as in touch 3 s after a disturbance.
 REACHED_LIMIT_S = 3.0
 ROUND_S = 0.2
@@ -100,3 +101,19 @@
             assert reachable_workers(cluster) == RACKS * PER_RACK
 
     run_scenario(scenario, nodes=1, racks=RACKS, per_rack=PER_RACK)
+
+
+def test_successor_with_long_rounds_reaches_all_workers(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        monkeypatch.setattr("damaskstall.tasks.holder.decide", decide_slowly)
+        await take_over_slowly(cluster)
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(request_decisions, cluster)
+        await cluster.wait(
+            lambda: reachable_workers(cluster) == HALF_OF_RACKS * PER_RACK,
+            REACHED_LIMIT_S,
+        )
+
+    run_scenario(scenario, nodes=1, racks=HALF_OF_RACKS, per_rack=PER_RACK)
