Check until it succeeds whether a small holder can hand the lease over

Cause: a small instance that held the lease checked once in 30 s whether the largest instance was alive, within 0.2 s and between two renewals. When that check failed, as it does while the small instance is overloaded or cut off from its peer, it kept the lease for 30 s more. It also never handed over before it was ready.

The check is a task of its own, once a second and with 1 s of time, and a holder that is not ready after 3 s hands over too. After a hand-over the 30 s remain.

test_holder_hands_over_once_the_larger_instance_is_reachable failed before.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -67,8 +67,11 @@
 # A small holder hands the lease over at most once in this time, so that the
 # lease does not oscillate when the larger instances do not acquire it.
 HAND_OVER_INTERVAL_S = 30.0
-# The check of the largest instance must not delay the next renewal.
-HAND_OVER_CHECK_LIMIT_S = 0.2
+# Whether a small holder can hand the lease over is checked this often.
+HAND_OVER_CHECK_S = 1.0
+HAND_OVER_CHECK_LIMIT_S = 1.0
+# A holder that is not ready after this time hands the lease over as well.
+READY_LIMIT_S = 3.0
 # The holder must keep the lease when the store is slow, or refuses this
 # instance so that each renewal begins with a failed attempt. So the next TTL
 # is extended by the duration of this many renewals as slow as the last one.
@@ -100,7 +103,7 @@
         self.waiting: dict[str, int] = {}
         self.waiting_read_s = float("-inf")
         self.lease_held = False
-        self._hand_over_tried_s = float("-inf")
+        self._handed_over_s = float("-inf")
         self._seen_revision = -1
         self._seen_s = 0.0
         self._random = Random()
@@ -240,6 +243,7 @@
         try:
             async with open_nursery() as nursery:
                 nursery.start_soon(self._renew, holder, counts)
+                nursery.start_soon(self._hand_over, holder)
                 await holder.run()
                 nursery.cancel_scope.cancel()
         except Exception as error:
@@ -263,9 +267,6 @@
         failing = False
         while True:
             await sleep(RENEW_S)
-            if await self._should_hand_over(holder):
-                holder.scope.cancel()
-                return
             waiting = holder.waiting_counts()
             extra: tuple[Write, ...] = ()
             if holder.ready and waiting != written:
@@ -290,24 +291,35 @@
             if extra:
                 revision, written = new_revision, waiting
 
+    async def _hand_over(self, holder: TaskHolder) -> None:
+        """End a small holder once a larger instance can replace it."""
+        began_s = self.context.clock()
+        while True:
+            held_s = self.context.clock() - began_s
+            if holder.ready or held_s >= READY_LIMIT_S:
+                if await self._should_hand_over(holder):
+                    holder.scope.cancel()
+                    return
+                await sleep(HAND_OVER_CHECK_S)
+            await sleep(RENEW_S)
+
     async def _should_hand_over(self, holder: TaskHolder) -> bool:
         """Return whether to hand the lease over to the largest instance now.
 
-        That instance must be alive and reach the store, which is checked at
-        most once every HAND_OVER_INTERVAL_S.
+        That instance must be alive and reach the store.
         """
         now_s = self.context.clock()
-        if not holder.ready or not self._yield_delay_s():
+        if not self._yield_delay_s():
             return False
-        if now_s - self._hand_over_tried_s < HAND_OVER_INTERVAL_S:
+        if now_s - self._handed_over_s < HAND_OVER_INTERVAL_S:
             return False
-        self._hand_over_tried_s = now_s
         cores = self.instances.cores_by_name()
         largest = max(cores, key=lambda name: (cores[name], name))
         alive = False
         with move_on_after(HAND_OVER_CHECK_LIMIT_S):
             alive = await self.instances.reaches_store(largest)
         if alive:
+            self._handed_over_s = self.context.clock()
             log(LEASE_HANDED_OVER, epoch=holder.lease.epoch, to=largest)
         return alive
 
--- a/tests/tasks/test_lease_preference.py
+++ b/tests/tasks/test_lease_preference.py
@@ -43,6 +43,33 @@
     run_scenario(scenario)
 
 
+def cut_peers(cluster: Cluster, first: str, second: str) -> None:
+    """Block all traffic between two nodes."""
+    cluster.network.cut(first, second)
+    cluster.network.cut(second, first)
+
+
+def heal_peers(cluster: Cluster, first: str, second: str) -> None:
+    """Restore the traffic between two nodes."""
+    cluster.network.heal(first, second)
+    cluster.network.heal(second, first)
+
+
+def test_holder_hands_over_once_the_larger_instance_is_reachable() -> None:
+    """A check that failed while the larger one was cut off is repeated."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cut_peers(cluster, "n0", "n1")
+        strong = await add_node(cluster, cores=4.0)
+        await sleep(8.0)
+        assert cluster.holder() == "n0"
+        heal_peers(cluster, "n0", "n1")
+        took_s = await cluster.wait(lambda: cluster.holder() == strong)
+        assert took_s < 5.0
+
+    run_scenario(scenario, nodes=1)
+
+
 def test_lease_does_not_alternate_between_similar_instances() -> None:
     async def scenario(cluster: Cluster) -> None:
         first = cluster.holder()
