Leave the lease of an earlier process to a larger instance as well

Cause: an instance that started again took the lease of its earlier process at once, without the time in which larger instances have precedence. So after all instances had lost power, a small holder was the holder again. A process also competed before it had read which other instances exist.

A process competes once it has read its peers, and an instance for which larger ones are listed waits for the lease to expire as all others do.

test_restarted_weak_holder_leaves_the_lease_to_the_strong_one failed before.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -81,7 +81,12 @@
 
 
 class LiveInstances(Protocol):
-    """The instances that are alive."""
+    """The instances that are alive.
+
+    ``known`` states that they have been read since this process started.
+    """
+
+    known: bool
 
     def cores_by_name(self) -> dict[str, float]:
         """Return the processor cores of this instance and its live peers."""
@@ -169,12 +174,16 @@
         if counts is not None and counts.value is not None:
             self.waiting = counts.value["counts"]
             self.waiting_read_s = now_s
-        if self.draining or not free or not self.context.configuration.known:
+        if self.draining or not free or not self._may_compete():
             return
         lease = await self._acquire(row, page.revision)
         if lease is not None:
             await self._run_holder(lease, counts)
 
+    def _may_compete(self) -> bool:
+        """Return whether this process knows what it needs to be elected."""
+        return self.context.configuration.known and self.instances.known
+
     def _is_standby(self) -> bool:
         """Return whether this instance is among the first candidates."""
         cores = self.instances.cores_by_name()
@@ -203,11 +212,12 @@
             return self._yield_delay_s()
         lease = parse_lease(row.value)
         instance = lease.holder.partition("/")[0]
-        if instance == self.context.settings.instance:
+        yield_s = self._yield_delay_s()
+        if instance == self.context.settings.instance and not yield_s:
             # The holder was an earlier process of this instance and has ended.
             return 0.0
         remaining_s = lease.ttl_s if lease.holder else 0.0
-        return remaining_s + self._yield_delay_s()
+        return remaining_s + yield_s
 
     async def _acquire(
         self, row: Row | None, table_revision: int
--- a/src/damaskstall/tasks/peer_directory.py
+++ b/src/damaskstall/tasks/peer_directory.py
@@ -53,6 +53,8 @@
         self.own_cores = settings.processor_cores
         self.clock = clock
         self.peers: dict[str, PeerTable] = {}
+        # Whether the peers have been read since this process started.
+        self.known = False
         self._peer_cores: dict[str, float] = {}
         self._failure_times_s: dict[str, float] = {}
         self._last_success = ""
@@ -106,21 +108,27 @@
         renewed_s = float("-inf")
         while True:
             try:
+                if not self.known:
+                    await self._refresh(table)
                 if self.clock() - renewed_s >= RENEW_S:
                     await self._register(table)
                     renewed_s = self.clock()
-                found = await scan_rows(table, NODE_PREFIX)
+                await self._refresh(table)
             except PlatformError:
                 # Outages of the table are logged by its other users.
                 await sleep(RETRY_S)
                 continue
-            for row in found.rows:
-                self._update_peer(row)
-            self._remove_peers(
-                self.peers.keys() - {instance_of(r) for r in found.rows}
-            )
             await sleep(REFRESH_S)
 
+    async def _refresh(self, table: WatchedTable) -> None:
+        found = await scan_rows(table, NODE_PREFIX)
+        for row in found.rows:
+            self._update_peer(row)
+        self._remove_peers(
+            self.peers.keys() - {instance_of(r) for r in found.rows}
+        )
+        self.known = True
+
     async def _register(self, table: WatchedTable) -> None:
         key = f"{NODE_PREFIX}{self.instance}"
         value = {
--- a/tests/tasks/test_lease_preference.py
+++ b/tests/tasks/test_lease_preference.py
@@ -1,6 +1,6 @@
 """An instance with many more processor cores becomes the holder."""
 
-from trio import sleep
+from trio import current_time, sleep
 
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import FOUR_TASKS, job_id
@@ -70,6 +70,24 @@
     run_scenario(scenario, nodes=1)
 
 
+def test_restarted_weak_holder_leaves_the_lease_to_the_strong_one() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cut_peers(cluster, "n0", "n1")
+        strong = await add_node(cluster, cores=4.0)
+        await sleep(2.0)
+        assert cluster.holder() == "n0"
+        cluster.kill_node("n0")
+        heal_peers(cluster, "n0", "n1")
+        await cluster.start_node("n0")
+        end_s = current_time() + 2.5
+        while cluster.holder() != strong:
+            assert current_time() < end_s
+            assert cluster.nodes["n0"].election.holder is None
+            await sleep(0.01)
+
+    run_scenario(scenario, nodes=1)
+
+
 def test_lease_does_not_alternate_between_similar_instances() -> None:
     async def scenario(cluster: Cluster) -> None:
         first = cluster.holder()
