Log why units that could start wait

Callers saw accepted jobs that did not run while capacity was free, and the log had no line for a waiting task. Unusable workers, reserved or claimed capacity, isolation, fragments and a failing store all looked the same.

Once a second the holder finds the steps whose units wait for 3 s or more, and logs at most three of them as unit_waiting (8056), urgent ones and long waits first, each step again after 5 s.

The flags of a worker are in WorkerSession.unusable_reasons(), by which usable() now decides; a test sets each flag alone. A round also returns what it kept free. No decision is changed.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -265,6 +265,7 @@
             HOLDS_LEASE.set(NO_LABELS, 0)
             RUNS_OVERDUE.set(NO_LABELS, 0)
             holder.own_load.reset_metrics()
+            holder.waiting_units.reset_metrics()
             log(HOLDER_ENDED, epoch=lease.epoch, lost=lease.lost)
             with CancelScope(shield=True):
                 await self._release(lease)
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -260,3 +260,10 @@
     "holder_caught_up",
     "The holder's event loop has run on time again for some seconds.",
 )
+UNIT_WAITING = Event(
+    8056,
+    "INFO",
+    "unit_waiting",
+    "Units of a step that could start have waited for some seconds: the "
+    "reason tells why the first of them does not run.",
+)
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -50,6 +50,7 @@
     Unit,
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
+from damaskstall.tasks.reservations import NOTHING_KEPT
 from damaskstall.tasks.run_ends import RunEnds, find_run
 from damaskstall.tasks.run_log import (
     log_claim_lost,
@@ -66,6 +67,8 @@
 )
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.urgent_load import UrgentLoad
+from damaskstall.tasks.wait_reasons import LEASE_NOT_HELD, STORE_FAILING
+from damaskstall.tasks.waiting_units import RoundView, WaitingUnits
 from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
 
@@ -101,6 +104,8 @@
         self.ends = RunEnds(self.jobs, self)
         self.monitor = RunMonitor(self.pool, self.estimator)
         self.own_load = HolderLoad(self._count_work)
+        self.waiting_units = WaitingUnits()
+        self.kept = NOTHING_KEPT
         self.scope = CancelScope()
         self.ready = False
         self._wake = Event()
@@ -378,12 +383,29 @@
                 self.stop_unit(*stop)
             if self.lease.may_decide(now_s) and not self.writer.failing:
                 self._apply_round(decide(self._scheduling_input(), now_s))
+            if self.waiting_units.is_due(now_s):
+                self.waiting_units.check(self._round_view(now_s), now_s)
             took_s = self.context.clock() - began_s
             self.own_load.record_round(took_s)
             with move_on_after(DECISION_INTERVAL_S):
                 await self._wake.wait()
             await sleep(max(DECISION_BATCH_S, took_s * PAUSE_PER_ROUND))
 
+    def _round_view(self, now_s: float) -> RoundView:
+        """Return what explains why units wait after this round."""
+        obstacle = ""
+        if not self.lease.may_decide(now_s):
+            obstacle = LEASE_NOT_HELD
+        elif self.writer.failing:
+            obstacle = STORE_FAILING
+        evacuated = self.context.configuration.evacuated
+        return RoundView(
+            self._scheduling_input(),
+            self.pool.worker_states(evacuated),
+            self.kept,
+            obstacle,
+        )
+
     def _count_work(self) -> WorkCounts:
         now_s = self.context.clock()
         waiting_units = sum(
@@ -411,8 +433,9 @@
         )
 
     def _apply_round(self, result: RoundResult) -> None:
-        """Carry out the decisions of a round, and keep its claims."""
+        """Carry out the decisions of a round; keep what the next needs."""
         self.claims = result.claims
+        self.kept = result.kept
         for loss in result.lost_claims:
             log_claim_lost(loss)
         for decision in result.decisions:
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -52,3 +52,11 @@
     "damaskstall_holder_delay_seconds",
     "Greatest recent delay of the holder's event loop.",
 )
+LONGEST_WAIT_SECONDS = Gauge(
+    "damaskstall_longest_wait_seconds",
+    "Longest present wait of a unit that could start.",
+)
+WORKERS_BY_FLAG = Gauge(
+    "damaskstall_workers_by_flag",
+    "Workers by what keeps new runs from them; none if they are usable.",
+)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -45,7 +45,9 @@
     waiting_batches,
 )
 from damaskstall.tasks.reservations import (
+    NOTHING_KEPT,
     ExpectedEnd,
+    KeptCapacity,
     Reservation,
     plan_without_reserved,
     reserve,
@@ -108,11 +110,15 @@
 
 
 class RoundResult(NamedTuple):
-    """What one round decides: starts and stops in order, and the claims."""
+    """What one round decides: starts and stops in order, and the claims.
+
+    ``kept`` only serves to explain why units wait.
+    """
 
     decisions: list[Decision]
     claims: Claims
     lost_claims: list[ClaimLoss]
+    kept: KeptCapacity = NOTHING_KEPT
 
 
 class UnitShape(NamedTuple):
@@ -186,7 +192,18 @@
         for batch in batches[len(urgent) :]:
             self._decide_batch(batch)
         claims = Claims(self.claims, self.preempted_cores)
-        return RoundResult(self.decisions, claims, self.lost_claims)
+        return RoundResult(
+            self.decisions, claims, self.lost_claims, self._kept_capacity()
+        )
+
+    def _kept_capacity(self) -> KeptCapacity:
+        """Return what is left free, and what was kept from units."""
+        return KeptCapacity(
+            self.plan.free,
+            self.reservations,
+            self.headroom,
+            {worker: free for worker, (free, _) in self.closed.items()},
+        )
 
     def _decide_batch(self, batch: Batch) -> None:
         """Place a step's units until one cannot be placed.
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -37,6 +37,22 @@
     after_s: float
 
 
+class KeptCapacity(NamedTuple):
+    """What a round left free, and what it kept from the waiting units.
+
+    ``left`` is the free capacity by worker, from which the reservations and
+    the headroom are not subtracted.
+    """
+
+    left: dict[str, Demand]
+    reservations: list[Reservation]
+    headroom: Reservation
+    isolated: dict[str, Demand]
+
+
+NOTHING_KEPT = KeptCapacity({}, [], Reservation({}, 0.0), {})
+
+
 def reserve(
     plan: CapacityPlan,
     placement: PlacementRequest,
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -32,6 +32,8 @@
     Unit,
 )
 from damaskstall.tasks.session_owner import SessionOwner
+from damaskstall.tasks.wait_reasons import WorkerState
+from damaskstall.tasks.worker_flags import EVACUATED
 from damaskstall.tasks.worker_lease import (
     LATE_COMMAND_LIMIT_S,
     OUTAGE_RENEWAL_LIMIT_S,
@@ -146,6 +148,21 @@
             and session.worker.failure_domain not in evacuated
         ]
 
+    def worker_states(self, evacuated: set[str]) -> list[WorkerState]:
+        """Return each worker's free capacity, and why it gets no new run."""
+        return [
+            WorkerState(
+                session.available_capacity(),
+                session.unusable_reasons()
+                + (
+                    (EVACUATED,)
+                    if session.worker.failure_domain in evacuated
+                    else ()
+                ),
+            )
+            for session in self.sessions.values()
+        ]
+
     def adopt(self, progress: JobProgress, unit: Unit) -> None:
         """Count the runs of a unit that an earlier holder placed."""
         demand = progress.step_of(unit).demand
@@ -319,6 +336,7 @@
         return {
             name: {
                 "usable": session.usable(),
+                "flags": list(session.unusable_reasons()),
                 "used": list(session.load.used),
                 "runs": len(session.load.runs),
             }
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -46,6 +46,16 @@
 from damaskstall.tasks.run_launch import RunLaunch
 from damaskstall.tasks.run_log import log_worker_lost
 from damaskstall.tasks.session_owner import SessionOwner
+from damaskstall.tasks.worker_flags import (
+    CLOSED,
+    IN_BACKOFF,
+    LEAVING,
+    NOT_FENCED,
+    NOT_LISTED,
+    OUTDATED_ENTRY,
+    UNKNOWN_RUNS,
+    UNREACHABLE,
+)
 from damaskstall.tasks.worker_health import WorkerHealth
 from damaskstall.tasks.worker_lease import WorkerLease, lease_limit_s
 
@@ -133,16 +143,28 @@
 
     def usable(self) -> bool:
         """Return whether new runs may go to the worker."""
-        return (
-            self.fenced
-            and self.reachable
-            and not self.closed
-            and not self.has_unknown_runs
-            and self.listed
-            and not self.entry_is_outdated()
-            and not self.worker.leaving
-            and self.health.may_start(self.clock())
-        )
+        return not self.unusable_reasons()
+
+    def unusable_reasons(self) -> tuple[str, ...]:
+        """Return the names of what keeps new runs from the worker."""
+        found = []
+        if not self.fenced:
+            found.append(NOT_FENCED)
+        if not self.reachable:
+            found.append(UNREACHABLE)
+        if self.closed:
+            found.append(CLOSED)
+        if self.has_unknown_runs:
+            found.append(UNKNOWN_RUNS)
+        if not self.listed:
+            found.append(NOT_LISTED)
+        if self.entry_is_outdated():
+            found.append(OUTDATED_ENTRY)
+        if self.worker.leaving:
+            found.append(LEAVING)
+        if not self.health.may_start(self.clock()):
+            found.append(IN_BACKOFF)
+        return tuple(found)
 
     def available_capacity(self) -> FreeCapacity:
         """Return the free capacity of the worker."""
