Log what an overdue run waits for

Callers saw run_overdue (8038) for a run that was placed and not confirmed, but not what kept its task from running again: a write to the store, a start that may still be carried out late, or the lease of a silent worker.

The line now has waits_for and left_s, the greatest time that is left. No decision is changed.

--- a/bench/tasks/day_simulation.py
+++ b/bench/tasks/day_simulation.py
@@ -14,7 +14,7 @@
 from bench.tasks.workload import JOB_KINDS, SERVICE, TEAMS, GeneratedJob
 from damaskstall.tasks.capacity import WorkerLoad
 from damaskstall.tasks.claims import no_claims
-from damaskstall.tasks.model import Demand, WorkerInfo
+from damaskstall.tasks.model import Demand, RunKey, WorkerInfo
 from damaskstall.tasks.policy import RoundResult, StartUnit
 from damaskstall.tasks.progress import (
     ENDED_DONE,
@@ -24,6 +24,7 @@
     Unit,
 )
 from damaskstall.tasks.run_monitor import RunMonitor
+from damaskstall.tasks.run_obstacles import REPORT, RunObstacle
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
 from damaskstall.tasks.urgent_load import UrgentLoad
@@ -149,6 +150,12 @@
         """Return no workers, since none drains in the simulation."""
         return {}
 
+    def run_obstacle(
+        self, key: RunKey, unit: Unit, member: Member, now_s: float
+    ) -> RunObstacle:
+        """Return that the run waits for a report; all workers answer."""
+        return RunObstacle(REPORT)
+
     def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
         """Ignore stalled members; no run stalls in the simulation."""
 
--- a/src/damaskstall/tasks/overdue_runs.py
+++ b/src/damaskstall/tasks/overdue_runs.py
@@ -11,6 +11,7 @@
 from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.progress import JobProgress, Member, Unit
 from damaskstall.tasks.run_log import log_run_overdue
+from damaskstall.tasks.run_obstacles import RunStatus
 
 # Workers report their runs twice a second. The limit is above the time in
 # which a late command or a short partition resolves itself.
@@ -22,6 +23,7 @@
 class OverdueRun(NamedTuple):
     """A run without a report or an end, and for how long."""
 
+    unit: Unit
     member: Member
     silent_s: float
 
@@ -29,8 +31,9 @@
 class OverdueRuns:
     """The runs that are overdue; logs each of them once."""
 
-    def __init__(self) -> None:
+    def __init__(self, status: RunStatus) -> None:
         """Start without any overdue run."""
+        self.status = status
         self._logged: set[RunKey] = set()
 
     def check(self, jobs: Collection[JobProgress], now_s: float) -> None:
@@ -42,7 +45,10 @@
         for key in new[:LINES_PER_CHECK]:
             self._logged.add(key)
             run = overdue[key]
-            log_run_overdue(key, run.member, run.silent_s)
+            obstacle = self.status.run_obstacle(
+                key, run.unit, run.member, now_s
+            )
+            log_run_overdue(key, run.member, run.silent_s, obstacle)
 
 
 def find_overdue(
@@ -55,7 +61,7 @@
                 silent_s = now_s - reported_s(unit, member)
                 if not member.ended and silent_s >= REPORT_LIMIT_S:
                     key = progress.run_key(unit, position)
-                    yield key, OverdueRun(member, silent_s)
+                    yield key, OverdueRun(unit, member, silent_s)
 
 
 def reported_s(unit: Unit, member: Member) -> float:
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -24,6 +24,7 @@
 from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.ports import EndReport
 from damaskstall.tasks.progress import JobProgress, Member, Unit
+from damaskstall.tasks.run_obstacles import RunObstacle
 
 # Maximum number of runs that the log names for one lost worker.
 LISTED_RUNS_LIMIT = 16
@@ -155,14 +156,19 @@
     return f"{name}#{key.run}"
 
 
-def log_run_overdue(key: RunKey, member: Member, silent_s: float) -> None:
+def log_run_overdue(
+    key: RunKey, member: Member, silent_s: float, obstacle: RunObstacle
+) -> None:
     """Log that nothing was heard of a run for ``silent_s``."""
+    left_s = obstacle.left_s
     log(
         RUN_OVERDUE,
         **run_fields(key),
         worker=member.worker,
         silent_s=round(silent_s, 1),
         confirmed=member.confirmed,
+        waits_for=obstacle.waits_for,
+        left_s=None if left_s is None else round(left_s, 1),
     )
 
 
--- a/src/damaskstall/tasks/run_monitor.py
+++ b/src/damaskstall/tasks/run_monitor.py
@@ -6,6 +6,7 @@
 from damaskstall.tasks.drain_policy import should_move
 from damaskstall.tasks.overdue_runs import OverdueRuns
 from damaskstall.tasks.progress import JobProgress, Member, Unit
+from damaskstall.tasks.run_obstacles import RunStatus
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.slowness import (
     find_slowdowns,
@@ -27,7 +28,7 @@
     reason: str
 
 
-class WorkerStatus(Protocol):
+class WorkerStatus(RunStatus, Protocol):
     """State of the workers, with reports of suspected faults."""
 
     def is_reachable(self, worker: str) -> bool:
@@ -52,7 +53,7 @@
         """Monitor the units on ``workers``."""
         self.workers = workers
         self.estimator = estimator
-        self.overdue = OverdueRuns()
+        self.overdue = OverdueRuns(workers)
         self._checked_s = float("-inf")
 
     def find_stops(
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -31,6 +31,12 @@
     Member,
     Unit,
 )
+from damaskstall.tasks.run_obstacles import (
+    UNCOUNTED,
+    UNLISTED_LEASE_EXPIRY,
+    RunObstacle,
+    find_obstacle,
+)
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.wait_reasons import WorkerState
 from damaskstall.tasks.worker_flags import EVACUATED
@@ -273,6 +279,19 @@
         session = self.sessions.get(worker)
         return session is not None and session.reachable
 
+    def run_obstacle(
+        self, key: RunKey, unit: Unit, member: Member, now_s: float
+    ) -> RunObstacle:
+        """Return what the run of a unit's member waits for."""
+        orphan = self._orphans.get(key)
+        if orphan is not None:
+            left_s = max(0.0, orphan.expires_s - now_s)
+            return RunObstacle(UNLISTED_LEASE_EXPIRY, left_s)
+        session = self.sessions.get(member.worker)
+        if session is None:
+            return RunObstacle(UNCOUNTED)
+        return find_obstacle(session, key, unit, now_s)
+
     def record_run_outcome(
         self, worker: str, job: AcceptedJob, how: str
     ) -> None:
--- a/tests/tasks/test_policy_fuzz.py
+++ b/tests/tasks/test_policy_fuzz.py
@@ -4,10 +4,11 @@
 
 from pytest import mark
 
-from damaskstall.tasks.model import Step
+from damaskstall.tasks.model import RunKey, Step
 from damaskstall.tasks.policy import StartUnit
 from damaskstall.tasks.progress import JobProgress, Member, Unit
 from damaskstall.tasks.run_monitor import RunMonitor
+from damaskstall.tasks.run_obstacles import REPORT, RunObstacle
 from tests.tasks.fleet import BULK, NORMAL, URGENT, Fleet, task
 
 SEEDS = range(40)
@@ -33,6 +34,12 @@
             return {}
         return {"w00": self.random.uniform(0.0, 3.0)}
 
+    def run_obstacle(
+        self, key: RunKey, unit: Unit, member: Member, now_s: float
+    ) -> RunObstacle:
+        """Return that the run waits for its worker's report."""
+        return RunObstacle(REPORT)
+
     def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
         """Ignore stalled members."""
 
