Submit again to a node that has not read its configuration in the test

test_jobs_are_shown_as_completed_through_changes_and_take_overs submitted a job to a node that it had just started, and did not look at the answer. Now it submits again, as clients do, and fails on any other answer. All other assertions stay.

--- a/tests/tasks/test_large_site_stories.py
+++ b/tests/tasks/test_large_site_stories.py
@@ -67,13 +67,23 @@
         run_scenario(scenario, seed=seed, nodes=3)
 
 
+async def submit_until_accepted(cluster: Cluster, job: str) -> None:
+    """Submit a job of one task, again if a node has just been started."""
+    while True:
+        reply = await cluster.submit(job, [ONE_TASK], work_s=1.0)
+        if reply.status == 200:
+            return
+        assert reply.status == 503 and "configuration" in reply.value["error"]
+        await sleep(0.05)
+
+
 def test_jobs_are_shown_as_completed_through_changes_and_take_overs() -> None:
     """Configurations come every 50 ms while holders are replaced."""
 
     async def scenario(cluster: Cluster) -> None:
         version = 1
         for number in range(1, 9):
-            await cluster.submit(job_id(number), [ONE_TASK], work_s=1.0)
+            await submit_until_accepted(cluster, job_id(number))
             for _ in range(8):
                 version += 1
                 cluster.store.put("op", "config", configuration(version))
