Double a worker's backoff only for runs started after it

Cause: each failed, stalled or refused run doubled the backoff when its end was recorded. The ends of the runs that a worker had at the time of one fault arrive together, so one fault counted as many. Besides, the factor was a power of two of the number of refusals without a bound, which is too large for a float after 1024 refusals in a row, some six hours, and raised OverflowError.

Now a backoff knows when it began. The end of a run that was started before tells nothing new and is ignored, one that was started during it lets it begin again with the same length, and only one that was started after it doubles it. A refused start counts by when its launch began. The length itself is doubled and bounded, so that no power is formed.

All of tests/tasks that is not real_time passes now.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -577,7 +577,7 @@
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
         """Learn from the outcome of a present run."""
-        self.pool.record_run_outcome(worker, progress.job, how)
+        self.pool.record_run_outcome(worker, progress.job, how, unit.started_s)
         # A later run may resume from a checkpoint and so take less time.
         if how != ENDED_DONE or unit.run > 1:
             return
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -89,6 +89,7 @@
         self.key = key
         self.attempts = 0
         self.unanswered = 0
+        self.started_s = target.clock()
 
     async def run(self, payload: str, checkpoint: str) -> None:
         """Start the run; retry until it is answered or its window ends."""
@@ -233,6 +234,6 @@
                 reason=error.reason,
             )
             if not error.reason:
-                target.health.record_refused(target.clock())
+                target.health.record_refused(self.started_s, target.clock())
         if not self.unanswered:
             target.end_run(self.key, ENDED_NOT_STARTED, REFUSED)
--- a/src/damaskstall/tasks/worker_health.py
+++ b/src/damaskstall/tasks/worker_health.py
@@ -21,53 +21,90 @@
 SLOW_BACKOFF_S = 4.0
 
 
+class Backoff:
+    """Backoff that doubles if a run fails that was started after its end."""
+
+    def __init__(self, first_s: float) -> None:
+        """Create a backoff that has not begun and at first lasts a time."""
+        self.until_s = float("-inf")
+        self._first_s = first_s
+        self._length_s = 0.0
+        self._since_s = float("-inf")
+
+    def record(self, started_s: float, now_s: float) -> bool:
+        """Record a failed run, by its start; return if the backoff begins.
+
+        A run that was started before the backoff began shows nothing new. If
+        one that was started during it fails, it begins again.
+        """
+        if started_s < self._since_s:
+            return False
+        if started_s >= self.until_s:
+            self._length_s *= 2.0
+        length_s = max(self._first_s, self._length_s)
+        self._length_s = min(length_s, BACKOFF_LIMIT_S)
+        self._since_s = now_s
+        self.until_s = now_s + self._length_s
+        return True
+
+    def reset(self) -> None:
+        """Let the next backoff be the first again."""
+        self._length_s = 0.0
+
+
 class WorkerHealth:
     """Health of one worker, from the outcomes of its recent runs."""
 
     def __init__(self) -> None:
         """Create the state of a healthy worker."""
-        self.backoff_until_s = float("-inf")
-        self._refusals = 0
-        self._failure_backoffs = 0
+        self._refused = Backoff(REFUSAL_BACKOFF_S)
+        self._unhealthy = Backoff(FAILURE_BACKOFF_S)
+        self._slow_until_s = float("-inf")
         self._failed_jobs: set[str] = set()
 
+    @property
+    def backoff_until_s(self) -> float:
+        """Return when the worker's backoff ends or has ended."""
+        return max(
+            self._refused.until_s, self._unhealthy.until_s, self._slow_until_s
+        )
+
     def may_start(self, now_s: float) -> bool:
         """Return whether the worker may get new runs."""
         return now_s >= self.backoff_until_s
 
     def record_started(self) -> None:
         """Record that the worker accepted a start."""
-        self._refusals = 0
+        self._refused.reset()
 
-    def record_refused(self, now_s: float) -> None:
-        """Record that the worker refused a start without a reason."""
-        backoff_s = REFUSAL_BACKOFF_S * 2.0**self._refusals
-        self._refusals += 1
-        self._back_off(backoff_s, now_s)
+    def record_refused(self, started_s: float, now_s: float) -> None:
+        """Record that the worker refused without a reason to start a run.
+
+        ``started_s`` is when its launch began.
+        """
+        self._refused.record(started_s, now_s)
 
     def record_done(self) -> None:
         """Record that a run succeeded on the worker."""
         self._failed_jobs.clear()
-        self._failure_backoffs = 0
+        self._unhealthy.reset()
 
-    def record_failed(self, job: AcceptedJob, now_s: float) -> bool:
-        """Record a failed run; return whether the worker enters backoff."""
+    def record_failed(
+        self, job: AcceptedJob, started_s: float, now_s: float
+    ) -> bool:
+        """Record a failed run; return whether a backoff begins."""
         self._failed_jobs.add(job.job_id)
         if len(self._failed_jobs) < FAILED_JOBS_LIMIT:
             return False
-        self.record_unhealthy(now_s)
-        return True
+        return self.record_unhealthy(started_s, now_s)
 
     def record_slow(self, now_s: float) -> None:
         """Record that all runs on the worker are slow."""
-        self._back_off(SLOW_BACKOFF_S, now_s)
+        self._slow_until_s = now_s + SLOW_BACKOFF_S
 
-    def record_unhealthy(self, now_s: float) -> None:
-        """Record that the worker fails or stalls its runs."""
-        backoff_s = FAILURE_BACKOFF_S * 2.0**self._failure_backoffs
-        self._failure_backoffs += 1
-        self._back_off(backoff_s, now_s)
+    def record_unhealthy(self, started_s: float, now_s: float) -> bool:
+        """Record that the worker fails or stalls a run.
 
-    def _back_off(self, backoff_s: float, now_s: float) -> None:
-        until_s = now_s + min(backoff_s, BACKOFF_LIMIT_S)
-        self.backoff_until_s = max(self.backoff_until_s, until_s)
+        Return whether a backoff begins.
+        """
+        return self._unhealthy.record(started_s, now_s)
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -293,7 +293,7 @@
         return find_obstacle(session, key, unit, now_s)
 
     def record_run_outcome(
-        self, worker: str, job: AcceptedJob, how: str
+        self, worker: str, job: AcceptedJob, how: str, started_s: float
     ) -> None:
         """Update a worker's health from the outcome of a run."""
         session = self.sessions.get(worker)
@@ -302,13 +302,14 @@
         if how == ENDED_DONE:
             session.health.record_done()
         elif how == ENDED_FAILED:
-            if session.health.record_failed(job, self.context.clock()):
+            now_s = self.context.clock()
+            if session.health.record_failed(job, started_s, now_s):
                 self._log_suspected(
                     session, "runs of several jobs failed in a row"
                 )
 
     def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
-        """Exclude workers with stalled members from starts for a while.
+        """Let workers with stalled members back off.
 
         If all of several members are stalled, they may be waiting for
         something else, so their workers are only avoided by this unit.
@@ -319,8 +320,10 @@
             is_worker_fault = len(members) == 1 or len(members) < len(
                 unit.members
             )
-            if session is not None and is_worker_fault:
-                session.health.record_unhealthy(self.context.clock())
+            if session is None or not is_worker_fault:
+                continue
+            now_s = self.context.clock()
+            if session.health.record_unhealthy(unit.started_s, now_s):
                 self._log_suspected(session, "a run makes no progress")
 
     def suspect_slow(self, workers: set[str]) -> set[str]:
--- a/tests/tasks/test_worker_faults.py
+++ b/tests/tasks/test_worker_faults.py
@@ -2,6 +2,10 @@
 
 from trio import current_time, sleep
 
+from damaskstall.tasks.worker_health import (
+    FAILURE_BACKOFF_S,
+    REFUSAL_BACKOFF_S,
+)
 from standins.operators.run_history import Run
 from tests.tasks.cluster import (
     URGENT,
@@ -247,3 +251,41 @@
         check_runs(cluster)
 
     run_scenario(scenario, racks=1, per_rack=1)
+
+
+def backoff_left_s(cluster: Cluster, name: str) -> float:
+    """Return for how long the holder lets a worker back off."""
+    node = cluster.holder()
+    assert node is not None
+    holder = cluster.nodes[node].election.holder
+    assert holder is not None
+    health = holder.pool.sessions[name].health
+    return health.backoff_until_s - current_time()
+
+
+def test_failures_that_arrive_together_back_off_a_worker_once() -> None:
+    def outcome(run: Run) -> str:
+        return "failed" if run.worker == "w00" else "done"
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.history.choose_outcome = outcome
+        for number in range(1, 7):
+            await cluster.submit(job_id(number), [ONE_TASK], work_s=2.0)
+        await cluster.wait(lambda: backoff_left_s(cluster, "w00") > 0)
+        for number in range(1, 7):
+            await cluster.wait_state(job_id(number), "completed")
+        assert backoff_left_s(cluster, "w00") < FAILURE_BACKOFF_S
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=1)
+
+
+def test_refusals_that_arrive_together_back_off_a_worker_once() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers["w00"].refuse_starts = True
+        await cluster.submit(job_id(1), [FOUR_TASKS], work_s=2.0)
+        await cluster.wait(lambda: len(cluster.history.runs) == 4)
+        assert backoff_left_s(cluster, "w00") <= REFUSAL_BACKOFF_S
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=1)
