Use workers in backoff as a last resort

What callers saw: a job whose label or rack only workers in backoff offered had nothing running for up to 20 s, although these workers were free and most often well again.

Cause: a backoff excluded its worker from the plan. Only the backoff of slow workers was limited by their share, and nothing regarded labels or racks.

Now the input of a round has the workers in backoff apart. A unit that finds no capacity on the others, by preemption neither, may use them 1 s after its turn came or its last run ended; on its last attempt after 2 s, unless it is covered by a guarantee and has not begun. Each such worker gets one unit, then none for 1 s, which doubles up to 4 s with each one that fails. A start that is accepted, or a run that is done, ends the backoff if it began during it. Reservations, claims, headroom and preemption, and whether a gang is to stay in one rack, do not see these workers.

The two tests added to test_worker_faults.py failed unchanged. The fuzzed rounds run with half of the workers in backoff as well.

--- a/bench/tasks/day_simulation.py
+++ b/bench/tasks/day_simulation.py
@@ -28,6 +28,7 @@
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
 from damaskstall.tasks.scheduling_input import SchedulingInput
 from damaskstall.tasks.urgent_load import UrgentLoad
+from damaskstall.tasks.worker_health import PROBE_INTERVAL_S
 
 CAPACITY = Demand(64000, 131072, 8)
 RACK_SIZE = 8
@@ -121,6 +122,7 @@
         self.loads = {w.name: WorkerLoad() for w in self.workers}
         self.speed = dict.fromkeys(self.loads, 1.0)
         self.backoff_until_s: dict[str, float] = {}
+        self.probe_from_s: dict[str, float] = {}
         self.jobs: dict[str, SimulatedJob] = {}
         self.finished: list[SimulatedJob] = []
         self.runs: dict[int, Run] = {}
@@ -252,11 +254,13 @@
 
     def _decide(self) -> None:
         self._deciding = False
-        free_capacities = [
-            self.loads[worker.name].free_capacity(worker)
-            for worker in self.workers
-            if self.backoff_until_s.get(worker.name, 0.0) <= self.now_s
-        ]
+        free_capacities, backoff_capacities = [], []
+        for worker in self.workers:
+            free = self.loads[worker.name].free_capacity(worker)
+            if self.backoff_until_s.get(worker.name, 0.0) <= self.now_s:
+                free_capacities.append(free)
+            elif self.now_s >= self.probe_from_s.get(worker.name, 0.0):
+                backoff_capacities.append(free)
         inputs = SchedulingInput(
             [simulated.progress for simulated in self.jobs.values()],
             self.queues,
@@ -265,6 +269,7 @@
             self.estimator,
             self.claims,
             self.urgent_load,
+            backoff_capacities,
         )
         result = self.policy(inputs, self.now_s)
         self.claims = result.claims
@@ -287,6 +292,7 @@
         for position, name in enumerate(decision.workers):
             key = progress.run_key(unit, position)
             self.loads[name].add(key, demand)
+            self.probe_from_s[name] = self.now_s + PROBE_INTERVAL_S
         self.call_at(self.now_s + START_S, lambda: self._begin_work(run))
 
     def _begin_work(self, run: Run) -> None:
@@ -363,6 +369,7 @@
             cores = step.demand.cores * step.unit_size
             simulated.discarded_core_s += worked_s * cores
             simulated.redone_s += worked_s
+        unit.ended_s = self.now_s
         limit = simulated.generated.kind.queue.attempt_limit
         for position in range(len(run.workers)):
             progress.end_member(unit, position, how, limit)
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -221,7 +221,7 @@
     8045,
     "WARNING",
     "worker_suspected",
-    "Runs fail, stall or are slow on a worker: it gets no new run for a time.",
+    "Runs fail, stall or are slow on a worker: it is used last for a time.",
 )
 CLAIM_LOST = Event(
     8050,
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -430,6 +430,7 @@
             self.estimator,
             self.claims,
             self.urgent_load,
+            self.pool.backoff_capacities(configuration.evacuated),
         )
 
     def _apply_round(self, result: RoundResult) -> None:
--- /dev/null
+++ b/src/damaskstall/tasks/last_resort.py
@@ -0,0 +1,37 @@
+"""Decide when a unit may use workers in backoff.
+
+A backoff is a preference: other workers are used first, but a unit that finds
+no capacity on them must not wait for the end of a backoff, which may be in
+error. So it may use a worker in backoff after a bounded wait. A unit that has
+only one attempt left waits longer, since its job fails if the worker does.
+"""
+
+from damaskstall.tasks.progress import JobProgress, Unit
+from damaskstall.tasks.ranking import Batch
+
+LAST_RESORT_WAIT_S = 1.0
+LAST_ATTEMPT_WAIT_S = 2.0
+
+
+def may_use_backoff(batch: Batch, unit: Unit, now_s: float) -> bool:
+    """Return whether a waiting unit may use workers in backoff."""
+    waited_s = now_s - waiting_since_s(batch.progress, unit)
+    return waited_s >= last_resort_wait_s(batch, unit)
+
+
+def waiting_since_s(progress: JobProgress, unit: Unit) -> float:
+    """Return when a unit's last run ended, or its turn came if later."""
+    since_s = max(progress.due_s(unit.occurrence), unit.ended_s)
+    for number in progress.step_of(unit).after:
+        earlier = progress.units_of(unit.occurrence, number)
+        since_s = max(since_s, *(each.ended_s for each in earlier))
+    return since_s
+
+
+def last_resort_wait_s(batch: Batch, unit: Unit) -> float:
+    """Return for how long a unit waits for workers without a backoff."""
+    is_last_attempt = unit.failures + 1 >= batch.queue.attempt_limit
+    must_begin = batch.guaranteed and not unit.has_begun
+    if is_last_attempt and not must_begin:
+        return LAST_ATTEMPT_WAIT_S
+    return LAST_RESORT_WAIT_S
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -24,6 +24,8 @@
         capacities = list(free_capacities)
         self.workers = {each.worker.name: each.worker for each in capacities}
         self.free = {each.worker.name: each.free for each in capacities}
+        # Workers to use only after all others.
+        self.in_backoff: frozenset[str] = frozenset()
         self.racks: dict[str, list[str]] = {}
         for each in capacities:
             names = self.racks.setdefault(each.worker.rack, [])
@@ -35,6 +37,22 @@
         plan.workers = self.workers
         plan.racks = self.racks
         plan.free = dict(self.free)
+        plan.in_backoff = self.in_backoff
+        return plan
+
+    def with_backoff(
+        self, free_capacities: Iterable[FreeCapacity]
+    ) -> "CapacityPlan":
+        """Return a copy of this plan with workers in backoff added."""
+        added = CapacityPlan(free_capacities)
+        plan = CapacityPlan(())
+        plan.workers = self.workers | added.workers
+        plan.free = self.free | added.free
+        plan.racks = {
+            rack: self.racks.get(rack, []) + added.racks.get(rack, [])
+            for rack in self.racks | added.racks
+        }
+        plan.in_backoff = frozenset(added.workers)
         return plan
 
     def allocate(self, worker: str, demand: Demand) -> None:
@@ -127,8 +145,8 @@
 ) -> list[str]:
     """Return workers for as many tasks as fit, up to a limit.
 
-    Workers with the fewest free accelerators are filled first, and workers to
-    avoid last.
+    Workers with the fewest free accelerators are filled first, then workers
+    to avoid, and workers in backoff last.
     """
     usable = [
         name
@@ -150,12 +168,13 @@
 
 def packing_order(
     plan: CapacityPlan, placement: PlacementRequest, name: str
-) -> tuple[bool, bool, int, int, str]:
+) -> tuple[bool, bool, bool, int, int, str]:
     """Return the sort key of a worker; lower keys are filled first."""
     free = plan.free[name]
     worker = plan.workers[name]
     data_rack = placement.step.data_rack
     return (
+        name in plan.in_backoff,
         name in placement.avoid,
         bool(data_rack) and worker.rack != data_rack,
         free.accelerators,
@@ -193,6 +212,12 @@
     return any(rack_holds(plan, placement, rack) for rack in plan.racks)
 
 
+def across_racks(placement: PlacementRequest) -> PlacementRequest:
+    """Return the constraints of a unit that may be spread over racks."""
+    step = placement.step._replace(one_rack=False)
+    return placement._replace(step=step)
+
+
 def rack_holds(
     plan: CapacityPlan, placement: PlacementRequest, rack: str
 ) -> bool:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -23,10 +23,12 @@
     find_suspect_workers,
     needs_isolation,
 )
+from damaskstall.tasks.last_resort import may_use_backoff
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
+    across_racks,
     needs_one_rack,
     pack_some,
     place_unit,
@@ -174,6 +176,14 @@
         self.stopped: set[int] = set()
         self.preemption_searches = 0
         self.unplaceable: set[UnitShape] = set()
+        # The workers in backoff that may still get a unit in this round, and
+        # the shapes that do not fit with them either.
+        self.probes = {
+            each.worker.name: each
+            for each in inputs.backoff_capacities
+            if each.worker.name not in self.suspects.isolated
+        }
+        self.unplaceable_in_backoff: set[UnitShape] = set()
         # Time limits within which no reservation was found, by shape.
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
@@ -255,11 +265,40 @@
                 return True
             if not batch.step.per_worker_limit:
                 self.unplaceable.add(shape)
-        if batch.queue.priority == URGENT_PRIORITY and not placement.alone:
-            return self._place_urgent(batch, unit, placement)
-        self._try_reserve(placement, self._expected_s(batch), shape)
+        is_urgent = batch.queue.priority == URGENT_PRIORITY
+        is_urgent = is_urgent and not placement.alone
+        if is_urgent and self._place_urgent(batch, unit, placement):
+            return True
+        if self._place_in_backoff(batch, unit, placement):
+            return True
+        if not is_urgent:
+            self._try_reserve(placement, self._expected_s(batch), shape)
         return False
 
+    def _place_in_backoff(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Start a unit as a last resort with workers in backoff.
+
+        Return whether it fits and has waited long enough. Each such worker
+        gets one unit, since its runs may fail.
+        """
+        if not self.probes or not may_use_backoff(batch, unit, self.now_s):
+            return False
+        plan, shape = self._available_plan(batch, placement.alone)
+        if shape in self.unplaceable_in_backoff:
+            return False
+        plan = plan.with_backoff(self.probes.values())
+        workers = place_unit(plan, placement)
+        if workers is None and batch.guaranteed and batch.step.one_rack:
+            workers = place_unit(plan, across_racks(placement))
+        if workers is None:
+            if not batch.step.per_worker_limit:
+                self.unplaceable_in_backoff.add(shape)
+            return False
+        self._start(batch, unit, workers)
+        return True
+
     def _start(self, batch: Batch, unit: Unit, workers: list[str]) -> None:
         self._allocate(batch, workers)
         if unit.crashed_runs:
@@ -414,8 +453,7 @@
         if not batch.guaranteed:
             return False
         if needs_one_rack(self.plan, placement):
-            step = batch.step._replace(one_rack=False)
-            placement = placement._replace(step=step)
+            placement = across_racks(placement)
             workers = place_unit(self.plan, placement)
             if workers is not None:
                 self._start(batch, unit, workers)
@@ -657,6 +695,9 @@
 
     def _allocate(self, batch: Batch, workers: list[str]) -> None:
         for worker in workers:
+            if worker not in self.plan.workers:
+                self.probes.pop(worker, None)
+                continue
             self.plan.allocate(worker, batch.step.demand)
             self.plan_after_stops.allocate(worker, batch.step.demand)
 
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -74,6 +74,8 @@
     newest run known to be in the table; a later one has not been launched.
     ``members`` is empty while no run may exist. ``stopping`` states that the
     run is being stopped, and ``has_begun`` that a run of the unit has started.
+    ``ended_s`` is when a member of a run last ended, as far as this holder
+    knows.
     ``avoid`` names workers on which a run failed or stalled, and
     ``crashed_runs`` has the numbers of the runs under which a worker crashed.
     """
@@ -91,6 +93,7 @@
         "members",
         "stopping",
         "started_s",
+        "ended_s",
         "avoid",
         "crashed_runs",
         "has_begun",
@@ -110,6 +113,7 @@
         self.members: list[Member] = []
         self.stopping = False
         self.started_s = 0.0
+        self.ended_s = 0.0
         self.avoid: set[str] = set()
         self.crashed_runs: set[int] = set()
         self.has_begun = False
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -121,6 +121,7 @@
             unit.checkpoint = end.checkpoint
         if end.how != ENDED_NOT_STARTED:
             unit.has_begun = True
+        unit.ended_s = unit.started_s + self.owner.run_age_s(unit)
         progress.end_member(
             unit, position, end.how, self.owner.attempt_limit(progress)
         )
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -201,7 +201,7 @@
         """
         self._log("answered")
         target = self.target
-        target.health.record_started()
+        target.health.record_started(self.started_s)
         if request.token != target.token:
             return
         if clock_s < known_clock_s:
--- a/src/damaskstall/tasks/run_monitor.py
+++ b/src/damaskstall/tasks/run_monitor.py
@@ -38,7 +38,7 @@
         """Return the draining workers with the seconds until they leave."""
 
     def suspect_stalled(self, unit: Unit, members: list[Member]) -> None:
-        """Exclude workers with stalled members from starts for a while."""
+        """Let workers with stalled members back off."""
 
     def suspect_slow(self, workers: set[str]) -> set[str]:
         """Exclude slow workers from starts; return those in backoff."""
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -1,5 +1,6 @@
 """The input of one round of scheduling decisions."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from damaskstall.tasks.capacity import FreeCapacity
@@ -16,7 +17,8 @@
 class SchedulingInput(NamedTuple):
     """The jobs, their queues and guarantees, and the free capacity.
 
-    ``claims`` is the result of the round before.
+    ``claims`` is the result of the round before, and ``backoff_capacities``
+    has the workers in backoff, which are a last resort.
     """
 
     jobs: list[JobProgress]
@@ -26,6 +28,7 @@
     estimator: RunTimeEstimator
     claims: Claims
     urgent_load: UrgentLoad
+    backoff_capacities: Sequence[FreeCapacity] = ()
 
 
 def queue_of(inputs: SchedulingInput, progress: JobProgress) -> Queue:
--- a/src/damaskstall/tasks/worker_health.py
+++ b/src/damaskstall/tasks/worker_health.py
@@ -19,6 +19,10 @@
 # Slowness is temporary. While a worker gets no runs its pace is unknown, so it
 # is used again after this time and judged by its next runs.
 SLOW_BACKOFF_S = 4.0
+# A worker in backoff that is used as a last resort gets at most one unit in
+# this time, so that a faulty one fails few runs. Each that fails doubles it.
+PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_LIMIT_S = 4.0
 
 
 class Backoff:
@@ -27,6 +31,7 @@
     def __init__(self, first_s: float) -> None:
         """Create a backoff that has not begun and at first lasts a time."""
         self.until_s = float("-inf")
+        self.probe_interval_s = PROBE_INTERVAL_S
         self._first_s = first_s
         self._length_s = 0.0
         self._since_s = float("-inf")
@@ -41,15 +46,25 @@
             return False
         if started_s >= self.until_s:
             self._length_s *= 2.0
+        else:
+            self.probe_interval_s = min(
+                2.0 * self.probe_interval_s, PROBE_INTERVAL_LIMIT_S
+            )
         length_s = max(self._first_s, self._length_s)
         self._length_s = min(length_s, BACKOFF_LIMIT_S)
         self._since_s = now_s
         self.until_s = now_s + self._length_s
         return True
 
-    def reset(self) -> None:
-        """Let the next backoff be the first again."""
+    def reset(self, started_s: float) -> None:
+        """Let the next backoff be the first again, after a good run.
+
+        A run that was started during the backoff also ends it.
+        """
         self._length_s = 0.0
+        self.probe_interval_s = PROBE_INTERVAL_S
+        if started_s >= self._since_s:
+            self.until_s = float("-inf")
 
 
 class WorkerHealth:
@@ -61,6 +76,7 @@
         self._unhealthy = Backoff(FAILURE_BACKOFF_S)
         self._slow_until_s = float("-inf")
         self._failed_jobs: set[str] = set()
+        self._placed_s = float("-inf")
 
     @property
     def backoff_until_s(self) -> float:
@@ -73,9 +89,20 @@
         """Return whether the worker may get new runs."""
         return now_s >= self.backoff_until_s
 
-    def record_started(self) -> None:
-        """Record that the worker accepted a start."""
-        self._refused.reset()
+    def may_probe(self, now_s: float) -> bool:
+        """Return whether the worker may get a unit although in backoff."""
+        interval_s = max(
+            self._refused.probe_interval_s, self._unhealthy.probe_interval_s
+        )
+        return now_s >= self._placed_s + interval_s
+
+    def record_placed(self, now_s: float) -> None:
+        """Record that a run was placed on the worker."""
+        self._placed_s = now_s
+
+    def record_started(self, started_s: float) -> None:
+        """Record that the worker accepted a start, launched at a time."""
+        self._refused.reset(started_s)
 
     def record_refused(self, started_s: float, now_s: float) -> None:
         """Record that the worker refused without a reason to start a run.
@@ -84,10 +111,10 @@
         """
         self._refused.record(started_s, now_s)
 
-    def record_done(self) -> None:
+    def record_done(self, started_s: float) -> None:
         """Record that a run succeeded on the worker."""
         self._failed_jobs.clear()
-        self._unhealthy.reset()
+        self._unhealthy.reset(started_s)
 
     def record_failed(
         self, job: AcceptedJob, started_s: float, now_s: float
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -169,6 +169,18 @@
             for session in self.sessions.values()
         ]
 
+    def backoff_capacities(self, evacuated: set[str]) -> list[FreeCapacity]:
+        """Return the free capacity of each worker in backoff.
+
+        Those that have got a run a moment ago are left out.
+        """
+        return [
+            session.available_capacity()
+            for session in self.sessions.values()
+            if session.may_probe()
+            and session.worker.failure_domain not in evacuated
+        ]
+
     def adopt(self, progress: JobProgress, unit: Unit) -> None:
         """Count the runs of a unit that an earlier holder placed."""
         demand = progress.step_of(unit).demand
@@ -300,7 +312,7 @@
         if session is None:
             return
         if how == ENDED_DONE:
-            session.health.record_done()
+            session.health.record_done(started_s)
         elif how == ENDED_FAILED:
             now_s = self.context.clock()
             if session.health.record_failed(job, started_s, now_s):
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -145,6 +145,11 @@
         """Return whether new runs may go to the worker."""
         return not self.unusable_reasons()
 
+    def may_probe(self) -> bool:
+        """Return whether one unit may go to the worker, in backoff."""
+        in_backoff = self.unusable_reasons() == (IN_BACKOFF,)
+        return in_backoff and self.health.may_probe(self.clock())
+
     def unusable_reasons(self) -> tuple[str, ...]:
         """Return the names of what keeps new runs from the worker."""
         found = []
@@ -188,6 +193,7 @@
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
         self.load.add(key, demand)
+        self.health.record_placed(self.clock())
         if not self.lease.clock_is_recent(self.clock()):
             self.wake()
 
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -67,6 +67,7 @@
         self.guarantees: dict[str, int] = {}
         self.estimator = RunTimeEstimator()
         self.claims = no_claims()
+        self.in_backoff: set[str] = set()
         self.urgent_load = UrgentLoad()
 
     def add(
@@ -112,14 +113,20 @@
     def current_input(self) -> SchedulingInput:
         """Return the input of the next decision."""
         queues = {name: queue(name) for name in PRIORITIES}
+        usable: list[FreeCapacity] = []
+        in_backoff: list[FreeCapacity] = []
+        for each in self.free_capacities():
+            backs_off = each.worker.name in self.in_backoff
+            (in_backoff if backs_off else usable).append(each)
         return SchedulingInput(
             self.jobs,
             queues,
             self.guarantees,
-            self.free_capacities(),
+            usable,
             self.estimator,
             self.claims,
             self.urgent_load,
+            in_backoff,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
--- /dev/null
+++ b/tests/tasks/test_last_resort.py
@@ -0,0 +1,189 @@
+"""Workers in backoff are a last resort: used late, but used."""
+
+from damaskstall.tasks.last_resort import (
+    LAST_ATTEMPT_WAIT_S,
+    LAST_RESORT_WAIT_S,
+)
+from damaskstall.tasks.progress import JobProgress
+from tests.tasks.fleet import (
+    BULK,
+    NORMAL,
+    URGENT,
+    Fleet,
+    all_running,
+    task,
+)
+from tests.tasks.test_policy import gang
+
+# The queues of the fleet allow three attempts.
+FAILURES_BEFORE_THE_LAST = 2
+
+
+def active_units(job: JobProgress) -> int:
+    """Return how many units of a job run."""
+    return sum(unit.active for unit in job.all_units())
+
+
+def check_starts_after(fleet: Fleet, job: JobProgress, wait_s: float) -> None:
+    """Assert that a job starts once it has waited, and not before."""
+    fleet.decide_and_apply(now_s=wait_s - 0.1)
+    assert not active_units(job)
+    fleet.decide_and_apply(now_s=wait_s)
+    assert active_units(job)
+
+
+def label_fleet(in_backoff: set[str]) -> Fleet:
+    """Return two racks of two workers; only those of one have label gold."""
+    fleet = Fleet(racks=2, per_rack=2)
+    fleet.workers = [
+        (
+            worker._replace(labels=worker.labels | {"gold"})
+            if worker.rack == "r0-0"
+            else worker
+        )
+        for worker in fleet.workers
+    ]
+    fleet.in_backoff = in_backoff
+    return fleet
+
+
+def test_task_whose_labelled_workers_are_all_in_backoff_starts() -> None:
+    fleet = label_fleet({"w00", "w01"})
+    job = fleet.add(BULK, task(1, required_label="gold"))
+    check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
+
+
+def test_gang_starts_in_a_rack_with_workers_in_backoff() -> None:
+    fleet = Fleet(racks=2, per_rack=3)
+    fleet.in_backoff = {"w00"}
+    fleet.run_on(fleet.add(URGENT, task(8)), "w10")
+    job = fleet.add(NORMAL, gang(3))
+    # Only a fleet without a healthy rack for a gang spreads it.
+    fleet.run_on(fleet.add(URGENT, task(8)), "w11")
+    check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
+    assert fleet.racks_of(job) == {"r0-0"}
+
+
+def test_limit_per_worker_reaches_the_workers_in_backoff() -> None:
+    fleet = Fleet(racks=1, per_rack=3)
+    fleet.in_backoff = {"w01", "w02"}
+    job = fleet.add(BULK, task(1, task_count=3, per_worker_limit=1))
+    fleet.decide_and_apply(now_s=LAST_RESORT_WAIT_S - 0.1)
+    assert active_units(job) == 1
+    fleet.decide_and_apply(now_s=LAST_RESORT_WAIT_S)
+    assert all_running(job)
+
+
+def test_task_starts_while_most_workers_are_in_backoff_and_others_full() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=4)
+    fleet.in_backoff = {"w01", "w02", "w03"}
+    fleet.run_on(fleet.add(NORMAL, task(8)), "w00")
+    job = fleet.add(BULK, task(8))
+    check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
+
+
+def test_later_step_waits_from_when_its_turn_came() -> None:
+    fleet = label_fleet({"w00", "w01"})
+    second = task(1, required_label="gold", after=(0,))
+    job = fleet.add(BULK, task(1), second)
+    first = next(job.all_units())
+    first.done = True
+    first.ended_s = 20.0
+    check_starts_after(fleet, job, 20.0 + LAST_RESORT_WAIT_S)
+
+
+def test_unit_waits_again_after_each_run() -> None:
+    fleet = label_fleet({"w00", "w01"})
+    job = fleet.add(BULK, task(1, required_label="gold"))
+    next(job.all_units()).ended_s = 20.0
+    check_starts_after(fleet, job, 20.0 + LAST_RESORT_WAIT_S)
+
+
+def test_worker_in_backoff_gets_nothing_while_others_have_capacity() -> None:
+    fleet = Fleet(racks=2, per_rack=2)
+    fleet.in_backoff = {"w00", "w01"}
+    job = fleet.add(BULK, task(1, task_count=16))
+    fleet.decide_and_apply(now_s=100.0)
+    assert all_running(job)
+    assert fleet.racks_of(job) == {"r1-0"}
+
+
+def test_worker_in_backoff_gets_one_unit_and_not_its_whole_capacity() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.in_backoff = {"w00", "w01"}
+    job = fleet.add(BULK, task(1, task_count=16))
+    fleet.apply(fleet.decide(now_s=100.0), now_s=100.0)
+    used = sorted(u.members[0].worker for u in job.all_units() if u.active)
+    assert used == ["w00", "w01"]
+
+
+def test_unit_tries_another_worker_in_backoff_than_where_it_failed() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.in_backoff = {"w00", "w01"}
+    job = fleet.add(BULK, task(1))
+    next(job.all_units()).avoid.add("w00")
+    fleet.decide_and_apply(now_s=100.0)
+    assert next(job.all_units()).workers() == ("w01",)
+
+
+def test_last_attempt_waits_longer_for_a_healthy_worker() -> None:
+    assert LAST_ATTEMPT_WAIT_S > LAST_RESORT_WAIT_S
+    fleet = label_fleet({"w00", "w01"})
+    job = fleet.add(BULK, task(1, required_label="gold"))
+    unit = next(job.all_units())
+    unit.failures = FAILURES_BEFORE_THE_LAST
+    unit.has_begun = True
+    check_starts_after(fleet, job, LAST_ATTEMPT_WAIT_S)
+
+
+def test_covered_urgent_job_uses_a_worker_in_backoff_in_time() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.guarantees = {"blue": 8}
+    fleet.in_backoff = {"w00"}
+    job = fleet.add(URGENT, task(8))
+    check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
+
+
+def test_covered_urgent_job_preempts_rather_than_use_one_in_backoff() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.guarantees = {"blue": 8}
+    fleet.in_backoff = {"w00"}
+    fleet.run_on(fleet.add(BULK, task(8)), "w01")
+    job = fleet.add(URGENT, task(8))
+    fleet.decide_and_apply(now_s=100.0)
+    assert next(job.all_units()).workers() == ("w01",)
+
+
+def test_isolated_worker_in_backoff_gets_nothing_else() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.in_backoff = {"w00"}
+    suspect = fleet.add(BULK, task(1))
+    unit = next(suspect.all_units())
+    suspect.add_crashes(unit, {1, 2})
+    suspect.begin_run(unit, [("w00", 1)], 99.0)
+    other = fleet.add(BULK, task(1))
+    fleet.decide_and_apply(now_s=100.0)
+    assert not active_units(other)
+
+
+def test_workers_in_backoff_do_not_keep_a_gang_out_of_other_racks() -> None:
+    """A rack that only holds a gang with them is not waited for."""
+    fleet = Fleet(racks=2, per_rack=2)
+    fleet.in_backoff = {"w00", "w10"}
+    job = fleet.add(NORMAL, gang(2))
+    fleet.decide_and_apply(now_s=0.1)
+    assert fleet.racks_of(job) == {"r0-0", "r1-0"}
+
+
+def test_covered_gang_spans_racks_with_workers_in_backoff() -> None:
+    """It does so too where no rack can be cleared for it."""
+    fleet = Fleet(racks=2, per_rack=2)
+    fleet.guarantees = {"red": 16, "blue": 16}
+    fleet.in_backoff = {"w01"}
+    for worker in ("w00", "w10"):
+        fleet.run_on(fleet.add(URGENT, task(8), team="red"), worker)
+    job = fleet.add(URGENT, gang(2))
+    check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
+    assert next(job.all_units()).workers() == ("w11", "w01")
--- a/tests/tasks/test_policy_fuzz.py
+++ b/tests/tasks/test_policy_fuzz.py
@@ -130,10 +130,23 @@
             assert most <= step.per_worker_limit
 
 
+def check_probes(fleet: Fleet, starts: list[StartUnit]) -> None:
+    """Assert that each worker in backoff gets one unit at most."""
+    probed: set[str] = set()
+    for start in starts:
+        found = fleet.in_backoff.intersection(start.workers)
+        assert probed.isdisjoint(found)
+        probed |= found
+
+
+@mark.parametrize("backoff_share", [0.0, 0.5])
 @mark.parametrize("seed", SEEDS)
-def test_decisions_satisfy_all_constraints(seed: int) -> None:
+def test_decisions_satisfy_all_constraints(
+    seed: int, backoff_share: float
+) -> None:
     """No worker's capacity is exceeded, and no state raises an error."""
     random = Random(seed)
+    backoff_random = Random(seed)
     fleet = random_fleet(random)
     monitor = RunMonitor(RandomWorkerStatus(random), fleet.estimator)
     now_s = 0.0
@@ -143,6 +156,11 @@
             add_job(random, fleet, now_s)
         for stop in monitor.find_stops(fleet.jobs, now_s):
             stop.unit.stopping = True
+        fleet.in_backoff = {
+            worker.name
+            for worker in fleet.workers
+            if backoff_random.random() < backoff_share
+        }
         starts = []
         for decision in fleet.decide(now_s):
             if not isinstance(decision, StartUnit):
@@ -153,6 +171,7 @@
             placed = [(name, 1) for name in decision.workers]
             decision.progress.begin_run(decision.unit, placed, now_s)
         check_starts(fleet, starts)
+        check_probes(fleet, starts)
         fleet.free_capacities()
         for job in fleet.jobs:
             advance_runs(random, job, now_s)
--- a/tests/tasks/test_worker_faults.py
+++ b/tests/tasks/test_worker_faults.py
@@ -4,6 +4,7 @@
 
 from damaskstall.tasks.worker_health import (
     FAILURE_BACKOFF_S,
+    PROBE_INTERVAL_S,
     REFUSAL_BACKOFF_S,
 )
 from standins.operators.run_history import Run
@@ -289,3 +290,34 @@
         check_runs(cluster)
 
     run_scenario(scenario, racks=1)
+
+
+def test_healthy_worker_is_used_before_its_backoff_ends() -> None:
+    """Nor is a worker that refuses all starts called without a pause."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers["w00"].refuse_starts = True
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
+        refused_s = 12.0
+        await sleep(refused_s)
+        cluster.workers["w00"].refuse_starts = False
+        await cluster.wait_state(job_id(1), "completed", limit_s=3.0)
+        [run] = cluster.history.runs
+        assert run.run <= 2 * refused_s / PROBE_INTERVAL_S
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=1, per_rack=1)
+
+
+def test_only_worker_of_two_jobs_is_probed_in_its_backoff() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.history.choose_outcome = lambda run: "failed"
+        for number in (1, 2):
+            await cluster.submit(job_id(number), [ONE_TASK], work_s=0.5)
+        await cluster.wait(lambda: backoff_left_s(cluster, "w00") > 0)
+        cluster.history.choose_outcome = lambda run: "done"
+        for number in (1, 2):
+            await cluster.wait_state(job_id(number), "completed", limit_s=4.0)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=1, per_rack=1)
--- a/tests/tasks/test_worker_health.py
+++ b/tests/tasks/test_worker_health.py
@@ -4,6 +4,8 @@
 from damaskstall.tasks.worker_health import (
     BACKOFF_LIMIT_S,
     FAILURE_BACKOFF_S,
+    PROBE_INTERVAL_LIMIT_S,
+    PROBE_INTERVAL_S,
     REFUSAL_BACKOFF_S,
     WorkerHealth,
 )
@@ -69,3 +71,44 @@
         now_s = max(0.0, health.backoff_until_s)
         health.record_refused(now_s, now_s)
     assert health.backoff_until_s == now_s + BACKOFF_LIMIT_S
+
+
+def test_worker_in_backoff_gets_one_probe_at_a_time() -> None:
+    health = failing_worker(10.0)
+    assert health.may_probe(10.5)
+    health.record_placed(10.5)
+    assert not health.may_probe(10.6)
+    assert health.may_probe(10.5 + PROBE_INTERVAL_S)
+
+
+def test_worker_that_fails_its_probes_is_probed_ever_less_often() -> None:
+    health = failing_worker(10.0)
+    now_s = 10.5
+    for interval_s in (PROBE_INTERVAL_S, 2 * PROBE_INTERVAL_S):
+        health.record_placed(now_s)
+        assert health.may_probe(now_s + interval_s)
+        health.record_failed(job(3), now_s, now_s + 0.1)
+        assert not health.may_probe(now_s + interval_s)
+        now_s += PROBE_INTERVAL_LIMIT_S
+        assert health.may_probe(now_s)
+
+
+def test_run_started_in_the_backoff_ends_it_when_done() -> None:
+    health = failing_worker(10.0)
+    health.record_done(10.5)
+    assert health.may_start(11.0)
+
+
+def test_run_from_before_the_backoff_does_not_end_it_when_done() -> None:
+    health = failing_worker(10.0)
+    health.record_done(9.5)
+    assert not health.may_start(11.0)
+
+
+def test_accepted_start_ends_the_backoff_after_refusals() -> None:
+    health = WorkerHealth()
+    health.record_refused(9.9, 10.0)
+    health.record_started(9.9)
+    assert not health.may_start(10.1)
+    health.record_started(10.0)
+    assert health.may_start(10.1)
