--- a/tests/tasks/test_waiting_units.py
+++ b/tests/tasks/test_waiting_units.py
@@ -32,7 +32,7 @@
 )
 from damaskstall.tasks.worker_flags import (
     IN_BACKOFF,
-    NOT_FENCED,
+    LEAVING,
     UNREACHABLE,
 )
 from tests.tasks.cluster import Cluster, run_scenario
@@ -217,10 +217,10 @@
     assert WORKERS_BY_FLAG.get({"flag": IN_BACKOFF}) == 0
 
 
-def set_fenced(holder: TaskHolder, fenced: bool) -> None:
-    """Set for all workers whether they have accepted the token."""
-    for session in holder.pool.sessions.values():
-        session.fenced = fenced
+def register_all(cluster: Cluster, state: str) -> None:
+    """Write the entries of all workers with a state."""
+    for worker in cluster.workers.values():
+        cluster.register_worker(worker, state)
 
 
 def test_job_that_needs_unusable_workers_is_logged_by_the_holder(
@@ -229,16 +229,16 @@
     lines = record_lines(monkeypatch)
 
     async def scenario(cluster: Cluster) -> None:
-        holder = holder_of(cluster)
-        set_fenced(holder, False)
+        register_all(cluster, "draining")
+        await sleep(1.0)
         await cluster.submit(job_id(1), [ONE_TASK])
         await cluster.wait(lambda: lines)
         assert lines[0]["reason"] == UNUSABLE_WORKERS
-        assert lines[0]["unusable"] == f"{NOT_FENCED}=4"
-        assert WORKERS_BY_FLAG.get({"flag": NOT_FENCED}) == 4
+        assert lines[0]["unusable"] == f"{LEAVING}=4"
+        assert WORKERS_BY_FLAG.get({"flag": LEAVING}) == 4
         assert lines[0]["waited_s"] == approx(WAIT_LIMIT_S, abs=1.1)
         count = len(lines)
-        set_fenced(holder, True)
+        register_all(cluster, "ready")
         await cluster.wait_state(job_id(1), "completed")
         await sleep(STEP_LINE_INTERVAL_S + 1.0)
         assert len(lines) == count
