Rely on no end of an endless run

What callers saw: a task waited for as long as its holder lived, beside free workers.

Cause: once an endless run was older than its estimate, its remaining time counted as 0.2 s. So a blocked gang or suspected unit, and for a second an urgent one, got a reservation against that end, and the free capacity of the reserved workers was kept from every unit that takes longer than 0.2 s, in every round.

Evidence: test_reservation_does_not_rely_on_the_end_of_an_endless_run failed before: of two workers, one with a task of one accelerator out of eight, a gang of both kept all that was free.

Why it works: an endless run has no expected end, so a unit that would need it gets no reservation. A run that is being stopped still counts as ending.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -4,6 +4,7 @@
 is sent or stored. ``ranking.py`` defines the order of the units.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from damaskstall.tasks.claims import (
@@ -426,16 +427,21 @@
         return self.running
 
     def _remaining_run_s(self, progress: JobProgress, unit: Unit) -> float:
-        """Return the remaining time of a run, by its pace or its estimate."""
+        """Return the remaining time of a run, by its pace or its estimate.
+
+        It is infinite if the run never ends by itself.
+        """
         if unit.stopping or unit.done:
             return STOP_TIME_S
+        step = progress.step_of(unit)
+        if step.endless:
+            return inf
         remaining_s = remaining_run_s(unit, self.now_s)
-        if remaining_s is None:
-            step = progress.step_of(unit)
-            queue = progress.job.queue
-            whole_s = self.inputs.estimator.task_run_time_s(queue, step)
-            return max(STOP_TIME_S, whole_s - (self.now_s - unit.started_s))
-        return remaining_s
+        if remaining_s is not None:
+            return remaining_s
+        queue = progress.job.queue
+        whole_s = self.inputs.estimator.task_run_time_s(queue, step)
+        return max(STOP_TIME_S, whole_s - (self.now_s - unit.started_s))
 
     def _place_urgent(
         self, batch: Batch, unit: Unit, placement: PlacementRequest
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -232,3 +232,12 @@
     fleet.add(URGENT, task(7))
     decisions = fleet.decide(now_s=5.0)
     assert [each.progress for each in decisions] == [large]
+
+
+def test_reservation_does_not_rely_on_the_end_of_an_endless_run() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), "w00")
+    fleet.add(NORMAL, gang(2))
+    small = fleet.add(BULK, task(1))
+    fleet.decide_and_apply()
+    assert all_running(small)
