Rely on no end of a run that is long overdue

What callers saw: as with endless runs, tasks waited beside free workers for as long as one run took, however long that was.

Cause: the remaining time of a run without a known pace was never taken as less than 0.2 s, even if its estimate had passed long ago. Each round renewed the reservation against that end.

Why it works: a run that is overdue by 2 s has no expected end any more. That is the time within which a small unit's reservation has to be met as well.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -66,6 +66,9 @@
 # their own run time or 2 s, whichever is longer.
 RESERVATIONS_LIMIT = 2
 RESERVATION_FLOOR_S = 2.0
+# Nothing relies on the end of a run that has exceeded its expected run time by
+# more than this.
+OVERDUE_LIMIT_S = 2.0
 # The platform guarantees that a stop takes at most 0.2 s.
 STOP_TIME_S = 0.2
 # The platform guarantees that a start from a checkpoint takes at most 0.1 s.
@@ -429,7 +432,8 @@
     def _remaining_run_s(self, progress: JobProgress, unit: Unit) -> float:
         """Return the remaining time of a run, by its pace or its estimate.
 
-        It is infinite if the run never ends by itself.
+        It is infinite if the run never ends by itself, or if it is overdue
+        and shows no pace.
         """
         if unit.stopping or unit.done:
             return STOP_TIME_S
@@ -441,7 +445,10 @@
             return remaining_s
         queue = progress.job.queue
         whole_s = self.inputs.estimator.task_run_time_s(queue, step)
-        return max(STOP_TIME_S, whole_s - (self.now_s - unit.started_s))
+        remaining_s = whole_s - (self.now_s - unit.started_s)
+        if remaining_s < -OVERDUE_LIMIT_S:
+            return inf
+        return max(STOP_TIME_S, remaining_s)
 
     def _place_urgent(
         self, batch: Batch, unit: Unit, placement: PlacementRequest
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -241,3 +241,14 @@
     small = fleet.add(BULK, task(1))
     fleet.decide_and_apply()
     assert all_running(small)
+
+
+def test_reservation_does_not_rely_on_the_end_of_an_overdue_run() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(1)), "w00")
+    fleet.add(NORMAL, gang(2))
+    small = fleet.add(BULK, task(1))
+    fleet.decide_and_apply(now_s=3.9)
+    assert not all_running(small)
+    fleet.decide_and_apply(now_s=4.1)
+    assert all_running(small)
