Start a suspected unit beside others if no worker becomes idle

What callers saw: a task under which two workers had crashed never started again while each eligible worker had any run, though little was in use.

Cause: such a unit needs a worker without other runs. A small or endless run on each worker is enough that there is none, and a reservation only helps if the runs on some worker end in time.

Evidence: test_suspected_unit_does_not_wait_for_a_worker_that_is_never_idle and test_suspected_endless_unit_starts_beside_others_on_a_busy_fleet failed before.

Why it works: if no run ends in time and no worker is kept for another suspected unit, the unit starts where the least is in use; the worker is still closed for other starts. While half the capacity or more is in use it waits as before, unless it is endless. Risk: a unit that crashes its workers can end runs beside it there, at most twice, as its job fails after four crashes.

--- a/src/damaskstall/tasks/capacity.py
+++ b/src/damaskstall/tasks/capacity.py
@@ -5,6 +5,7 @@
 expired. A run that is being stopped still counts.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from damaskstall.tasks.model import NO_DEMAND, Demand, RunKey, WorkerInfo
@@ -71,3 +72,13 @@
         """Return the free capacity of the worker that has this load."""
         free = worker.capacity.minus(self.used)
         return FreeCapacity(worker, free, free.plus(self.stopping))
+
+
+def is_mostly_free(capacities: Iterable[FreeCapacity], service: str) -> bool:
+    """Return whether under half of each resource of a service is in use."""
+    whole, free = NO_DEMAND, NO_DEMAND
+    for each in capacities:
+        if each.worker.service == service:
+            whole = whole.plus(each.worker.capacity)
+            free = free.plus(each.free)
+    return all(2 * f >= w for f, w in zip(free, whole, strict=True))
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -85,7 +85,8 @@
 
     ``task_counts`` is the number of the step's tasks that each worker already
     has, and ``avoid`` names workers to use only as a last resort. A unit that
-    is to run ``alone`` only fits on workers without other runs.
+    is to run ``alone`` only fits on workers without other runs, and one to
+    ``spread`` goes to the workers with the most free capacity.
     """
 
     step: Step
@@ -93,6 +94,7 @@
     avoid: frozenset[str]
     task_counts: dict[str, int]
     alone: bool = False
+    spread: bool = False
 
 
 WorkerFilter = Callable[[WorkerInfo], bool]
@@ -173,12 +175,13 @@
     free = plan.free[name]
     worker = plan.workers[name]
     data_rack = placement.step.data_rack
+    sign = -1 if placement.spread else 1
     return (
         name in plan.in_backoff,
         name in placement.avoid,
         bool(data_rack) and worker.rack != data_rack,
-        free.accelerators,
-        free.memory_mb,
+        sign * free.accelerators,
+        sign * free.memory_mb,
         name,
     )
 
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -7,6 +7,7 @@
 from math import inf
 from typing import NamedTuple
 
+from damaskstall.tasks.capacity import is_mostly_free
 from damaskstall.tasks.claims import (
     PREEMPTION_FACTOR,
     Claim,
@@ -30,6 +31,7 @@
     CapacityPlan,
     PlacementRequest,
     across_racks,
+    may_run,
     needs_one_rack,
     pack_some,
     place_unit,
@@ -275,9 +277,36 @@
             return True
         if self._place_in_backoff(batch, unit, placement):
             return True
-        if not is_urgent:
-            self._try_reserve(placement, self._expected_s(batch), shape)
-        return False
+        if is_urgent:
+            return False
+        if self._try_reserve(placement, self._expected_s(batch), shape):
+            return False
+        return placement.alone and self._place_beside_others(batch, unit)
+
+    def _place_beside_others(self, batch: Batch, unit: Unit) -> bool:
+        """Start a unit for which no worker becomes idle beside other runs.
+
+        It goes where least is in use. It waits while a worker is kept for
+        another suspected unit, and, unless it is endless, while most capacity
+        is in use.
+        """
+        service = batch.progress.job.service
+        if not batch.step.endless and not is_mostly_free(
+            self.inputs.free_capacities, service
+        ):
+            return False
+        placement = self._placement_request(batch, unit)
+        usable = self.plan.workers
+        kept = [usable[name] for name in self.closed if name in usable]
+        if any(may_run(placement, worker) for worker in kept):
+            return False
+        placement = placement._replace(alone=False, spread=True)
+        plan, _ = self._available_plan(batch)
+        workers = place_unit(plan, placement)
+        if workers is None:
+            return False
+        self._start(batch, unit, workers)
+        return True
 
     def _place_in_backoff(
         self, batch: Batch, unit: Unit, placement: PlacementRequest
@@ -391,19 +420,22 @@
 
     def _try_reserve(
         self, placement: PlacementRequest, expected_s: float, shape: UnitShape
-    ) -> None:
-        """Reserve capacity for one of the first units that do not fit."""
+    ) -> bool:
+        """Reserve capacity for one of the first units that do not fit.
+
+        Return False if it is known that the unit will not fit in time.
+        """
         limit_s = max(RESERVATION_FLOOR_S, expected_s)
-        if (
-            len(self.reservations) >= RESERVATIONS_LIMIT
-            or self.unreservable_s.get(shape, 0.0) >= limit_s
-        ):
-            return
+        if self.unreservable_s.get(shape, 0.0) >= limit_s:
+            return False
+        if len(self.reservations) >= RESERVATIONS_LIMIT:
+            return True
         found = reserve(self.plan, placement, self._expected_ends(), limit_s)
         if found is None:
             self.unreservable_s[shape] = limit_s
-            return
+            return False
         self.reservations.append(found)
+        return True
 
     def _expected_ends(self) -> list[ExpectedEnd]:
         """Return the expected ends of the running units."""
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -6,6 +6,7 @@
 from damaskstall.tasks.progress import CRASH_MEMORY_S, JobProgress, Unit
 from damaskstall.tasks.stored_runs import adopt_stored_runs
 from tests.tasks.fleet import BULK, NORMAL, URGENT, Fleet, task
+from tests.tasks.test_claims import SlowFleet
 
 
 def crash(progress: JobProgress, count: int) -> Unit:
@@ -99,6 +100,54 @@
     raise AssertionError("The unit has not started within 10 s.")
 
 
+def test_suspected_unit_does_not_wait_for_a_worker_that_is_never_idle() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(2, endless=True)), "w00")
+    fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), "w01")
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    assert started_on(fleet) == {suspect.job_id: ["w01"]}
+
+
+def test_suspected_unit_waits_for_an_idle_worker_while_most_are_in_use() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.run_on(fleet.add(NORMAL, task(5, endless=True)), "w00")
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    assert started_on(fleet) == {}
+
+
+def test_suspected_endless_unit_starts_beside_others_on_a_busy_fleet() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.run_on(fleet.add(NORMAL, task(5, endless=True)), "w00")
+    suspect = fleet.add(NORMAL, task(1, endless=True))
+    crash(suspect, 2)
+    assert started_on(fleet) == {suspect.job_id: ["w00"]}
+
+
+def test_suspected_unit_waits_for_a_worker_kept_for_another_one() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), "w00")
+    for _ in range(2):
+        crash(fleet.add(NORMAL, task(1)), 2)
+    assert len(started_on(fleet)) == 1
+
+
+def test_suspected_unit_does_not_wait_for_an_isolated_silent_worker() -> None:
+    fleet = SlowFleet(racks=1, per_rack=2)
+    fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), "w00")
+    isolated, suspect = (fleet.add(NORMAL, task(1)) for _ in range(2))
+    crash(isolated, 2)
+    crash(suspect, 2)
+    fleet.run_on(isolated, "w01")
+    fleet.silent.add("w01")
+    assert started_on(fleet) == {suspect.job_id: ["w00"]}
+
+
 def test_urgent_unit_that_needs_isolation_preempts_nothing() -> None:
     fleet = Fleet(racks=1, per_rack=1)
     fleet.run_on(fleet.add(BULK, task(1)), "w00")
