Bound reservations to 2 s while most capacity is free

What callers saw: a task waited for tens of seconds beside mostly free workers.

Cause: a gang gets a reservation if it will fit within its own run time, so one that runs for a minute keeps free capacity for up to a minute from all units that take longer than the time left. That is meant for a full fleet, where it would never fit otherwise; it was done on an idle one as well.

Evidence: test_reservation_on_a_fleet_mostly_free_lasts_at_most_two_seconds failed before: one accelerator of 32 was in use, and a gang of all four workers kept the rest. On a fleet with over half in use nothing changes, for which there is a test as well.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -65,7 +65,9 @@
 
 # Maximum number of reservations per round. Reserved capacity idles, so only
 # the first units in order get a reservation, and only if they will fit within
-# their own run time or 2 s, whichever is longer.
+# their own run time or 2 s, whichever is longer. It is 2 s at most while under
+# half of the capacity is in use: other units have more than enough then, and
+# must not wait for longer.
 RESERVATIONS_LIMIT = 2
 RESERVATION_FLOOR_S = 2.0
 # Nothing relies on the end of a run that has exceeded its expected run time by
@@ -195,6 +197,7 @@
         self.running: list[tuple[JobProgress, Unit]] | None = None
         self.reservations: list[Reservation] = []
         self.headroom = Reservation({}, HEADROOM_S)
+        self.mostly_free: dict[str, bool] = {}
         self.expected_ends: list[ExpectedEnd] | None = None
 
     def decide(self) -> RoundResult:
@@ -291,9 +294,7 @@
         is in use.
         """
         service = batch.progress.job.service
-        if not batch.step.endless and not is_mostly_free(
-            self.inputs.free_capacities, service
-        ):
+        if not batch.step.endless and not self._is_mostly_free(service):
             return False
         placement = self._placement_request(batch, unit)
         usable = self.plan.workers
@@ -332,6 +333,14 @@
         self._start(batch, unit, workers)
         return True
 
+    def _is_mostly_free(self, service: str) -> bool:
+        """Return whether under half of a service was in use at the start."""
+        found = self.mostly_free.get(service)
+        if found is None:
+            found = is_mostly_free(self.inputs.free_capacities, service)
+            self.mostly_free[service] = found
+        return found
+
     def _start(self, batch: Batch, unit: Unit, workers: list[str]) -> None:
         self._allocate(batch, workers)
         if unit.crashed_runs:
@@ -426,6 +435,8 @@
         Return False if it is known that the unit will not fit in time.
         """
         limit_s = max(RESERVATION_FLOOR_S, expected_s)
+        if self._is_mostly_free(placement.service):
+            limit_s = RESERVATION_FLOOR_S
         if self.unreservable_s.get(shape, 0.0) >= limit_s:
             return False
         if len(self.reservations) >= RESERVATIONS_LIMIT:
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -252,3 +252,25 @@
     assert not all_running(small)
     fleet.decide_and_apply(now_s=4.1)
     assert all_running(small)
+
+
+def test_reservation_on_a_fleet_mostly_free_lasts_at_most_two_seconds() -> (
+    None
+):
+    fleet = Fleet(racks=1, per_rack=4)
+    fleet.run_on(fleet.add(NORMAL, task(1, estimate_s=40.0)), "w00")
+    fleet.add(NORMAL, gang(4, estimate_s=60.0))
+    small = fleet.add(BULK, task(1, estimate_s=50.0))
+    fleet.decide_and_apply()
+    assert all_running(small)
+
+
+def test_reservation_on_a_busy_fleet_lasts_up_to_the_units_run_time() -> None:
+    fleet = Fleet(racks=1, per_rack=4)
+    for number in range(4):
+        running = fleet.add(NORMAL, task(5, estimate_s=40.0))
+        fleet.run_on(running, f"w0{number}")
+    fleet.add(NORMAL, gang(4, estimate_s=60.0))
+    small = fleet.add(BULK, task(1, estimate_s=50.0))
+    fleet.decide_and_apply()
+    assert not all_running(small)
