Let endless tasks use reserved capacity where there is plenty

What callers saw: a long-running task never started for as long as urgent jobs kept coming, beside an idle worker with the label it needs.

Cause: the headroom for urgent jobs keeps whole workers, the same ones in each round. An endless task that is only eligible there waits as long as the load lasts; so it does behind a reservation that is renewed.

Evidence: test_endless_task_with_one_eligible_worker_ignores_the_headroom failed before.

Why it works: an endless task uses its capacity for good, so keeping it out for a while gains nothing where twice its demand is free. Otherwise it still leaves the reserved capacity alone, for which there is a test.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -274,6 +274,11 @@
                 return True
             if not batch.step.per_worker_limit:
                 self.unplaceable.add(shape)
+        if batch.step.endless and shape.held:
+            workers = self._place_on_reserved(placement)
+            if workers is not None:
+                self._start(batch, unit, workers)
+                return True
         is_urgent = batch.queue.priority == URGENT_PRIORITY
         is_urgent = is_urgent and not placement.alone
         if is_urgent and self._place_urgent(batch, unit, placement):
@@ -286,6 +291,20 @@
             return False
         return placement.alone and self._place_beside_others(batch, unit)
 
+    def _place_on_reserved(
+        self, placement: PlacementRequest
+    ) -> list[str] | None:
+        """Return workers for an endless unit, also with reserved capacity.
+
+        Return None unless there is free capacity for two such units: an
+        endless unit uses its capacity for good, whenever it starts.
+        """
+        needed = 2 * placement.step.unit_size
+        found = pack_some(self.plan, placement, self.plan.free, needed)
+        if len(found) < needed:
+            return None
+        return place_unit(self.plan, placement)
+
     def _place_beside_others(self, batch: Batch, unit: Unit) -> bool:
         """Start a unit for which no worker becomes idle beside other runs.
 
--- a/tests/tasks/test_urgent_load.py
+++ b/tests/tasks/test_urgent_load.py
@@ -72,3 +72,21 @@
         fleet.play(6)
     starts = Counter(unit.run for unit in backlog.all_units())
     assert max(starts) <= 4
+
+
+def test_endless_task_with_one_eligible_worker_ignores_the_headroom() -> None:
+    fleet = busy_fleet()
+    kept = fleet.workers[4]
+    labels = kept.labels | {"gold"}
+    fleet.workers[4] = kept._replace(labels=labels)
+    endless = task(1, endless=True, required_label="gold")
+    job = fleet.add(NORMAL, endless)
+    fleet.play()
+    assert all_running(job)
+
+
+def test_endless_task_without_spare_capacity_leaves_the_headroom() -> None:
+    fleet = busy_fleet()
+    job = fleet.add(NORMAL, task(8, task_count=8, endless=True))
+    fleet.play()
+    assert not all_running(job)
