Spread a gang over racks if no rack becomes free in time

What callers saw: a gang that runs slower across racks waited for as long as small or endless runs were left on each rack, though most capacity was free.

Cause: whether it must be placed in one rack was decided by the nominal capacity of the racks. Only gangs under a guarantee were spread.

Evidence: test_gang_spans_racks_if_none_becomes_free failed before for urgent and normal gangs.

While half the capacity or more is in use, or if a rack becomes free by then, the gang waits as before.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -287,9 +287,13 @@
             return True
         if is_urgent:
             return False
-        if self._try_reserve(placement, self._expected_s(batch), shape):
+        if self._try_reserve(batch, placement, shape):
             return False
-        return placement.alone and self._place_beside_others(batch, unit)
+        if not self._may_relax(batch):
+            return False
+        if placement.alone:
+            return self._place_beside_others(batch, unit)
+        return self._place_across_racks(batch, unit, placement)
 
     def _place_on_reserved(
         self, placement: PlacementRequest
@@ -305,16 +309,20 @@
             return None
         return place_unit(self.plan, placement)
 
+    def _may_relax(self, batch: Batch) -> bool:
+        """Return whether a unit's preferences yield if it cannot be placed.
+
+        While most capacity is in use, only an endless unit does not wait.
+        """
+        service = batch.progress.job.service
+        return batch.step.endless or self._is_mostly_free(service)
+
     def _place_beside_others(self, batch: Batch, unit: Unit) -> bool:
         """Start a unit for which no worker becomes idle beside other runs.
 
-        It goes where least is in use. It waits while a worker is kept for
-        another suspected unit, and, unless it is endless, while most capacity
-        is in use.
+        It goes where least is in use, and waits while a worker is kept for
+        another suspected unit.
         """
-        service = batch.progress.job.service
-        if not batch.step.endless and not self._is_mostly_free(service):
-            return False
         placement = self._placement_request(batch, unit)
         usable = self.plan.workers
         kept = [usable[name] for name in self.closed if name in usable]
@@ -323,6 +331,19 @@
         placement = placement._replace(alone=False, spread=True)
         plan, _ = self._available_plan(batch)
         workers = place_unit(plan, placement)
+        if workers is None:
+            return self._place_across_racks(batch, unit, placement)
+        self._start(batch, unit, workers)
+        return True
+
+    def _place_across_racks(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Start a gang for which no rack has capacity in several racks."""
+        if not needs_one_rack(self.plan, placement):
+            return False
+        plan, _ = self._available_plan(batch)
+        workers = place_unit(plan, across_racks(placement))
         if workers is None:
             return False
         self._start(batch, unit, workers)
@@ -447,15 +468,15 @@
         return Reservation(kept, HEADROOM_S)
 
     def _try_reserve(
-        self, placement: PlacementRequest, expected_s: float, shape: UnitShape
+        self, batch: Batch, placement: PlacementRequest, shape: UnitShape
     ) -> bool:
         """Reserve capacity for one of the first units that do not fit.
 
         Return False if it is known that the unit will not fit in time.
         """
-        limit_s = max(RESERVATION_FLOOR_S, expected_s)
-        if self._is_mostly_free(placement.service):
-            limit_s = RESERVATION_FLOOR_S
+        limit_s = RESERVATION_FLOOR_S
+        if not self._may_relax(batch):
+            limit_s = max(limit_s, self._expected_s(batch))
         if self.unreservable_s.get(shape, 0.0) >= limit_s:
             return False
         if len(self.reservations) >= RESERVATIONS_LIMIT:
@@ -525,14 +546,13 @@
         """
         if self._try_preempt(batch, unit, placement):
             return True
+        if batch.guaranteed or self._may_relax(batch):
+            if self._place_across_racks(batch, unit, placement):
+                return True
         if not batch.guaranteed:
             return False
         if needs_one_rack(self.plan, placement):
             placement = across_racks(placement)
-            workers = place_unit(self.plan, placement)
-            if workers is not None:
-                self._start(batch, unit, workers)
-                return True
             if self._try_preempt(batch, unit, placement):
                 return True
         if self._try_preempt(batch, unit, placement, smaller=True):
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from pytest import mark
 
 from damaskstall.tasks.model import Step
 from damaskstall.tasks.policy import StartUnit, StopUnit
@@ -274,3 +275,22 @@
     small = fleet.add(BULK, task(1, estimate_s=50.0))
     fleet.decide_and_apply()
     assert not all_running(small)
+
+
+@mark.parametrize("queue", [URGENT, NORMAL])
+def test_gang_spans_racks_if_none_becomes_free(queue: str) -> None:
+    fleet = Fleet(racks=2, per_rack=2)
+    for worker in ("w00", "w10"):
+        fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), worker)
+    job = fleet.add(queue, gang(2))
+    fleet.decide_and_apply()
+    assert fleet.racks_of(job) == {"r0-0", "r1-0"}
+
+
+def test_gang_waits_for_a_rack_that_becomes_free_soon() -> None:
+    fleet = Fleet(racks=2, per_rack=2)
+    for worker in ("w00", "w10"):
+        fleet.run_on(fleet.add(NORMAL, task(1)), worker)
+    job = fleet.add(NORMAL, gang(2))
+    fleet.decide_and_apply()
+    assert not all_running(job)
