Judge each waiting unit's prospects, whoever holds the reservations

What callers saw: a suspected unit, or a gang that needs a rack, waited while two other units held the reservations of the round.

Cause: with both reservations given, no search was made, so it stayed open whether an idle worker or a rack was to be expected, and the unit waited.

Evidence: test_suspected_unit_does_not_wait_for_reservations_of_others failed before.

Why it works: a unit whose preferences may yield is searched for all the same, without a reservation. A shape for which nothing was found is not searched again in the round.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -479,13 +479,15 @@
             limit_s = max(limit_s, self._expected_s(batch))
         if self.unreservable_s.get(shape, 0.0) >= limit_s:
             return False
-        if len(self.reservations) >= RESERVATIONS_LIMIT:
+        is_full = len(self.reservations) >= RESERVATIONS_LIMIT
+        if is_full and not self._may_relax(batch):
             return True
         found = reserve(self.plan, placement, self._expected_ends(), limit_s)
         if found is None:
             self.unreservable_s[shape] = limit_s
             return False
-        self.reservations.append(found)
+        if not is_full:
+            self.reservations.append(found)
         return True
 
     def _expected_ends(self) -> list[ExpectedEnd]:
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -148,6 +148,19 @@
     assert started_on(fleet) == {suspect.job_id: ["w00"]}
 
 
+def test_suspected_unit_does_not_wait_for_reservations_of_others() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    gold = fleet.workers[1].labels | {"gold"}
+    fleet.workers[1] = fleet.workers[1]._replace(labels=gold)
+    fleet.run_on(fleet.add(NORMAL, task(1)), "w00")
+    fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), "w01")
+    for _ in range(2):
+        fleet.add(NORMAL, task(8))
+    suspect = fleet.add(BULK, task(1, required_label="gold"))
+    crash(suspect, 2)
+    assert started_on(fleet) == {suspect.job_id: ["w01"]}
+
+
 def test_urgent_unit_that_needs_isolation_preempts_nothing() -> None:
     fleet = Fleet(racks=1, per_rack=1)
     fleet.run_on(fleet.add(BULK, task(1)), "w00")
