Hold back a row that the store refuses, and write the others

What callers saw: the jobs of one part never started, and no log line said why.

Cause: a status other than 200, 412, 429 and 503 counts as an unknown outcome. The rows were then read, found unchanged, and the same batch of up to 40 rows was sent again at once, without a pause, for as long as the process lived. One row that is never taken held up all jobs of its part, whose runs are launched only once their rows are written.

Why it works: the first repetition is still immediate, since mostly only an answer was lost. Then the batch is halved until the row is alone; it is logged (row_refused, with key, size and status) and held for 2 s, and the rest is written. A refusal says nothing about the store's availability, so it does not stop the decisions.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -267,3 +267,9 @@
     "Units of a step that could start have waited for some seconds: the "
     "reason tells why the first of them does not run.",
 )
+ROW_REFUSED = Event(
+    8057,
+    "ERROR",
+    "row_refused",
+    "The store refuses the row of a job's progress, which is written later.",
+)
--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -5,12 +5,13 @@
 read to see whether it took effect.
 """
 
+from json import dumps
 from random import Random
 from typing import Protocol
 from uuid import uuid4
 from weakref import WeakSet
 
-from trio import Event, Nursery, sleep
+from trio import Event, Nursery, current_time, move_on_after, sleep
 
 from damaskstall.errors import (
     PlatformError,
@@ -20,7 +21,11 @@
 from damaskstall.events import log
 from damaskstall.platform.types import TableService, Value, Write
 from damaskstall.scheduler.backoff import retry_delay_s
-from damaskstall.tasks.events import STORE_LOST, STORE_REGAINED
+from damaskstall.tasks.events import (
+    ROW_REFUSED,
+    STORE_LOST,
+    STORE_REGAINED,
+)
 from damaskstall.tasks.job_rows import (
     all_parts,
     encode_progress,
@@ -33,6 +38,10 @@
 # expected revision and its value.
 BATCH_LIMIT = 40
 RETRY_LIMIT_S = 0.5
+# A row that was refused by itself is not written for this long.
+HOLD_S = 2.0
+# Pause between the attempts that search for a refused row.
+NARROWING_PAUSE_S = 0.05
 # The lease is renewed every 0.15 s once the store answers again.
 LEASE_CHECK_S = 0.05
 
@@ -63,6 +72,11 @@
         # Jobs whose rows are gone, while any task still refers to them.
         self.removed: WeakSet[JobProgress] = WeakSet()
         self.failing = False
+        # It is smaller while a refused row is searched for.
+        self.batch_limit = BATCH_LIMIT
+        self.has_repeated = False
+        # When the rows that were refused are written again, by job.
+        self.held_until_s: dict[str, float] = {}
         self.wake = Event()
         self.stored = Event()
         self._random = Random()
@@ -82,9 +96,12 @@
             if not self.handler.may_write():
                 await sleep(LEASE_CHECK_S)
                 continue
-            batch = list(self.dirty.values())[:BATCH_LIMIT]
+            batch = self._next_batch(current_time())
+            if not batch:
+                await self._wait_for_held_rows(current_time())
+                continue
             try:
-                await self._write(batch)
+                refusal = await self._write(batch)
             except PlatformError as error:
                 if not tries:
                     log(STORE_LOST, used_for="progress", error=str(error))
@@ -97,9 +114,68 @@
                 log(STORE_REGAINED, used_for="progress", tries=tries)
             self.failing = False
             tries = 0
+            if refusal is None:
+                self._widen(batch)
+            elif self.has_repeated:
+                self._narrow(batch, refusal, current_time())
+                await sleep(NARROWING_PAUSE_S)
+            else:
+                # Perhaps only the answer was lost.
+                self.has_repeated = True
+
+    def _next_batch(self, now_s: float) -> list[JobProgress]:
+        """Return the rows to write next; a row that was refused is alone."""
+        batch: list[JobProgress] = []
+        for job_id, progress in self.dirty.items():
+            held_until_s = self.held_until_s.get(job_id)
+            if held_until_s is None:
+                batch.append(progress)
+            elif held_until_s <= now_s and not batch:
+                return [progress]
+            if len(batch) == self.batch_limit:
+                break
+        return batch
+
+    async def _wait_for_held_rows(self, now_s: float) -> None:
+        """Wait for a new row or until a held one is written again."""
+        until_s = min(self.held_until_s[job_id] for job_id in self.dirty)
+        self.wake = Event()
+        with move_on_after(max(0.0, until_s - now_s)):
+            await self.wake.wait()
+
+    def _widen(self, batch: list[JobProgress]) -> None:
+        """Allow larger batches after one was written."""
+        for progress in batch:
+            self.held_until_s.pop(progress.job_id, None)
+        self.batch_limit = min(BATCH_LIMIT, 2 * self.batch_limit)
+        self.has_repeated = self.batch_limit < BATCH_LIMIT
+
+    def _narrow(
+        self, batch: list[JobProgress], refusal: PlatformError, now_s: float
+    ) -> None:
+        """Halve the next batch after one was refused.
+
+        A row that was refused by itself is held, so that the others are
+        written without it.
+        """
+        if len(batch) > 1:
+            self.batch_limit = len(batch) // 2
+            return
+        job_id = batch[0].job_id
+        self.held_until_s[job_id] = now_s + HOLD_S
+        log(
+            ROW_REFUSED,
+            key=progress_row_key(job_id),
+            size_bytes=len(dumps(encode_progress(batch[0]))),
+            error=str(refusal),
+            held_s=HOLD_S,
+        )
 
-    async def _write(self, batch: list[JobProgress]) -> None:
-        """Write a batch; on a conflict, merge rows and keep them queued."""
+    async def _write(self, batch: list[JobProgress]) -> PlatformError | None:
+        """Write a batch; on a conflict, merge rows and keep them queued.
+
+        Return the error if the outcome was unknown and no row has changed.
+        """
         counts = [progress.changes for progress in batch]
         writes = tuple(
             Write(
@@ -114,35 +190,43 @@
             revision = await self.table.commit(writes, mutation_id)
         except TableConflictError:
             await self._read_back(batch, counts, "")
-            return
-        except TableOutcomeUnknownError:
-            await self._read_back(batch, counts, mutation_id)
-            return
+            return None
+        except TableOutcomeUnknownError as error:
+            has_changed = await self._read_back(batch, counts, mutation_id)
+            return None if has_changed else error
         for progress, count in zip(batch, counts, strict=True):
             self._mark_stored(progress, revision, count)
         self._wake_waiters()
+        return None
 
     async def _read_back(
         self, batch: list[JobProgress], counts: list[int], mutation_id: str
-    ) -> None:
+    ) -> bool:
         """Read each row to see whether its write took effect.
 
+        Return whether any row differs from what it was before the write.
+
         A lost write that arrives late meets a newer revision and has no
         effect, since every row found unchanged here is written again.
         """
+        has_changed = False
         for progress, count in zip(batch, counts, strict=True):
             row = await self.table.read(progress_row_key(progress.job_id))
             if row is None:
                 self.dirty.pop(progress.job_id, None)
                 self.removed.add(progress)
                 self.handler.merge_stored_row(progress, None, 0)
+                has_changed = True
             elif mutation_id and row.mutation_id == mutation_id:
                 self._mark_stored(progress, row.revision, count)
+                has_changed = True
             elif row.revision != progress.revision:
                 self.handler.merge_stored_row(
                     progress, row.value, row.revision
                 )
+                has_changed = True
         self._wake_waiters()
+        return has_changed
 
     def _mark_stored(
         self, progress: JobProgress, revision: int, count: int
