Keep a transaction of progress rows within 1 MB

Cause: a batch was bounded by the number of its rows alone. 40 rows of jobs with 2,000 tasks have 57 KB each in the encoding of the store, over twice what a transaction may have.

Evidence: test_transaction_of_large_rows_stays_within_the_limit[2000] failed before; 30, 130 and 500 tasks passed.

Why it works: a batch has at most 20,000 tasks, unless it is a single row. That bounds it without encoding the rows twice. running_job of test_rows.py takes a seed, so that the rows of the test differ.

--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -37,6 +37,9 @@
 # The platform allows 100 entries in a transaction, and a row needs two: its
 # expected revision and its value.
 BATCH_LIMIT = 40
+# The platform allows 1 MB in a transaction. A row has up to 30 bytes per task
+# in the encoding of the store, and up to 6 KB if it is not compressed.
+BATCH_TASK_LIMIT = 20_000
 RETRY_LIMIT_S = 0.5
 # A row that was refused by itself is not written for this long.
 HOLD_S = 2.0
@@ -126,9 +129,13 @@
     def _next_batch(self, now_s: float) -> list[JobProgress]:
         """Return the rows to write next; a row that was refused is alone."""
         batch: list[JobProgress] = []
+        tasks = 0
         for job_id, progress in self.dirty.items():
             held_until_s = self.held_until_s.get(job_id)
             if held_until_s is None:
+                tasks += count_tasks(progress)
+                if batch and tasks > BATCH_TASK_LIMIT:
+                    break
                 batch.append(progress)
             elif held_until_s <= now_s and not batch:
                 return [progress]
@@ -241,6 +248,13 @@
         self.stored = Event()
 
 
+def count_tasks(progress: JobProgress) -> int:
+    """Return the number of tasks that a job's row describes."""
+    declaration = progress.job.declaration
+    tasks = sum(step.task_count for step in declaration.steps)
+    return tasks * declaration.occurrences
+
+
 class ProgressWriter:
     """Writer of the progress of all jobs, with one task for each part."""
 
--- a/tests/tasks/test_refused_rows.py
+++ b/tests/tasks/test_refused_rows.py
@@ -1,24 +1,29 @@
 """Rows that the store refuses are written again, and hold up no others."""
 
+from json import dumps
 from math import inf
 from typing import Any
 
-from pytest import MonkeyPatch
+from pytest import MonkeyPatch, mark
 from trio import move_on_after, open_nursery, sleep
 
 from damaskstall.errors import TableOutcomeUnknownError
 from damaskstall.events import Event
+from damaskstall.platform.row_store import encode_transaction
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Value, Write
 from damaskstall.tasks import progress_writer
 from damaskstall.tasks.events import ROW_REFUSED
 from damaskstall.tasks.job_rows import encode_progress, progress_row_key
+from damaskstall.tasks.job_validation import TASK_LIMIT
 from damaskstall.tasks.model import AcceptedJob, Demand, JobDeclaration, Step
 from damaskstall.tasks.progress import JobProgress
-from damaskstall.tasks.progress_writer import PartWriter
+from damaskstall.tasks.progress_writer import BATCH_LIMIT, PartWriter
+from tests.tasks.test_rows import running_job
 from tests.virtual_time import run_virtual
 
 CALL_S = 0.005
 JOBS = 60
+TRANSACTION_LIMIT_BYTES = 1_000_000
 
 
 class RefusingTable:
@@ -51,6 +56,8 @@
         """Write all rows or none; return the new revision."""
         await sleep(CALL_S)
         self.commits.append(writes)
+        body = encode_transaction(writes, mutation_id)
+        assert len(dumps(body)) < TRANSACTION_LIMIT_BYTES
         if any(write.key in self.refused for write in writes):
             raise TableOutcomeUnknownError("The store answered 413.")
         if self.lost_answers:
@@ -81,27 +88,26 @@
 class Writing:
     """A part's writer with jobs whose rows exist."""
 
-    def __init__(self, jobs: int, tasks: int = 1) -> None:
+    def __init__(self, jobs: int) -> None:
         """Create jobs with a change that is not in the table."""
         self.table = RefusingTable()
         self.writer = PartWriter(self.table, NoMerges(), 1)
-        step = Step(tasks, Demand(1000, 1000, 1), 2.0)
+        step = Step(1, Demand(1000, 1000, 1), 2.0)
         declaration = JobDeclaration("text", (step,))
-        self.jobs = [
-            JobProgress(
-                AcceptedJob(
-                    f"{number:016x}", "normal", "svc", "b", 0.0, declaration
-                ),
-                1,
-                0.0,
+        self.jobs: list[JobProgress] = []
+        for number in range(jobs):
+            accepted = AcceptedJob(
+                f"{number:016x}", "normal", "svc", "b", 0.0, declaration
             )
-            for number in range(jobs)
-        ]
-        for job in self.jobs:
-            key = progress_row_key(job.job_id)
-            self.table.rows[key] = Row(key, 1, "", encode_progress(job))
-            job.count_change()
-            self.writer.add(job)
+            self.add(JobProgress(accepted, 1, 0.0))
+
+    def add(self, job: JobProgress) -> None:
+        """Add a job with a change that is not in the table."""
+        key = progress_row_key(job.job_id)
+        self.table.rows[key] = Row(key, 1, "", encode_progress(job))
+        job.count_change()
+        self.jobs.append(job)
+        self.writer.add(job)
 
     def refuse(self, job: JobProgress) -> None:
         """Refuse a job's row."""
@@ -175,3 +181,14 @@
     writing.table.lost_answers = 1
     writing.run(5 * CALL_S)
     assert not writing.unwritten()
+
+
+@mark.parametrize("tasks", [30, 130, 500, TASK_LIMIT])
+def test_transaction_of_large_rows_stays_within_the_limit(tasks: int) -> None:
+    writing = Writing(jobs=0)
+    for number in range(BATCH_LIMIT):
+        large = running_job(tasks, seed=number)
+        large.job = large.job._replace(job_id=f"{number:016x}")
+        writing.add(large)
+    writing.run(1.0)
+    assert not writing.unwritten()
--- a/tests/tasks/test_rows.py
+++ b/tests/tasks/test_rows.py
@@ -35,9 +35,9 @@
     return AcceptedJob(JOB_ID, "normal", "svc", "blue", 12.5, declaration)
 
 
-def running_job(count: int) -> JobProgress:
+def running_job(count: int, seed: int = 1) -> JobProgress:
     """Return a job whose tasks are all running and have checkpoints."""
-    random = Random(1)
+    random = Random(seed)
     step = Step(count, Demand(1000, 1000, 1), 2.0, checkpoints=True)
     progress = JobProgress(accepted(step), 1, 0.0)
     for unit in progress.all_units():
