Acknowledge ends without waiting for the rows of other jobs

Cause: a session acknowledged the ends that its worker listed only once the changes of all jobs were written.

Evidence: test_end_is_acknowledged_while_the_row_of_another_job_is_refused failed before.

Why it works: a session waits for the rows of the jobs in its worker's list. These are all that an acknowledgement covers. An end of the refused job itself still is not acknowledged.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -240,13 +240,14 @@
         """Record that the worker of a run that has ended had crashed."""
         self.ends.record_late_crash(key)
 
-    async def wait_ends_stored(self) -> None:
-        """Return once every end recorded so far is in the table."""
+    async def wait_ends_stored(self, job_ids: set[str]) -> None:
+        """Return once each end recorded so far of some jobs is stored."""
         await self.ends.settle_all()
         waiting = [
             (progress, progress.changes)
-            for progress in self.jobs.values()
-            if progress.stored_changes < progress.changes
+            for progress in map(self.jobs.get, job_ids)
+            if progress is not None
+            and progress.stored_changes < progress.changes
         ]
         for progress, count in waiting:
             await self.writer.wait_stored(progress, count)
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -33,8 +33,8 @@
     def record_crash(self, key: RunKey) -> None:
         """Record that the worker of a run that has ended had crashed."""
 
-    async def wait_ends_stored(self) -> None:
-        """Return once every end recorded so far is in the table."""
+    async def wait_ends_stored(self, job_ids: set[str]) -> None:
+        """Return once each end recorded so far of some jobs is stored."""
 
     def request_decision(self) -> None:
         """Request a scheduling round: a worker may have free capacity."""
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -422,9 +422,10 @@
         self._newest_end = max((end.number for end in report.ended), default=0)
         if report.ended:
             newest = max(end.number for end in report.ended)
+            job_ids = {end.key.task.job_id for end in report.ended}
             with move_on_after(STORE_WAIT_LIMIT_S):
                 token = self.token
-                await self.owner.wait_ends_stored()
+                await self.owner.wait_ends_stored(job_ids)
                 if token == self.token:
                     self.acknowledged_end = max(self.acknowledged_end, newest)
 
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -189,7 +189,7 @@
         """Record the crash of a worker whose run has ended."""
         self.crashes.append(key)
 
-    async def wait_ends_stored(self) -> None:
+    async def wait_ends_stored(self, job_ids: set[str]) -> None:
         """Return once ends are stored."""
         if not self.stores:
             await sleep_forever()
--- a/tests/tasks/test_unmatched_ends.py
+++ b/tests/tasks/test_unmatched_ends.py
@@ -1,5 +1,6 @@
 """Each end of a run takes effect before it is acknowledged."""
 
+from math import inf
 from typing import Any
 
 from trio import sleep
@@ -237,7 +238,7 @@
         other = next(name for name in cluster.workers if name != placed)
         await EarlierHolder(cluster).store(1, running_step(1, other))
         holder.record_end(other, end_of_run(1))
-        await holder.wait_ends_stored()
+        await holder.wait_ends_stored({job_id(1)})
         assert unit.done
         await cluster.wait_state(job_id(1), "completed")
         assert not cluster.history.runs
@@ -384,7 +385,7 @@
         await EarlierHolder(cluster).store(1, running_step(3, "w00"))
         end = end_of_run(3)._replace(how="stopped", checkpoint="c1")
         holder.record_end("w00", end)
-        await holder.wait_ends_stored()
+        await holder.wait_ends_stored({job_id(1)})
         unit = next(holder.jobs[job_id(1)].all_units())
         assert (unit.run, unit.checkpoint, unit.active) == (3, "c1", False)
 
@@ -402,3 +403,22 @@
     assert (unit.failures, progress.failed) == (1, False)
     assert progress.record_late_end(unit, 2, "failed", 2)
     assert (unit.failures, progress.failed) == (2, True)
+
+
+def test_end_is_acknowledged_while_the_row_of_another_job_is_refused() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        holder = ready_holder(cluster)
+        refused = JobProgress(
+            accepted(Step(1, Demand(1, 1, 1), 1.0)), 1, 0.0, inf
+        )
+        holder.jobs[refused.job_id] = refused
+        # Its change is never written.
+        refused.count_change()
+        other = job_id(5)
+        await cluster.submit(other, [ONE_TASK], work_s=0.5)
+        await cluster.wait_state(other, "completed")
+        await sleep(2.0)
+        worker = cluster.workers[cluster.runs_of(other)[0].worker]
+        assert not worker.ended
+
+    run_scenario(scenario, nodes=1, racks=1, per_rack=1)
