Ask an idle worker whose entry is outdated which incarnation it is

The worker would get no more runs for as long as its holder lives.

Cause: an incarnation's number is the Unix time of its start. If a machine's clock is set back before its worker restarts, the entry has a lower number than before and counts as that of an earlier incarnation, so the worker is not usable. Its next answer would tell, but an idle worker is not called.

Why it works: while its entry is outdated, an idle worker's lease is renewed once a second. An answer with the lower number begins that incarnation, with a higher token; an answer with the known one changes nothing. A worker whose entry only lags is called a few times more, for which there is a test.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -216,8 +216,11 @@
                 await self.client.close()
                 return
             if self.lease.clock_known and self.reachable and self._is_idle():
-                await self._wake.wait()
-                continue
+                if not self.entry_is_outdated():
+                    await self._wake.wait()
+                    continue
+                # Its next answer tells which incarnation it is.
+                await sleep(IDLE_RETRY_S)
             if not await self._renew_lease():
                 urgent = bool(self.load.runs)
                 urgent = urgent or (self.listed and self._may_have_runs())
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -1,9 +1,11 @@
 """A session tells the incarnations of its worker apart."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from trio import (
     CapacityLimiter,
+    WouldBlock,
     current_time,
     open_memory_channel,
     open_nursery,
@@ -77,6 +79,12 @@
         report = WorkerReport(clock_s, incarnation, runs, ended)
         self._send.send_nowait(report)
 
+    def forget_reports(self) -> None:
+        """Drop the answers that nothing has asked for."""
+        with suppress(WouldBlock):
+            while True:
+                self._receive.receive_nowait()
+
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Return the next report of the script."""
         self.renewals.append(request)
@@ -376,3 +384,52 @@
         assert not owner.ends
 
     run_session(body)
+
+
+def test_idle_worker_that_was_born_earlier_by_its_clock_is_used_again() -> (
+    None
+):
+    """A machine's Unix clock may be set back before its worker restarts."""
+
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        session.release(KEY)
+        session.update(worker_info(5))
+        for second in range(round(LATE_COMMAND_LIMIT_S) + 3):
+            worker.report(1001.0 + second, 5)
+            await sleep(1.0)
+        assert session.usable()
+        worker.forget_reports()
+        calls = len(worker.renewals)
+        await sleep(5.0)
+        assert len(worker.renewals) == calls
+        token = session.token
+        session.update(worker_info(3))
+        assert not session.usable()
+        worker.report(1.0, 3)
+        worker.report(1.1, 3)
+        await sleep(3.0)
+        assert session.usable()
+        assert session.token > token
+
+    run_session(body)
+
+
+def test_idle_worker_whose_entry_stays_outdated_is_seldom_called() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        session.release(KEY)
+        for second in range(round(LATE_COMMAND_LIMIT_S) + 3):
+            worker.report(1001.0 + second, 2)
+            await sleep(1.0)
+        worker.forget_reports()
+        calls = len(worker.renewals)
+        for second in range(10):
+            worker.report(1100.0 + second, 2)
+        await sleep(10.0)
+        assert not session.usable()
+        assert len(worker.renewals) <= calls + 10
+
+    run_session(body)
