--- a/src/damaskstall/tasks/last_resort.py
+++ b/src/damaskstall/tasks/last_resort.py
@@ -1,9 +1,10 @@
 """Decide when a unit may use workers in backoff.
 
-A backoff is a preference: other workers are used first, but a unit that finds
+A backoff is a preference: other workers are used first, but a job that finds
 no capacity on them must not wait for the end of a backoff, which may be in
-error. So it may use a worker in backoff after a bounded wait. A unit that has
-only one attempt left waits longer, since its job fails if the worker does.
+error. So a unit may use a worker in backoff after a bounded wait if nothing of
+its job runs, or if it is endless. A unit that has only one attempt left waits
+longer, since its job fails if the worker does.
 """
 
 from damaskstall.tasks.progress import JobProgress, Unit
@@ -15,6 +16,8 @@
 
 def may_use_backoff(batch: Batch, unit: Unit, now_s: float) -> bool:
     """Return whether a waiting unit may use workers in backoff."""
+    if not batch.step.endless and batch.progress.has_active_units():
+        return False
     waited_s = now_s - waiting_since_s(batch.progress, unit)
     return waited_s >= last_resort_wait_s(batch, unit)
 
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -279,14 +279,25 @@
             if workers is not None:
                 self._start(batch, unit, workers)
                 return True
-        is_urgent = batch.queue.priority == URGENT_PRIORITY
-        is_urgent = is_urgent and not placement.alone
-        if is_urgent and self._place_urgent(batch, unit, placement):
-            return True
+        if batch.queue.priority == URGENT_PRIORITY and not placement.alone:
+            if self._place_urgent(batch, unit, placement):
+                return True
+            return self._place_in_backoff(batch, unit, placement)
         if self._place_in_backoff(batch, unit, placement):
             return True
-        if is_urgent:
-            return False
+        return self._reserve_or_relax(batch, unit, placement, shape)
+
+    def _reserve_or_relax(
+        self,
+        batch: Batch,
+        unit: Unit,
+        placement: PlacementRequest,
+        shape: UnitShape,
+    ) -> bool:
+        """Reserve capacity for a unit, or start it against its preferences.
+
+        Return whether it was started.
+        """
         if self._try_reserve(batch, placement, shape):
             return False
         if not self._may_relax(batch):
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -270,7 +270,11 @@
         """Return whether the job is in a final state and no run may exist."""
         if self.state() not in FINAL_STATES:
             return False
-        return not any(unit.active for unit in self.all_units())
+        return not self.has_active_units()
+
+    def has_active_units(self) -> bool:
+        """Return whether a run of any unit may exist."""
+        return any(unit.active for unit in self.all_units())
 
     def count_change(self) -> int:
         """Count a change that is not yet in the row; return its number."""
