Update a preemption search instead of repeating it

For each task of a unit, the search looked again at all workers, and sorted the victims on each. Only the chosen worker and those of the stopped runs change, so only these are looked at again. The victims are found once a round, and sorted by worker once for all racks.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -41,6 +41,7 @@
     PreemptionSearch,
     Victim,
     find_preemption,
+    victims_by_worker,
 )
 from damaskstall.tasks.progress import JobProgress, Unit
 from damaskstall.tasks.ranking import (
@@ -195,6 +196,7 @@
         # Time limits within which no reservation was found, by shape.
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
+        self.stoppable: list[Victim] | None = None
         self.reservations: list[Reservation] = []
         self.headroom = Reservation({}, HEADROOM_S)
         self.mostly_free: dict[str, bool] = {}
@@ -741,7 +743,9 @@
         if not kept.tasks or not names or not self._may_preempt(batch, unit):
             return False
         victims = self._victims(batch, smaller=False)
-        search = PreemptionSearch(self.plan_after_stops, placement, victims)
+        search = PreemptionSearch(
+            self.plan_after_stops, placement, victims_by_worker(victims)
+        )
         chosen = search.search(sorted(names), len(lost))
         if chosen is None:
             return False
@@ -858,24 +862,36 @@
         """
         may_stop: dict[str, bool] = {}
         victims = []
-        for progress, unit in self._running():
-            if unit.stopping or unit.done or id(unit) in self.stopped:
-                continue
-            step = progress.step_of(unit)
-            if step.endless:
-                # An endless step serves its users continuously.
+        for victim in self._stoppable():
+            if id(victim.unit) in self.stopped:
                 continue
-            allowed = may_stop.get(progress.job_id)
+            job_id = victim.progress.job_id
+            allowed = may_stop.get(job_id)
             if allowed is None:
-                allowed = self._may_stop(batch, progress)
-                may_stop[progress.job_id] = allowed
+                allowed = self._may_stop(batch, victim.progress)
+                may_stop[job_id] = allowed
             needs_fewer = (
-                step.demand.accelerators < batch.step.demand.accelerators
+                victim.demand.accelerators < batch.step.demand.accelerators
             )
             if allowed or (smaller and needs_fewer):
-                victims.append(self._victim(progress, unit))
+                victims.append(victim)
         return victims
 
+    def _stoppable(self) -> list[Victim]:
+        """Return the units that run and are not endless or being stopped.
+
+        An endless step serves its users continuously.
+        """
+        if self.stoppable is None:
+            self.stoppable = [
+                self._victim(progress, unit)
+                for progress, unit in self._running()
+                if not unit.stopping
+                and not unit.done
+                and not progress.step_of(unit).endless
+            ]
+        return self.stoppable
+
     def _may_stop(self, batch: Batch, progress: JobProgress) -> bool:
         """Return whether a batch's units may preempt a job's units."""
         priority = queue_of(self.inputs, progress).priority
--- a/src/damaskstall/tasks/preemption.py
+++ b/src/damaskstall/tasks/preemption.py
@@ -42,6 +42,26 @@
     cost_core_s: float
 
 
+class Candidate(NamedTuple):
+    """A worker for one task, the victims to stop there, and its rank."""
+
+    rank: tuple[bool, float, int]
+    worker: str
+    to_stop: list[Victim]
+
+
+VictimsByWorker = dict[str, list[Victim]]
+
+
+def victims_by_worker(victims: list[Victim]) -> VictimsByWorker:
+    """Return the victims that have tasks on each worker."""
+    found: VictimsByWorker = {}
+    for victim in victims:
+        for worker in dict.fromkeys(victim.task_workers):
+            found.setdefault(worker, []).append(victim)
+    return found
+
+
 class PreemptionSearch:
     """Greedy search for a cheap set of victims so that one unit fits."""
 
@@ -49,17 +69,14 @@
         self,
         plan: CapacityPlan,
         placement: PlacementRequest,
-        victims: list[Victim],
+        by_worker: VictimsByWorker,
     ) -> None:
         """Start from a plan of the capacity that is free or being freed."""
         self.plan = plan.copy()
         self.placement = placement
         self.chosen: dict[int, Victim] = {}
         self.cost_core_s = 0.0
-        self.by_worker: dict[str, list[Victim]] = {}
-        for victim in victims:
-            for worker in dict.fromkeys(victim.task_workers):
-                self.by_worker.setdefault(worker, []).append(victim)
+        self.by_worker = by_worker
 
     def search(self, names: list[str], task_count: int) -> Preemption | None:
         """Return a preemption that places ``task_count`` tasks, or None.
@@ -68,37 +85,64 @@
         """
         workers: list[str] = []
         task_counts = dict(self.placement.task_counts)
+        placement = self.placement._replace(task_counts=task_counts)
+        candidates = self._candidates(placement, names)
         for _ in range(task_count):
-            placement = self.placement._replace(task_counts=task_counts)
-            best = self._cheapest_worker(placement, names)
-            if best is None:
+            if not candidates:
                 return None
-            worker, to_stop = best
-            for victim in to_stop:
+            best = min(candidates.values(), key=lambda each: each.rank)
+            for victim in best.to_stop:
                 self._stop(victim)
-            self.plan.allocate(worker, self.placement.step.demand)
-            task_counts[worker] = task_counts.get(worker, 0) + 1
-            workers.append(worker)
+            self.plan.allocate(best.worker, self.placement.step.demand)
+            task_counts[best.worker] = task_counts.get(best.worker, 0) + 1
+            workers.append(best.worker)
+            changed = {best.worker}
+            changed.update(*(each.task_workers for each in best.to_stop))
+            self._update(candidates, placement, changed)
         return Preemption(
             workers, list(self.chosen.values()), self.cost_core_s
         )
 
-    def _cheapest_worker(
+    def _candidates(
         self, placement: PlacementRequest, names: list[str]
-    ) -> tuple[str, list[Victim]] | None:
-        best: tuple[tuple[bool, float, int], str, list[Victim]] | None = None
+    ) -> dict[str, Candidate]:
+        """Return the workers of ``names`` on which a task can be placed."""
+        found: dict[str, Candidate] = {}
         for name in names:
-            if not may_run(placement, self.plan.workers[name]):
-                continue
-            to_stop = self._find_stops(placement, name)
-            if to_stop is None:
-                continue
-            cost = sum(victim.cost_core_s for victim in to_stop)
-            free = self.plan.free[name].accelerators
-            key = (name in placement.avoid, cost, free)
-            if best is None or key < best[0]:
-                best = (key, name, to_stop)
-        return None if best is None else (best[1], best[2])
+            if may_run(placement, self.plan.workers[name]):
+                candidate = self._candidate(placement, name)
+                if candidate is not None:
+                    found[name] = candidate
+        return found
+
+    def _update(
+        self,
+        candidates: dict[str, Candidate],
+        placement: PlacementRequest,
+        changed: set[str],
+    ) -> None:
+        """Bring the candidates up to date after changes on some workers.
+
+        No other worker becomes a candidate, since its own victims and those
+        that are stopped already do not free enough together.
+        """
+        for name in changed & candidates.keys():
+            candidate = self._candidate(placement, name)
+            if candidate is None:
+                del candidates[name]
+            else:
+                candidates[name] = candidate
+
+    def _candidate(
+        self, placement: PlacementRequest, name: str
+    ) -> Candidate | None:
+        to_stop = self._find_stops(placement, name)
+        if to_stop is None:
+            return None
+        cost = sum(victim.cost_core_s for victim in to_stop)
+        free = self.plan.free[name].accelerators
+        rank = (name in placement.avoid, cost, free)
+        return Candidate(rank, name, to_stop)
 
     def _find_stops(
         self, placement: PlacementRequest, name: str
@@ -158,13 +202,13 @@
 
     A gang that needs one rack is searched for in each rack separately.
     """
+    task_count = placement.step.unit_size
+    by_worker = victims_by_worker(victims)
     if not needs_one_rack(plan, placement):
-        search = PreemptionSearch(plan, placement, victims)
-        return search.search(list(plan.free), placement.step.unit_size)
+        search = PreemptionSearch(plan, placement, by_worker)
+        return search.search(list(plan.free), task_count)
     found = [
-        PreemptionSearch(plan, placement, victims).search(
-            names, placement.step.unit_size
-        )
+        PreemptionSearch(plan, placement, by_worker).search(names, task_count)
         for names in plan.racks.values()
     ]
     candidates = [candidate for candidate in found if candidate is not None]
