Search all racks for a reservation in one pass

Each rack sorted the expected ends, copied the plan and released the ends of the whole fleet. The ends are now sorted once a round and released once for all racks; among the racks on which the unit fits at the same time, the first one counts as before.

All of tests/tasks passed.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -504,16 +504,17 @@
         return True
 
     def _expected_ends(self) -> list[ExpectedEnd]:
-        """Return the expected ends of the running units."""
+        """Return the expected ends of the running units, the first first."""
         if self.expected_ends is None:
-            self.expected_ends = [
+            ends = (
                 ExpectedEnd(
                     unit.workers(),
                     progress.step_of(unit).demand,
                     self._remaining_run_s(progress, unit),
                 )
                 for progress, unit in self._running()
-            ]
+            )
+            self.expected_ends = sorted(ends, key=lambda e: e.remaining_s)
         return self.expected_ends
 
     def _running(self) -> list[tuple[JobProgress, Unit]]:
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -6,6 +6,7 @@
 units may use it only if they end by then (backfilling).
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from damaskstall.tasks.model import NO_DEMAND, Demand
@@ -59,15 +60,14 @@
     expected_ends: list[ExpectedEnd],
     limit_s: float,
 ) -> Reservation | None:
-    """Return a reservation if the unit will fit in ``limit_s``, or None."""
+    """Return a reservation if the unit will fit in ``limit_s``, or None.
+
+    ``expected_ends`` is in order of the remaining times.
+    """
     groups = [list(plan.free)]
     if needs_one_rack(plan, placement):
         groups = list(plan.racks.values())
-    found: tuple[float, list[str]] | None = None
-    for names in groups:
-        chosen = earliest_fit(plan, placement, expected_ends, names, limit_s)
-        if chosen is not None and (found is None or chosen[0] < found[0]):
-            found = chosen
+    found = earliest_fit(plan, placement, expected_ends, groups, limit_s)
     if found is None:
         return None
     after_s, workers = found
@@ -82,41 +82,82 @@
     )
 
 
+class FutureFits:
+    """How many of a unit's tasks fit on groups of workers as runs end."""
+
+    def __init__(
+        self,
+        plan: CapacityPlan,
+        placement: PlacementRequest,
+        groups: list[list[str]],
+    ) -> None:
+        """Count the tasks that fit now; no worker is in two groups."""
+        self.plan = plan.copy()
+        self.placement = placement
+        self.groups = groups
+        self.fits: dict[str, int] = {}
+        self.group_of: dict[str, int] = {}
+        self.totals = [0] * len(groups)
+        for number, names in enumerate(groups):
+            for name in names:
+                if may_run(placement, plan.workers[name]):
+                    self.fits[name] = tasks_on(plan, placement, name)
+                    self.group_of[name] = number
+                    self.totals[number] += self.fits[name]
+
+    def end(self, expected_end: ExpectedEnd) -> set[int]:
+        """Release the capacity of a run; return the groups it was on."""
+        changed = set()
+        for worker in expected_end.task_workers:
+            if worker not in self.fits:
+                continue
+            self.plan.release(worker, expected_end.demand)
+            fits = tasks_on(self.plan, self.placement, worker)
+            number = self.group_of[worker]
+            self.totals[number] += fits - self.fits[worker]
+            self.fits[worker] = fits
+            changed.add(number)
+        return changed
+
+    def first_fit(self, numbers: Iterable[int]) -> int | None:
+        """Return the first of some groups on which the unit fits, or None."""
+        size = self.placement.step.unit_size
+        return min(
+            (n for n in numbers if self.totals[n] >= size), default=None
+        )
+
+    def place(self, number: int) -> list[str]:
+        """Return the workers for a unit that fits on a group."""
+        workers = pack(self.plan, self.placement, self.groups[number])
+        assert workers is not None
+        return workers
+
+
 def earliest_fit(
     plan: CapacityPlan,
     placement: PlacementRequest,
     expected_ends: list[ExpectedEnd],
-    names: list[str],
+    groups: list[list[str]],
     limit_s: float,
 ) -> tuple[float, list[str]] | None:
-    """Return in how many seconds a unit fits on ``names``, and its workers.
+    """Return in how many seconds a unit fits on a group, and its workers.
 
+    Of the groups on which it fits at the same time, the first one counts.
     Return None if it does not fit within ``limit_s``.
     """
-    future = plan.copy()
-    fits = {
-        name: tasks_on(future, placement, name)
-        for name in names
-        if may_run(placement, plan.workers[name])
-    }
-    total = sum(fits.values())
-    for expected_end in sorted(
-        expected_ends, key=lambda each: each.remaining_s
-    ):
+    future = FutureFits(plan, placement, groups)
+    numbers: Iterable[int] = range(len(groups))
+    found: tuple[int, list[str]] | None = None
+    for expected_end in expected_ends:
         if expected_end.remaining_s > limit_s:
-            return None
-        for worker in expected_end.task_workers:
-            if worker not in fits:
-                continue
-            future.release(worker, expected_end.demand)
-            total -= fits[worker]
-            fits[worker] = tasks_on(future, placement, worker)
-            total += fits[worker]
-        if total >= placement.step.unit_size:
-            workers = pack(future, placement, names)
-            assert workers is not None
-            return expected_end.remaining_s, workers
-    return None
+            break
+        changed = future.end(expected_end)
+        number = future.first_fit(numbers or changed)
+        numbers = ()
+        if number is not None and (found is None or number < found[0]):
+            found = number, future.place(number)
+            limit_s = expected_end.remaining_s
+    return None if found is None else (limit_s, found[1])
 
 
 def tasks_on(
@@ -142,12 +183,9 @@
     Capacity that other runs release within ``after_s`` is not reserved.
     """
     kept: dict[str, Demand] = {}
+    freed_by = capacity_freed(expected_ends, after_s)
     for worker in dict.fromkeys(workers):
-        freed = NO_DEMAND
-        for expected_end in expected_ends:
-            if expected_end.remaining_s <= after_s:
-                for _ in range(expected_end.task_workers.count(worker)):
-                    freed = freed.plus(expected_end.demand)
+        freed = freed_by.get(worker, NO_DEMAND)
         needed = NO_DEMAND
         for _ in range(workers.count(worker)):
             needed = needed.plus(demand)
@@ -162,6 +200,20 @@
     return kept
 
 
+def capacity_freed(
+    expected_ends: list[ExpectedEnd], after_s: float
+) -> dict[str, Demand]:
+    """Return by worker the capacity that runs release within ``after_s``."""
+    freed: dict[str, Demand] = {}
+    for expected_end in expected_ends:
+        if expected_end.remaining_s > after_s:
+            break
+        for worker in expected_end.task_workers:
+            earlier = freed.get(worker, NO_DEMAND)
+            freed[worker] = earlier.plus(expected_end.demand)
+    return freed
+
+
 def plan_without_reserved(
     plan: CapacityPlan, reservations: list[Reservation]
 ) -> CapacityPlan:
