Skip searches for units known not to fit

Each waiting unit searched the whole plan, although one of its kind and of no larger size had just failed. A plan now remembers what did not fit until capacity is released. The plans without reserved capacity follow the changes of the round's plan instead of being copied for each unit. Whether a rack is large enough is computed once for a kind of task.

--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -16,8 +16,64 @@
 UNBOUNDED_TASKS = 1_000_000
 
 
+class TaskKind(NamedTuple):
+    """The properties of a task that determine on which workers it fits."""
+
+    service: str
+    required_label: str
+    demand: Demand
+
+
+class UnitKind(NamedTuple):
+    """The properties of a unit, its size aside, that determine if it fits."""
+
+    task: TaskKind
+    in_one_rack: bool
+    alone: bool
+
+
+class Misfit(NamedTuple):
+    """The size of a unit that does not fit within a time limit."""
+
+    unit_size: int
+    limit_s: float
+
+
+class Misfits:
+    """Units that do not fit in a plan.
+
+    While its capacity only shrinks, larger units of the same kind do not fit
+    either, nor do they within a shorter time limit.
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._found: dict[UnitKind, list[Misfit]] = {}
+
+    def covers(self, kind: UnitKind, size: int, limit_s: float) -> bool:
+        """Return whether a unit is known not to fit within a time limit."""
+        return any(
+            size >= misfit.unit_size and limit_s <= misfit.limit_s
+            for misfit in self._found.get(kind, ())
+        )
+
+    def add(self, kind: UnitKind, size: int, limit_s: float) -> None:
+        """Add a unit that does not fit within a time limit."""
+        self._found.setdefault(kind, []).append(Misfit(size, limit_s))
+
+    def clear(self) -> None:
+        """Forget all, since capacity has been released."""
+        self._found.clear()
+
+
 class CapacityPlan:
-    """Tentative allocation of the free capacity of all workers."""
+    """Tentative allocation of the free capacity of all workers.
+
+    ``misfits`` has the units that do not fit now, ``later_misfits`` those that
+    will not fit in time either, by the expected ends of the round's runs.
+    ``rack_limits`` has the number of tasks of a kind that fit on the largest
+    rack if nothing else runs there.
+    """
 
     def __init__(self, free_capacities: Iterable[FreeCapacity]) -> None:
         """Start with the capacity that is free now."""
@@ -30,12 +86,17 @@
         for each in capacities:
             names = self.racks.setdefault(each.worker.rack, [])
             names.append(each.worker.name)
+        self.rack_limits: dict[TaskKind, int] = {}
+        self.misfits = Misfits()
+        self.later_misfits = Misfits()
+        self.followers: list[CapacityPlan] = []
 
     def copy(self) -> "CapacityPlan":
         """Return an independent copy of this plan."""
         plan = CapacityPlan(())
         plan.workers = self.workers
         plan.racks = self.racks
+        plan.rack_limits = self.rack_limits
         plan.free = dict(self.free)
         plan.in_backoff = self.in_backoff
         return plan
@@ -55,9 +116,17 @@
         plan.in_backoff = frozenset(added.workers)
         return plan
 
+    def follower(self) -> "CapacityPlan":
+        """Return a copy to which later changes of this plan apply as well."""
+        plan = self.copy()
+        self.followers.append(plan)
+        return plan
+
     def allocate(self, worker: str, demand: Demand) -> None:
         """Allocate the demand of one task on a worker."""
         self.free[worker] = self.free[worker].minus(demand)
+        for plan in self.followers:
+            plan.allocate(worker, demand)
 
     def close(self, worker: str) -> Demand:
         """Allocate all free capacity of a worker; return it."""
@@ -76,8 +145,13 @@
 
     def release(self, worker: str, demand: Demand) -> None:
         """Release the demand of one task; ignore an unknown worker."""
-        if worker in self.free:
-            self.free[worker] = self.free[worker].plus(demand)
+        if worker not in self.free:
+            return
+        self.free[worker] = self.free[worker].plus(demand)
+        self.misfits.clear()
+        self.later_misfits.clear()
+        for plan in self.followers:
+            plan.release(worker, demand)
 
 
 class PlacementRequest(NamedTuple):
@@ -194,8 +268,23 @@
     A gang that runs slower across racks is placed in one rack, unless no rack
     is large enough for it.
     """
-    if not needs_one_rack(plan, placement):
-        return pack(plan, placement, plan.free)
+    kind = kind_of(plan, placement)
+    size = placement.step.unit_size
+    if plan.misfits.covers(kind, size, 0.0):
+        return None
+    if kind.in_one_rack:
+        chosen = place_in_rack(plan, placement)
+    else:
+        chosen = pack(plan, placement, plan.free)
+    if chosen is None and not placement.step.per_worker_limit:
+        plan.misfits.add(kind, size, 0.0)
+    return chosen
+
+
+def place_in_rack(
+    plan: CapacityPlan, placement: PlacementRequest
+) -> list[str] | None:
+    """Return workers of one rack for all tasks of a unit, or None."""
     fallback: list[str] | None = None
     for rack in racks_by_free(plan, placement.step.unit_accelerators):
         chosen = pack(plan, placement, plan.racks[rack])
@@ -207,12 +296,27 @@
     return fallback
 
 
+def kind_of(plan: CapacityPlan, placement: PlacementRequest) -> UnitKind:
+    """Return the kind of a unit."""
+    return UnitKind(
+        task_kind_of(placement),
+        needs_one_rack(plan, placement),
+        placement.alone,
+    )
+
+
+def task_kind_of(placement: PlacementRequest) -> TaskKind:
+    """Return the kind of a unit's tasks."""
+    step = placement.step
+    return TaskKind(placement.service, step.required_label, step.demand)
+
+
 def needs_one_rack(plan: CapacityPlan, placement: PlacementRequest) -> bool:
     """Return whether a unit must be placed within one rack."""
     step = placement.step
     if not (step.gang and step.one_rack):
         return False
-    return any(rack_holds(plan, placement, rack) for rack in plan.racks)
+    return largest_rack_tasks(plan, placement) >= step.unit_size
 
 
 def across_racks(placement: PlacementRequest) -> PlacementRequest:
@@ -221,10 +325,28 @@
     return placement._replace(step=step)
 
 
-def rack_holds(
+def largest_rack_tasks(plan: CapacityPlan, placement: PlacementRequest) -> int:
+    """Return how many of a unit's tasks fit on the largest rack.
+
+    That is if nothing else runs there. With a limit per worker, the number
+    depends on the unit.
+    """
+    kind = task_kind_of(placement)
+    limit = plan.rack_limits.get(kind)
+    if limit is None or placement.step.per_worker_limit:
+        limit = max(
+            (rack_tasks(plan, placement, rack) for rack in plan.racks),
+            default=0,
+        )
+    if not placement.step.per_worker_limit:
+        plan.rack_limits[kind] = limit
+    return limit
+
+
+def rack_tasks(
     plan: CapacityPlan, placement: PlacementRequest, rack: str
-) -> bool:
-    """Return whether a unit fits in a rack if nothing else runs there."""
+) -> int:
+    """Return how many of a unit's tasks fit in an otherwise unused rack."""
     fits = 0
     for name in plan.racks[rack]:
         worker = plan.workers[name]
@@ -232,7 +354,7 @@
             fits += tasks_that_fit(
                 placement, name, worker.capacity, UNBOUNDED_TASKS
             )
-    return fits >= placement.step.unit_size
+    return fits
 
 
 def racks_by_free(plan: CapacityPlan, accelerators: int) -> list[str]:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -200,6 +200,7 @@
         self.reservations: list[Reservation] = []
         self.headroom = Reservation({}, HEADROOM_S)
         self.mostly_free: dict[str, bool] = {}
+        self.unreserved: dict[tuple[int, ...], CapacityPlan] = {}
         self.expected_ends: list[ExpectedEnd] | None = None
 
     def decide(self) -> RoundResult:
@@ -451,14 +452,23 @@
             tuple(held),
             alone,
         )
-        kept = [
-            self.reservations[number]
-            for number in held
-            if number != KEPT_HEADROOM
-        ]
-        if KEPT_HEADROOM in held:
-            kept.append(self.headroom)
-        return plan_without_reserved(self.plan, kept), shape
+        return self._unreserved_plan(shape.held), shape
+
+    def _unreserved_plan(self, held: tuple[int, ...]) -> CapacityPlan:
+        """Return the plan without the reservations that must be respected."""
+        plan = self.unreserved.get(held)
+        if plan is None:
+            kept = [
+                (
+                    self.headroom
+                    if number == KEPT_HEADROOM
+                    else self.reservations[number]
+                )
+                for number in held
+            ]
+            plan = plan_without_reserved(self.plan, kept)
+            self.unreserved[held] = plan
+        return plan
 
     def _keep_headroom(self) -> Reservation:
         """Keep free capacity for the urgent jobs that come next.
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -13,8 +13,8 @@
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
+    kind_of,
     may_run,
-    needs_one_rack,
     pack,
     tasks_that_fit,
 )
@@ -62,13 +62,20 @@
 ) -> Reservation | None:
     """Return a reservation if the unit will fit in ``limit_s``, or None.
 
-    ``expected_ends`` is in order of the remaining times.
+    ``expected_ends`` is in order of the remaining times, and the same for all
+    calls with one plan.
     """
+    kind = kind_of(plan, placement)
+    size = placement.step.unit_size
+    if plan.later_misfits.covers(kind, size, limit_s):
+        return None
     groups = [list(plan.free)]
-    if needs_one_rack(plan, placement):
+    if kind.in_one_rack:
         groups = list(plan.racks.values())
     found = earliest_fit(plan, placement, expected_ends, groups, limit_s)
     if found is None:
+        if not placement.step.per_worker_limit:
+            plan.later_misfits.add(kind, size, limit_s)
         return None
     after_s, workers = found
     if placement.alone:
@@ -217,10 +224,13 @@
 def plan_without_reserved(
     plan: CapacityPlan, reservations: list[Reservation]
 ) -> CapacityPlan:
-    """Return a plan of the capacity that is not reserved."""
+    """Return a plan of the capacity that is not reserved.
+
+    Later changes of the plan apply to the result as well.
+    """
     if not reservations:
         return plan
-    remaining = plan.copy()
+    remaining = plan.follower()
     for reservation in reservations:
         for worker, demand in reservation.kept.items():
             remaining.allocate(worker, demand)
