Rank waiting jobs with fewer passes

The objective was computed twice for each batch, the factor of a queue for each task, and the claims of each unit were looked up although only urgent units have any. Tasks that need more accelerators than are free are dismissed first.

All of tests/tasks passed.

--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -191,6 +191,8 @@
     cpu_millicores, memory_mb, accelerators = placement.step.demand
     fits = limit
     if accelerators:
+        if free.accelerators < accelerators:
+            return 0
         fits = min(fits, free.accelerators // accelerators)
     if fits > 0 and cpu_millicores:
         fits = min(fits, free.cpu_millicores // cpu_millicores)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -234,14 +234,16 @@
         interchangeable and come before the others, and units that need
         isolation come last.
         """
-        units = [u for u in batch.units if not self._follow_claim(batch, u)]
-        units.sort(key=needs_isolation)
+        units = batch.units
+        if batch.queue.priority == URGENT_PRIORITY and self.claims:
+            units = [u for u in units if not self._follow_claim(batch, u)]
         if batch.step.gang or batch.step.per_worker_limit:
-            waiting = units
+            waiting = sorted(units, key=needs_isolation)
         else:
             identical = [u for u in units if is_interchangeable(u)]
-            placed = self._place_identical(batch, identical)
             others = [u for u in units if not is_interchangeable(u)]
+            others.sort(key=needs_isolation)
+            placed = self._place_identical(batch, identical)
             waiting = identical[placed:] + others
         for unit in waiting:
             if not self._try_place(batch, unit):
@@ -534,7 +536,7 @@
                 (progress, unit)
                 for progress in self.inputs.jobs
                 for unit in progress.all_units()
-                if unit.active
+                if unit.members
             ]
         return self.running
 
@@ -859,7 +861,7 @@
         for decision in self.decisions:
             if not isinstance(decision, StartUnit):
                 continue
-            if decision.unit in units:
+            if decision.progress is progress and decision.unit in units:
                 for worker in decision.workers:
                     counts[worker] = counts.get(worker, 0) + 1
         return counts
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -247,7 +247,7 @@
             occurrence = units[0].occurrence
             if now_s < self.due_s(occurrence):
                 return
-            waiting = [u for u in units if not u.done and not u.active]
+            waiting = [u for u in units if not (u.done or u.members)]
             if not waiting:
                 continue
             after = self.step_of(units[0]).after
--- a/src/damaskstall/tasks/ranking.py
+++ b/src/damaskstall/tasks/ranking.py
@@ -57,7 +57,7 @@
     objective_s = estimator.objective_s(progress, queue)
     occurrence = batch.units[0].occurrence
     due_s = progress.due_s(occurrence)
-    slack_s = slack_of(inputs, batch, now_s)
+    slack_s = slack_within(objective_s, inputs, batch, now_s)
     late_slack_s = slack_s + (LATE_FACTOR - 1) * objective_s
     if slack_s >= 0:
         lateness = 0
@@ -78,10 +78,16 @@
 
     The time is negative if the job can no longer meet it.
     """
-    estimator = inputs.estimator
+    objective_s = inputs.estimator.objective_s(batch.progress, batch.queue)
+    return slack_within(objective_s, inputs, batch, now_s)
+
+
+def slack_within(
+    objective_s: float, inputs: SchedulingInput, batch: Batch, now_s: float
+) -> float:
+    """Return for how long a job can still wait and meet an objective."""
     occurrence = batch.units[0].occurrence
-    objective_s = estimator.objective_s(batch.progress, batch.queue)
-    remaining_s = estimator.remaining_s(batch.progress, occurrence)
+    remaining_s = inputs.estimator.remaining_s(batch.progress, occurrence)
     return batch.progress.due_s(occurrence) + objective_s - remaining_s - now_s
 
 
--- a/src/damaskstall/tasks/run_time_estimator.py
+++ b/src/damaskstall/tasks/run_time_estimator.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         """Start with a ratio of 1 for each queue."""
         self._log_factor: dict[str, float] = {}
+        self._factor: dict[str, float] = {}
 
     def record_run_time(
         self, queue: str, declared_s: float, ran_s: float
@@ -36,10 +37,11 @@
         self._log_factor[queue] = log_ratio + SMOOTHING_FACTOR * (
             log(ratio) - log_ratio
         )
+        self._factor[queue] = exp(self._log_factor[queue])
 
     def task_run_time_s(self, queue: str, step: Step) -> float:
         """Return the expected run time of a step's tasks, in seconds."""
-        factor = exp(self._log_factor.get(queue, 0.0))
+        factor = self._factor.get(queue, 1.0)
         return max(step.estimate_s, MIN_RUN_TIME_S) * factor
 
     def critical_path_s(
