Find eligible workers and preemptable jobs once a round

Both were determined again for each unit and worker. They depend on the workers' properties, and on the queue's priority and the guarantee.

--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -72,7 +72,8 @@
     ``misfits`` has the units that do not fit now, ``later_misfits`` those that
     will not fit in time either, by the expected ends of the round's runs.
     ``rack_limits`` has the number of tasks of a kind that fit on the largest
-    rack if nothing else runs there.
+    rack if nothing else runs there, and ``eligible`` the workers that may run
+    the tasks of a service that need a label.
     """
 
     def __init__(self, free_capacities: Iterable[FreeCapacity]) -> None:
@@ -87,6 +88,7 @@
             names = self.racks.setdefault(each.worker.rack, [])
             names.append(each.worker.name)
         self.rack_limits: dict[TaskKind, int] = {}
+        self.eligible: dict[tuple[str, str], set[str]] = {}
         self.misfits = Misfits()
         self.later_misfits = Misfits()
         self.followers: list[CapacityPlan] = []
@@ -97,6 +99,7 @@
         plan.workers = self.workers
         plan.racks = self.racks
         plan.rack_limits = self.rack_limits
+        plan.eligible = self.eligible
         plan.free = dict(self.free)
         plan.in_backoff = self.in_backoff
         return plan
@@ -184,6 +187,22 @@
     )
 
 
+def eligible_workers(
+    plan: CapacityPlan, placement: PlacementRequest
+) -> set[str]:
+    """Return the workers that are eligible for the unit's tasks."""
+    key = placement.service, placement.step.required_label
+    names = plan.eligible.get(key)
+    if names is None:
+        names = {
+            name
+            for name, worker in plan.workers.items()
+            if may_run(placement, worker)
+        }
+        plan.eligible[key] = names
+    return names
+
+
 def tasks_that_fit(
     placement: PlacementRequest, worker: str, free: Demand, limit: int
 ) -> int:
@@ -226,10 +245,11 @@
     Workers with the fewest free accelerators are filled first, then workers
     to avoid, and workers in backoff last.
     """
+    eligible = eligible_workers(plan, placement)
     usable = [
         name
         for name in names
-        if may_run(placement, plan.workers[name])
+        if name in eligible
         and (plan.is_idle(name) or not placement.alone)
         and tasks_that_fit(placement, name, plan.free[name], 1)
     ]
@@ -349,14 +369,14 @@
     plan: CapacityPlan, placement: PlacementRequest, rack: str
 ) -> int:
     """Return how many of a unit's tasks fit in an otherwise unused rack."""
-    fits = 0
-    for name in plan.racks[rack]:
-        worker = plan.workers[name]
-        if may_run(placement, worker):
-            fits += tasks_that_fit(
-                placement, name, worker.capacity, UNBOUNDED_TASKS
-            )
-    return fits
+    eligible = eligible_workers(plan, placement)
+    return sum(
+        tasks_that_fit(
+            placement, name, plan.workers[name].capacity, UNBOUNDED_TASKS
+        )
+        for name in plan.racks[rack]
+        if name in eligible
+    )
 
 
 def racks_by_free(plan: CapacityPlan, accelerators: int) -> list[str]:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -197,6 +197,8 @@
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
         self.stoppable: list[Victim] | None = None
+        # By the priority of a queue, and whether a guarantee covers the job.
+        self.preemptable: dict[tuple[int, bool], set[str]] = {}
         self.reservations: list[Reservation] = []
         self.headroom = Reservation({}, HEADROOM_S)
         self.mostly_free: dict[str, bool] = {}
@@ -873,22 +875,28 @@
         accelerators. Those can be placed again on workers with too few free
         accelerators for this unit, and never preempt it in turn.
         """
-        may_stop: dict[str, bool] = {}
-        victims = []
-        for victim in self._stoppable():
-            if id(victim.unit) in self.stopped:
-                continue
-            job_id = victim.progress.job_id
-            allowed = may_stop.get(job_id)
-            if allowed is None:
-                allowed = self._may_stop(batch, victim.progress)
-                may_stop[job_id] = allowed
-            needs_fewer = (
-                victim.demand.accelerators < batch.step.demand.accelerators
+        allowed = self._preemptable_jobs(batch)
+        limit = batch.step.demand.accelerators if smaller else 0
+        return [
+            victim
+            for victim in self._stoppable()
+            if id(victim.unit) not in self.stopped
+            and (
+                victim.progress.job_id in allowed
+                or victim.demand.accelerators < limit
             )
-            if allowed or (smaller and needs_fewer):
-                victims.append(victim)
-        return victims
+        ]
+
+    def _preemptable_jobs(self, batch: Batch) -> set[str]:
+        """Return the IDs of the jobs that a batch's units may preempt."""
+        key = batch.queue.priority, batch.guaranteed
+        if key not in self.preemptable:
+            self.preemptable[key] = {
+                progress.job_id
+                for progress in self.inputs.jobs
+                if self._may_stop(batch, progress)
+            }
+        return self.preemptable[key]
 
     def _stoppable(self) -> list[Victim]:
         """Return the units that run and are not endless or being stopped.
--- a/src/damaskstall/tasks/preemption.py
+++ b/src/damaskstall/tasks/preemption.py
@@ -11,7 +11,7 @@
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
-    may_run,
+    eligible_workers,
     needs_one_rack,
     tasks_that_fit,
 )
@@ -54,9 +54,9 @@
 
 
 def victims_by_worker(victims: list[Victim]) -> VictimsByWorker:
-    """Return the victims that have tasks on each worker."""
+    """Return the victims on each worker, the cheapest first."""
     found: VictimsByWorker = {}
-    for victim in victims:
+    for victim in sorted(victims, key=lambda each: each.cost_core_s):
         for worker in dict.fromkeys(victim.task_workers):
             found.setdefault(worker, []).append(victim)
     return found
@@ -107,9 +107,10 @@
         self, placement: PlacementRequest, names: list[str]
     ) -> dict[str, Candidate]:
         """Return the workers of ``names`` on which a task can be placed."""
+        eligible = eligible_workers(self.plan, placement)
         found: dict[str, Candidate] = {}
         for name in names:
-            if may_run(placement, self.plan.workers[name]):
+            if name in eligible:
                 candidate = self._candidate(placement, name)
                 if candidate is not None:
                     found[name] = candidate
@@ -152,12 +153,9 @@
         if tasks_that_fit(placement, name, free, 1):
             return []
         to_stop = []
-        stoppable = [
-            victim
-            for victim in self.by_worker.get(name, ())
-            if id(victim.unit) not in self.chosen
-        ]
-        for victim in sorted(stoppable, key=lambda each: each.cost_core_s):
+        for victim in self.by_worker.get(name, ()):
+            if id(victim.unit) in self.chosen:
+                continue
             to_stop.append(victim)
             for _ in range(victim.task_workers.count(name)):
                 free = free.plus(victim.demand)
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -13,8 +13,8 @@
 from damaskstall.tasks.packing import (
     CapacityPlan,
     PlacementRequest,
+    eligible_workers,
     kind_of,
-    may_run,
     pack,
     tasks_that_fit,
 )
@@ -105,12 +105,14 @@
         self.fits: dict[str, int] = {}
         self.group_of: dict[str, int] = {}
         self.totals = [0] * len(groups)
+        eligible = eligible_workers(plan, placement)
         for number, names in enumerate(groups):
             for name in names:
-                if may_run(placement, plan.workers[name]):
-                    self.fits[name] = tasks_on(plan, placement, name)
+                if name in eligible:
+                    fits = tasks_on(plan, placement, name)
+                    self.fits[name] = fits
                     self.group_of[name] = number
-                    self.totals[number] += self.fits[name]
+                    self.totals[number] += fits
 
     def end(self, expected_end: ExpectedEnd) -> set[int]:
         """Release the capacity of a run; return the groups it was on."""
