Pass over full workers without a call, and bound the work of a round

Workers with too few free accelerators were examined like the others, and the size of the largest rack was added up worker by worker.

--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -6,7 +6,9 @@
 units that need whole workers.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import NamedTuple
 
 from damaskstall.tasks.capacity import FreeCapacity
@@ -71,9 +73,10 @@
 
     ``misfits`` has the units that do not fit now, ``later_misfits`` those that
     will not fit in time either, by the expected ends of the round's runs.
-    ``rack_limits`` has the number of tasks of a kind that fit on the largest
-    rack if nothing else runs there, and ``eligible`` the workers that may run
-    the tasks of a service that need a label.
+    ``rack_limits`` has for a kind of task how many fit in one rack if nothing
+    else runs there. ``eligible`` has the workers that may run the tasks of a
+    service that need a label, and ``rack_capacities`` those workers'
+    capacities, rack by rack.
     """
 
     def __init__(self, free_capacities: Iterable[FreeCapacity]) -> None:
@@ -88,6 +91,7 @@
             names = self.racks.setdefault(each.worker.rack, [])
             names.append(each.worker.name)
         self.rack_limits: dict[TaskKind, int] = {}
+        self.rack_capacities: dict[tuple[str, str], list[Counter[Demand]]] = {}
         self.eligible: dict[tuple[str, str], set[str]] = {}
         self.misfits = Misfits()
         self.later_misfits = Misfits()
@@ -99,6 +103,7 @@
         plan.workers = self.workers
         plan.racks = self.racks
         plan.rack_limits = self.rack_limits
+        plan.rack_capacities = self.rack_capacities
         plan.eligible = self.eligible
         plan.free = dict(self.free)
         plan.in_backoff = self.in_backoff
@@ -203,6 +208,15 @@
     return names
 
 
+def least_accelerators(placement: PlacementRequest) -> float:
+    """Return how many accelerators must be free on a worker for one task.
+
+    More may be used than there are, which is no obstacle to a task that needs
+    none.
+    """
+    return placement.step.demand.accelerators or -inf
+
+
 def tasks_that_fit(
     placement: PlacementRequest, worker: str, free: Demand, limit: int
 ) -> int:
@@ -246,11 +260,13 @@
     to avoid, and workers in backoff last.
     """
     eligible = eligible_workers(plan, placement)
+    least = least_accelerators(placement)
     usable = [
         name
         for name in names
         if name in eligible
-        and (plan.is_idle(name) or not placement.alone)
+        and plan.free[name].accelerators >= least
+        and (not placement.alone or plan.is_idle(name))
         and tasks_that_fit(placement, name, plan.free[name], 1)
     ]
     usable.sort(key=lambda name: packing_order(plan, placement, name))
@@ -338,7 +354,9 @@
     step = placement.step
     if not (step.gang and step.one_rack):
         return False
-    return largest_rack_tasks(plan, placement) >= step.unit_size
+    if step.per_worker_limit:
+        return any(rack_holds(plan, placement, rack) for rack in plan.racks)
+    return step.unit_size <= largest_rack_tasks(plan, placement)
 
 
 def across_racks(placement: PlacementRequest) -> PlacementRequest:
@@ -348,35 +366,52 @@
 
 
 def largest_rack_tasks(plan: CapacityPlan, placement: PlacementRequest) -> int:
-    """Return how many of a unit's tasks fit on the largest rack.
+    """Return how many tasks of a unit fit in one rack if nothing else runs.
 
-    That is if nothing else runs there. With a limit per worker, the number
-    depends on the unit.
+    The unit has no limit per worker.
     """
     kind = task_kind_of(placement)
-    limit = plan.rack_limits.get(kind)
-    if limit is None or placement.step.per_worker_limit:
-        limit = max(
-            (rack_tasks(plan, placement, rack) for rack in plan.racks),
+    if kind not in plan.rack_limits:
+        plan.rack_limits[kind] = max(
+            (
+                sum(
+                    count
+                    * tasks_that_fit(placement, "", capacity, UNBOUNDED_TASKS)
+                    for capacity, count in capacities.items()
+                )
+                for capacities in rack_capacities(plan, placement)
+            ),
             default=0,
         )
-    if not placement.step.per_worker_limit:
-        plan.rack_limits[kind] = limit
-    return limit
+    return plan.rack_limits[kind]
 
 
-def rack_tasks(
+def rack_capacities(
+    plan: CapacityPlan, placement: PlacementRequest
+) -> list[Counter[Demand]]:
+    """Return for each rack the capacities of the eligible workers."""
+    key = placement.service, placement.step.required_label
+    if key not in plan.rack_capacities:
+        eligible = eligible_workers(plan, placement)
+        plan.rack_capacities[key] = [
+            Counter(plan.workers[n].capacity for n in names if n in eligible)
+            for names in plan.racks.values()
+        ]
+    return plan.rack_capacities[key]
+
+
+def rack_holds(
     plan: CapacityPlan, placement: PlacementRequest, rack: str
-) -> int:
-    """Return how many of a unit's tasks fit in an otherwise unused rack."""
-    eligible = eligible_workers(plan, placement)
-    return sum(
-        tasks_that_fit(
-            placement, name, plan.workers[name].capacity, UNBOUNDED_TASKS
-        )
-        for name in plan.racks[rack]
-        if name in eligible
-    )
+) -> bool:
+    """Return whether a unit fits in a rack if nothing else runs there."""
+    fits = 0
+    for name in plan.racks[rack]:
+        worker = plan.workers[name]
+        if may_run(placement, worker):
+            fits += tasks_that_fit(
+                placement, name, worker.capacity, UNBOUNDED_TASKS
+            )
+    return fits >= placement.step.unit_size
 
 
 def racks_by_free(plan: CapacityPlan, accelerators: int) -> list[str]:
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -15,6 +15,7 @@
     PlacementRequest,
     eligible_workers,
     kind_of,
+    least_accelerators,
     pack,
     tasks_that_fit,
 )
@@ -106,24 +107,27 @@
         self.group_of: dict[str, int] = {}
         self.totals = [0] * len(groups)
         eligible = eligible_workers(plan, placement)
+        least = least_accelerators(placement)
         for number, names in enumerate(groups):
             for name in names:
-                if name in eligible:
-                    fits = tasks_on(plan, placement, name)
-                    self.fits[name] = fits
-                    self.group_of[name] = number
-                    self.totals[number] += fits
+                if name not in eligible:
+                    continue
+                self.group_of[name] = number
+                if plan.free[name].accelerators >= least:
+                    self.fits[name] = tasks_on(plan, placement, name)
+                    self.totals[number] += self.fits[name]
 
     def end(self, expected_end: ExpectedEnd) -> set[int]:
         """Release the capacity of a run; return the groups it was on."""
+        free = self.plan.free
         changed = set()
         for worker in expected_end.task_workers:
-            if worker not in self.fits:
+            if worker not in self.group_of:
                 continue
-            self.plan.release(worker, expected_end.demand)
+            free[worker] = free[worker].plus(expected_end.demand)
             fits = tasks_on(self.plan, self.placement, worker)
             number = self.group_of[worker]
-            self.totals[number] += fits - self.fits[worker]
+            self.totals[number] += fits - self.fits.get(worker, 0)
             self.fits[worker] = fits
             changed.add(number)
         return changed
@@ -192,7 +196,7 @@
     Capacity that other runs release within ``after_s`` is not reserved.
     """
     kept: dict[str, Demand] = {}
-    freed_by = capacity_freed(expected_ends, after_s)
+    freed_by = capacity_freed(set(workers), expected_ends, after_s)
     for worker in dict.fromkeys(workers):
         freed = freed_by.get(worker, NO_DEMAND)
         needed = NO_DEMAND
@@ -210,14 +214,16 @@
 
 
 def capacity_freed(
-    expected_ends: list[ExpectedEnd], after_s: float
+    workers: set[str], expected_ends: list[ExpectedEnd], after_s: float
 ) -> dict[str, Demand]:
-    """Return by worker the capacity that runs release within ``after_s``."""
+    """Return the capacity that runs release on workers in ``after_s``."""
     freed: dict[str, Demand] = {}
     for expected_end in expected_ends:
         if expected_end.remaining_s > after_s:
             break
         for worker in expected_end.task_workers:
+            if worker not in workers:
+                continue
             earlier = freed.get(worker, NO_DEMAND)
             freed[worker] = earlier.plus(expected_end.demand)
     return freed
--- a/src/damaskstall/tasks/run_time_estimator.py
+++ b/src/damaskstall/tasks/run_time_estimator.py
@@ -53,7 +53,7 @@
         """
         ends_s: list[float] = []
         for number, step in enumerate(progress.job.declaration.steps):
-            start_s = max((ends_s[n] for n in step.after), default=0.0)
+            start_s = max(ends_s[n] for n in step.after) if step.after else 0.0
             is_done = only_remaining and progress.step_done(occurrence, number)
             duration_s = (
                 0.0
