Recognize the outage of a worker that no reading has shown

Callers saw tasks suspected of a crash after a failure domain or rack had lost power, if no reading of the list of machines had shown their worker before: after a take-over, or within 5 s of the worker's first run. Cause: the place of a machine was looked up by its worker, which only an earlier reading links to it. The list of workers knows the failure domain and the rack too, so it is used where the machine is not known. The new test of MachineEvidence passes the places, which the earlier code did not take; it returned MACHINE_EMPTY, not an outage, for such a worker.

--- a/src/damaskstall/tasks/machine_evidence.py
+++ b/src/damaskstall/tasks/machine_evidence.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Set
+from types import MappingProxyType
 from typing import NamedTuple
 
 # A worker that no reading has shown must be absent from all readings for this
@@ -29,6 +30,16 @@
     rack: str = ""
 
 
+class Place(NamedTuple):
+    """The failure domain and the rack of a worker, "" if not known."""
+
+    failure_domain: str
+    rack: str
+
+
+NO_PLACES: Mapping[str, Place] = MappingProxyType({})
+
+
 class EndedWorker(NamedTuple):
     """What the readings prove about a worker that has ended.
 
@@ -66,11 +77,13 @@
         answering: Set[str],
         entries: Iterable[MachineEntry],
         now_s: float,
+        places: Mapping[str, Place] = NO_PLACES,
     ) -> dict[str, EndedWorker]:
         """Return the silent workers that have ended, by a new reading.
 
         ``silent_since`` has the start of each silent worker's present silence,
-        which began before the reading did.
+        which began before the reading did. ``places`` has those of the
+        workers that are listed.
         """
         found = list(entries)
         complete = self._is_complete(found, answering)
@@ -81,7 +94,7 @@
             if entry.worker:
                 self._machine_of[entry.worker] = entry.machine
         shown = {entry.worker for entry in found}
-        self._note_outages(silent_since, found)
+        self._note_outages(silent_since, found, places)
         ended: dict[str, EndedWorker] = {}
         for name, since_s in silent_since.items():
             if name in shown:
@@ -94,17 +107,32 @@
                 in_outage = self._outages.get(name) == since_s
                 ended[name] = EndedWorker(replaced, in_outage)
             elif complete and self._is_absent_long(name, since_s, now_s):
-                ended[name] = MACHINE_EMPTY
+                in_outage = self._outages.get(name) == since_s
+                ended[name] = EndedWorker(False, in_outage)
         self._forget_absences(silent_since, shown, complete)
         return ended
 
     def _note_outages(
-        self, silent_since: Mapping[str, float], entries: list[MachineEntry]
+        self,
+        silent_since: Mapping[str, float],
+        entries: list[MachineEntry],
+        places: Mapping[str, Place],
     ) -> None:
         """Note the silent workers whose failure domain or rack is down."""
-        down = machines_in_outages(entries)
+        groups = groups_in_outages(entries)
+        down = {
+            entry.machine
+            for entry in entries
+            if not groups.isdisjoint(groups_of(entry))
+        }
         for name, since_s in silent_since.items():
-            if self._machine_of.get(name) in down:
+            machine = self._machine_of.get(name)
+            place = places.get(name)
+            if machine is None and place is not None:
+                is_down = not groups.isdisjoint(groups_of(place))
+            else:
+                is_down = machine in down
+            if is_down:
                 self._outages[name] = since_s
         for name in list(self._outages):
             if self._outages[name] != silent_since.get(name):
@@ -143,19 +171,23 @@
                 del self._absent_since[name]
 
 
-def machines_in_outages(entries: Iterable[MachineEntry]) -> set[str]:
-    """Return the machines of each failure domain and rack without a worker.
+def groups_of(place: Place | MachineEntry) -> set[tuple[str, str]]:
+    """Return the known groups of a place: its failure domain and rack."""
+    groups = (("domain", place.failure_domain), ("rack", place.rack))
+    return {group for group in groups if group[1]}
+
+
+def groups_in_outages(entries: Iterable[MachineEntry]) -> set[tuple[str, str]]:
+    """Return each failure domain and rack without a worker.
 
     A group of one machine is not distinguishable from a crash.
     """
-    groups: dict[tuple[str, str], list[MachineEntry]] = {}
+    members: dict[tuple[str, str], list[MachineEntry]] = {}
     for entry in entries:
-        for group in (("domain", entry.failure_domain), ("rack", entry.rack)):
-            if group[1]:
-                groups.setdefault(group, []).append(entry)
+        for group in groups_of(entry):
+            members.setdefault(group, []).append(entry)
     return {
-        entry.machine
-        for members in groups.values()
-        if len(members) > 1 and not any(each.worker for each in members)
-        for entry in members
+        group
+        for group, found in members.items()
+        if len(found) > 1 and not any(entry.worker for entry in found)
     }
--- a/src/damaskstall/tasks/machine_list_poller.py
+++ b/src/damaskstall/tasks/machine_list_poller.py
@@ -73,6 +73,7 @@
             self.pool.answering_workers(),
             entries,
             self.pool.context.clock(),
+            self.pool.places(),
         )
         for name, found in sorted(ended.items()):
             self.pool.record_machine_stopped(name, silent_since[name], found)
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -15,7 +15,11 @@
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.expected_runs import ALWAYS_S
 from damaskstall.tasks.fencing import FencingTokens
-from damaskstall.tasks.machine_evidence import MACHINE_EMPTY, EndedWorker
+from damaskstall.tasks.machine_evidence import (
+    MACHINE_EMPTY,
+    EndedWorker,
+    Place,
+)
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
@@ -246,6 +250,13 @@
             if session.reachable and session.load.runs
         }
 
+    def places(self) -> dict[str, Place]:
+        """Return the places of the listed workers."""
+        return {
+            name: Place(session.worker.failure_domain, session.worker.rack)
+            for name, session in self.sessions.items()
+        }
+
     def record_machine_stopped(
         self, name: str, since_s: float, found: EndedWorker = MACHINE_EMPTY
     ) -> None:
--- a/tests/tasks/test_machine_evidence.py
+++ b/tests/tasks/test_machine_evidence.py
@@ -1,6 +1,11 @@
 """What readings of the list of machines prove about silent workers."""
 
-from damaskstall.tasks.machine_evidence import MachineEntry, MachineEvidence
+from damaskstall.tasks.machine_evidence import (
+    EndedWorker,
+    MachineEntry,
+    MachineEvidence,
+    Place,
+)
 
 ALIVE = MachineEntry("m1", "w1")
 DOWN = MachineEntry("m1", "")
@@ -69,3 +74,32 @@
     assert not ended(evidence, [DOWN, OTHER], 0.5)
     assert not ended(evidence, [DOWN, OTHER], 0.8)
     assert ended(evidence, [DOWN, OTHER], 1.8)
+
+
+def test_outage_of_a_worker_that_was_never_shown_is_no_crash() -> None:
+    for group in (Place("fd1", ""), Place("fd2", "r1")):
+        evidence = MachineEvidence()
+        down = [MachineEntry(f"m{n}", "", *group) for n in (1, 3)]
+        place = Place("fd1", "r1")
+        for now_s in (0.0, 1.0):
+            ended = evidence.ended_workers(
+                {"w1": 0.0}, {"w2"}, [*down, OTHER], now_s, {"w1": place}
+            )
+        assert ended == {"w1": EndedWorker(replaced=False, in_outage=True)}
+
+
+def test_crash_of_a_worker_that_was_never_shown_is_no_outage() -> None:
+    evidence = MachineEvidence()
+    place = Place("fd1", "r1")
+    entries = [
+        MachineEntry("m1", "", *place),
+        MachineEntry("m3", "w3", *place),
+        MachineEntry("m4", "", "fd4", "r4"),
+        MachineEntry("m5", "", "fd4", "r4"),
+        OTHER,
+    ]
+    for now_s in (0.0, 1.0):
+        ended = evidence.ended_workers(
+            {"w1": 0.0}, {"w2"}, entries, now_s, {"w1": place}
+        )
+    assert ended == {"w1": EndedWorker(replaced=False, in_outage=False)}
