Count no crash for a loss that a new holder did not observe

Callers saw jobs isolated, and after four such losses failed, though all instances and workers had lost power, or a holder was replaced around an outage. Cause: a successor has no reading from before, so each worker that it did not find counted as crashed under its tasks. A loss of everything leaves no trace in the list of machines once other workers run there.

A worker that has never answered this holder now ends with the evidence 'unobserved'. It counts as a crash only if a worker of the same failure domain and rack answers that started before the job was accepted: an outage would have ended that one too.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -575,6 +575,11 @@
         """Return the time since a unit's present run was placed."""
         return self.context.clock() - unit.started_s
 
+    def is_lost_alone(self, worker: str, progress: JobProgress) -> bool:
+        """Return whether a worker that ran a job's tasks was lost alone."""
+        accepted_unix_s = progress.job.accepted_unix_s
+        return self.pool.has_older_peer(worker, accepted_unix_s)
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
--- a/src/damaskstall/tasks/model.py
+++ b/src/damaskstall/tasks/model.py
@@ -179,7 +179,8 @@
 class WorkerInfo(NamedTuple):
     """A worker as the platform lists it.
 
-    ``incarnation`` distinguishes successive workers under the same name.
+    ``incarnation`` distinguishes successive workers under the same name: it is
+    the Unix time of the worker's start in milliseconds, 0 if not known.
     ``leaving`` states that the worker drains; ``leaves_in_s`` is the minimum
     time that it stays, as of its last report. A worker with
     ``checks_capacity`` refuses runs that exceed its capacity.
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -18,20 +18,23 @@
 
 # Evidence for the end of a run: the worker listed the end, its reports lack
 # the run, it refused the start, another incarnation of it answers, its
-# machine is down, its whole failure domain or rack is down, it was draining
-# and has ended, its lease has expired, or no start command was sent.
+# machine is down, its whole failure domain or rack is down, it ended before
+# this holder heard from it, it was draining and has ended, its lease has
+# expired, or no start command was sent.
 REPORTED = "reported"
 MISSING = "missing"
 REFUSED = "refused"
 REPLACED = "replaced"
 MACHINE_DOWN = "machine_down"
 OUTAGE = "outage"
+UNOBSERVED = "unobserved"
 WORKER_LEFT = "worker_left"
 LEASE_EXPIRED = "lease_expired"
 NOT_LAUNCHED = "not_launched"
 # Evidence that a worker crashed while the run was there. A worker that is
 # silent or cut off, that drains, or that is lost with all others around it
-# has not crashed because of its runs.
+# has not crashed because of its runs. One that ended unobserved may have been
+# lost with the others.
 CRASH_EVIDENCE = frozenset({MACHINE_DOWN, REPLACED})
 
 
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -3,7 +3,12 @@
 from typing import Protocol
 
 from damaskstall.tasks.model import RunKey
-from damaskstall.tasks.ports import CRASH_EVIDENCE, REPORTED, EndReport
+from damaskstall.tasks.ports import (
+    CRASH_EVIDENCE,
+    REPORTED,
+    UNOBSERVED,
+    EndReport,
+)
 from damaskstall.tasks.progress import (
     ENDED_DONE,
     ENDED_NOT_STARTED,
@@ -65,6 +70,12 @@
     def run_age_s(self, unit: Unit) -> float:
         """Return the time since a unit's present run was placed."""
 
+    def is_lost_alone(self, worker: str, progress: JobProgress) -> bool:
+        """Return whether a worker that ran a job's tasks was lost alone.
+
+        If it is not certain that workers beside it went on, return False.
+        """
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
@@ -126,7 +137,7 @@
             unit, position, end.how, self.owner.attempt_limit(progress)
         )
         log_run_ended(worker, end)
-        if end.evidence in CRASH_EVIDENCE:
+        if self._is_crash(worker, progress, end.evidence):
             ran_s = self.owner.run_age_s(unit)
             self._count_crash(progress, unit, end.key.run, ran_s)
         if end.evidence == REPORTED:
@@ -140,6 +151,14 @@
             self.owner.stop_all(progress, "the job has failed")
         self.owner.schedule_write(progress)
 
+    def _is_crash(
+        self, worker: str, progress: JobProgress, evidence: str
+    ) -> bool:
+        """Return whether a run ended because its worker crashed."""
+        if evidence == UNOBSERVED:
+            return self.owner.is_lost_alone(worker, progress)
+        return evidence in CRASH_EVIDENCE
+
     def record_late_crash(self, key: RunKey) -> None:
         """Record that the worker of a run that has ended had crashed."""
         progress = self.jobs.get(key.task.job_id)
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -23,8 +23,8 @@
 from damaskstall.tasks.model import AcceptedJob, Demand, RunKey
 from damaskstall.tasks.ports import (
     LEASE_EXPIRED,
-    MACHINE_DOWN,
     OUTAGE,
+    UNOBSERVED,
     EndReport,
 )
 from damaskstall.tasks.progress import (
@@ -65,6 +65,9 @@
 # many connections well within the time in which a worker has to answer.
 CONCURRENT_CONTACT_LIMIT = 16
 
+# The number of an incarnation is the Unix time of its start in milliseconds.
+MILLISECONDS_PER_S = 1000.0
+
 
 class Orphan(NamedTuple):
     """Unlisted worker of a run, and the time at which its lease expires.
@@ -269,7 +272,7 @@
         session = self.sessions.get(name)
         if session is not None:
             session.record_machine_down(since_s, found)
-        evidence = OUTAGE if found.in_outage else MACHINE_DOWN
+        evidence = OUTAGE if found.in_outage else UNOBSERVED
         now_s = self.context.clock()
         for key, orphan in list(self._orphans.items()):
             if orphan.worker != name or orphan.adopted_s > since_s:
@@ -277,6 +280,23 @@
             if found.replaced or now_s >= orphan.late_start_until_s:
                 self._end_orphan(key, orphan, evidence)
 
+    def has_older_peer(self, worker: str, born_unix_s: float) -> bool:
+        """Return whether a worker beside another one has run since a time.
+
+        It is in the same failure domain and rack, so an outage of all of them
+        would have ended it too.
+        """
+        session = self.sessions.get(worker)
+        if session is None:
+            return False
+        place = session.worker.failure_domain, session.worker.rack
+        return any(
+            peer.reachable
+            and 0 < peer.incarnation <= born_unix_s * MILLISECONDS_PER_S
+            and (peer.worker.failure_domain, peer.worker.rack) == place
+            for peer in self.sessions.values()
+        )
+
     def leaving_workers(self) -> dict[str, float]:
         """Return the draining workers with the seconds until they leave."""
         found = {
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -36,6 +36,7 @@
     NOT_LAUNCHED,
     OUTAGE,
     REPLACED,
+    UNOBSERVED,
     WORKER_LEFT,
     EndReport,
     LeaseRenewal,
@@ -131,6 +132,8 @@
         self.silent_since_s = started_s
         # Whether the whole failure domain or rack was down in this silence.
         self.in_outage = False
+        # Whether the worker has answered this holder.
+        self.heard = False
         # The runs that lapsed in this silence; until the given time a crash
         # of the worker is still attributed to them.
         self._lapsed_runs: list[RunKey] = []
@@ -295,7 +298,11 @@
         """Return why the worker's runs ended if it did not just crash."""
         if self.worker.leaving:
             return WORKER_LEFT
-        return OUTAGE if self.in_outage else evidence
+        if self.in_outage:
+            return OUTAGE
+        if not self.heard:
+            return UNOBSERVED
+        return evidence
 
     def wake(self) -> None:
         """Wake the session to renew the lease if runs need it."""
@@ -412,6 +419,7 @@
             self.begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
+        self.heard = True
         if not self.lease.clock_known:
             log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
             self.answered.set()
--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -261,3 +261,72 @@
         check_runs(cluster)
 
     run_scenario(scenario, racks=3, per_rack=4)
+
+
+def test_outage_that_a_new_holder_finds_is_no_crash_under_its_tasks() -> None:
+    """The successor has no reading of the machines from before."""
+
+    async def play(cluster: Cluster, renamed: bool) -> None:
+        name = await submit_long_job(cluster)
+        domain = [w for w in cluster.workers.values() if w.name[1] == name[1]]
+        holder = cluster.holder()
+        assert holder is not None
+        cluster.kill_node(holder)
+        for worker in domain:
+            worker.crash()
+        await cluster.wait(lambda: cluster.holder() is not None)
+        await sleep(2.5)
+        for worker in domain:
+            await return_worker(cluster, worker, renamed)
+        await check_no_suspects(cluster, 4.0)
+        await cluster.start_node(holder)
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    for renamed in (False, True):
+        run_scenario(partial(play, renamed=renamed))
+
+
+def test_loss_of_all_power_is_no_crash_under_any_task() -> None:
+    """The workers return before or after the holder, one by one."""
+
+    async def play(
+        cluster: Cluster, renamed: bool, holder_after_s: float
+    ) -> None:
+        assert cluster.nursery is not None
+        await submit_long_job(cluster)
+        nodes = list(cluster.nodes)
+        for node in nodes:
+            cluster.kill_node(node)
+        workers = list(cluster.workers.values())
+        for worker in workers:
+            worker.crash()
+        cluster.nursery.start_soon(return_later, cluster, workers, renamed)
+        await sleep(holder_after_s)
+        for node in nodes:
+            await cluster.start_node(node)
+        await check_no_suspects(cluster, 8.0)
+        await cluster.wait_state(DEADLY_JOB, "completed")
+
+    for renamed in (False, True):
+        for holder_after_s in (0.5, 2.0, 5.0):
+            run_scenario(
+                partial(play, renamed=renamed, holder_after_s=holder_after_s)
+            )
+
+
+async def return_later(
+    cluster: Cluster, workers: list[StandinWorker], renamed: bool
+) -> None:
+    """Start workers again one after another, the first after RETURN_S."""
+    await sleep(RETURN_S)
+    for worker in workers:
+        await return_worker(cluster, worker, renamed)
+        await sleep(0.3)
+
+
+async def check_no_suspects(cluster: Cluster, duration_s: float) -> None:
+    """Assert for some time that no job is suspected of a crash."""
+    until_s = current_time() + duration_s
+    while current_time() < until_s:
+        assert suspected_jobs(cluster) == []
+        await sleep(0.1)
