Let a suspected unit wait for idle workers only for a limited time

Callers saw an accepted job that could run wait while most of the capacity was free: after two crashes a unit only started on workers without other runs, and where every worker has a small endless task none ever becomes idle. A gang needed as many idle workers as it has members. No reservation helps, since there is no end to wait for.

A unit now starts beside other runs 10 s after its last run ended, 2 s if its step is endless; it is still kept apart from other suspects, nothing else starts beside it for 5 s, and it preempts nothing. With the wait made unlimited, as before, all three cases of test_unit_does_not_wait_for_ever_for_an_idle_worker fail.

--- a/src/damaskstall/tasks/isolation.py
+++ b/src/damaskstall/tasks/isolation.py
@@ -4,17 +4,23 @@
 worker did so is not known. So units under which a worker has crashed are kept
 apart from one another where possible. After two crashes, a unit only starts on
 workers without other runs, and nothing else starts there for a while: a crash
-then ends no work of others and has only one explanation.
+then ends no work of others and has only one explanation. If no worker becomes
+idle for some time, the unit starts beside other runs.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from damaskstall.tasks.model import Step
 from damaskstall.tasks.progress import JobProgress, Unit
 
 ISOLATION_CRASHES = 2
 # Nothing else starts beside an isolated run for this long.
 ISOLATION_S = 5.0
+# The longest wait for workers without other runs since the unit's last run.
+ISOLATION_WAIT_S = 10.0
+# An endless step serves its users continuously.
+ENDLESS_ISOLATION_WAIT_S = 2.0
 
 
 class SuspectWorkers(NamedTuple):
@@ -25,10 +31,18 @@
 
 
 def needs_isolation(unit: Unit) -> bool:
-    """Return whether a unit may only start on workers without other runs."""
+    """Return whether a unit is to be kept apart from all other runs."""
     return len(unit.crashed_runs) >= ISOLATION_CRASHES
 
 
+def waits_for_idle_workers(unit: Unit, step: Step, now_s: float) -> bool:
+    """Return whether a unit only starts on workers without other runs."""
+    if not needs_isolation(unit):
+        return False
+    limit_s = ENDLESS_ISOLATION_WAIT_S if step.endless else ISOLATION_WAIT_S
+    return now_s - unit.ended_s < limit_s
+
+
 def find_suspect_workers(
     jobs: Iterable[JobProgress], now_s: float
 ) -> SuspectWorkers:
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -240,6 +240,7 @@
     unit.avoid = set(avoid)
     unit.members = []
     unit.started_s = now_s
+    unit.ended_s = now_s
     unit.has_begun = True
     for worker, incarnation, ended in members:
         member = Member(worker, incarnation)
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -24,6 +24,7 @@
 from damaskstall.tasks.isolation import (
     find_suspect_workers,
     needs_isolation,
+    waits_for_idle_workers,
 )
 from damaskstall.tasks.last_resort import may_use_backoff
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
@@ -286,7 +287,8 @@
             if workers is not None:
                 self._start(batch, unit, workers)
                 return True
-        if batch.queue.priority == URGENT_PRIORITY and not placement.alone:
+        is_urgent = batch.queue.priority == URGENT_PRIORITY
+        if is_urgent and not needs_isolation(unit):
             if self._place_urgent(batch, unit, placement):
                 return True
             return self._place_in_backoff(batch, unit, placement)
@@ -840,7 +842,7 @@
             batch.progress.job.service,
             avoid,
             task_counts,
-            needs_isolation(unit),
+            waits_for_idle_workers(unit, batch.step, self.now_s),
         )
 
     def _count_tasks(
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -132,13 +132,13 @@
             unit.checkpoint = end.checkpoint
         if end.how != ENDED_NOT_STARTED:
             unit.has_begun = True
-        unit.ended_s = unit.started_s + self.owner.run_age_s(unit)
+        ran_s = self.owner.run_age_s(unit)
+        unit.ended_s = unit.started_s + ran_s
         progress.end_member(
             unit, position, end.how, self.owner.attempt_limit(progress)
         )
         log_run_ended(worker, end)
         if self._is_crash(worker, progress, end.evidence):
-            ran_s = self.owner.run_age_s(unit)
             self._count_crash(progress, unit, end.key.run, ran_s)
         if end.evidence == REPORTED:
             self._mark_logged(worker, end.key)
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -1,7 +1,14 @@
 """Where units under which workers have crashed may start."""
 
-from damaskstall.tasks.isolation import ISOLATION_S
+from pytest import mark
+
+from damaskstall.tasks.isolation import (
+    ENDLESS_ISOLATION_WAIT_S,
+    ISOLATION_S,
+    ISOLATION_WAIT_S,
+)
 from damaskstall.tasks.job_rows import encode_progress, restore_progress
+from damaskstall.tasks.model import Step
 from damaskstall.tasks.policy import StartUnit, StopUnit
 from damaskstall.tasks.progress import CRASH_MEMORY_S, JobProgress, Unit
 from damaskstall.tasks.stored_runs import adopt_stored_runs
@@ -261,3 +268,34 @@
     crash(job, 1)
     adopt_stored_runs(job, encode_progress(other), NoRuns(), 0.0)
     assert next(job.all_units()).crashed_runs == {1, 2}
+
+
+@mark.parametrize(
+    ("step", "limit_s"),
+    [
+        (task(1, endless=True), ENDLESS_ISOLATION_WAIT_S),
+        (task(1), ISOLATION_WAIT_S),
+        (task(1, task_count=4, gang=True), ISOLATION_WAIT_S),
+    ],
+)
+def test_unit_does_not_wait_for_ever_for_an_idle_worker(
+    step: Step, limit_s: float
+) -> None:
+    """Endless tasks on all workers never leave one idle."""
+    fleet = Fleet(racks=1, per_rack=4)
+    for worker in fleet.workers:
+        fleet.run_on(fleet.add(NORMAL, task(1, endless=True)), worker.name)
+    suspect = fleet.add(NORMAL, step)
+    unit = crash(suspect, 2)
+    unit.ended_s = 1.0
+    assert started_on(fleet, now_s=0.9 + limit_s) == {}
+    assert suspect.job_id in started_on(fleet, now_s=1.1 + limit_s)
+
+
+def test_urgent_unit_that_waited_for_isolation_preempts_nothing() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.run_on(fleet.add(BULK, task(8)), "w00")
+    suspect = fleet.add(URGENT, task(1))
+    crash(suspect, 2)
+    decisions = fleet.decide(now_s=1.0 + ISOLATION_WAIT_S)
+    assert not any(isinstance(d, StopUnit) for d in decisions)
