Start suspected units where no worker has crashed lately

Callers saw a wide gang without fault shown as failed: of 40 workers four went down and up every 1.4 s, and four runs of a gang of 28 members in a row met one of them. Cause: nothing told a worker that crashes again and again from the tasks on it, so a suspected unit started on it again.

A worker that crashed within the last 30 s is now one to avoid for suspected units, if others have room. The test of an endless step beside flapping workers and that of the deadly wide gang passed before.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -432,6 +432,7 @@
             self.claims,
             self.urgent_load,
             self.pool.backoff_capacities(configuration.evacuated),
+            self.pool.crashed_workers(),
         )
 
     def _apply_round(self, result: RoundResult) -> None:
--- a/src/damaskstall/tasks/isolation.py
+++ b/src/damaskstall/tasks/isolation.py
@@ -2,10 +2,11 @@
 
 A task may crash each worker that starts it. Which of the tasks on a crashed
 worker did so is not known. So units under which a worker has crashed are kept
-apart from one another where possible. After two crashes, a unit only starts on
-workers without other runs, and nothing else starts there for a while: a crash
-then ends no work of others and has only one explanation. If no worker becomes
-idle for some time, the unit starts beside other runs.
+apart from one another where possible, and start where no worker has crashed
+lately, since a worker may also crash repeatedly by itself. After two crashes,
+a unit only starts on workers without other runs, and nothing else starts there
+for a while: a crash then ends no work of others and has only one explanation.
+If no worker becomes idle for some time, the unit starts beside other runs.
 """
 
 from collections.abc import Iterable
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -837,6 +837,7 @@
         avoid = frozenset(unit.avoid)
         if unit.crashed_runs:
             avoid |= self.suspects.shared
+            avoid |= self.inputs.crashed_workers
         return PlacementRequest(
             batch.step,
             batch.progress.job.service,
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -17,8 +17,9 @@
 class SchedulingInput(NamedTuple):
     """The jobs, their queues and guarantees, and the free capacity.
 
-    ``claims`` is the result of the round before, and ``backoff_capacities``
-    has the workers in backoff, which are a last resort.
+    ``claims`` is the result of the round before. ``backoff_capacities`` has
+    the workers in backoff, which are a last resort, and ``crashed_workers``
+    names those that have crashed a short time ago.
     """
 
     jobs: list[JobProgress]
@@ -30,6 +31,8 @@
     urgent_load: UrgentLoad
     backoff_capacities: Sequence[FreeCapacity] = ()
 
+    crashed_workers: frozenset[str] = frozenset()
+
 
 def queue_of(inputs: SchedulingInput, progress: JobProgress) -> Queue:
     """Return a job's queue; a removed queue gets the lowest priority."""
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -65,6 +65,9 @@
 # many connections well within the time in which a worker has to answer.
 CONCURRENT_CONTACT_LIMIT = 16
 
+
+# A worker that crashes repeatedly does so again within this time.
+CRASH_MEMORY_S = 30.0
 # The number of an incarnation is the Unix time of its start in milliseconds.
 MILLISECONDS_PER_S = 1000.0
 
@@ -188,6 +191,15 @@
             and session.worker.failure_domain not in evacuated
         ]
 
+    def crashed_workers(self) -> frozenset[str]:
+        """Return the workers that have crashed a short time ago."""
+        since_s = self.context.clock() - CRASH_MEMORY_S
+        return frozenset(
+            name
+            for name, session in self.sessions.items()
+            if session.crashed_s > since_s
+        )
+
     def adopt(self, progress: JobProgress, unit: Unit) -> None:
         """Count the runs of a unit that an earlier holder placed."""
         demand = progress.step_of(unit).demand
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -132,6 +132,8 @@
         self.silent_since_s = started_s
         # Whether the whole failure domain or rack was down in this silence.
         self.in_outage = False
+        # When the worker last crashed, as far as this holder knows.
+        self.crashed_s = float("-inf")
         # Whether the worker has answered this holder.
         self.heard = False
         # The runs that lapsed in this silence; until the given time a crash
@@ -273,7 +275,7 @@
         if self.reachable or self.silent_since_s != since_s:
             return
         self.in_outage = self.in_outage or found.in_outage
-        self._judge_lapsed_runs(self._loss_evidence(MACHINE_DOWN))
+        self._record_loss(self._loss_evidence(MACHINE_DOWN))
         runs = list(self.load.runs)
         if not found.replaced:
             runs = self._settled_runs(0.0)
@@ -287,10 +289,11 @@
         """Return whether runs lapsed here whose worker may have crashed."""
         return bool(self._lapsed_runs) and self.clock() < self._judged_until_s
 
-    def _judge_lapsed_runs(self, evidence: str) -> None:
-        """Report the runs that lapsed in this silence if it was a crash."""
+    def _record_loss(self, evidence: str) -> None:
+        """Note a crash, and report the runs that lapsed in its silence."""
         runs, self._lapsed_runs = self._lapsed_runs, []
         if evidence in CRASH_EVIDENCE:
+            self.crashed_s = self.clock()
             for key in runs:
                 self.owner.record_crash(key)
 
@@ -521,7 +524,7 @@
         show which of the runs it has.
         """
         evidence = self._loss_evidence(REPLACED)
-        self._judge_lapsed_runs(evidence)
+        self._record_loss(evidence)
         log(
             TASK_WORKER_REPLACED,
             worker=self.worker.name,
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -69,6 +69,7 @@
         self.claims = no_claims()
         self.in_backoff: set[str] = set()
         self.urgent_load = UrgentLoad()
+        self.crashed_workers: frozenset[str] = frozenset()
 
     def add(
         self, queue_name: str, *steps: Step, team: str = "blue"
@@ -127,6 +128,7 @@
             self.claims,
             self.urgent_load,
             in_backoff,
+            self.crashed_workers,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -330,3 +330,69 @@
     while current_time() < until_s:
         assert suspected_jobs(cluster) == []
         await sleep(0.1)
+
+
+FLAP_S = 1.4
+WIDE_GANG = {**GANG, "count": 28, "same_rack": False}
+
+
+async def flap(cluster: Cluster, worker: StandinWorker) -> None:
+    """Crash a worker and start it again by turns, until cancelled."""
+    assert cluster.nursery is not None
+    while True:
+        worker.crash()
+        await sleep(FLAP_S)
+        await worker.restart(cluster.nursery)
+        cluster.register_worker(worker)
+        await sleep(FLAP_S)
+
+
+def test_wide_gang_without_fault_is_done_beside_flapping_workers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        workers = list(cluster.workers.values())
+        for worker in workers[::10]:
+            cluster.nursery.start_soon(flap, cluster, worker)
+            await sleep(FLAP_S / 4)
+        jobs = [job_id(number) for number in range(1, 4)]
+        for job in jobs:
+            await cluster.submit(job, [WIDE_GANG], work_s=4.0)
+        for job in jobs:
+            await cluster.wait_state(job, "completed", limit_s=40.0)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=5, per_rack=8)
+
+
+def test_endless_task_without_fault_runs_on_beside_flapping_workers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        workers = list(cluster.workers.values())
+        for worker in workers[::4]:
+            cluster.nursery.start_soon(flap, cluster, worker)
+            await sleep(FLAP_S / 4)
+        await cluster.submit(
+            DEADLY_JOB, [{**EIGHT_TASKS, "long_running": True}], work_s=900.0
+        )
+        await sleep(40.0)
+        assert await cluster.state(DEADLY_JOB) == "running"
+        running = [r for r in cluster.history.runs if r.ended_s is None]
+        assert len(running) == EIGHT_TASKS["count"]
+
+    run_scenario(scenario, racks=3, per_rack=4)
+
+
+def test_wide_gang_that_crashes_its_workers_is_given_up() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(return_workers, cluster, False)
+        cluster.history.crash_after_s[task_name(DEADLY_JOB, 1)] = 0.02
+        for number in range(2, 42):
+            job = job_id(number)
+            await cluster.submit(job, [ONE_TASK], work_s=60.0)
+        await cluster.submit(DEADLY_JOB, [WIDE_GANG], work_s=2.0)
+        await cluster.wait_state(DEADLY_JOB, "failed", limit_s=90.0)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=5, per_rack=8)
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -299,3 +299,11 @@
     crash(suspect, 2)
     decisions = fleet.decide(now_s=1.0 + ISOLATION_WAIT_S)
     assert not any(isinstance(d, StopUnit) for d in decisions)
+
+
+def test_suspected_unit_starts_where_no_worker_has_crashed_lately() -> None:
+    fleet = Fleet(racks=1, per_rack=3)
+    fleet.crashed_workers = frozenset({"w00", "w01"})
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 1)
+    assert started_on(fleet) == {suspect.job_id: ["w02"]}
