Keep isolated units off workers that have crashed lately

Callers saw jobs without fault shown as failed beside deadly jobs (half of all) and flapping workers (a tenth): a unit that had met two deadly tasks waited for an idle worker, and those that flap are the ones that are idle. Two more crashes there failed it.

--- a/src/damaskstall/tasks/isolation.py
+++ b/src/damaskstall/tasks/isolation.py
@@ -4,9 +4,9 @@
 worker did so is not known. So units under which a worker has crashed are kept
 apart from one another where possible, and start where no worker has crashed
 lately, since a worker may also crash repeatedly by itself. After two crashes,
-a unit only starts on workers without other runs, and nothing else starts there
+a unit only starts on such workers without other runs, and nothing starts there
 for a while: a crash then ends no work of others and has only one explanation.
-If no worker becomes idle for some time, the unit starts beside other runs.
+If no such worker becomes idle for some time, the unit starts elsewhere.
 """
 
 from collections.abc import Iterable
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -167,8 +167,9 @@
 
     ``task_counts`` is the number of the step's tasks that each worker already
     has, and ``avoid`` names workers to use only as a last resort. A unit that
-    is to run ``alone`` only fits on workers without other runs, and one to
-    ``spread`` goes to the workers with the most free capacity.
+    is to run ``alone`` only fits on workers without other runs that are not
+    ``unreliable``, and one to ``spread`` goes to the workers with the most
+    free capacity.
     """
 
     step: Step
@@ -176,6 +177,7 @@
     avoid: frozenset[str]
     task_counts: dict[str, int]
     alone: bool = False
+    unreliable: frozenset[str] = frozenset()
     spread: bool = False
 
 
@@ -217,6 +219,15 @@
     return placement.step.demand.accelerators or -inf
 
 
+def is_apart(
+    plan: CapacityPlan, placement: PlacementRequest, worker: str
+) -> bool:
+    """Return whether a worker is idle and reliable if the unit needs that."""
+    if not placement.alone:
+        return True
+    return plan.is_idle(worker) and worker not in placement.unreliable
+
+
 def tasks_that_fit(
     placement: PlacementRequest, worker: str, free: Demand, limit: int
 ) -> int:
@@ -266,7 +277,7 @@
         for name in names
         if name in eligible
         and plan.free[name].accelerators >= least
-        and (not placement.alone or plan.is_idle(name))
+        and is_apart(plan, placement, name)
         and tasks_that_fit(placement, name, plan.free[name], 1)
     ]
     usable.sort(key=lambda name: packing_order(plan, placement, name))
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -844,6 +844,7 @@
             avoid,
             task_counts,
             waits_for_idle_workers(unit, batch.step, self.now_s),
+            self.inputs.crashed_workers,
         )
 
     def _count_tasks(
--- a/src/damaskstall/tasks/reservations.py
+++ b/src/damaskstall/tasks/reservations.py
@@ -14,6 +14,7 @@
     CapacityPlan,
     PlacementRequest,
     eligible_workers,
+    is_apart,
     kind_of,
     least_accelerators,
     pack,
@@ -177,7 +178,7 @@
     plan: CapacityPlan, placement: PlacementRequest, worker: str
 ) -> int:
     """Return how many of a unit's tasks fit on a worker."""
-    if placement.alone and not plan.is_idle(worker):
+    if not is_apart(plan, placement, worker):
         return 0
     return tasks_that_fit(
         placement, worker, plan.free[worker], placement.step.unit_size
--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -1,5 +1,6 @@
 """A task that crashes its workers is given up, and no other one is."""
 
+from collections.abc import Sequence
 from functools import partial
 
 from trio import current_time, sleep
@@ -31,13 +32,20 @@
     return f"{job}.0.0.{index}"
 
 
-async def return_workers(cluster: Cluster, renamed: bool) -> None:
-    """Start each crashed worker again after RETURN_S, until cancelled."""
+async def return_workers(
+    cluster: Cluster, renamed: bool, others: Sequence[str] = ()
+) -> None:
+    """Start each crashed worker again after RETURN_S, until cancelled.
+
+    Those named in ``others`` are not started.
+    """
     handled: dict[str, float] = {}
     while True:
         await sleep(0.05)
         now_s = current_time()
         for worker in list(cluster.workers.values()):
+            if worker.name in others:
+                continue
             if worker.up or now_s - worker.crashed_s < RETURN_S:
                 continue
             if handled.get(worker.name) == worker.crashed_s:
@@ -396,3 +404,40 @@
         check_runs(cluster)
 
     run_scenario(scenario, racks=5, per_rack=8)
+
+
+def test_no_innocent_job_fails_beside_deadly_ones_and_flapping_workers() -> (
+    None
+):
+    async def scenario(cluster: Cluster) -> None:
+        assert cluster.nursery is not None
+        workers = list(cluster.workers.values())
+        flapping = workers[::10]
+        for worker in flapping:
+            cluster.nursery.start_soon(flap, cluster, worker)
+            await sleep(FLAP_S / 4)
+        cluster.nursery.start_soon(
+            return_workers, cluster, False, [w.name for w in flapping]
+        )
+        deadly = [job_id(number) for number in range(100, 120)]
+        others = [job_id(number) for number in range(200, 220)]
+        for job in deadly:
+            cluster.history.crash_after_s[task_name(job, 2)] = 0.02
+        for number, (job, other) in enumerate(
+            zip(deadly, others, strict=True)
+        ):
+            await cluster.submit(job, [EIGHT_TASKS], work_s=1.0)
+            if number % 5:
+                await cluster.submit(other, [EIGHT_TASKS], work_s=3.0)
+            else:
+                await cluster.submit(other, [GANG], URGENT, work_s=2.0)
+            await sleep(0.3)
+        for job in deadly:
+            await cluster.wait_state(job, "failed", limit_s=120.0)
+        for number, job in enumerate(others):
+            queue = NORMAL if number % 5 else URGENT
+            await cluster.wait_state(job, "completed", queue, limit_s=120.0)
+        check_crash_budget(cluster)
+        check_runs(cluster)
+
+    run_scenario(scenario, racks=5, per_rack=8)
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -307,3 +307,16 @@
     suspect = fleet.add(NORMAL, task(1))
     crash(suspect, 1)
     assert started_on(fleet) == {suspect.job_id: ["w02"]}
+
+
+def test_isolated_unit_waits_for_a_worker_that_has_not_crashed_lately() -> (
+    None
+):
+    """Workers that crash by themselves are those that are often idle."""
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.crashed_workers = frozenset({"w00"})
+    fleet.run_on(fleet.add(NORMAL, task(1)), "w01")
+    suspect = fleet.add(NORMAL, task(1))
+    crash(suspect, 2)
+    assert started_on(fleet) == {}
+    assert started_on(fleet, now_s=ISOLATION_WAIT_S) != {}
