Forget the crash of a worker before a wait for idle workers ends

Beside deadly jobs all workers had crashed within 30 s, so that after its wait a unit without fault was placed on a flapping one again and its job failed.

--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -67,7 +67,7 @@
 
 
 # A worker that crashes repeatedly does so again within this time.
-CRASH_MEMORY_S = 30.0
+CRASH_MEMORY_S = 8.0
 # The number of an incarnation is the Unix time of its start in milliseconds.
 MILLISECONDS_PER_S = 1000.0
 
