Count no crashes that a much longer run has outlived

Callers saw an endless task without fault isolated, and given up, after four unrelated crashes in its life, each under a run of less than 10 minutes; a task that crashes its workers does so after similar times. A run that lasts 10 s or more, and four times as long as any counted one, now breaks the row. Only the time counts in which the worker reported the run, since the end of a silent one is noticed late. After a take-over the earlier times are not known, and then nothing is outlived. A task that crashes workers after similar times is given up however long its runs are, below 10 minutes. Before, test_crashes_before_a_run_that_outlived_them_do_not_count could not pass: only 600 s broke a row.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -225,6 +225,7 @@
         progress, unit, position = found
         member = unit.members[position]
         member.confirmed = True
+        member.reported_s = self.context.clock()
         member.pace.record(report.percent, self.context.clock())
         if not unit.has_begun:
             unit.has_begun = True
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -26,6 +26,11 @@
 # A run this long breaks the row: earlier crashes do not count any more, so
 # that a task which runs for weeks is not given up for unrelated crashes.
 CRASH_MEMORY_S = 600.0
+# So does a run that outlives all earlier ones under which a worker crashed by
+# this factor, if it lasts this long: a task that crashes its workers does so
+# after a similar time.
+OUTLIVED_FACTOR = 4.0
+OUTLIVED_S = 10.0
 
 # Outcomes of the run of one task, as the worker reports them. Any other
 # outcome only means that the task has to run again.
@@ -44,7 +49,8 @@
     placed. ``ended`` is the outcome, empty while the run may exist.
     ``confirmed`` states that the worker has reported the run as running, and
     ``settled`` that it has answered each start command of the run, so that
-    none can be carried out late.
+    none can be carried out late. ``reported_s`` is when the worker last
+    reported the run as running, on the local clock.
     """
 
     __slots__ = (
@@ -53,6 +59,7 @@
         "ended",
         "confirmed",
         "settled",
+        "reported_s",
         "pace",
     )
 
@@ -63,6 +70,7 @@
         self.ended = ""
         self.confirmed = False
         self.settled = False
+        self.reported_s = float("-inf")
         self.pace = PaceHistory()
 
 
@@ -77,7 +85,8 @@
     ``ended_s`` is when a member of a run last ended, as far as this holder
     knows.
     ``avoid`` names workers on which a run failed or stalled, and
-    ``crashed_runs`` has the numbers of the runs under which a worker crashed.
+    ``crashed_runs`` has the numbers of the runs under which a worker crashed,
+    the longest of which lasted ``longest_crash_s``, None if not known.
     """
 
     __slots__ = (
@@ -96,6 +105,7 @@
         "ended_s",
         "avoid",
         "crashed_runs",
+        "longest_crash_s",
         "has_begun",
     )
 
@@ -116,6 +126,7 @@
         self.ended_s = 0.0
         self.avoid: set[str] = set()
         self.crashed_runs: set[int] = set()
+        self.longest_crash_s: float | None = 0.0
         self.has_begun = False
 
     @property
@@ -139,6 +150,12 @@
         """Return the percentage of the run, that of its slowest member."""
         return min((m.pace.percent for m in self.members), default=0.0)
 
+    @property
+    def observed_s(self) -> float:
+        """Return how long the present run is known to have lasted."""
+        reported_s = max((m.reported_s for m in self.members), default=0.0)
+        return max(0.0, reported_s - self.started_s)
+
     def workers(self) -> tuple[str, ...]:
         """Return the worker of each task whose run may exist."""
         return tuple(m.worker for m in self.members if not m.ended)
@@ -323,15 +340,20 @@
         """
         if unit.done or run in unit.crashed_runs:
             return False
-        if ran_s >= CRASH_MEMORY_S:
+        longest_s = unit.longest_crash_s
+        if breaks_row(longest_s, ran_s):
             unit.crashed_runs.clear()
+            longest_s = 0.0
         self.add_crashes(unit, {run})
+        unit.longest_crash_s = max(longest_s or 0.0, ran_s)
         self._give_up_suspect(unit)
         self.count_change()
         return True
 
     def add_crashes(self, unit: Unit, runs: set[int]) -> None:
         """Add runs under which a worker is known to have crashed."""
+        if runs - unit.crashed_runs:
+            unit.longest_crash_s = None
         unit.crashed_runs |= runs
         if unit.crashed_runs and unit not in self.suspects:
             self.suspects.append(unit)
@@ -376,6 +398,18 @@
             self.failed = True
 
 
+def breaks_row(longest_s: float | None, ran_s: float) -> bool:
+    """Return whether a run lasted so long that earlier crashes don't count.
+
+    ``longest_s`` is the longest of the runs under which they happened.
+    """
+    if ran_s >= CRASH_MEMORY_S:
+        return True
+    if longest_s is None:
+        return False
+    return ran_s >= max(OUTLIVED_S, OUTLIVED_FACTOR * longest_s)
+
+
 def make_units(occurrence: int, number: int, step: Step) -> list[Unit]:
     """Return the new units of a step, without runs."""
     size = step.unit_size
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -10,7 +10,12 @@
 from damaskstall.tasks.job_rows import encode_progress, restore_progress
 from damaskstall.tasks.model import Step
 from damaskstall.tasks.policy import StartUnit, StopUnit
-from damaskstall.tasks.progress import CRASH_MEMORY_S, JobProgress, Unit
+from damaskstall.tasks.progress import (
+    CRASH_MEMORY_S,
+    OUTLIVED_S,
+    JobProgress,
+    Unit,
+)
 from damaskstall.tasks.stored_runs import adopt_stored_runs
 from tests.tasks.fleet import BULK, NORMAL, URGENT, Fleet, task
 from tests.tasks.test_claims import SlowFleet
@@ -320,3 +325,31 @@
     crash(suspect, 2)
     assert started_on(fleet) == {}
     assert started_on(fleet, now_s=ISOLATION_WAIT_S) != {}
+
+
+def test_crashes_before_a_run_that_outlived_them_do_not_count() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1, endless=True))
+    unit = crash(job, 3)
+    job.record_crash(unit, 4, OUTLIVED_S)
+    assert unit.crashed_runs == {4}
+    assert not job.failed
+
+
+def test_crashes_after_similar_times_count_however_long_the_runs_are() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1, endless=True))
+    unit = next(job.all_units())
+    for run, ran_s in enumerate((60.0, 20.0, 90.0, 55.0), start=1):
+        job.record_crash(unit, run, ran_s)
+    assert job.failed
+
+
+def test_run_after_crashes_of_unknown_length_does_not_outlive_them() -> None:
+    """A holder does not know how long the runs of an earlier one lasted."""
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1, endless=True))
+    unit = next(job.all_units())
+    job.add_crashes(unit, {1, 2})
+    job.record_crash(unit, 3, 60.0)
+    assert unit.crashed_runs == {1, 2, 3}
