End a run of which no start was sent once its window has passed

What callers saw: a task that could run waited 9.8 s (a lease of 10 s) for a worker that was known to be silent when its start was due, and to which nothing had been sent.

Cause: the end of the window only logged the launch. The run then counted as one that may exist until the worker's lease had certainly expired.

No start can be carried out late if none was sent, so the run ends as not started. test_run_on_a_worker_known_to_be_silent_ends_with_its_window failed before (no end was recorded).

--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -136,6 +136,8 @@
             self._handle_answer(request, clock_s, known_clock_s)
             return
         self._log("no answer")
+        if not target.expected.may_have_started(self.key):
+            target.end_run(self.key, ENDED_NOT_STARTED, NOT_LAUNCHED)
 
     def _log(self, outcome: str) -> None:
         log_run_launched(
--- a/tests/tasks/test_start_windows.py
+++ b/tests/tasks/test_start_windows.py
@@ -48,3 +48,26 @@
             nursery.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+def test_run_on_a_worker_known_to_be_silent_ends_with_its_window() -> None:
+    """No start was sent, so none can be carried out late."""
+
+    async def main() -> None:
+        worker, owner = FakeWorker(), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await session.answered.wait()
+            worker.loses_answers = True
+            session.reserve(run_key(0), DEMAND)
+            session.wake()
+            await sleep(1.0)
+            assert not session.reachable
+            session.reserve(run_key(1), DEMAND)
+            await session.launch(run_key(1), "payload", "")
+            assert owner.outcomes(run_key(1)) == ["not_started"]
+            assert not worker.running
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
