Keep silent workers and a slow store from delaying first contacts

The slot was held until the ends in the answer were stored, so a successor fenced 16 workers per 0.3 s while the store was slow. And workers that stayed silent took the slots again and again: beside 100 of them a worker that had lost one answer was heard again only after 1.5 s, with extended time limits after 10 s.

The slot now covers the call alone, and workers that have failed to answer repeatedly have slots of their own. The extension of the time limit is bounded by 0.75 s, so that a call stays well within the window of a start.

--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -7,10 +7,11 @@
 
 from typing import Any, NamedTuple, Protocol
 
-from trio import CapacityLimiter, Nursery, move_on_after
+from trio import Nursery, move_on_after
 
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity
+from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.expected_runs import ALWAYS_S
@@ -60,10 +61,7 @@
 ANSWER_LIMIT_S = 0.25
 # A call waits for this process several times: to connect, send and receive.
 DELAYS_PER_CALL = 3.0
-OWN_DELAY_LIMIT_S = 0.5
-# Concurrent calls to silent workers. A slow processor must be able to open so
-# many connections well within the time in which a worker has to answer.
-CONCURRENT_CONTACT_LIMIT = 16
+OWN_DELAY_LIMIT_S = 0.25
 
 
 # A worker that crashes repeatedly does so again within this time.
@@ -109,7 +107,7 @@
         )
         self.sessions: dict[str, WorkerSession] = {}
         self._orphans: dict[RunKey, Orphan] = {}
-        self._contact_slots = CapacityLimiter(CONCURRENT_CONTACT_LIMIT)
+        self._contact_slots = ContactSlots()
 
     def open_sessions(self, nursery: Nursery) -> None:
         """Open a session for each new worker and update existing sessions."""
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -5,6 +5,8 @@
 that it never started, or its lease has certainly expired.
 """
 
+from typing import NamedTuple
+
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
 from damaskstall.errors import (
@@ -17,6 +19,7 @@
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity, WorkerLoad
 from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.events import (
     RUNS_LAPSED,
     RUNS_UNCOUNTED,
@@ -80,6 +83,19 @@
 LAPSED_RUNS_KEPT_S = 30.0
 
 
+class Answer(NamedTuple):
+    """Whether a worker has answered a renewal, and its report.
+
+    The report is None if it is that of an earlier incarnation.
+    """
+
+    arrived: bool
+    report: WorkerReport | None
+
+
+NO_ANSWER = Answer(False, None)
+
+
 class WorkerSession:
     """State of one worker under one holder, and the calls to it."""
 
@@ -91,7 +107,7 @@
         tokens: FencingTokens,
         lease_s: float,
         clock: Clock,
-        contact_slots: CapacityLimiter,
+        contact_slots: ContactSlots,
     ) -> None:
         """Start a session with a worker as the holder of some tokens.
 
@@ -106,6 +122,9 @@
         self.token = tokens.current
         self.clock = clock
         self.contact_slots = contact_slots
+        # How many calls in a row were not answered. A new session counts like
+        # one whose worker has just stopped answering.
+        self._silent_calls = 1
         self.load = WorkerLoad()
         self.health = WorkerHealth()
         self.expected = ExpectedRuns()
@@ -342,18 +361,22 @@
     async def _renew_lease(self) -> bool:
         """Renew the lease if that is allowed; return whether it was answered.
 
-        Each call to a silent worker opens a connection. If all silent workers
-        were called at once, none of them might be connected in time.
+        Only the call to a silent worker takes a slot, not the wait until the
+        ends in its answer are stored.
         """
         if self.reachable:
-            return await self._renew_lease_once()
-        async with self.contact_slots:
-            return await self._renew_lease_once()
-
-    async def _renew_lease_once(self) -> bool:
-        """Send one renewal; return whether the worker answered."""
+            answer = await self._send_renewal()
+        else:
+            async with self.contact_slots.of(self._silent_calls):
+                answer = await self._send_renewal()
+        if answer.report is not None:
+            await self._apply_report(answer.report)
+        return answer.arrived
+
+    async def _send_renewal(self) -> Answer:
+        """Send one renewal of the lease."""
         if not self.owner.may_renew_leases():
-            return False
+            return NO_ANSWER
         now_s = self.clock()
         answers = self.lease.clock_known and self.reachable
         if answers:
@@ -372,21 +395,22 @@
             report = await self.client.renew_lease(request)
         except FencedError:
             self.handle_fenced(request.token)
-            return False
+            return NO_ANSWER
         except (
             CommandNotSentError,
             CommandOutcomeUnknownError,
             CommandRefusedError,
             WorkerReplacedError,
         ) as error:
+            self._silent_calls += 1
             self.record_no_answer(str(error))
-            return False
+            return NO_ANSWER
+        self._silent_calls = 0
         if request.token != self.token:
             # It was sent before another incarnation was known.
-            return True
+            return Answer(True, None)
         self._sent_end = max(self._sent_end, request.acknowledged_end)
-        await self._apply_report(report)
-        return True
+        return Answer(True, report)
 
     def _next_acknowledgement(self) -> int:
         """Return the newest end to acknowledge, 0 if there is none.
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -1,11 +1,12 @@
 """Run one worker session against a scripted worker and a recording owner."""
 
-from trio import CapacityLimiter, current_time, sleep, sleep_forever
+from trio import current_time, sleep, sleep_forever
 
 from damaskstall.errors import (
     CommandOutcomeUnknownError,
     WorkerReplacedError,
 )
+from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
@@ -211,5 +212,5 @@
     info = info or worker_info()
     tokens = FencingTokens(1)
     return WorkerSession(
-        info, worker, owner, tokens, LEASE_S, current_time, CapacityLimiter(1)
+        info, worker, owner, tokens, LEASE_S, current_time, ContactSlots()
     )
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 
 from trio import (
-    CapacityLimiter,
     WouldBlock,
     current_time,
     open_memory_channel,
@@ -13,6 +12,7 @@
 )
 
 from damaskstall.errors import CommandOutcomeUnknownError, FencedError
+from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.fencing import (
     EPOCH_SPACING,
     FencingTokens,
@@ -130,7 +130,7 @@
             FencingTokens(EPOCH),
             LEASE_S,
             current_time,
-            CapacityLimiter(1),
+            ContactSlots(),
         )
         session.adopt(KEY, DEMAND, settled=True)
         async with open_nursery() as nursery:
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -1,7 +1,8 @@
 """A session ends and starts only what it may, with a scripted worker."""
 
-from trio import CapacityLimiter, current_time, open_nursery, sleep
+from trio import current_time, open_nursery, sleep
 
+from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
@@ -77,7 +78,7 @@
     )
     tokens = FencingTokens(1)
     return WorkerSession(
-        info, worker, owner, tokens, 10.0, current_time, CapacityLimiter(1)
+        info, worker, owner, tokens, 10.0, current_time, ContactSlots()
     )
 
 
