Ask each larger instance whether it can take the lease over

A small holder asked only one of the largest instances. If that one was gone but still listed, no other was ever asked, and the small one kept the lease. Each of them is asked in turn, for 0.5 s.

test_holder_hands_over_though_one_larger_instance_is_gone failed before.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -69,7 +69,7 @@
 HAND_OVER_INTERVAL_S = 30.0
 # Whether a small holder can hand the lease over is checked this often.
 HAND_OVER_CHECK_S = 1.0
-HAND_OVER_CHECK_LIMIT_S = 1.0
+HAND_OVER_CHECK_LIMIT_S = 0.5
 # A holder that is not ready after this time hands the lease over as well.
 READY_LIMIT_S = 3.0
 # The holder must keep the lease when the store is slow, or refuses this
@@ -192,11 +192,7 @@
 
     def _yield_delay_s(self) -> float:
         """Return for how many seconds larger instances have precedence."""
-        cores = self.instances.cores_by_name()
-        own = cores[self.context.settings.instance]
-        if max(cores.values()) < LARGER_CORES_RATIO * own:
-            return 0.0
-        return SMALL_INSTANCE_DELAY_S
+        return SMALL_INSTANCE_DELAY_S if self._larger_instances() else 0.0
 
     def _is_free(self, row: Row | None, now_s: float) -> bool:
         """Return whether the lease is free, given its row as just read."""
@@ -315,24 +311,29 @@
             await sleep(RENEW_S)
 
     async def _should_hand_over(self, holder: TaskHolder) -> bool:
-        """Return whether to hand the lease over to the largest instance now.
+        """Return whether to hand the lease over to a larger instance now.
 
-        That instance must be alive and reach the store.
+        One of them must be alive and reach the store.
         """
         now_s = self.context.clock()
-        if not self._yield_delay_s():
-            return False
         if now_s - self._handed_over_s < HAND_OVER_INTERVAL_S:
             return False
+        for name in self._larger_instances():
+            alive = False
+            with move_on_after(HAND_OVER_CHECK_LIMIT_S):
+                alive = await self.instances.reaches_store(name)
+            if alive:
+                self._handed_over_s = self.context.clock()
+                log(LEASE_HANDED_OVER, epoch=holder.lease.epoch, to=name)
+                return True
+        return False
+
+    def _larger_instances(self) -> list[str]:
+        """Return the instances with many more cores, the largest first."""
         cores = self.instances.cores_by_name()
-        largest = max(cores, key=lambda name: (cores[name], name))
-        alive = False
-        with move_on_after(HAND_OVER_CHECK_LIMIT_S):
-            alive = await self.instances.reaches_store(largest)
-        if alive:
-            self._handed_over_s = self.context.clock()
-            log(LEASE_HANDED_OVER, epoch=holder.lease.epoch, to=largest)
-        return alive
+        limit = LARGER_CORES_RATIO * cores[self.context.settings.instance]
+        larger = [name for name in cores if cores[name] >= limit]
+        return sorted(larger, key=lambda name: (-cores[name], name))
 
     async def _renew_once(
         self, lease: CellLease, extra: tuple[Write, ...]
--- a/tests/tasks/test_lease_preference.py
+++ b/tests/tasks/test_lease_preference.py
@@ -70,6 +70,23 @@
     run_scenario(scenario, nodes=1)
 
 
+def test_holder_hands_over_though_one_larger_instance_is_gone() -> None:
+    """The one that is gone stays listed, and is the last one by its name."""
+
+    async def scenario(cluster: Cluster) -> None:
+        for peer in ("n1", "n2"):
+            cut_peers(cluster, "n0", peer)
+            await add_node(cluster, cores=4.0)
+        await sleep(8.0)
+        assert cluster.holder() == "n0"
+        cluster.kill_node("n2")
+        heal_peers(cluster, "n0", "n1")
+        took_s = await cluster.wait(lambda: cluster.holder() == "n1")
+        assert took_s < 5.0
+
+    run_scenario(scenario, nodes=1)
+
+
 def test_restarted_weak_holder_leaves_the_lease_to_the_strong_one() -> None:
     async def scenario(cluster: Cluster) -> None:
         cut_peers(cluster, "n0", "n1")
