Let a unit that waits beside free capacity use the headroom

Headroom for urgent jobs keeps whole workers, the freest first. A normal task whose label only one of them has waited for as long as urgent jobs came, on an idle fleet. After 2 s such a unit may use what is kept if there is room for two of it and most of the service is free, as endless units already might.

test_headroom_does_not_starve_a_unit_with_one_eligible_worker failed before.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -26,7 +26,7 @@
     needs_isolation,
     waits_for_idle_workers,
 )
-from damaskstall.tasks.last_resort import may_use_backoff
+from damaskstall.tasks.last_resort import may_use_backoff, waiting_since_s
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
@@ -282,7 +282,7 @@
                 return True
             if not batch.step.per_worker_limit:
                 self.unplaceable.add(shape)
-        if batch.step.endless and shape.held:
+        if shape.held and self._may_use_reserved(batch, unit):
             workers = self._place_on_reserved(placement)
             if workers is not None:
                 self._start(batch, unit, workers)
@@ -315,13 +315,25 @@
             return self._place_beside_others(batch, unit)
         return self._place_across_racks(batch, unit, placement)
 
+    def _may_use_reserved(self, batch: Batch, unit: Unit) -> bool:
+        """Return whether a unit need not respect reservations and headroom.
+
+        An endless unit uses its capacity for good, whenever it starts. Any
+        other one need not after a while, if most capacity is free.
+        """
+        if batch.step.endless:
+            return True
+        waited_s = self.now_s - waiting_since_s(batch.progress, unit)
+        if waited_s < RESERVATION_FLOOR_S:
+            return False
+        return self._is_mostly_free(batch.progress.job.service)
+
     def _place_on_reserved(
         self, placement: PlacementRequest
     ) -> list[str] | None:
-        """Return workers for an endless unit, also with reserved capacity.
+        """Return workers for a unit, also with reserved capacity.
 
-        Return None unless there is free capacity for two such units: an
-        endless unit uses its capacity for good, whenever it starts.
+        Return None unless there is free capacity for two such units.
         """
         needed = 2 * placement.step.unit_size
         found = pack_some(self.plan, placement, self.plan.free, needed)
--- a/tests/tasks/test_urgent_load.py
+++ b/tests/tasks/test_urgent_load.py
@@ -90,3 +90,15 @@
     job = fleet.add(NORMAL, task(8, task_count=8, endless=True))
     fleet.play()
     assert not all_running(job)
+
+
+def test_headroom_does_not_starve_a_unit_with_one_eligible_worker() -> None:
+    fleet = Fleet(racks=1, per_rack=4)
+    fleet.workers[0] = fleet.workers[0]._replace(labels=frozenset({"gold"}))
+    gold = task(1, required_label="gold", estimate_s=5.0)
+    job = fleet.add(NORMAL, gold)
+    for tenth in range(30):
+        now_s = tenth / 10
+        fleet.urgent_load.record(2, now_s)
+        fleet.apply(fleet.decide(now_s), now_s)
+    assert all_running(job)
