--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -93,6 +93,8 @@
 # Capacity is kept free for the urgent jobs that come within this time: work
 # that began there would be preempted soon.
 HEADROOM_S = 0.7
+# Other units may use it after this time if most of their service is free.
+HEADROOM_WAIT_S = 2.0
 # Each earlier run of a unit multiplies the cost of stopping it, so that no
 # unit is preempted again and again while others are at hand.
 REPEAT_FACTOR = 3.0
@@ -282,7 +284,7 @@
                 return True
             if not batch.step.per_worker_limit:
                 self.unplaceable.add(shape)
-        if shape.held and self._may_use_reserved(batch, unit):
+        if batch.step.endless and shape.held:
             workers = self._place_on_reserved(placement)
             if workers is not None:
                 self._start(batch, unit, workers)
@@ -315,25 +317,13 @@
             return self._place_beside_others(batch, unit)
         return self._place_across_racks(batch, unit, placement)
 
-    def _may_use_reserved(self, batch: Batch, unit: Unit) -> bool:
-        """Return whether a unit need not respect reservations and headroom.
-
-        An endless unit uses its capacity for good, whenever it starts. Any
-        other one need not after a while, if most capacity is free.
-        """
-        if batch.step.endless:
-            return True
-        waited_s = self.now_s - waiting_since_s(batch.progress, unit)
-        if waited_s < RESERVATION_FLOOR_S:
-            return False
-        return self._is_mostly_free(batch.progress.job.service)
-
     def _place_on_reserved(
         self, placement: PlacementRequest
     ) -> list[str] | None:
-        """Return workers for a unit, also with reserved capacity.
+        """Return workers for an endless unit, also with reserved capacity.
 
-        Return None unless there is free capacity for two such units.
+        Return None unless there is free capacity for two such units: an
+        endless unit uses its capacity for good, whenever it starts.
         """
         needed = 2 * placement.step.unit_size
         found = pack_some(self.plan, placement, self.plan.free, needed)
@@ -458,7 +448,7 @@
                 for number, each in enumerate(self.reservations)
                 if each.after_s < expected_s
             ]
-            if HEADROOM_S < expected_s:
+            if HEADROOM_S < expected_s and not self._may_use_headroom(batch):
                 held.append(KEPT_HEADROOM)
         step = batch.step
         shape = UnitShape(
@@ -488,6 +478,13 @@
             self.unreserved[held] = plan
         return plan
 
+    def _may_use_headroom(self, batch: Batch) -> bool:
+        """Return whether a batch has waited too long beside free capacity."""
+        since_s = waiting_since_s(batch.progress, batch.units[0])
+        if self.now_s - since_s < HEADROOM_WAIT_S:
+            return False
+        return self._is_mostly_free(batch.progress.job.service)
+
     def _keep_headroom(self) -> Reservation:
         """Keep free capacity for the urgent jobs that come next.
 
