Forget old delays of the holder also while it calls no worker

They are now dropped when one is recorded as well; what is returned is the same. test_delays_are_forgotten_on_a_holder_that_calls_no_worker failed before.

--- a/src/damaskstall/tasks/holder_load.py
+++ b/src/damaskstall/tasks/holder_load.py
@@ -76,6 +76,7 @@
         """Record by how many seconds a task that was due ran late."""
         self._update_metric(delay_s, now_s)
         self._recent.append(Delay(now_s, delay_s))
+        self._forget_old(now_s)
         if delay_s > DELAY_LIMIT_S:
             self._record_exceeded(delay_s, now_s)
         elif self._delayed_since_s is not None:
@@ -85,8 +86,7 @@
 
     def recent_delay_s(self, now_s: float) -> float:
         """Return the greatest delay of the last moments in seconds."""
-        while self._recent and now_s - self._recent[0].at_s > RECENT_S:
-            self._recent.popleft()
+        self._forget_old(now_s)
         return max((each.delay_s for each in self._recent), default=0.0)
 
     def reset_metrics(self) -> None:
@@ -102,6 +102,10 @@
             delay_s = now_s - began_s - PROBE_INTERVAL_S
             self.record_delay(max(0.0, delay_s), now_s)
 
+    def _forget_old(self, now_s: float) -> None:
+        while self._recent and now_s - self._recent[0].at_s > RECENT_S:
+            self._recent.popleft()
+
     def _update_metric(self, delay_s: float, now_s: float) -> None:
         is_old = now_s - self._peak_at_s >= PEAK_KEPT_S
         if delay_s >= self._peak_s or is_old:
--- a/tests/tasks/test_holder_load.py
+++ b/tests/tasks/test_holder_load.py
@@ -13,6 +13,7 @@
     DELAY_LIMIT_S,
     PEAK_KEPT_S,
     PROBE_INTERVAL_S,
+    RECENT_S,
     HolderLoad,
     WorkCounts,
 )
@@ -147,3 +148,9 @@
 
     run_scenario(scenario)
     assert b"damaskstall_round_seconds_bucket{" in render_metrics()[0]
+
+
+def test_delays_are_forgotten_on_a_holder_that_calls_no_worker() -> None:
+    load = HolderLoad(lambda: COUNTS)
+    probe_for(load, 0.0, 0.0, 600.0)
+    assert len(load._recent) <= 1.0 + RECENT_S / PROBE_INTERVAL_S
