--- a/tests/tasks/test_reboot_soak.py
+++ b/tests/tasks/test_reboot_soak.py
@@ -7,7 +7,7 @@
 of the nodes follow from the seed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from contextlib import suppress
 from functools import partial
 from importlib import import_module
@@ -53,7 +53,9 @@
     "job_reader",
 )
 CHECKPOINTING = {**ONE_TASK, "checkpointing": True, "estimate_ms": 4000}
-JOB_KINDS: tuple[tuple[list[dict[str, Any]], float], ...] = (
+# The steps of a job, and the run time of its tasks in seconds.
+JobKind = tuple[list[dict[str, Any]], float]
+JOB_KINDS: Sequence[JobKind] = (
     ([ONE_TASK], 0.5),
     ([ONE_TASK], 4.0),
     ([FOUR_TASKS], 1.5),
@@ -62,6 +64,10 @@
     ([{**GANG, "checkpointing": True}], 3.0),
     ([FOUR_TASKS, {**ONE_TASK, "after": [0]}], 0.8),
 )
+QUEUES = (URGENT, BULK)
+
+# Runs jobs and faults of a seed in a cluster, and adds lines to a log.
+Play = Callable[[Cluster, int, list[str]], Awaitable[None]]
 
 
 def seeds() -> Iterable[int]:
@@ -78,10 +84,18 @@
 class SoakClient:
     """The clients: they submit jobs and wait until each has completed."""
 
-    def __init__(self, cluster: Cluster, random: Random) -> None:
-        """Start without jobs."""
+    def __init__(
+        self,
+        cluster: Cluster,
+        random: Random,
+        kinds: Sequence[JobKind] = JOB_KINDS,
+        choices: Sequence[str] = QUEUES,
+    ) -> None:
+        """Start without jobs; choose their kinds, and queues by name."""
         self.cluster = cluster
         self.random = random
+        self.kinds = kinds
+        self.choices = choices
         self.queues: dict[str, str] = {}
         self.shown_s: dict[str, float] = {}
 
@@ -95,8 +109,8 @@
                 await sleep(self.random.uniform(0.0, JOB_PAUSE_MAX_S))
 
     async def _submit(self, job: str) -> None:
-        steps, work_s = self.random.choice(JOB_KINDS)
-        queue = self.random.choice((URGENT, BULK))
+        steps, work_s = self.random.choice(self.kinds)
+        queue = self.random.choice(self.choices)
         self.queues[job] = queue
         for _ in range(SUBMIT_TRIES):
             nodes = list(self.cluster.nodes)
@@ -151,6 +165,17 @@
 
 
 async def soak(cluster: Cluster, seed: int, lines: list[str]) -> None:
+    """Run jobs and faults until all jobs have completed, and check."""
+    async with open_nursery() as nursery:
+        nursery.start_soon(check_while, cluster)
+        await soak_unchecked(cluster, seed, lines)
+        check_tasks(cluster)
+        nursery.cancel_scope.cancel()
+
+
+async def soak_unchecked(
+    cluster: Cluster, seed: int, lines: list[str]
+) -> None:
     """Run jobs and faults, then wait until all jobs have completed."""
     random = Random(seed)
     injector = FaultInjector(cluster, random, lines)
@@ -190,10 +215,10 @@
     return f"seed {seed}: {error}\n{text}"
 
 
-@mark.parametrize("seed", seeds())
-def test_random_faults_break_no_guarantee(
-    seed: int, monkeypatch: MonkeyPatch
+def run_soak(
+    play: Play, seed: int, per_rack: Sequence[int], monkeypatch: MonkeyPatch
 ) -> None:
+    """Run a play in a cluster of a random size; report its first failure."""
     for name in RANDOM_USERS:
         module = import_module(f"damaskstall.tasks.{name}")
         monkeypatch.setattr(module, "Random", partial(seeded, seed))
@@ -208,11 +233,8 @@
 
         sink = logger.add(write, level="INFO")
         try:
-            async with open_nursery() as nursery:
-                nursery.start_soon(check_while, cluster)
-                await soak(cluster, seed, lines)
-                check_tasks(cluster)
-                nursery.cancel_scope.cancel()
+            await play(cluster, seed, lines)
+            check_tasks(cluster)
         except* AssertionError as group:
             error: Any = group
             while isinstance(error, BaseExceptionGroup):
@@ -227,8 +249,15 @@
         seed=seed,
         nodes=sizes.choice((2, 3)),
         racks=2,
-        per_rack=sizes.choice((2, 3)),
+        per_rack=sizes.choice(per_rack),
         reports_born=sizes.random() < 0.8,
     )
     if failures:
         fail(failures[0], pytrace=False)
+
+
+@mark.parametrize("seed", seeds())
+def test_random_faults_break_no_guarantee(
+    seed: int, monkeypatch: MonkeyPatch
+) -> None:
+    run_soak(soak, seed, (2, 3), monkeypatch)
