Doubt crashes under runs that no list of the worker has shown

A gang was shown as failed after one crash. For its runs 2 to 4, a member's start got no answer, and its worker came back as another incarnation while the run was expected: each counted as a crash under the gang, though for run 2 the worker had answered renewals for over a second whose lists lacked the run.

Such an end now has the evidence 'unseen', and its crash is doubtful. The runs with doubtful crashes are kept beside all others, in the job's row as well. A worker that falls silent right after the start was sent still counts: a task may crash it before the answer arrives.

--- a/src/damaskstall/tasks/expected_runs.py
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -1,12 +1,21 @@
 """Keep the runs that a worker's lists must contain, and find missing ones."""
 
+from collections.abc import Set
 from typing import NamedTuple
 
 from damaskstall.tasks.model import RunKey
-from damaskstall.tasks.ports import MISSING, NOT_LAUNCHED
+from damaskstall.tasks.ports import (
+    CRASH_EVIDENCE,
+    MISSING,
+    NOT_LAUNCHED,
+    UNSEEN,
+)
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 
 ALWAYS_S = float("-inf")
+# A start that its worker carries out at once is in the lists of a renewal that
+# is sent this much later.
+LISTED_AFTER_S = 0.25
 
 
 class ExpectedRun(NamedTuple):
@@ -28,6 +37,10 @@
         """Expect no run."""
         self._runs: dict[RunKey, ExpectedRun] = {}
         self._sent: set[RunKey] = set()
+        # When the newest start of each unconfirmed run was sent.
+        self._sent_s: dict[RunKey, float] = {}
+        # The unconfirmed runs that lists have lacked since.
+        self._unseen: set[RunKey] = set()
 
     def __contains__(self, key: RunKey) -> bool:
         """Return whether a run is expected."""
@@ -46,14 +59,34 @@
         """Record that an expected run existed at a time on the clock."""
         if key in self._runs:
             self._sent.add(key)
+            self._sent_s.pop(key, None)
+            self._unseen.discard(key)
             self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
 
-    def mark_sent(self, key: RunKey) -> bool:
+    def mark_sent(self, key: RunKey, now_s: float) -> bool:
         """Record that a start is being sent; return whether one was before."""
         was_sent = key in self._sent
         self._sent.add(key)
+        self._sent_s[key] = now_s
+        self._unseen.discard(key)
         return was_sent
 
+    def record_lists(self, listed: Set[RunKey], requested_s: float) -> None:
+        """Note which runs the lists of a renewal sent at a time lack."""
+        for key, sent_s in self._sent_s.items():
+            if key not in listed and requested_s >= sent_s + LISTED_AFTER_S:
+                self._unseen.add(key)
+
+    def is_unseen(self, key: RunKey) -> bool:
+        """Return whether lists have lacked a run since its start was sent."""
+        return key in self._unseen
+
+    def loss_evidence(self, key: RunKey, evidence: str) -> str:
+        """Return why a run has ended, given why its worker's runs have."""
+        if evidence in CRASH_EVIDENCE and self.is_unseen(key):
+            return UNSEEN
+        return evidence
+
     def mark_not_sent(self, key: RunKey) -> None:
         """Record that no start of a run has reached its worker."""
         self._sent.discard(key)
@@ -69,7 +102,8 @@
         """
         for key in self._runs:
             if key in self._sent:
-                run = ExpectedRun(ALWAYS_S, ENDED_LAPSED, evidence)
+                found = self.loss_evidence(key, evidence)
+                run = ExpectedRun(ALWAYS_S, ENDED_LAPSED, found)
             else:
                 run = ExpectedRun(ALWAYS_S, ENDED_NOT_STARTED, NOT_LAUNCHED)
             self._runs[key] = run
@@ -77,6 +111,8 @@
     def remove(self, key: RunKey) -> None:
         """Stop expecting a run."""
         self._sent.discard(key)
+        self._sent_s.pop(key, None)
+        self._unseen.discard(key)
         self._runs.pop(key, None)
 
     def missing(
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -237,9 +237,9 @@
         """Record that a run has ended, or has never started."""
         self.ends.record(worker, end)
 
-    def record_crash(self, key: RunKey) -> None:
+    def record_crash(self, key: RunKey, evidence: str) -> None:
         """Record that the worker of a run that has ended had crashed."""
-        self.ends.record_late_crash(key)
+        self.ends.record_late_crash(key, evidence)
 
     async def wait_ends_stored(self, job_ids: set[str]) -> None:
         """Return once each end recorded so far of some jobs is stored."""
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -155,7 +155,8 @@
     has an entry by index for each unit with a run, unless it is done and no
     run may exist. The second one has a bit set of the settled members of each
     unit that has any, and the third the runs of each unfinished unit under
-    which a worker crashed. Rows of older versions lack the last two.
+    which a worker crashed, and the fourth those of them that are doubtful.
+    Rows of older versions lack the last ones.
     """
     done = sum(1 << number for number, unit in enumerate(units) if unit.done)
     unfinished = {
@@ -173,7 +174,12 @@
         for number, unit in enumerate(units)
         if unit.crashed_runs and not unit.done
     }
-    return [f"{done:x}", unfinished, settled, crashed]
+    doubtful = {
+        str(number): sorted(unit.doubtful_runs)
+        for number, unit in enumerate(units)
+        if unit.doubtful_runs and not unit.done
+    }
+    return [f"{done:x}", unfinished, settled, crashed, doubtful]
 
 
 def settled_members(unit: Unit) -> int:
@@ -210,8 +216,13 @@
     for units, stored in zip(progress.units, value["steps"], strict=False):
         restore_units(units, stored, now_s)
         crashed = stored[3] if len(stored) > 3 else {}
+        doubtful = stored[4] if len(stored) > 4 else {}
         for number, runs in crashed.items():
-            progress.add_crashes(units[int(number)], {int(r) for r in runs})
+            progress.add_crashes(
+                units[int(number)],
+                {int(run) for run in runs},
+                {int(run) for run in doubtful.get(number, ())},
+            )
 
 
 def restore_units(units: list[Unit], stored: list[Any], now_s: float) -> None:
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -17,14 +17,16 @@
 WORKER_TABLE = "servers"
 
 # Evidence for the end of a run: the worker listed the end, its reports lack
-# the run, it refused the start, another incarnation of it answers, its
-# machine is down, its whole failure domain or rack is down, it ended before
+# the run, it refused the start, another incarnation of it answers, it has
+# crashed but its lists lacked the run after the start was sent, its machine is
+# down, its whole failure domain or rack is down, it ended before
 # this holder heard from it, it was draining and has ended, its lease has
 # expired, or no start command was sent.
 REPORTED = "reported"
 MISSING = "missing"
 REFUSED = "refused"
 REPLACED = "replaced"
+UNSEEN = "unseen"
 MACHINE_DOWN = "machine_down"
 OUTAGE = "outage"
 UNOBSERVED = "unobserved"
@@ -35,7 +37,7 @@
 # silent or cut off, that drains, or that is lost with all others around it
 # has not crashed because of its runs. One that ended unobserved may have been
 # lost with the others.
-CRASH_EVIDENCE = frozenset({MACHINE_DOWN, REPLACED})
+CRASH_EVIDENCE = frozenset({MACHINE_DOWN, REPLACED, UNSEEN})
 
 
 class WatchedTable(TableService, Protocol):
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -4,8 +4,9 @@
 the part of it that must outlive the holder as the value of the job's row.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 
+from damaskstall.tasks.crash_evidence import is_given_up
 from damaskstall.tasks.model import (
     CANCELLED,
     COMPLETED,
@@ -20,9 +21,6 @@
 )
 from damaskstall.tasks.pace import PaceHistory
 
-# A task is given up once this many workers have crashed under it, the last
-# ones while it ran apart from others (see isolation.py).
-CRASH_LIMIT = 4
 # A run this long breaks the row: earlier crashes do not count any more, so
 # that a task which runs for weeks is not given up for unrelated crashes.
 CRASH_MEMORY_S = 600.0
@@ -86,7 +84,8 @@
     knows.
     ``avoid`` names workers on which a run failed or stalled, and
     ``crashed_runs`` has the numbers of the runs under which a worker crashed,
-    the longest of which lasted ``longest_crash_s``, None if not known.
+    the longest of which lasted ``longest_crash_s``, None if not known;
+    ``doubtful_runs`` has those whose worker may well have crashed anyway.
     """
 
     __slots__ = (
@@ -105,6 +104,7 @@
         "ended_s",
         "avoid",
         "crashed_runs",
+        "doubtful_runs",
         "longest_crash_s",
         "has_begun",
     )
@@ -126,6 +126,7 @@
         self.ended_s = 0.0
         self.avoid: set[str] = set()
         self.crashed_runs: set[int] = set()
+        self.doubtful_runs: set[int] = set()
         self.longest_crash_s: float | None = 0.0
         self.has_begun = False
 
@@ -332,28 +333,35 @@
         self.count_change()
         return True
 
-    def record_crash(self, unit: Unit, run: int, ran_s: float) -> bool:
+    def record_crash(
+        self, unit: Unit, run: int, ran_s: float, doubtful: bool = False
+    ) -> bool:
         """Record that a worker crashed under a run that lasted ``ran_s``.
 
         Return whether that was unknown. However many workers of a gang's run
-        crash, they count once.
+        crash, they count once. A crash is ``doubtful`` if the worker may well
+        have crashed without the run.
         """
         if unit.done or run in unit.crashed_runs:
             return False
         longest_s = unit.longest_crash_s
         if breaks_row(longest_s, ran_s):
             unit.crashed_runs.clear()
+            unit.doubtful_runs.clear()
             longest_s = 0.0
-        self.add_crashes(unit, {run})
+        self.add_crashes(unit, {run}, {run} if doubtful else frozenset())
         unit.longest_crash_s = max(longest_s or 0.0, ran_s)
         self._give_up_suspect(unit)
         self.count_change()
         return True
 
-    def add_crashes(self, unit: Unit, runs: set[int]) -> None:
+    def add_crashes(
+        self, unit: Unit, runs: set[int], doubtful: Set[int] = frozenset()
+    ) -> None:
         """Add runs under which a worker is known to have crashed."""
         if runs - unit.crashed_runs:
             unit.longest_crash_s = None
+        unit.doubtful_runs |= doubtful - unit.crashed_runs
         unit.crashed_runs |= runs
         if unit.crashed_runs and unit not in self.suspects:
             self.suspects.append(unit)
@@ -365,7 +373,7 @@
         """
         if unit.done or any(not m.ended for m in unit.members):
             return
-        if len(unit.crashed_runs) >= CRASH_LIMIT:
+        if is_given_up(unit.crashed_runs, unit.doubtful_runs):
             self.failed = True
 
     def record_late_end(
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -7,6 +7,7 @@
     CRASH_EVIDENCE,
     REPORTED,
     UNOBSERVED,
+    UNSEEN,
     EndReport,
 )
 from damaskstall.tasks.progress import (
@@ -139,7 +140,8 @@
         )
         log_run_ended(worker, end)
         if self._is_crash(worker, progress, end.evidence):
-            self._count_crash(progress, unit, end.key.run, ran_s)
+            doubtful = end.evidence == UNSEEN
+            self._count_crash(progress, unit, end.key.run, ran_s, doubtful)
         if end.evidence == REPORTED:
             self._mark_logged(worker, end.key)
         self.owner.record_outcome(worker, progress, unit, end.how)
@@ -159,21 +161,27 @@
             return self.owner.is_lost_alone(worker, progress)
         return evidence in CRASH_EVIDENCE
 
-    def record_late_crash(self, key: RunKey) -> None:
+    def record_late_crash(self, key: RunKey, evidence: str) -> None:
         """Record that the worker of a run that has ended had crashed."""
         progress = self.jobs.get(key.task.job_id)
         found = progress.find(key.task) if progress is not None else None
         if progress is None or found is None:
             return
-        self._count_crash(progress, found[0], key.run, 0.0)
+        doubtful = evidence == UNSEEN
+        self._count_crash(progress, found[0], key.run, 0.0, doubtful)
         if progress.failed:
             self.owner.stop_all(progress, "the job has failed")
         self.owner.schedule_write(progress)
 
     def _count_crash(
-        self, progress: JobProgress, unit: Unit, run: int, ran_s: float
+        self,
+        progress: JobProgress,
+        unit: Unit,
+        run: int,
+        ran_s: float,
+        doubtful: bool,
     ) -> None:
-        if progress.record_crash(unit, run, ran_s):
+        if progress.record_crash(unit, run, ran_s, doubtful):
             log_crash_counted(progress, unit, run)
 
     def _record_late_end(self, worker: str, end: EndReport) -> None:
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -180,7 +180,7 @@
         earlier_s = target.late_starts.until(self.key)
         target.late_starts.expect(self.key, target.clock())
         target.lease.extend_expiry(request.not_after_s)
-        was_sent = target.expected.mark_sent(self.key)
+        was_sent = target.expected.mark_sent(self.key, target.clock())
         try:
             clock_s = await target.client.start(request)
         except CommandOutcomeUnknownError:
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -145,6 +145,7 @@
         index=unit.first_index,
         run=run,
         crashes=len(unit.crashed_runs),
+        doubtful=len(unit.doubtful_runs),
         given_up=progress.failed,
     )
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -40,6 +40,7 @@
     OUTAGE,
     REPLACED,
     UNOBSERVED,
+    UNSEEN,
     WORKER_LEFT,
     EndReport,
     LeaseRenewal,
@@ -155,9 +156,9 @@
         self.crashed_s = float("-inf")
         # Whether the worker has answered this holder.
         self.heard = False
-        # The runs that lapsed in this silence; until the given time a crash
-        # of the worker is still attributed to them.
-        self._lapsed_runs: list[RunKey] = []
+        # The runs that lapsed in this silence, and whether each was unseen;
+        # until the given time a crash is still attributed to them.
+        self._lapsed_runs: dict[RunKey, bool] = {}
         self._judged_until_s = started_s
         self.late_starts = LateStarts(started_s)
         self._stop_sent_s: dict[RunKey, float] = {}
@@ -310,11 +311,11 @@
 
     def _record_loss(self, evidence: str) -> None:
         """Note a crash, and report the runs that lapsed in its silence."""
-        runs, self._lapsed_runs = self._lapsed_runs, []
+        runs, self._lapsed_runs = self._lapsed_runs, {}
         if evidence in CRASH_EVIDENCE:
             self.crashed_s = self.clock()
-            for key in runs:
-                self.owner.record_crash(key)
+            for key, unseen in runs.items():
+                self.owner.record_crash(key, UNSEEN if unseen else evidence)
 
     def _loss_evidence(self, evidence: str) -> str:
         """Return why the worker's runs ended if it did not just crash."""
@@ -364,13 +365,14 @@
         Only the call to a silent worker takes a slot, not the wait until the
         ends in its answer are stored.
         """
+        requested_s = self.clock()
         if self.reachable:
             answer = await self._send_renewal()
         else:
             async with self.contact_slots.of(self._silent_calls):
                 answer = await self._send_renewal()
         if answer.report is not None:
-            await self._apply_report(answer.report)
+            await self._apply_report(answer.report, requested_s)
         return answer.arrived
 
     async def _send_renewal(self) -> Answer:
@@ -440,7 +442,9 @@
             return False
         return self._sent_end >= self._newest_end
 
-    async def _apply_report(self, report: WorkerReport) -> None:
+    async def _apply_report(
+        self, report: WorkerReport, requested_s: float
+    ) -> None:
         if self._is_from_another_incarnation(report):
             # Only lists that follow a renewal with a higher token are final.
             self.begin_incarnation(report.incarnation, "report")
@@ -454,9 +458,9 @@
         self.fenced = True
         if not self.reachable:
             self.reachable = True
-            self._lapsed_runs = []
+            self._lapsed_runs = {}
             self.owner.request_decision()
-        self._apply_run_lists(report)
+        self._apply_run_lists(report, requested_s)
         self._newest_end = max((end.number for end in report.ended), default=0)
         if report.ended:
             newest = max(end.number for end in report.ended)
@@ -482,7 +486,9 @@
             return True
         return any(end.number <= self._sent_end for end in report.ended)
 
-    def _apply_run_lists(self, report: WorkerReport) -> None:
+    def _apply_run_lists(
+        self, report: WorkerReport, requested_s: float
+    ) -> None:
         listed = set()
         self._check_unknown_runs(report)
         for run in report.running:
@@ -500,6 +506,7 @@
         if len(report.ended) >= LISTED_ENDS_LIMIT:
             # The ends of runs that are not listed may follow.
             return
+        self.expected.record_lists(listed, requested_s)
         for key, missing in self.expected.missing(report.clock_s, listed):
             self.end_run(key, missing.outcome, missing.evidence)
 
@@ -535,7 +542,9 @@
         if runs:
             log(RUNS_LAPSED, worker=self.worker.name, runs=len(runs))
             sent = [k for k in runs if self.expected.may_have_started(k)]
-            self._lapsed_runs += sent
+            self._lapsed_runs |= {
+                key: self.expected.is_unseen(key) for key in sent
+            }
             self._judged_until_s = self.clock() + LAPSED_RUNS_KEPT_S
             self._end_runs(runs, LEASE_EXPIRED)
 
@@ -594,7 +603,8 @@
     def _end_runs(self, runs: list[RunKey], evidence: str) -> None:
         for key in runs:
             if self.expected.may_have_started(key):
-                self.end_run(key, ENDED_LAPSED, evidence)
+                found = self.expected.loss_evidence(key, evidence)
+                self.end_run(key, ENDED_LAPSED, found)
             else:
                 self.end_run(key, ENDED_NOT_STARTED, NOT_LAUNCHED)
 
--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -5,6 +5,7 @@
 
 from trio import current_time, sleep
 
+from damaskstall.tasks.progress import Unit
 from standins.operators.worker import StandinWorker
 from tests.tasks.cluster import (
     BULK,
@@ -161,6 +162,30 @@
     )
 
 
+async def wait_suspect(cluster: Cluster) -> Unit:
+    """Return the first unit under which a worker is known to have crashed."""
+    await cluster.wait(lambda: suspected_jobs(cluster))
+    name = cluster.holder()
+    assert name is not None
+    holder = cluster.nodes[name].election.holder
+    assert holder is not None
+    return holder.jobs[suspected_jobs(cluster)[0]].suspects[0]
+
+
+def test_crash_before_the_answer_to_the_start_is_not_doubtful() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for worker in cluster.workers.values():
+            worker.order_delays_s = [0.05]
+        cluster.history.crash_after_s[task_name(DEADLY_JOB)] = 0.02
+        await cluster.submit(DEADLY_JOB, [ONE_TASK], work_s=20.0)
+        unit = await wait_suspect(cluster)
+        assert cluster.history.runs[0].how == LOST
+        assert unit.crashed_runs == {1}
+        assert unit.doubtful_runs == set()
+
+    run_scenario(scenario)
+
+
 def suspected_jobs(cluster: Cluster) -> list[str]:
     """Return the holder's jobs under whose tasks workers have crashed."""
     name = cluster.holder()
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -236,10 +236,12 @@
     job = fleet.add(NORMAL, task(1, task_count=3))
     unit = job.units[0][1]
     job.record_crash(unit, 2, 0.1)
+    job.record_crash(unit, 3, 0.1, doubtful=True)
     value = encode_progress(job)
     successor = JobProgress(job.job, 1, 0.0)
     restore_progress(successor, value, 0.0)
-    assert successor.units[0][1].crashed_runs == {2}
+    assert successor.units[0][1].crashed_runs == {2, 3}
+    assert successor.units[0][1].doubtful_runs == {3}
     assert successor.suspects == [successor.units[0][1]]
 
 
--- a/tests/tasks/test_run_obstacles.py
+++ b/tests/tasks/test_run_obstacles.py
@@ -60,7 +60,7 @@
 
 def send_start(session: WorkerSession) -> None:
     """Let a start command be sent now, without an answer."""
-    session.expected.mark_sent(KEY)
+    session.expected.mark_sent(KEY, 0.0)
     session.late_starts.expect(KEY, NOW_S)
 
 
@@ -73,7 +73,7 @@
 
 def answer_start(session: WorkerSession) -> None:
     """Let the start command be answered."""
-    session.expected.mark_sent(KEY)
+    session.expected.mark_sent(KEY, 0.0)
 
 
 def drop_run(session: WorkerSession) -> None:
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -13,6 +13,7 @@
 
 from damaskstall.errors import CommandOutcomeUnknownError, FencedError
 from damaskstall.tasks.contact_slots import ContactSlots
+from damaskstall.tasks.expected_runs import LISTED_AFTER_S
 from damaskstall.tasks.fencing import (
     EPOCH_SPACING,
     FencingTokens,
@@ -20,6 +21,8 @@
 )
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
+    REPLACED,
+    UNSEEN,
     EndReport,
     LeaseRenewal,
     RunReport,
@@ -238,6 +241,27 @@
     run_session(body)
 
 
+def test_reboot_under_a_run_that_no_list_has_shown_is_no_proof() -> None:
+    async def body(
+        session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
+    ) -> None:
+        key = RunKey(TaskKey("job", 0, 0, 1), 1)
+        session.reserve(key, DEMAND)
+        session.expected.add_launched(key, not_after_s=2000.0)
+        session.expected.mark_sent(key, current_time())
+        await sleep(LISTED_AFTER_S)
+        for clock_s in (1002.0, 1003.0):
+            worker.report(clock_s, 1, (KEY,))
+            await sleep(0.1)
+        worker.report(5.0, 2)
+        worker.report(5.1, 2)
+        await sleep(0.1)
+        evidence = {end.key: end.evidence for end in owner.ends}
+        assert evidence == {KEY: REPLACED, key: UNSEEN}
+
+    run_session(body)
+
+
 def test_no_run_is_launched_by_the_clock_of_an_earlier_incarnation() -> None:
     async def body(
         session: WorkerSession, worker: ScriptedWorker, owner: RecordingOwner
