Hand the lease over only to an instance that competes for it

A larger instance that drains, or does not know the configuration yet, answered the small holder's check, which only read a row through it, and then did not acquire the lease. Each small instance in turn gave the lease up: in a planned stop of the large one among eight, the service changed holders until it was gone.

An instance of an earlier version refuses the new call, so nothing is handed over to it.

test_lease_is_not_handed_over_to_an_instance_that_drains failed before: the second holder gave the lease up at once. test_peer_call calls the new operation too, so it needs a store that offers it; what it checks is the same.

--- a/src/damaskstall/tasks/election.py
+++ b/src/damaskstall/tasks/election.py
@@ -91,8 +91,8 @@
     def cores_by_name(self) -> dict[str, float]:
         """Return the processor cores of this instance and its live peers."""
 
-    async def reaches_store(self, name: str) -> bool:
-        """Return whether a peer is alive and reaches the store."""
+    async def can_hold_lease(self, name: str) -> bool:
+        """Return whether a peer is alive and competes for the lease."""
 
 
 class Election:
@@ -147,6 +147,15 @@
                 tries += 1
             await sleep(delay_s)
 
+    def competes(self) -> bool:
+        """Return whether this process would acquire a free lease.
+
+        It does not while it drains, or before it knows the configuration and
+        its peers.
+        """
+        known = self.context.configuration.known and self.instances.known
+        return known and not self.draining
+
     async def drain(self) -> None:
         """Release the lease and stop competing."""
         self.draining = True
@@ -174,16 +183,12 @@
         if counts is not None and counts.value is not None:
             self.waiting = counts.value["counts"]
             self.waiting_read_s = now_s
-        if self.draining or not free or not self._may_compete():
+        if not free or not self.competes():
             return
         lease = await self._acquire(row, page.revision)
         if lease is not None:
             await self._run_holder(lease, counts)
 
-    def _may_compete(self) -> bool:
-        """Return whether this process knows what it needs to be elected."""
-        return self.context.configuration.known and self.instances.known
-
     def _is_standby(self) -> bool:
         """Return whether this instance is among the first candidates."""
         cores = self.instances.cores_by_name()
@@ -313,16 +318,17 @@
     async def _should_hand_over(self, holder: TaskHolder) -> bool:
         """Return whether to hand the lease over to a larger instance now.
 
-        One of them must be alive and reach the store.
+        One of them must be alive and compete for the lease; else this
+        instance keeps it.
         """
         now_s = self.context.clock()
         if now_s - self._handed_over_s < HAND_OVER_INTERVAL_S:
             return False
         for name in self._larger_instances():
-            alive = False
+            competes = False
             with move_on_after(HAND_OVER_CHECK_LIMIT_S):
-                alive = await self.instances.reaches_store(name)
-            if alive:
+                competes = await self.instances.can_hold_lease(name)
+            if competes:
                 self._handed_over_s = self.context.clock()
                 log(LEASE_HANDED_OVER, epoch=holder.lease.epoch, to=name)
                 return True
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -115,7 +115,9 @@
             )
         bound["peers"] = await nursery.start(
             self.network.serve,
-            partial(serve_calls, DirectTable(self.table)),
+            partial(
+                serve_calls, DirectTable(self.table, self.election.competes)
+            ),
             self.peers.own_address,
         )
         for name, task in (
--- a/src/damaskstall/tasks/peer_directory.py
+++ b/src/damaskstall/tasks/peer_directory.py
@@ -76,17 +76,16 @@
         cores[self.instance] = self.own_cores
         return cores
 
-    async def reaches_store(self, name: str) -> bool:
-        """Return whether a peer is alive and reaches the store."""
+    async def can_hold_lease(self, name: str) -> bool:
+        """Return whether a peer is alive and competes for the lease."""
         peer = self.peers.get(name)
         if peer is None:
             return False
         try:
-            await peer.read(f"{NODE_PREFIX}{name}")
+            return await peer.can_hold_lease()
         except TableUnavailableError:
             self.record_failure(name)
             return False
-        return True
 
     def candidates(self, limit: int) -> list[tuple[str, PeerTable]]:
         """Return up to ``limit`` peers, the last successful one first."""
--- a/src/damaskstall/tasks/peer_table.py
+++ b/src/damaskstall/tasks/peer_table.py
@@ -29,7 +29,7 @@
 from damaskstall.generated.messages import Frame, TableCall, TableReply
 from damaskstall.network import Network
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
-from damaskstall.tasks.ports import WatchedTable
+from damaskstall.tasks.ports import PeerService
 
 Result = TypeVar("Result")
 
@@ -102,6 +102,10 @@
         arguments = {"writes": writes, "mutation_id": mutation_id}
         return await self._call("commit", arguments, int)
 
+    async def can_hold_lease(self) -> bool:
+        """Return whether the peer competes for the lease."""
+        return await self._call("can_hold_lease", {}, bool)
+
     async def _call(
         self,
         operation: str,
@@ -202,10 +206,10 @@
     raise TableUnavailableError(value)
 
 
-Operation = Callable[[WatchedTable, dict[str, Any]], Awaitable[Any]]
+Operation = Callable[[PeerService, dict[str, Any]], Awaitable[Any]]
 
 
-async def perform_commit(table: WatchedTable, fields: dict[str, Any]) -> int:
+async def perform_commit(table: PeerService, fields: dict[str, Any]) -> int:
     """Perform a commit that a peer requests."""
     writes = tuple(Write(*write) for write in fields["writes"])
     return await table.commit(writes, fields["mutation_id"])
@@ -216,10 +220,11 @@
     "scan": lambda table, fields: table.scan(**fields),
     "watch": lambda table, fields: table.watch(**fields),
     "commit": perform_commit,
+    "can_hold_lease": lambda table, _: table.can_hold_lease(),
 }
 
 
-async def perform_call(table: WatchedTable, call: TableCall) -> TableReply:
+async def perform_call(table: PeerService, call: TableCall) -> TableReply:
     """Perform a peer's call; return its result or error as a reply."""
     try:
         operation = OPERATIONS[call.operation]
@@ -242,9 +247,7 @@
     return TableReply(outcome, dumps(result).encode())
 
 
-async def serve_calls(
-    table: WatchedTable, stream: HalfCloseableStream
-) -> None:
+async def serve_calls(table: PeerService, stream: HalfCloseableStream) -> None:
     """Perform the calls that arrive on one connection, one at a time."""
     frames = FrameStream(stream)
     try:
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -53,6 +53,16 @@
         """
 
 
+class PeerService(WatchedTable, Protocol):
+    """What an instance does for its peers."""
+
+    async def can_hold_lease(self) -> bool:
+        """Return whether it competes for the lease and reaches the store.
+
+        Raises TableUnavailableError while the store refuses it.
+        """
+
+
 class RunReport(NamedTuple):
     """State of a running run: its newest checkpoint and percentage done."""
 
--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -169,9 +169,22 @@
 class DirectTable:
     """Table service for peers: calls the store directly, or fails at once."""
 
-    def __init__(self, table: RelayedTable) -> None:
-        """Use the direct connection of a relayed table."""
+    def __init__(
+        self, table: RelayedTable, competes: Callable[[], bool]
+    ) -> None:
+        """Use the direct connection of a relayed table.
+
+        ``competes`` returns whether this instance competes for the lease.
+        """
         self.table = table
+        self.competes = competes
+
+    async def can_hold_lease(self) -> bool:
+        """Return whether this instance would acquire a free lease."""
+        if not self.competes():
+            return False
+        await self.read(PROBE_KEY)
+        return True
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
--- a/tests/tasks/test_lease_preference.py
+++ b/tests/tasks/test_lease_preference.py
@@ -113,3 +113,18 @@
         assert cluster.holder() == first
 
     run_scenario(scenario)
+
+
+def test_lease_is_not_handed_over_to_an_instance_that_drains() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        strong = await add_node(cluster, cores=4.0)
+        await cluster.wait(lambda: cluster.holder() == strong)
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(cluster.stop_node, strong)
+        await cluster.wait(lambda: cluster.holder() not in (None, strong))
+        second = cluster.holder()
+        while strong in cluster.nodes:
+            assert cluster.holder() == second
+            await sleep(0.01)
+
+    run_scenario(scenario, nodes=7)
--- a/tests/tasks/test_malformed_messages.py
+++ b/tests/tasks/test_malformed_messages.py
@@ -36,6 +36,7 @@
 from damaskstall.platform.machine_list import decode_page
 from damaskstall.platform.operator_rows import OperatorsPlatform
 from damaskstall.platform.row_store import (
+    RowStore,
     conflict_error,
     decode_changes,
     decode_revision,
@@ -189,9 +190,12 @@
 }
 
 
+UNUSED_ADDRESS = Address("10.0.0.9", 1)
+
+
 def operators_platform() -> OperatorsPlatform:
     """Return an adapter that calls nothing."""
-    return OperatorsPlatform(TcpNetwork(), Address("10.0.0.9", 1), None)
+    return OperatorsPlatform(TcpNetwork(), UNUSED_ADDRESS, None)
 
 
 @given(PLACES, VALUES)
@@ -273,10 +277,21 @@
             pass
 
 
-@given(st.sampled_from(["read", "scan", "watch", "commit", ""]), VALUES)
+class CandidateStore(RowStore):
+    """A store as an instance offers it to its peers."""
+
+    async def can_hold_lease(self) -> bool:
+        """Return that the instance competes for the lease."""
+        return True
+
+
+OPERATIONS = ["read", "scan", "watch", "commit", "can_hold_lease", ""]
+
+
+@given(st.sampled_from(OPERATIONS), VALUES)
 def test_peer_call(operation: str, value: Any) -> None:
     async def main() -> None:
-        table = operators_platform().table
+        table = CandidateStore(TcpNetwork(), UNUSED_ADDRESS)
         arguments = {"key": value, "writes": value, "mutation_id": value}
         for each in (value, arguments):
             call = TableCall(operation, dumps(each).encode())
