Read a worker's clock again before a start if the answer was read late

After a pause of the holder of 1.5 s or more, starts on an idle worker were refused as too late, and repeated, until its clock was read again, up to 10 s later: the estimate of the clock counts from the moment at which the answer was read, so a late reading takes its delay off the window of each start.

A reading that came more than 0.25 s after it was due is now repeated before a start, by a renewal that the worker answers at once. The estimate itself still counts from the reading, so no lease and no window gets longer. test_late_reading_of_the_clock_does_not_shorten_the_next_windows failed before: the start was refused. Not covered: a worker with runs, whose clock is read again within 0.5 s in any case.

--- a/src/damaskstall/tasks/worker_lease.py
+++ b/src/damaskstall/tasks/worker_lease.py
@@ -18,7 +18,8 @@
 LATE_COMMAND_LIMIT_S = 12.0
 # The clock of a worker that was idle is read again before a start if the last
 # reading is older than this, which limits the error of its estimate to 0.2 s.
-# A start waits for the reading no longer than an answer takes.
+# A start waits for the reading no longer than an answer takes. A reading that
+# may be late by more than that is repeated before a start as well.
 CLOCK_AGE_LIMIT_S = 10.0
 CLOCK_WAIT_S = 0.25
 
@@ -44,11 +45,17 @@
         """
         self.lease_s = lease_s
         self.clock_known = False
+        # Whether the next renewal is to be answered at once.
+        self.clock_wanted = False
         self.clock_s = 0.0
         self.until_s = 0.0
         self.expires_s = (
             now_s + OUTAGE_RENEWAL_LIMIT_S + lease_limit_s(lease_s)
         )
+        # When the renewal whose answer is read next has to be answered, and by
+        # how much the last reading may be late.
+        self._answer_due_s = now_s
+        self._late_s = 0.0
         self._read_s = 0.0
         self._read = Event()
 
@@ -60,6 +67,14 @@
         """Return whether the worker's clock was read a short time ago."""
         return now_s - self._read_s < CLOCK_AGE_LIMIT_S
 
+    def clock_is_precise(self, now_s: float) -> bool:
+        """Return whether the estimate is good enough for a start's window."""
+        return self.clock_is_recent(now_s) and self._late_s <= CLOCK_WAIT_S
+
+    def record_sent(self, now_s: float, wait_s: float) -> None:
+        """Record that a renewal is sent, whose answer waits for ``wait_s``."""
+        self._answer_due_s = now_s + wait_s
+
     async def wait_clock_read(self) -> None:
         """Wait a moment for the next reading of the worker's clock."""
         with move_on_after(CLOCK_WAIT_S):
@@ -71,6 +86,8 @@
         The first answer also shows that nobody else renews the lease.
         """
         self.clock_s = clock_s
+        self._late_s = now_s - self._answer_due_s
+        self.clock_wanted = False
         self._read_s = now_s
         self._read.set()
         self._read = Event()
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -219,7 +219,8 @@
         """Count a run that is about to be launched."""
         self.load.add(key, demand)
         self.health.record_placed(self.clock())
-        if not self.lease.clock_is_recent(self.clock()):
+        if not self.lease.clock_is_precise(self.clock()):
+            self.lease.clock_wanted = True
             self.wake()
 
     def release(self, key: RunKey) -> None:
@@ -257,7 +258,8 @@
 
     async def refresh_clock(self) -> None:
         """Wait a moment for a reading of the clock if the last one is old."""
-        if not self.lease.clock_is_recent(self.clock()):
+        if not self.lease.clock_is_precise(self.clock()):
+            self.lease.clock_wanted = True
             self.wake()
             await self.lease.wait_clock_read()
 
@@ -386,6 +388,7 @@
             self.lease.renew(now_s)
         may_wait = answers and self._may_have_runs()
         may_wait = may_wait and self.lease.clock_is_recent(now_s)
+        may_wait = may_wait and not self.lease.clock_wanted
         request = LeaseRenewal(
             self.token,
             self.lease.until_s,
@@ -393,6 +396,7 @@
             RENEWAL_WAIT_S if may_wait else 0.0,
         )
         self.lease.extend_expiry(request.lease_until_s)
+        self.lease.record_sent(now_s, request.wait_s)
         try:
             report = await self.client.renew_lease(request)
         except FencedError:
--- a/tests/tasks/test_start_windows.py
+++ b/tests/tasks/test_start_windows.py
@@ -2,6 +2,8 @@
 
 from trio import open_nursery, sleep
 
+from damaskstall.errors import CommandRefusedError
+from damaskstall.tasks.ports import LeaseRenewal, StartRequest, WorkerReport
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import GANG, job_id
 from tests.tasks.run_checker import check_finished_once, check_runs
@@ -12,9 +14,32 @@
     open_session,
     run_key,
 )
+from tests.tasks.slow_processor import use_processor
 from tests.virtual_time import run_virtual
 
 
+class LateReadWorker(FakeWorker):
+    """A worker whose next answer is read ``late_s`` seconds late.
+
+    It refuses a start after its window, as workers do.
+    """
+
+    late_s = 0.0
+
+    async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
+        """Renew the lease; the answer is read late once."""
+        report = await super().renew_lease(request)
+        late_s, self.late_s = self.late_s, 0.0
+        use_processor(late_s)
+        return report
+
+    async def start(self, request: StartRequest) -> float:
+        """Start a run, unless its window has ended."""
+        if self.clock_s() > request.not_after_s:
+            raise CommandRefusedError("The window has ended.", "late")
+        return await super().start(request)
+
+
 def test_gang_with_a_slow_clock_stops_in_time_after_long_idleness() -> None:
     async def scenario(cluster: Cluster) -> None:
         for worker in cluster.workers.values():
@@ -71,3 +96,25 @@
             nursery.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+def test_late_reading_of_the_clock_does_not_shorten_the_next_windows() -> None:
+    """The reading is not repeated while the worker is idle."""
+
+    async def main() -> None:
+        worker, owner = LateReadWorker(), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            # The last answer before the worker counts as idle.
+            await sleep(11.7)
+            worker.late_s = 2.0
+            await sleep(3.0)
+            assert not worker.late_s
+            session.reserve(run_key(1), DEMAND)
+            await session.launch(run_key(1), "payload", "")
+            assert run_key(1) in worker.running
+            assert owner.outcomes(run_key(1)) == []
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
