Let a late holder read the list of machines

The list of machines had a fixed time limit of 0.5 s per page, while calls of workers get more time when the holder itself runs late. A holder that was late closed the connection at each attempt and began again, so the runs of a crashed worker counted as running until its lease ended.

The limit of a page is now extended by the same measured delay as that of a call to a worker, by 0.75 s at most. test_late_holder_reads_the_list_of_machines failed before: the task ran again after 11.3 s, with a limit of 6 s.

test_long_rounds_cost_neither_store_nor_lease passed before as well: rounds of up to 0.5 s, each followed by a pause as long, neither lose the store nor the lease, so the limits of store calls and of the renewal stay as they are.

--- a/src/damaskstall/platform/machine_list.py
+++ b/src/damaskstall/platform/machine_list.py
@@ -40,15 +40,17 @@
             HttpClient(network, address, TIMEOUT_S) if address else None
         )
 
-    async def read_all(self) -> list[MachineEntry]:
+    async def read_all(self, late_s: float) -> list[MachineEntry]:
         """Return all entries of the list, in its order.
 
-        Raises MachineListUnavailableError unless all pages can be read.
+        The time limit of each page is extended by ``late_s`` seconds. Raises
+        MachineListUnavailableError unless all pages can be read.
         """
         if self.client is None:
             raise MachineListUnavailableError(
                 "The platform has no list of machines."
             )
+        self.client.timeout_s = TIMEOUT_S + late_s
         found: list[MachineEntry] = []
         token = ""
         for _ in range(PAGE_LIMIT):
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -67,9 +67,9 @@
                 f"The row {row.key!r} is not a worker's entry: {error!r}."
             ) from error
 
-    async def machines(self) -> list[MachineEntry]:
+    async def machines(self, late_s: float) -> list[MachineEntry]:
         """Return the machines, each with the worker that runs on it."""
-        return await self.machine_list.read_all()
+        return await self.machine_list.read_all(late_s)
 
     def client_for(
         self, worker: WorkerInfo, answer_limit: AnswerLimit
--- a/src/damaskstall/tasks/machine_list_poller.py
+++ b/src/damaskstall/tasks/machine_list_poller.py
@@ -55,7 +55,8 @@
     async def _poll(self, silent_since: dict[str, float]) -> None:
         """End the runs of silent workers that have certainly ended."""
         try:
-            entries = await self.platform.machines()
+            late_s = self.pool.late_reading_s()
+            entries = await self.platform.machines(late_s)
         except MachineListUnavailableError as error:
             if not self.failing:
                 log(
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -170,9 +170,10 @@
     def worker(self, row: Row, state: DesiredState) -> WorkerInfo:
         """Return the worker that a row lists; raise MalformedRowError."""
 
-    async def machines(self) -> list[MachineEntry]:
+    async def machines(self, late_s: float) -> list[MachineEntry]:
         """Return the machines, each with the worker that runs on it.
 
+        This process may read each answer up to ``late_s`` seconds late.
         Entries that move during the reading may be missing or listed twice.
         Raises MachineListUnavailableError when the list cannot be read.
         """
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -62,8 +62,6 @@
 # A call waits for this process several times: to connect, send and receive.
 DELAYS_PER_CALL = 3.0
 OWN_DELAY_LIMIT_S = 0.25
-
-
 # A worker that crashes repeatedly does so again within this time.
 CRASH_MEMORY_S = 8.0
 # The number of an incarnation is the Unix time of its start in milliseconds.
@@ -133,12 +131,16 @@
             nursery.start_soon(session.run, nursery)
 
     def answer_limit_s(self) -> float:
-        """Return how many seconds a worker has to answer a call.
+        """Return how many seconds a worker has to answer a call."""
+        return ANSWER_LIMIT_S + self.late_reading_s()
+
+    def late_reading_s(self) -> float:
+        """Return by how many seconds an answer to a call may be read late.
 
         An answer that arrives while this process is delayed is read late.
         """
         own_delay_s = min(self.owner.own_delay_s(), OWN_DELAY_LIMIT_S)
-        return ANSWER_LIMIT_S + DELAYS_PER_CALL * own_delay_s
+        return DELAYS_PER_CALL * own_delay_s
 
     async def follow(self, nursery: Nursery) -> None:
         """Follow the list of workers until cancelled."""
