Place endless tasks beside each other and on smaller workers

Units that need whole workers waited without end although most of the fleet was free: each worker had one endless task. These were packed where the fewest accelerators were free, which is beside work that ends. Once it has ended, the endless task alone occupies a worker that was whole before. Shrunk workers, which hold no whole unit anyway, were passed over in the same way.

Endless tasks now first fill the workers that have such tasks already, or fewer accelerators than others of their service, and only then the fullest of the rest.

--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -3,11 +3,12 @@
 Accelerators run out before processors do, and many tasks need all
 accelerators of a worker. So tasks are packed (best fit): a task is placed
 where the fewest accelerators are free, which keeps idle workers free for
-units that need whole workers.
+units that need whole workers. Endless tasks, which keep their place for good,
+go beside others of their sort or to workers that are smaller anyway.
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from math import inf
 from typing import NamedTuple
 
@@ -169,7 +170,7 @@
     has, and ``avoid`` names workers to use only as a last resort. A unit that
     is to run ``alone`` only fits on workers without other runs that are not
     ``unreliable``, and one to ``spread`` goes to the workers with the most
-    free capacity.
+    free capacity. Of the other workers, those in ``prefer`` are filled first.
     """
 
     step: Step
@@ -179,6 +180,7 @@
     alone: bool = False
     unreliable: frozenset[str] = frozenset()
     spread: bool = False
+    prefer: Set[str] = frozenset()
 
 
 WorkerFilter = Callable[[WorkerInfo], bool]
@@ -293,7 +295,7 @@
 
 def packing_order(
     plan: CapacityPlan, placement: PlacementRequest, name: str
-) -> tuple[bool, bool, bool, int, int, str]:
+) -> tuple[bool, bool, bool, bool, int, int, str]:
     """Return the sort key of a worker; lower keys are filled first."""
     free = plan.free[name]
     worker = plan.workers[name]
@@ -303,12 +305,29 @@
         name in plan.in_backoff,
         name in placement.avoid,
         bool(data_rack) and worker.rack != data_rack,
+        name not in placement.prefer,
         sign * free.accelerators,
         sign * free.memory_mb,
         name,
     )
 
 
+def smaller_workers(plan: CapacityPlan) -> set[str]:
+    """Return the workers that have fewer accelerators than others.
+
+    Workers are compared with those of the same service.
+    """
+    largest: dict[str, int] = {}
+    for worker in plan.workers.values():
+        known = largest.get(worker.service, 0)
+        largest[worker.service] = max(known, worker.capacity.accelerators)
+    return {
+        name
+        for name, worker in plan.workers.items()
+        if worker.capacity.accelerators < largest[worker.service]
+    }
+
+
 def place_unit(
     plan: CapacityPlan, placement: PlacementRequest
 ) -> list[str] | None:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -37,6 +37,7 @@
     pack_some,
     place_unit,
     racks_by_free,
+    smaller_workers,
 )
 from damaskstall.tasks.preemption import (
     PreemptionSearch,
@@ -199,6 +200,8 @@
         # Time limits within which no reservation was found, by shape.
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
+        # The workers that endless tasks are to fill first.
+        self.endless_hosts: set[str] | None = None
         self.stoppable: list[Victim] | None = None
         # By the priority of a queue, and whether a guarantee covers the job.
         self.preemptable: dict[tuple[int, bool], set[str]] = {}
@@ -350,7 +353,9 @@
         kept = [usable[name] for name in self.closed if name in usable]
         if any(may_run(placement, worker) for worker in kept):
             return False
-        placement = placement._replace(alone=False, spread=True)
+        placement = placement._replace(
+            alone=False, spread=True, prefer=frozenset()
+        )
         plan, _ = self._available_plan(batch)
         workers = place_unit(plan, placement)
         if workers is None:
@@ -405,6 +410,8 @@
 
     def _start(self, batch: Batch, unit: Unit, workers: list[str]) -> None:
         self._allocate(batch, workers)
+        if batch.step.endless:
+            self._hosts_of_endless().update(workers)
         if unit.crashed_runs:
             self.suspects.shared.update(workers)
         if needs_isolation(unit):
@@ -854,8 +861,24 @@
             task_counts,
             waits_for_idle_workers(unit, batch.step, self.now_s),
             self.inputs.crashed_workers,
+            prefer=(
+                self._hosts_of_endless() if batch.step.endless else frozenset()
+            ),
         )
 
+    def _hosts_of_endless(self) -> set[str]:
+        """Return the workers that endless tasks should fill first.
+
+        They run such tasks already or are smaller than others, so that units
+        that need whole workers keep the rest.
+        """
+        if self.endless_hosts is None:
+            self.endless_hosts = smaller_workers(self.plan)
+            for progress, unit in self._running():
+                if progress.step_of(unit).endless:
+                    self.endless_hosts.update(unit.workers())
+        return self.endless_hosts
+
     def _count_tasks(
         self, progress: JobProgress, unit: Unit
     ) -> dict[str, int]:
