Stop a run on a worker that its job's row does not name

Callers saw a worker that got no new run for as long as another worker's run lasted (`unknown_runs`): it listed a run of the same task and number as the present one, which the row places elsewhere. An earlier holder's start or a renamed worker can cause that. The run was let go on beside the other one, and its reports were taken for those of the member: its percentage went back, and the sound run was stopped as stalled.

Cause: should_continue looked for the run by its key, not by its worker, and so did record_running.

A run is now compared with the member's worker, and stopped if the present run is stored, since the row is then the truth. The incarnation is not compared: a run that the next incarnation of the worker carried out late is the present one, and the only one.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -51,7 +51,7 @@
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
 from damaskstall.tasks.reservations import NOTHING_KEPT
-from damaskstall.tasks.run_ends import RunEnds, find_run
+from damaskstall.tasks.run_ends import RunEnds, find_present_run, find_run
 from damaskstall.tasks.run_log import (
     log_claim_lost,
     log_job_ended,
@@ -164,8 +164,12 @@
 
     # Callbacks of the worker sessions.
 
-    def should_continue(self, key: RunKey) -> bool:
-        """Return whether a run should continue."""
+    def should_continue(self, worker: str, key: RunKey) -> bool:
+        """Return whether a run on a worker should continue.
+
+        A run of that number that another holder has placed on that worker may
+        be in the job's row until the present run is stored.
+        """
         found = find_run(self.jobs, key)
         if found is None:
             return False
@@ -174,7 +178,10 @@
             return False
         if unit.superseded:
             return False
-        return not unit.members[position].ended
+        member = unit.members[position]
+        if member.worker != worker and unit.stored_run == key.run:
+            return False
+        return not member.ended
 
     def demand_of(self, key: RunKey) -> Demand | None:
         """Return the demand of a current run, or None if it has ended."""
@@ -219,7 +226,7 @@
 
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
-        found = find_run(self.jobs, report.key)
+        found = find_present_run(self.jobs, worker, report.key)
         if found is None:
             return
         progress, unit, position = found
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -155,7 +155,7 @@
             return False
         if not target.owner.may_start_runs():
             return False
-        return target.owner.should_continue(self.key)
+        return target.owner.should_continue(target.worker.name, self.key)
 
     def _give_up_for_capacity(self) -> None:
         """Send no start to a worker whose capacity has shrunk meanwhile.
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -9,8 +9,8 @@
 class SessionOwner(Protocol):
     """Receiver of the events of a session; decides what may run."""
 
-    def should_continue(self, key: RunKey) -> bool:
-        """Return whether a run should continue."""
+    def should_continue(self, worker: str, key: RunKey) -> bool:
+        """Return whether a run on a worker should continue."""
 
     def may_renew_leases(self) -> bool:
         """Return whether the leases of runs may be renewed."""
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -498,7 +498,7 @@
         for run in report.running:
             listed.add(run.key)
             self.expected.confirm(run.key, report.clock_s)
-            if self.owner.should_continue(run.key):
+            if self.owner.should_continue(self.worker.name, run.key):
                 self.owner.record_running(self.worker.name, run)
             else:
                 self.stop(run.key)
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -158,7 +158,7 @@
         """Return the recorded outcomes of a run."""
         return [end.how for end in self.ends if end.key == key]
 
-    def should_continue(self, key: RunKey) -> bool:
+    def should_continue(self, worker: str, key: RunKey) -> bool:
         """Let all runs continue that have not ended."""
         return self.ended(key) is None
 
