Relay only the calls of a part of the store that fails

Cause: RelayedTable took any failed call for a refusal of all calls of its instance. It then called peers alone, which had drawn the same conclusion from the same part, until the next probe of another part succeeded.

Evidence: test_relay.py. Before, three instances that were asked for a job in the failing part answered 503 for a job in another part.

A failed call for a part of the jobs is still sent through peers, but the instance counts as refused only if no call for another part was answered within 0.5 s, or if the part with the lease and the configuration fails. A store that refuses an instance altogether is noticed as before by the renewals of the lease.

--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -1,6 +1,7 @@
 """Call the table service directly, or through a peer while that fails.
 
-The store may refuse one instance and serve the others.
+The store may refuse one instance and serve the others. It may also fail in
+part: then the calls that concern the failing part are relayed one by one.
 """
 
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,11 @@
 # the store is probably unavailable to all instances.
 PEER_TRIES = 3
 COMMIT = "commit"
+# The lease is renewed several times within this time, so if nothing was
+# answered in it, the store refuses all calls of this instance.
+ANSWER_AGE_S = 0.5
+# Stands for the part of a call that concerns all parts of a table.
+ALL_PARTS = "*"
 
 
 class RelayedTable:
@@ -37,6 +43,8 @@
         self.latency = StoreLatency()
         self.refused = False
         self.refused_since_s = float("inf")
+        # When a direct call was last answered, by part.
+        self._answered_s: dict[str, float] = {}
         self._refused_event = Event()
         self._relayed: set[CancelScope] = set()
 
@@ -64,12 +72,16 @@
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
-        return await self._call(lambda table: table.read(key), "read")
+        return await self._call(
+            part_of_key(key), lambda table: table.read(key), "read"
+        )
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
         """Return rows whose key begins with a prefix, after a key."""
         return await self._call(
-            lambda table: table.scan(prefix, after, limit), "scan"
+            part_of_key(prefix),
+            lambda table: table.scan(prefix, after, limit),
+            "scan",
         )
 
     async def changes(
@@ -77,7 +89,8 @@
     ) -> ChangePage:
         """Return rows changed after a revision."""
         return await self._call(
-            lambda table: table.changes(prefix, after_revision, limit)
+            ALL_PARTS,
+            lambda table: table.changes(prefix, after_revision, limit),
         )
 
     async def watch(
@@ -85,7 +98,8 @@
     ) -> ChangePage:
         """Return the rows of a table changed after a revision, in order."""
         return await self._call(
-            lambda target: target.watch(table, after_revision, wait_s)
+            ALL_PARTS,
+            lambda target: target.watch(table, after_revision, wait_s),
         )
 
     async def commit(self, writes: tuple[Write, ...], mutation_id: str) -> int:
@@ -95,11 +109,14 @@
         the caller resolves the outcome by reading the row.
         """
         return await self._call(
-            lambda target: target.commit(writes, mutation_id), COMMIT
+            part_of_key(writes[0].key),
+            lambda target: target.commit(writes, mutation_id),
+            COMMIT,
         )
 
     async def _call(
         self,
+        part: str,
         call: Callable[[WatchedTable], Awaitable[Result]],
         measured_as: str = "",
     ) -> Result:
@@ -111,13 +128,13 @@
             try:
                 sent_s = self.peers.clock()
                 result = await call(self.direct)
+                now_s = self._answered_s[part] = self.peers.clock()
                 if measured_as:
-                    self.latency.record(
-                        measured_as, self.peers.clock() - sent_s
-                    )
+                    self.latency.record(measured_as, now_s - sent_s)
                 return result
             except TableUnavailableError as refusal:
-                self._mark_refused(str(refusal))
+                if not self._fails_alone(part, self.peers.clock()):
+                    self._mark_refused(str(refusal))
         with CancelScope() as scope:
             self._relayed.add(scope)
             try:
@@ -157,6 +174,20 @@
             return result
         raise last_error
 
+    def _fails_alone(self, part: str, now_s: float) -> bool:
+        """Return whether the store answers calls for other parts.
+
+        The part without a name contains the lease and the configuration, so
+        its failure counts as that of the store.
+        """
+        self._answered_s.pop(part, None)
+        if not part:
+            return False
+        return any(
+            now_s - answered_s < ANSWER_AGE_S
+            for answered_s in self._answered_s.values()
+        )
+
     def _mark_refused(self, reason: str) -> None:
         if self.refused:
             return
@@ -166,6 +197,11 @@
         log(RELAY_STARTED, reason=reason)
 
 
+def part_of_key(key: str) -> str:
+    """Return the part that a key, or a prefix of keys, is in."""
+    return key.partition("/")[0].partition("@")[2]
+
+
 class DirectTable:
     """Table service for peers: calls the store directly, or fails at once."""
 
--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -66,6 +66,8 @@
         self.answers_to_lose = 0
         self.write_delays_s: list[float] = []
         self.calls: dict[str, int] = {}
+        # The parts whose rows are neither read nor written.
+        self.failing_parts: set[str] = set()
         # While set, watches report no changes.
         self.withhold_changes = False
         self._history_drops = 0
@@ -146,6 +148,8 @@
 
     async def _transact(self, request: Request) -> Response:
         body = parse_json(await request.body.read(1_000_000))
+        if self._is_failing(body["expect"] + body["writes"]):
+            return json_response(503, {})
         await sleep(TRANSACTION_DELAY_S * self.slow_factor)
         if self.write_delays_s:
             assert self._nursery is not None
@@ -171,7 +175,12 @@
         except ConditionFailedError:
             return
 
+    def _is_failing(self, rows: list[dict[str, Any]]) -> bool:
+        return any(row["part"] in self.failing_parts for row in rows)
+
     def _get(self, query: dict[str, str]) -> Response:
+        if query["part"] in self.failing_parts:
+            return json_response(503, {})
         rows, more = self.rows.get(
             query["table"],
             query["part"],
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -3,6 +3,7 @@
 from pytest import mark
 from trio import sleep
 
+from damaskstall.tasks.job_rows import part_of
 from standins.operators.store import ALL_CALLERS, BUSY, RESET, SILENT, TOO_MANY
 from tests.tasks.cluster import (
     NORMAL,
@@ -111,3 +112,23 @@
         assert later.headers["retry-after"] == "2"
 
     run_scenario(scenario, nodes=3)
+
+
+def test_rows_of_other_parts_are_served_while_a_part_fails() -> None:
+    """Each instance took the failing part for a refusal of all its calls."""
+
+    async def scenario(cluster: Cluster) -> None:
+        failing, served = job_id(1), job_id(2)
+        assert part_of(failing) != part_of(served)
+        for name in (failing, served):
+            await cluster.submit(name, [ONE_TASK])
+        cluster.store.failing_parts = {part_of(failing)}
+        for _ in range(10):
+            await sleep(0.2)
+            for name, status in ((failing, 503), (served, 200)):
+                for node in cluster.nodes:
+                    path = f"/{NORMAL}/{name}"
+                    reply = await cluster.call("GET", path, node=node)
+                    assert reply.status == status
+
+    run_scenario(scenario, nodes=3)
