Go on with decisions for the parts of the store that serve

While the rows of one part could not be written, no job of any part started: in a test of an outage of 12 s, jobs in served parts waited for its end.

Cause: the holder held no round while the last write of any part had failed.

Rounds now leave out the waiting steps of the jobs whose part fails, and `unit_waiting` gives `store_failing` for these alone. Their runs are still counted and may be preempted, which needs no write. A placement of the round in which the failure is not yet known waits for the store with its capacity reserved, also as before.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -67,7 +67,7 @@
 )
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.urgent_load import UrgentLoad
-from damaskstall.tasks.wait_reasons import LEASE_NOT_HELD, STORE_FAILING
+from damaskstall.tasks.wait_reasons import LEASE_NOT_HELD
 from damaskstall.tasks.waiting_units import RoundView, WaitingUnits
 from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
@@ -390,7 +390,7 @@
             now_s = self.context.clock()
             for stop in self.monitor.find_stops(self.jobs.values(), now_s):
                 self.stop_unit(*stop)
-            if self.lease.may_decide(now_s) and not self.writer.failing:
+            if self.lease.may_decide(now_s):
                 self._apply_round(decide(self._scheduling_input(), now_s))
             if self.waiting_units.is_due(now_s):
                 self.waiting_units.check(self._round_view(now_s), now_s)
@@ -405,8 +405,6 @@
         obstacle = ""
         if not self.lease.may_decide(now_s):
             obstacle = LEASE_NOT_HELD
-        elif self.writer.failing:
-            obstacle = STORE_FAILING
         evacuated = self.context.configuration.evacuated
         return RoundView(
             self._scheduling_input(),
@@ -441,6 +439,7 @@
             self.urgent_load,
             self.pool.backoff_capacities(configuration.evacuated),
             self.pool.crashed_workers(),
+            self.writer.failing_parts(),
         )
 
     def _apply_round(self, result: RoundResult) -> None:
--- a/src/damaskstall/tasks/progress_writer.py
+++ b/src/damaskstall/tasks/progress_writer.py
@@ -271,10 +271,11 @@
         for writer in self.parts.values():
             nursery.start_soon(writer.run)
 
-    @property
-    def failing(self) -> bool:
-        """Return whether the last write of any part has failed."""
-        return any(writer.failing for writer in self.parts.values())
+    def failing_parts(self) -> frozenset[str]:
+        """Return the parts whose last write has failed."""
+        return frozenset(
+            part for part, writer in self.parts.items() if writer.failing
+        )
 
     def add(self, progress: JobProgress) -> None:
         """Queue a job's progress for writing."""
--- a/src/damaskstall/tasks/ranking.py
+++ b/src/damaskstall/tasks/ranking.py
@@ -38,7 +38,7 @@
 ) -> list[Batch]:
     """Return the units that may start, in the order to place them."""
     found = []
-    for progress in inputs.jobs:
+    for progress in filter(inputs.may_start, inputs.jobs):
         queue = queue_of(inputs, progress)
         guaranteed = progress.job_id in covered
         for units in progress.waiting_steps(now_s):
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -5,6 +5,7 @@
 
 from damaskstall.tasks.capacity import FreeCapacity
 from damaskstall.tasks.claims import Claims
+from damaskstall.tasks.job_rows import part_of
 from damaskstall.tasks.model import Queue
 from damaskstall.tasks.progress import JobProgress
 from damaskstall.tasks.run_time_estimator import RunTimeEstimator
@@ -19,7 +20,9 @@
 
     ``claims`` is the result of the round before. ``backoff_capacities`` has
     the workers in backoff, which are a last resort, and ``crashed_workers``
-    names those that have crashed a short time ago.
+    names those that have crashed a short time ago. The jobs of
+    ``failing_parts`` start nothing, since no placement of theirs can be
+    stored.
     """
 
     jobs: list[JobProgress]
@@ -32,6 +35,13 @@
     backoff_capacities: Sequence[FreeCapacity] = ()
 
     crashed_workers: frozenset[str] = frozenset()
+    failing_parts: frozenset[str] = frozenset()
+
+    def may_start(self, progress: JobProgress) -> bool:
+        """Return whether the placement of a job's runs can be stored."""
+        if not self.failing_parts:
+            return True
+        return part_of(progress.job_id) not in self.failing_parts
 
 
 def queue_of(inputs: SchedulingInput, progress: JobProgress) -> Queue:
--- a/src/damaskstall/tasks/waiting_units.py
+++ b/src/damaskstall/tasks/waiting_units.py
@@ -16,6 +16,7 @@
 from damaskstall.tasks.reservations import KeptCapacity
 from damaskstall.tasks.scheduling_input import SchedulingInput, queue_of
 from damaskstall.tasks.wait_reasons import (
+    STORE_FAILING,
     WaitingUnit,
     WaitReason,
     WorkerState,
@@ -171,6 +172,8 @@
     if view.obstacle:
         return WaitReason(view.obstacle)
     progress, unit = step.progress, step.longest
+    if not view.inputs.may_start(progress):
+        return WaitReason(STORE_FAILING)
     queue = queue_of(view.inputs, progress)
     waiting = WaitingUnit(
         progress,
