Read how many tasks of an endless step may be away

The field may_miss of a step was not read, so nothing could bound how many tasks of an endless step are stopped at once. It is now kept in the job's row; steps without it are stored as before. The test failed before: a step had no such field.

--- a/src/damaskstall/platform/job_bodies.py
+++ b/src/damaskstall/platform/job_bodies.py
@@ -80,6 +80,7 @@
         per_worker_limit=read(value, "anti_affinity", int),
         may_copy=read(value, "speculative", bool),
         endless=read(value, "long_running", bool),
+        absent_limit=read(value, "may_miss", int),
     )
 
 
--- a/src/damaskstall/tasks/model.py
+++ b/src/damaskstall/tasks/model.py
@@ -64,7 +64,8 @@
     The tasks of a step with ``checkpoints`` resume from their newest
     checkpoint. ``may_copy`` permits speculative copies of a task; it is stored
     but not used. The tasks of an ``endless`` step run until the job is
-    cancelled, and are restarted whatever their outcome.
+    cancelled, and are restarted whatever their outcome. ``absent_limit``
+    bounds how many of them may be away at once through stops (0: no bound).
     """
 
     task_count: int
@@ -79,6 +80,7 @@
     per_worker_limit: int = 0
     may_copy: bool = False
     endless: bool = False
+    absent_limit: int = 0
 
     @property
     def units(self) -> int:
--- a/tests/tasks/test_rows.py
+++ b/tests/tasks/test_rows.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from random import Random
 
+from damaskstall.platform.job_bodies import JobBodyCodec
 from damaskstall.platform.row_store import (
     decode_row,
     encode_value,
@@ -10,8 +11,10 @@
 )
 from damaskstall.tasks.job_rows import (
     decode_job,
+    decode_step,
     encode_job,
     encode_progress,
+    encode_step,
     progress_row_key,
     restore_progress,
 )
@@ -81,3 +84,13 @@
     for text in ("", "%%", "eHh4", "bm90IGpzb24=", "e30=", "W10="):
         row = decode_row({**named, "value": text})
         assert row.value is None
+
+
+def test_limit_of_absent_tasks_is_read_and_stored() -> None:
+    body = (
+        b'{"specification": "x", "steps": [{"count": 3, "cpu": 1, '
+        b'"long_running": true, "may_miss": 2}]}'
+    )
+    (step,) = JobBodyCodec().declaration(body).steps
+    assert step.absent_limit == 2
+    assert decode_step(encode_step(step)) == step
