Move endless tasks out of the way of units that need whole workers

Callers saw an accepted gang of two whole workers wait without end while 52 of 64 accelerators were free: twelve endless tasks of one accelerator each were on seven of eight workers. Nothing ever stops an endless run, and no reservation is found, since it relies on ends and these runs have none. Shrunk workers make it worse, as the few whole ones hold an endless task.

A unit that neither fits, nor can reserve capacity, nor starts across racks now searches for endless runs to move once it has waited for a second, one that a guarantee covers at once (defragmentation.py). The runs are stopped, and both the room that they leave and the room where they go on are claimed, so that nothing else takes either; claims are followed for all priorities for that reason. Bounds: - each moved unit must fit elsewhere at once, beside the unit that it makes room for; together they are no larger than that unit, and 32 tasks; - a unit under which a worker crashed, or that began again less than 10 s ago, is not moved; - of a step with a limit no more tasks are away than it allows, whatever the cause; the other moves follow once those are at work again; - a round searches for at most four units, and not for one that would fit in capacity that is held for others. The reason in unit_stopped names the job.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -455,11 +455,7 @@
         if isinstance(decision, StartUnit):
             self._start_unit(decision)
             return
-        self.stop_unit(
-            decision.progress,
-            decision.unit,
-            f"preempted for job {decision.for_job}",
-        )
+        self.stop_unit(decision.progress, decision.unit, decision.reason)
 
     def _start_unit(self, decision: StartUnit) -> None:
         progress, unit = decision.progress, decision.unit
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -21,6 +21,17 @@
     new_claim,
     observe,
 )
+from damaskstall.tasks.defragmentation import (
+    MOVE_SEARCH_LIMIT,
+    MOVE_WAIT_S,
+    Clearance,
+    Move,
+    best_clearance,
+    first_moves,
+    has_room,
+    hosts_of_endless,
+    movable_units,
+)
 from damaskstall.tasks.isolation import (
     find_suspect_workers,
     needs_isolation,
@@ -30,14 +41,15 @@
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
+    Misfits,
     PlacementRequest,
     across_racks,
+    kind_of,
     may_run,
     needs_one_rack,
     pack_some,
     place_unit,
     racks_by_free,
-    smaller_workers,
 )
 from damaskstall.tasks.preemption import (
     PreemptionSearch,
@@ -100,7 +112,9 @@
 # unit is preempted again and again while others are at hand.
 REPEAT_FACTOR = 3.0
 COUNTED_REPEATS_LIMIT = 6
-
+# The running units that a guaranteed unit may preempt if nothing else frees
+# enough.
+SMALLER = "smaller"
 
 KEPT_HEADROOM = -1
 
@@ -114,11 +128,22 @@
 
 
 class StopUnit(NamedTuple):
-    """Decision to preempt a unit's run for a unit of another job."""
+    """Decision to stop a unit's run for a unit of another job.
+
+    A unit that ``moves`` goes on at once on other workers.
+    """
 
     progress: JobProgress
     unit: Unit
     for_job: str
+    moves: bool = False
+
+    @property
+    def reason(self) -> str:
+        """Return why the run is stopped, for the log."""
+        if self.moves:
+            return f"moved to make room for job {self.for_job}"
+        return f"preempted for job {self.for_job}"
 
 
 Decision = StartUnit | StopUnit
@@ -183,11 +208,17 @@
             self._close(worker)
         self.decisions: list[Decision] = []
         self.claims: dict[UnitKey, Claim] = {}
+        # The jobs of which waiting units have claims from earlier rounds.
+        self.claimed_jobs: set[str] = set()
         self.lost_claims: list[ClaimLoss] = []
         self.preempted_cores: dict[UnitKey, float] = {}
         self.covered = covered_jobs(inputs)
         self.stopped: set[int] = set()
         self.preemption_searches = 0
+        self.move_searches = 0
+        self.movable: list[Victim] | None = None
+        # The units for which no moves were found.
+        self.unmovable = Misfits()
         self.unplaceable: set[UnitShape] = set()
         # The workers in backoff that may still get a unit in this round, and
         # the shapes that do not fit with them either.
@@ -200,6 +231,7 @@
         # Time limits within which no reservation was found, by shape.
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
+        self.running_endless: list[tuple[JobProgress, Unit]] | None = None
         # The workers that endless tasks are to fill first.
         self.endless_hosts: set[str] | None = None
         self.stoppable: list[Victim] | None = None
@@ -243,7 +275,7 @@
         isolation come last.
         """
         units = batch.units
-        if batch.queue.priority == URGENT_PRIORITY and self.claims:
+        if batch.progress.job_id in self.claimed_jobs:
             units = [u for u in units if not self._follow_claim(batch, u)]
         if batch.step.gang or batch.step.per_worker_limit:
             waiting = sorted(units, key=needs_isolation)
@@ -296,7 +328,9 @@
         if is_urgent and not needs_isolation(unit):
             if self._place_urgent(batch, unit, placement):
                 return True
-            return self._place_in_backoff(batch, unit, placement)
+            if self._place_in_backoff(batch, unit, placement):
+                return True
+            return self._make_room(batch, unit, placement)
         if self._place_in_backoff(batch, unit, placement):
             return True
         return self._reserve_or_relax(batch, unit, placement, shape)
@@ -310,15 +344,16 @@
     ) -> bool:
         """Reserve capacity for a unit, or start it against its preferences.
 
-        Return whether it was started.
+        Return whether it was started, or others are moved for it.
         """
         if self._try_reserve(batch, placement, shape):
             return False
-        if not self._may_relax(batch):
-            return False
-        if placement.alone:
-            return self._place_beside_others(batch, unit)
-        return self._place_across_racks(batch, unit, placement)
+        if self._may_relax(batch):
+            if placement.alone:
+                return self._place_beside_others(batch, unit)
+            if self._place_across_racks(batch, unit, placement):
+                return True
+        return self._make_room(batch, unit, placement)
 
     def _place_on_reserved(
         self, placement: PlacementRequest
@@ -589,21 +624,30 @@
         The capacity may still be in use by runs that end soon. For a job that
         is covered by its team's guarantee, a gang for which no rack has
         capacity in time is spread over several racks, where it runs slower.
-        If that fails too, covered units with smaller tasks are preempted, and
-        then the isolation of suspected units ends.
         """
         if self._try_preempt(batch, unit, placement):
             return True
         if batch.guaranteed or self._may_relax(batch):
             if self._place_across_racks(batch, unit, placement):
                 return True
-        if not batch.guaranteed:
-            return False
+        return batch.guaranteed and self._reclaim(batch, unit, placement)
+
+    def _reclaim(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Find capacity that a guarantee covers; return whether it was found.
+
+        Endless units are moved if nothing else frees enough, then
+        covered units with smaller tasks. Then uncovered units lose their
+        claims, and at last the isolation of suspected units ends.
+        """
         if needs_one_rack(self.plan, placement):
             placement = across_racks(placement)
             if self._try_preempt(batch, unit, placement):
                 return True
-        if self._try_preempt(batch, unit, placement, smaller=True):
+        if self._make_room(batch, unit, placement):
+            return True
+        if self._try_preempt(batch, unit, placement, SMALLER):
             return True
         if not self._drop_uncovered_claims():
             if not self._open_closed_workers():
@@ -615,7 +659,7 @@
         batch: Batch,
         unit: Unit,
         placement: PlacementRequest,
-        smaller: bool = False,
+        added: str = "",
     ) -> bool:
         """Preempt runs for a unit, or wait for runs that end in time.
 
@@ -629,7 +673,7 @@
             return True
         if not self._may_preempt(batch, unit):
             return False
-        victims = self._victims(batch, smaller)
+        victims = self._victims(batch, added)
         chosen = find_preemption(self.plan_after_stops, placement, victims)
         if chosen is None:
             return False
@@ -658,23 +702,137 @@
     ) -> None:
         key = key_of(batch.progress, unit)
         for victim in victims:
-            self.stopped.add(id(victim.unit))
-            self.decisions.append(
-                StopUnit(victim.progress, victim.unit, batch.progress.job_id)
-            )
-            for worker in victim.task_workers:
-                self.plan_after_stops.release(worker, victim.demand)
+            self._stop(batch, victim, moves=False)
             cores = victim.demand.cores * len(victim.task_workers)
             earlier_cores = self.preempted_cores.get(key, 0.0)
             self.preempted_cores[key] = earlier_cores + cores
 
+    def _stop(self, batch: Batch, victim: Victim, moves: bool) -> None:
+        self.stopped.add(id(victim.unit))
+        self.movable = None
+        self.decisions.append(
+            StopUnit(
+                victim.progress, victim.unit, batch.progress.job_id, moves
+            )
+        )
+        for worker in victim.task_workers:
+            self.plan_after_stops.release(worker, victim.demand)
+
+    # Moves of endless units.
+
+    def _make_room(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Move endless units to other workers if a unit then fits.
+
+        Return whether the unit is to start where they were. If a step's limit
+        allows fewer moves at once than the unit needs, the others follow in
+        later rounds.
+        """
+        if placement.alone or not self._movable_units():
+            return False
+        since_s = waiting_since_s(batch.progress, unit)
+        if not batch.guaranteed and self.now_s - since_s < MOVE_WAIT_S:
+            return False
+        plan, _ = self._available_plan(batch)
+        found = self._find_clearance(batch, plan, placement)
+        if found is None:
+            return False
+        moves = first_moves(found.moves, self.stopped)
+        is_whole = len(moves) == len(found.moves)
+        if not is_whole and self._moves_are_under_way():
+            return False
+        for move in moves:
+            self._move(batch, move)
+        if is_whole:
+            self._claim(batch, unit, new_claim(found.workers, self.now_s))
+        return is_whole
+
+    def _find_clearance(
+        self, batch: Batch, plan: CapacityPlan, placement: PlacementRequest
+    ) -> Clearance | None:
+        """Return the moves that make room for a unit, or None.
+
+        A gang is spread over racks if no rack can be cleared. The number of
+        searches is limited for each round.
+        """
+        kind, size = kind_of(plan, placement), placement.step.unit_size
+        if self.move_searches >= MOVE_SEARCH_LIMIT:
+            return None
+        if self.unmovable.covers(kind, size, 0.0):
+            return None
+        found = None
+        if has_room(plan, placement) and not place_unit(self.plan, placement):
+            self.move_searches += 1
+            requests = [placement]
+            if kind.in_one_rack and self._may_relax(batch):
+                requests.append(across_racks(placement))
+            found = best_clearance(
+                plan, requests, self._movable_units(), self._request_of
+            )
+        if found is None and not placement.step.per_worker_limit:
+            self.unmovable.add(kind, size, 0.0)
+        return found
+
+    def _movable_units(self) -> list[Victim]:
+        """Return the endless units that may be stopped to run elsewhere."""
+        if self.movable is None:
+            self.movable = movable_units(
+                self._running_endless(), self.stopped, self.now_s
+            )
+        return self.movable
+
+    def _running_endless(self) -> list[tuple[JobProgress, Unit]]:
+        """Return the endless units that run at the start of the round."""
+        if self.running_endless is None:
+            self.running_endless = [
+                (progress, unit)
+                for progress, unit in self._running()
+                if progress.step_of(unit).endless
+            ]
+        return self.running_endless
+
+    def _moves_are_under_way(self) -> bool:
+        """Return whether an endless unit is being stopped."""
+        return any(
+            unit.stopping or id(unit) in self.stopped
+            for _, unit in self._running_endless()
+        )
+
+    def _move(self, batch: Batch, move: Move) -> None:
+        """Stop a unit, and hold the room where it is to go on."""
+        victim = move.victim
+        self._stop(batch, victim, moves=True)
+        key = key_of(victim.progress, victim.unit)
+        claim = new_claim(move.workers, self.now_s)
+        self._hold(key, claim, victim.demand)
+
+    def _request_of(self, victim: Victim) -> PlacementRequest:
+        """Return the constraints on where a unit to move goes on."""
+        progress, unit = victim.progress, victim.unit
+        step = progress.step_of(unit)
+        counts: dict[str, int] = {}
+        if step.per_worker_limit:
+            counts = self._count_tasks(progress, unit)
+            for worker in victim.task_workers:
+                counts[worker] -= 1
+        return PlacementRequest(
+            step,
+            progress.job.service,
+            frozenset(unit.avoid),
+            counts,
+            prefer=self._hosts_of_endless(),
+        )
+
     # Claims.
 
     def _renew_claims(self, batches: list[Batch]) -> None:
         """Hold the capacity of the claims whose units still wait."""
         before = self.inputs.claims
+        keys = before.by_unit.keys() | before.preempted_cores.keys()
+        job_ids = {key.job_id for key in keys}
         for batch in batches:
-            if batch.queue.priority != URGENT_PRIORITY:
+            if batch.progress.job_id not in job_ids:
                 continue
             for unit in batch.units:
                 key = key_of(batch.progress, unit)
@@ -684,16 +842,35 @@
                 if claim is not None:
                     claim = observe(claim, self.plan, self.now_s)
                     self._claim(batch, unit, claim)
+        self.claimed_jobs = {key.job_id for key in self.claims}
+        if before.by_unit.keys() - self.claims.keys():
+            self._renew_claims_of_moves()
+
+    def _renew_claims_of_moves(self) -> None:
+        """Hold the claims of units that are stopped to run elsewhere."""
+        for progress, unit in self._running_endless():
+            if not unit.stopping or progress.cancelled or progress.failed:
+                continue
+            key = key_of(progress, unit)
+            claim = self.inputs.claims.by_unit.get(key)
+            if claim is None:
+                continue
+            claim = observe(claim, self.plan, self.now_s)
+            self._hold(key, claim, progress.step_of(unit).demand)
 
     def _claim(self, batch: Batch, unit: Unit, claim: Claim) -> None:
         """Hold a claim's capacity, so that no other unit uses it."""
-        self.claims[key_of(batch.progress, unit)] = claim
+        key = key_of(batch.progress, unit)
+        self._hold(key, claim, batch.step.demand)
+
+    def _hold(self, key: UnitKey, claim: Claim, demand: Demand) -> None:
+        self.claims[key] = claim
         for worker in claim.workers:
             if worker in self.closed:
                 self._open(worker)
             if worker in self.plan.workers:
-                self.plan.allocate(worker, batch.step.demand)
-                self.plan_after_stops.allocate(worker, batch.step.demand)
+                self.plan.allocate(worker, demand)
+                self.plan_after_stops.allocate(worker, demand)
 
     def _release_claim(self, key: UnitKey, claim: Claim, step: Step) -> None:
         """End a claim; its capacity is available again."""
@@ -724,12 +901,18 @@
         self._release_claim(key, claim, batch.step)
         for task in lost:
             self._distrust_stops(task.worker)
-        workers = place_unit(self.plan, placement)
+        plan, _ = self._available_plan(batch, placement.alone)
+        workers = place_unit(plan, placement)
         if workers is not None:
             self._start(batch, unit, workers)
             return True
         self._claim(batch, unit, kept)
-        if not lost or self._replace_lost(batch, unit, kept, lost, placement):
+        if not lost:
+            return True
+        is_urgent = batch.queue.priority == URGENT_PRIORITY
+        if is_urgent and self._replace_lost(
+            batch, unit, kept, lost, placement
+        ):
             return True
         self._release_claim(key, kept, batch.step)
         return False
@@ -775,7 +958,7 @@
         names -= {task.worker for task in lost}
         if not kept.tasks or not names or not self._may_preempt(batch, unit):
             return False
-        victims = self._victims(batch, smaller=False)
+        victims = self._victims(batch)
         search = PreemptionSearch(
             self.plan_after_stops, placement, victims_by_worker(victims)
         )
@@ -867,16 +1050,11 @@
         )
 
     def _hosts_of_endless(self) -> set[str]:
-        """Return the workers that endless tasks should fill first.
-
-        They run such tasks already or are smaller than others, so that units
-        that need whole workers keep the rest.
-        """
+        """Return the workers that endless tasks should fill first."""
         if self.endless_hosts is None:
-            self.endless_hosts = smaller_workers(self.plan)
-            for progress, unit in self._running():
-                if progress.step_of(unit).endless:
-                    self.endless_hosts.update(unit.workers())
+            self.endless_hosts = hosts_of_endless(
+                self.plan, self._running_endless()
+            )
         return self.endless_hosts
 
     def _count_tasks(
@@ -904,15 +1082,15 @@
                     counts[worker] = counts.get(worker, 0) + 1
         return counts
 
-    def _victims(self, batch: Batch, smaller: bool) -> list[Victim]:
+    def _victims(self, batch: Batch, added: str = "") -> list[Victim]:
         """Return the running units that a batch's unit may preempt.
 
-        With ``smaller``, they include covered units whose tasks need fewer
-        accelerators. Those can be placed again on workers with too few free
-        accelerators for this unit, and never preempt it in turn.
+        With ``SMALLER`` added, they include covered units whose tasks need
+        fewer accelerators. Those can be placed again on workers with too few
+        free accelerators for this unit, and never preempt it in turn.
         """
         allowed = self._preemptable_jobs(batch)
-        limit = batch.step.demand.accelerators if smaller else 0
+        limit = batch.step.demand.accelerators if added == SMALLER else 0
         return [
             victim
             for victim in self._stoppable()
--- a/src/damaskstall/tasks/preemption.py
+++ b/src/damaskstall/tasks/preemption.py
@@ -5,6 +5,9 @@
 free enough capacity.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+from math import inf
 from typing import NamedTuple
 
 from damaskstall.tasks.model import Demand
@@ -21,10 +24,16 @@
 STOP_COST_CORE_S = 1.0
 
 
+# A step of one occurrence of a job.
+GroupKey = tuple[str, int, int]
+
+
 class Victim(NamedTuple):
     """A running unit that may be preempted, and the work that would be lost.
 
     ``task_workers`` lists the worker of each task, which occupies ``demand``.
+    ``stops_left`` is how many tasks of its step, which ``group`` identifies,
+    may be stopped in all.
     """
 
     progress: JobProgress
@@ -32,6 +41,8 @@
     demand: Demand
     task_workers: tuple[str, ...]
     cost_core_s: float
+    group: GroupKey = ("", 0, 0)
+    stops_left: float = inf
 
 
 class Preemption(NamedTuple):
@@ -77,6 +88,7 @@
         self.chosen: dict[int, Victim] = {}
         self.cost_core_s = 0.0
         self.by_worker = by_worker
+        self.stopped_tasks: Counter[GroupKey] = Counter()
 
     def search(self, names: list[str], task_count: int) -> Preemption | None:
         """Return a preemption that places ``task_count`` tasks, or None.
@@ -98,6 +110,7 @@
             workers.append(best.worker)
             changed = {best.worker}
             changed.update(*(each.task_workers for each in best.to_stop))
+            changed |= limited_with(candidates.values(), best.to_stop)
             self._update(candidates, placement, changed)
         return Preemption(
             workers, list(self.chosen.values()), self.cost_core_s
@@ -152,10 +165,12 @@
         free = self.plan.free[name]
         if tasks_that_fit(placement, name, free, 1):
             return []
-        to_stop = []
+        to_stop: list[Victim] = []
         for victim in self.by_worker.get(name, ()):
             if id(victim.unit) in self.chosen:
                 continue
+            if not self._may_stop(victim, to_stop):
+                continue
             to_stop.append(victim)
             for _ in range(victim.task_workers.count(name)):
                 free = free.plus(victim.demand)
@@ -163,6 +178,18 @@
                 return self._needed_stops(placement, name, free, to_stop)
         return None
 
+    def _may_stop(self, victim: Victim, to_stop: list[Victim]) -> bool:
+        """Return whether a victim's step allows one more stop."""
+        if victim.stops_left == inf:
+            return True
+        planned = sum(
+            len(each.task_workers)
+            for each in to_stop
+            if each.group == victim.group
+        )
+        planned += self.stopped_tasks[victim.group]
+        return planned + len(victim.task_workers) <= victim.stops_left
+
     def _needed_stops(
         self,
         placement: PlacementRequest,
@@ -189,10 +216,25 @@
     def _stop(self, victim: Victim) -> None:
         self.chosen[id(victim.unit)] = victim
         self.cost_core_s += victim.cost_core_s + STOP_COST_CORE_S
+        self.stopped_tasks[victim.group] += len(victim.task_workers)
         for worker in victim.task_workers:
             self.plan.release(worker, victim.demand)
 
 
+def limited_with(
+    candidates: Iterable[Candidate], stopped: list[Victim]
+) -> set[str]:
+    """Return the workers whose victims share a limit with stopped ones."""
+    groups = {each.group for each in stopped if each.stops_left < inf}
+    if not groups:
+        return set()
+    return {
+        candidate.worker
+        for candidate in candidates
+        if any(each.group in groups for each in candidate.to_stop)
+    }
+
+
 def find_preemption(
     plan: CapacityPlan, placement: PlacementRequest, victims: list[Victim]
 ) -> Preemption | None:
