Reclaim guaranteed accelerators from endless tasks as well

A team's guarantee did not hold against endless tasks: a worker on which tasks of other teams ran without an end was never available to an urgent job that a guarantee covers, since endless runs were not among those that may be preempted. The platform's rules make no exception for them.

The limit of a step on its absent tasks is kept also here; if it does not allow enough stops, the unit waits for other capacity.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -27,6 +27,7 @@
     Clearance,
     Move,
     best_clearance,
+    endless_victims,
     first_moves,
     has_room,
     hosts_of_endless,
@@ -114,6 +115,7 @@
 COUNTED_REPEATS_LIMIT = 6
 # The running units that a guaranteed unit may preempt if nothing else frees
 # enough.
+ENDLESS = "endless"
 SMALLER = "smaller"
 
 KEPT_HEADROOM = -1
@@ -637,7 +639,7 @@
     ) -> bool:
         """Find capacity that a guarantee covers; return whether it was found.
 
-        Endless units are moved if nothing else frees enough, then
+        Endless units are moved or preempted if nothing else frees enough, then
         covered units with smaller tasks. Then uncovered units lose their
         claims, and at last the isolation of suspected units ends.
         """
@@ -645,7 +647,7 @@
             placement = across_racks(placement)
             if self._try_preempt(batch, unit, placement):
                 return True
-        if self._make_room(batch, unit, placement):
+        if self._reclaim_from_endless(batch, unit, placement):
             return True
         if self._try_preempt(batch, unit, placement, SMALLER):
             return True
@@ -654,6 +656,16 @@
                 return False
         return self._place_urgent(batch, unit, placement)
 
+    def _reclaim_from_endless(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Move or preempt endless units for a unit, as their limits allow."""
+        if self._make_room(batch, unit, placement):
+            return True
+        if not self._preemptable_endless(batch):
+            return False
+        return self._try_preempt(batch, unit, placement, ENDLESS)
+
     def _try_preempt(
         self,
         batch: Batch,
@@ -674,6 +686,8 @@
         if not self._may_preempt(batch, unit):
             return False
         victims = self._victims(batch, added)
+        if added == ENDLESS:
+            victims += self._preemptable_endless(batch)
         chosen = find_preemption(self.plan_after_stops, placement, victims)
         if chosen is None:
             return False
@@ -824,6 +838,16 @@
             prefer=self._hosts_of_endless(),
         )
 
+    def _preemptable_endless(self, batch: Batch) -> list[Victim]:
+        """Return the endless units that a guaranteed unit may preempt."""
+        return [
+            victim
+            for victim in endless_victims(
+                self._running_endless(), self.stopped
+            )
+            if self._may_stop(batch, victim.progress)
+        ]
+
     # Claims.
 
     def _renew_claims(self, batches: list[Batch]) -> None:
--- a/tests/tasks/test_defragmentation.py
+++ b/tests/tasks/test_defragmentation.py
@@ -198,6 +198,20 @@
     assert not fleet.stops
 
 
+def test_guaranteed_job_reclaims_what_endless_tasks_have_borrowed() -> None:
+    fleet = SlowFleet(1, 2)
+    for name in ("w00", "w01"):
+        for _ in range(2):
+            borrower = fleet.add(BULK, task(4, endless=True), team="red")
+            fleet.run_on(borrower, name)
+    fleet.guarantees = {"blue": 8}
+    job = add_now(fleet, task(8), URGENT)
+    # The platform requires a start within 2.7 s.
+    fleet.play(int(2.0 / ROUND_S))
+    assert all_running(job)
+    assert len(fleet.stops) == 2
+
+
 def test_guaranteed_job_moves_endless_tasks_before_it_stops_any() -> None:
     fleet, endless = spread_fleet(racks=1, per_rack=3)
     fleet.guarantees = {"blue": 16}
@@ -207,6 +221,22 @@
     assert all(all_running(each) for each in endless)
 
 
+def test_reclaiming_respects_the_limit_of_an_endless_step() -> None:
+    fleet = SlowFleet(1, 2)
+    step = task(4, task_count=4, endless=True, absent_limit=1)
+    borrower = fleet.add(BULK, step, team="red")
+    for name, unit in zip(
+        ["w00", "w00", "w01", "w01"], borrower.all_units(), strict=True
+    ):
+        borrower.begin_run(unit, [(name, 1)], 0.0)
+        unit.members[0].confirmed = True
+    mark_at_work(borrower)
+    fleet.guarantees = {"blue": 8}
+    add_now(fleet, task(8), URGENT)
+    fleet.play(WAIT_ROUNDS)
+    assert away_tasks(borrower) <= 1
+
+
 def test_reason_of_a_move_names_the_job_it_makes_room_for() -> None:
     fleet, endless = spread_fleet(racks=1, per_rack=2)
     unit = next(endless[0].all_units())
