Limit how many silent workers the older scheduler calls at once

A process that held all cells of the largest failure domain (1,091 workers) and had a slow processor never reached its workers: each session retried by itself, the connections took longer than the 2 s that a worker has to answer, every attempt failed at the limit, and the backoff of at most 5 s kept the attempts above what the processor could do.

--- a/bench/capacity/workers.py
+++ b/bench/capacity/workers.py
@@ -9,13 +9,17 @@
 from bench.capacity.measurement import Measurement, Values
 from bench.capacity.resident_memory import resident_bytes
 from bench.capacity.standins import worker_standins
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.generated.settings import SchedulerSettings
 from damaskstall.network import TcpNetwork
 from damaskstall.peers.config_store import ConfigStore
 from damaskstall.placement.model import Worker
 from damaskstall.platform.types import ChangePage
 from damaskstall.scheduler.cell_lease import CellLease, LeaseRow
-from damaskstall.scheduler.worker_session import WorkerSession
+from damaskstall.scheduler.worker_session import (
+    SILENT_WORKER_LIMIT,
+    WorkerSession,
+)
 from standins.platform.memory import MemoryTable, Platform
 
 EXCHANGE_INTERVAL_S = 0.25
@@ -41,6 +45,7 @@
     config = ConfigStore()
     config.apply(ChangePage((), 1, True), current_time())
     settings = SchedulerSettings(worker_exchange_s=EXCHANGE_INTERVAL_S)
+    slots = ContactSlots(SILENT_WORKER_LIMIT, SILENT_WORKER_LIMIT)
     return [
         WorkerSession(
             network,
@@ -50,6 +55,7 @@
             settings,
             NoOpListener(),
             Random(number),
+            slots,
         )
         for number, address in enumerate(addresses)
     ]
--- a/src/damaskstall/scheduler/cell_workers.py
+++ b/src/damaskstall/scheduler/cell_workers.py
@@ -44,6 +44,7 @@
                 context.settings,
                 listener,
                 context.random,
+                context.contact_slots,
             )
             for worker in cell.workers
         }
--- a/src/damaskstall/scheduler/context.py
+++ b/src/damaskstall/scheduler/context.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.generated.settings import SchedulerSettings
 from damaskstall.network import Network
 from damaskstall.peers.config_store import ConfigStore
@@ -14,7 +15,11 @@
 
 
 class SchedulerContext(NamedTuple):
-    """The services, settings and cached jobs that all cells share."""
+    """The services, settings and cached jobs that all cells share.
+
+    ``contact_slots`` limits the calls to silent workers that the sessions of
+    all cells make at once.
+    """
 
     network: Network
     table: TableService
@@ -26,3 +31,4 @@
     transitions: JobTransitions
     random: Random
     unix_s: Callable[[], float]
+    contact_slots: ContactSlots
--- a/src/damaskstall/scheduler/service.py
+++ b/src/damaskstall/scheduler/service.py
@@ -7,6 +7,7 @@
 
 from trio import open_nursery
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.generated.settings import SchedulerSettings
 from damaskstall.network import Network
 from damaskstall.peers.config_store import ConfigStore
@@ -17,6 +18,7 @@
 from damaskstall.scheduler.job_writer import JobWriter
 from damaskstall.scheduler.lease_manager import LeaseManager
 from damaskstall.scheduler.planner import Planner
+from damaskstall.scheduler.worker_session import SILENT_WORKER_LIMIT
 
 
 class SchedulerService:
@@ -48,6 +50,7 @@
             JobTransitions(self.job_cache, self.writer, random),
             random,
             unix_s,
+            ContactSlots(SILENT_WORKER_LIMIT, SILENT_WORKER_LIMIT),
         )
         self.lease_manager = LeaseManager(context)
 
--- a/src/damaskstall/scheduler/worker_session.py
+++ b/src/damaskstall/scheduler/worker_session.py
@@ -7,6 +7,7 @@
 from trio import Event, current_time, move_on_after, sleep
 
 from damaskstall.addresses import parse_address
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.errors import ConnectFailedError, HttpError
 from damaskstall.events import log
 from damaskstall.generated.settings import SchedulerSettings
@@ -34,6 +35,10 @@
     parse_answer,
 )
 
+# How many silent workers all cells of a process call at once. A slow processor
+# opens as many connections well within ``worker_timeout_s``, 2 s by default.
+SILENT_WORKER_LIMIT = 128
+
 STALE_EPOCH = "stale epoch"
 STALE_SEQUENCE = "stale sequence"
 
@@ -83,6 +88,7 @@
         settings: SchedulerSettings,
         listener: SessionListener,
         random: Random,
+        contact_slots: ContactSlots,
     ) -> None:
         """Create a session with a worker under a cell lease."""
         self.worker = worker
@@ -91,6 +97,7 @@
         self.settings = settings
         self.listener = listener
         self.random = random
+        self.contact_slots = contact_slots
         self.client = HttpClient(
             network, parse_address(worker.address), settings.worker_timeout_s
         )
@@ -136,7 +143,8 @@
         try:
             while True:
                 was_reachable = self.reachable
-                failures = 0 if await self._try_exchange() else failures + 1
+                answered = await self._call(failures)
+                failures = 0 if answered else failures + 1
                 if self.reachable and not was_reachable:
                     # The worker is fenced; renew its task leases at once.
                     continue
@@ -148,6 +156,13 @@
         finally:
             await self.client.close()
 
+    async def _call(self, failures: int) -> bool:
+        """Make an exchange, in a slot if the worker is silent."""
+        if self.reachable:
+            return await self._try_exchange()
+        async with self.contact_slots.of(failures):
+            return await self._try_exchange()
+
     async def _try_exchange(self) -> bool:
         """Make an exchange; return whether the worker accepted it.
 
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -9,9 +9,9 @@
 
 from trio import Nursery, move_on_after
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity
-from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.expected_runs import ALWAYS_S
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -9,6 +9,7 @@
 
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.errors import (
     CommandNotSentError,
     CommandOutcomeUnknownError,
@@ -19,7 +20,6 @@
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity, WorkerLoad
 from damaskstall.tasks.clock import Clock
-from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.events import (
     RUNS_LAPSED,
     RUNS_UNCOUNTED,
--- a/tests/scheduler/test_worker_session.py
+++ b/tests/scheduler/test_worker_session.py
@@ -7,6 +7,7 @@
 
 from trio import current_time, sleep
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.errors import ConnectionLostError
 from damaskstall.generated.settings import SchedulerSettings
 from damaskstall.http.client import ResponseStart
@@ -106,6 +107,7 @@
             SchedulerSettings(),
             Listener(),
             Random(1),
+            ContactSlots(),
         )
         self.session.client = cast(Any, self.client)
 
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -2,11 +2,11 @@
 
 from trio import current_time, sleep, sleep_forever
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.errors import (
     CommandOutcomeUnknownError,
     WorkerReplacedError,
 )
-from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.model import Demand, RunKey, TaskKey, WorkerInfo
 from damaskstall.tasks.ports import (
--- a/tests/tasks/test_contact_slots.py
+++ b/tests/tasks/test_contact_slots.py
@@ -2,7 +2,7 @@
 
 from trio import current_time, open_nursery, sleep
 
-from damaskstall.tasks.contact_slots import ContactSlots
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.tasks.fencing import FencingTokens
 from damaskstall.tasks.ports import EndReport
 from damaskstall.tasks.worker_session import WorkerSession
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -11,8 +11,8 @@
     sleep,
 )
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.errors import CommandOutcomeUnknownError, FencedError
-from damaskstall.tasks.contact_slots import ContactSlots
 from damaskstall.tasks.expected_runs import LISTED_AFTER_S
 from damaskstall.tasks.fencing import (
     EPOCH_SPACING,
