Limit how many silent servers an entry polls at once

An entry with 1,000 servers and a slow processor never found one of them to be serving: all were polled at once, connecting took longer than the time limit of 1 s, and the next polls followed after another second, without end (64 s looked at, 11,990 connections). With 500 servers the state ended by itself after 9 s.

Polls of servers that have not answered the last one now share ContactSlots. test_entry_with_a_slow_processor_reaches_all_servers failed with the limit lifted: no server was reached within 12 s.

Requests need no further limit: retries come from a shared budget, attempts are limited to three, and slots limit the connections to each server (by reading).

--- a/src/damaskstall/entry/gateway.py
+++ b/src/damaskstall/entry/gateway.py
@@ -15,6 +15,7 @@
     sleep,
 )
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.entry.attempts import RequestRun
 from damaskstall.entry.body import REPLAY_LIMIT_BYTES, read_for_replay
 from damaskstall.entry.call import REQUESTS_PREFIX, Call, read_call
@@ -25,7 +26,11 @@
     OUTCOME_UNKNOWN,
 )
 from damaskstall.entry.exchange import ServerResponse, StreamedResponse
-from damaskstall.entry.health import InstanceListWatcher, poll_server_health
+from damaskstall.entry.health import (
+    SILENT_SERVER_LIMIT,
+    InstanceListWatcher,
+    poll_server_health,
+)
 from damaskstall.entry.metrics import (
     CLAIM_WRITES_PENDING,
     IN_FLIGHT,
@@ -83,6 +88,9 @@
         self.settings = settings
         self.random = random or Random()
         self.servers = ServerRegistry(network, settings)
+        self.contact_slots = ContactSlots(
+            SILENT_SERVER_LIMIT, SILENT_SERVER_LIMIT
+        )
         self.routers: dict[str, ServiceRouter] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.claims = ClaimManager(table, self.random, unix_now)
@@ -211,7 +219,11 @@
     ) -> None:
         with scope:
             await poll_server_health(
-                server, self.network, self.settings, self.random
+                server,
+                self.network,
+                self.settings,
+                self.random,
+                self.contact_slots,
             )
         await server.pool.close()
 
--- a/src/damaskstall/entry/health.py
+++ b/src/damaskstall/entry/health.py
@@ -1,9 +1,11 @@
 """Poll backend servers' health and the platform's instance list."""
 
 from random import Random
+from typing import NamedTuple
 
 from trio import current_time, sleep
 
+from damaskstall.contact_slots import ContactSlots
 from damaskstall.entry.events import LIST_UNAVAILABLE
 from damaskstall.entry.server_registry import ServerRegistry
 from damaskstall.entry.server_state import ServerState
@@ -17,27 +19,45 @@
 HEALTH_PATH = "/health"
 HEALTH_BODY_LIMIT_BYTES = 65536
 HEALTH_TIMEOUT_S = 1.0
+# How many silent servers are polled at once. A slow processor opens as many
+# connections well within the time limit of a poll.
+SILENT_SERVER_LIMIT = 64
 STATE_LEAVING = "leaving"
 ENTRY_ROLE = "entry"
 JITTER_LOW = 0.8
 JITTER_HIGH = 1.0
 
 
+class HealthPoll(NamedTuple):
+    """When a poll was sent, and the state reported, None without an answer."""
+
+    sent_s: float
+    state: str | None
+
+
 async def poll_server_health(
     server: ServerState,
     network: Network,
     settings: EntrySettings,
     random: Random,
+    contact_slots: ContactSlots,
 ) -> None:
     """Poll a server's health and close its idle connections until cancelled.
 
     The pause between polls is randomized so that entries do not poll in step.
+    ``contact_slots`` limits how many silent servers are polled at once.
     """
     timeout_s = min(HEALTH_TIMEOUT_S, settings.health_poll_s)
     async with HttpClient(network, server.address, timeout_s) as client:
+        # A server that was not polled yet counts as one that fell silent.
+        silent_polls = 1
         while True:
-            sent_s = current_time()
-            state = await fetch_health(client)
+            if silent_polls:
+                async with contact_slots.of(silent_polls):
+                    sent_s, state = await poll_once(client)
+            else:
+                sent_s, state = await poll_once(client)
+            silent_polls = silent_polls + 1 if state is None else 0
             if state is not None:
                 server.record_leaving(state == STATE_LEAVING)
                 server.record_serving(sent_s)
@@ -47,6 +67,12 @@
             await sleep(pause_s * random.uniform(JITTER_LOW, JITTER_HIGH))
 
 
+async def poll_once(client: HttpClient) -> HealthPoll:
+    """Poll a server's health now."""
+    sent_s = current_time()
+    return HealthPoll(sent_s, await fetch_health(client))
+
+
 async def fetch_health(client: HttpClient) -> str | None:
     """Return the state that a server reports, or None if it does not answer.
 
