Read jobs again part by part after the history was dropped

A holder whose watch got 410 learnt of no accepted job, in any part of the store, until it had read the rows of all parts: while one part failed, jobs in the others were accepted and did not start.

Cause: JobReader.follow read all parts in one go before it watched again, and repeated all of it if one part failed.

Evidence: test_accepted_jobs.py. Before, test_jobs_start_by_part_once_dropped_history_is_read_again times out: no job starts while the part fails.

The newest revision is now read first, and watched from at once; each part is read after that, and again by itself until that succeeds, so no change lies between the two. A part that is being read when 410 comes again is read once more.

--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -3,8 +3,9 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 from time import time
+from typing import NamedTuple
 
-from trio import open_nursery, sleep
+from trio import Nursery, open_nursery, sleep
 
 from damaskstall.errors import (
     DECODE_ERRORS,
@@ -44,6 +45,16 @@
 Resync = Callable[[list[JobProgress]], None]
 
 
+class ReadJobs(NamedTuple):
+    """The unfinished jobs that were read, and the finished ones.
+
+    ``finished`` has the Unix time at which each finished, if known.
+    """
+
+    unfinished: list[JobProgress]
+    finished: dict[str, float | None]
+
+
 class JobReader:
     """Reader of the tables of jobs for one holder."""
 
@@ -58,6 +69,8 @@
         # The jobs that were finished when last read, with the Unix time at
         # which they finished, if known.
         self.finished: dict[str, float | None] = {}
+        # How often changes were missed, by part that is being read again.
+        self._missed: dict[str, int] = {}
         self._random = Random()
 
     async def load(self) -> list[JobProgress]:
@@ -117,16 +130,29 @@
         """Pass each changed row of a table to a handler until cancelled.
 
         When the store no longer has the changes, all unfinished jobs are read
-        and passed to ``resync`` instead.
+        and passed to ``resync`` instead, part by part, while later changes
+        are followed.
         """
+        async with open_nursery() as nursery:
+            await self._follow(table, handle_row, resync, nursery)
+
+    async def _follow(
+        self,
+        table: str,
+        handle_row: RowHandler,
+        resync: Resync,
+        nursery: Nursery,
+    ) -> None:
         revision = self.revision
         tries = 0
         while True:
             try:
+                if revision < 0:
+                    revision = await self._newest_revision()
+                    self._read_again(resync, nursery)
                 page = await self.table.watch(table, revision, WATCH_WAIT_S)
             except RevisionTooOldError:
-                resync(await self.load())
-                revision = self.revision
+                revision = -1
                 continue
             except TableUnavailableError as error:
                 if not tries:
@@ -142,6 +168,48 @@
                 log(STORE_REGAINED, used_for=table, tries=tries)
             tries = 0
 
+    async def _newest_revision(self) -> int:
+        """Return the store's newest revision."""
+        page = await self.table.scan(part_prefix(PROGRESS_TABLE, ""), "", 1)
+        return page.revision
+
+    def _read_again(self, resync: Resync, nursery: Nursery) -> None:
+        """Begin to read the jobs of all parts.
+
+        A part that is being read already is read once more after that.
+        """
+        for part in all_parts():
+            if part not in self._missed:
+                nursery.start_soon(self._read_part_again, part, resync)
+            self._missed[part] = self._missed.get(part, 0) + 1
+
+    async def _read_part_again(self, part: str, resync: Resync) -> None:
+        """Pass the jobs of a part to ``resync``; retry until that succeeds."""
+        found = 0
+        tries = 0
+        while found < self._missed[part]:
+            missed = self._missed[part]
+            try:
+                read = await self._read_part(part)
+            except TableUnavailableError as error:
+                if not tries:
+                    log(STORE_LOST, used_for="jobs", error=str(error))
+                delay_s = retry_delay_s(tries, self._random)
+                await sleep(min(delay_s, RETRY_LIMIT_S))
+                tries += 1
+                continue
+            resync(read.unfinished)
+            found = missed
+        del self._missed[part]
+
+    async def _read_part(self, part: str) -> ReadJobs:
+        """Return the jobs of one part, the progress rows read first."""
+        rows = []
+        for table in (PROGRESS_TABLE, JOB_TABLE):
+            found = await scan_rows(self.table, part_prefix(table, part))
+            rows.append({job_id_of(row.key): row for row in found.rows})
+        return self._decode_jobs(*rows)
+
     async def _load(self) -> list[JobProgress]:
         """Return all unfinished jobs, and record the finished ones.
 
@@ -150,23 +218,30 @@
         """
         progress_rows, revision = await self._scan(PROGRESS_TABLE)
         job_rows, _ = await self._scan(JOB_TABLE)
-        open_jobs = []
-        self.finished = {}
+        read = self._decode_jobs(progress_rows, job_rows)
+        self.finished = read.finished
+        self.revision = revision
+        return read.unfinished
+
+    def _decode_jobs(
+        self, progress_rows: dict[str, Row], job_rows: dict[str, Row]
+    ) -> ReadJobs:
+        """Return the jobs that rows describe, except unreadable ones."""
+        read = ReadJobs([], {})
         for job_id, row in progress_rows.items():
             if row.value is None:
                 continue
             try:
                 if not is_unfinished(row.value):
-                    self.finished[job_id] = row.value.get("over_unix_s")
+                    read.finished[job_id] = row.value.get("over_unix_s")
                     continue
                 progress = self._restore(job_rows.get(job_id), row)
             except DECODE_ERRORS as error:
                 log_unreadable(row, error)
                 continue
             if progress is not None:
-                open_jobs.append(progress)
-        self.revision = revision
-        return open_jobs
+                read.unfinished.append(progress)
+        return read
 
     def _restore(
         self, job_row: Row | None, progress_row: Row
