Call a worker that left with uncounted runs no more

A worker that left while it listed a run that the holder doesn't count was called once a second for as long as the holder lasted, and its session with the flag `unknown_runs` stayed: each call is priced and takes a slot that returning workers need.

Cause: only a report ended has_unknown_runs, and a session with unknown runs is not closed.

Evidence: test_usable_again.py, test_worker_that_left_with_a_misplaced_run_is_called_no_more: before, the session was there 30 s after the worker had left. The other tests of the file show that each flag ends within 3 s of its cause, idle and with a run: an entry that is lost, garbled, of an earlier or a later start, a drain that is taken back, a cut, a restart, a clock set back, a misplaced run, and the loss of all power.

Uncounted runs end with the lease of the worker like counted ones, so the flag ends with it. The worker isn't used before its next lists, which set the flag again if there are any.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -542,6 +542,8 @@
         self.answered.set()
         if self.clock() <= self.lease.expires_s:
             return
+        # Uncounted runs have lapsed too; the next lists show any others.
+        self.has_unknown_runs = False
         runs = self._settled_runs(lease_limit_s(self.lease.lease_s))
         if runs:
             log(RUNS_LAPSED, worker=self.worker.name, runs=len(runs))
