Count free workers in backoff when most of a service is free

A gang that is to stay in one rack waited for as long as 18 s although over half of the fleet was free: whether most is free was taken from the usable workers only, so workers in backoff were neither free nor capacity, and the gang was not spread over racks. The platform counts the capacity of all workers.

Workers that answer now count, whatever keeps new runs from them. Those that do not answer may have ended, with all that ran there.

test_free_workers_in_backoff_count_as_free failed before: nothing started.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -444,7 +444,7 @@
         """Return whether under half of a service was in use at the start."""
         found = self.mostly_free.get(service)
         if found is None:
-            found = is_mostly_free(self.inputs.free_capacities, service)
+            found = is_mostly_free(self.inputs.reachable_capacities, service)
             self.mostly_free[service] = found
         return found
 
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -20,7 +20,8 @@
 
     ``claims`` is the result of the round before. ``backoff_capacities`` has
     the workers in backoff, which are a last resort, and ``crashed_workers``
-    names those that have crashed a short time ago. The jobs of
+    names those that have crashed a short time ago. ``reachable_capacities``
+    has all workers that answer, also those that get no new run. The jobs of
     ``failing_parts`` start nothing, since no placement of theirs can be
     stored.
     """
@@ -33,8 +34,8 @@
     claims: Claims
     urgent_load: UrgentLoad
     backoff_capacities: Sequence[FreeCapacity] = ()
-
     crashed_workers: frozenset[str] = frozenset()
+    reachable_capacities: Sequence[FreeCapacity] = ()
     failing_parts: frozenset[str] = frozenset()
 
     def may_start(self, progress: JobProgress) -> bool:
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -191,6 +191,14 @@
             and session.worker.failure_domain not in evacuated
         ]
 
+    def reachable_capacities(self) -> list[FreeCapacity]:
+        """Return the free capacity of each worker that answers."""
+        return [
+            session.available_capacity()
+            for session in self.sessions.values()
+            if session.reachable and session.listed
+        ]
+
     def crashed_workers(self) -> frozenset[str]:
         """Return the workers that have crashed a short time ago."""
         since_s = self.context.clock() - CRASH_MEMORY_S
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -129,6 +129,7 @@
             self.urgent_load,
             in_backoff,
             self.crashed_workers,
+            usable + in_backoff,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
--- a/tests/tasks/test_last_resort.py
+++ b/tests/tasks/test_last_resort.py
@@ -204,3 +204,14 @@
     job = fleet.add(URGENT, gang(2))
     check_starts_after(fleet, job, LAST_RESORT_WAIT_S)
     assert next(job.all_units()).workers() == ("w11", "w01")
+
+
+def test_free_workers_in_backoff_count_as_free() -> None:
+    """A gang does not wait for one rack while most of all is free."""
+    fleet = Fleet(racks=4, per_rack=3)
+    fleet.in_backoff = {f"w{rack}{n}" for rack in (0, 1) for n in range(3)}
+    for name in ("w20", "w21", "w30", "w31"):
+        fleet.run_on(fleet.add(URGENT, task(8, estimate_s=60.0)), name)
+    job = fleet.add(NORMAL, gang(2))
+    fleet.decide_and_apply(now_s=0.5)
+    assert fleet.racks_of(job) == {"r2-0", "r3-0"}
