Doubt crashes of workers that crash without the task too

Jobs that harm no worker were shown as failed: four workers crashed under one of their tasks, for reasons of their own, and nothing compared these crashes with those of other workers.

A crash is now doubtful if its worker had crashed in the 30 s before without the task, or another worker without it in the 3 s before, unless a task that was kept apart explains that crash. Four crashes that are not doubtful end a task as before. With doubtful ones it gets one start more, if that is at most the second one after the third run that may have crashed its worker; a run counts as such unless this holder knows that it left its workers up, so outages, take-overs and crashes that nobody noticed take the start away. Before the starts after the third crash, it is held back for 2 s, or 6 s if it is endless, within the times after which a task counts as waiting.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -17,6 +17,7 @@
 from damaskstall.scheduler.cell_lease import CellLease
 from damaskstall.tasks.claims import no_claims
 from damaskstall.tasks.context import NodeContext
+from damaskstall.tasks.crash_evidence import WorkerCrash
 from damaskstall.tasks.events import (
     HOLDER_READY,
     PROGRESS_CONFLICT,
@@ -244,9 +245,9 @@
         """Record that a run has ended, or has never started."""
         self.ends.record(worker, end)
 
-    def record_crash(self, key: RunKey, evidence: str) -> None:
+    def record_crash(self, worker: str, key: RunKey, evidence: str) -> None:
         """Record that the worker of a run that has ended had crashed."""
-        self.ends.record_late_crash(key, evidence)
+        self.ends.record_late_crash(worker, key, evidence)
 
     async def wait_ends_stored(self, job_ids: set[str]) -> None:
         """Return once each end recorded so far of some jobs is stored."""
@@ -585,6 +586,14 @@
         accepted_unix_s = progress.job.accepted_unix_s
         return self.pool.has_older_peer(worker, accepted_unix_s)
 
+    def recent_crashes(self) -> list[WorkerCrash]:
+        """Return the last crashes of each worker."""
+        return self.pool.recent_crashes()
+
+    def now_s(self) -> float:
+        """Return the present time on the local clock."""
+        return self.context.clock()
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
--- a/src/damaskstall/tasks/isolation.py
+++ b/src/damaskstall/tasks/isolation.py
@@ -18,7 +18,8 @@
 ISOLATION_CRASHES = 2
 # Nothing else starts beside an isolated run for this long.
 ISOLATION_S = 5.0
-# The longest wait for workers without other runs since the unit's last run.
+# The longest wait for workers without other runs since the unit's last run, or
+# since it was held back.
 ISOLATION_WAIT_S = 10.0
 # An endless step serves its users continuously.
 ENDLESS_ISOLATION_WAIT_S = 2.0
@@ -36,12 +37,18 @@
     return len(unit.crashed_runs) >= ISOLATION_CRASHES
 
 
+def was_isolated(unit: Unit, run: int) -> bool:
+    """Return whether a unit was kept apart from all others in a run."""
+    earlier = [crashed for crashed in unit.crashed_runs if crashed < run]
+    return len(earlier) >= ISOLATION_CRASHES
+
+
 def waits_for_idle_workers(unit: Unit, step: Step, now_s: float) -> bool:
     """Return whether a unit only starts on workers without other runs."""
     if not needs_isolation(unit):
         return False
     limit_s = ENDLESS_ISOLATION_WAIT_S if step.endless else ISOLATION_WAIT_S
-    return now_s - unit.ended_s < limit_s
+    return now_s - max(unit.ended_s, unit.held_until_s) < limit_s
 
 
 def find_suspect_workers(
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 from damaskstall.platform.types import Value
+from damaskstall.tasks.crash_evidence import hold_s
 from damaskstall.tasks.model import (
     CANCELLED,
     COMPLETED,
@@ -218,11 +219,16 @@
         crashed = stored[3] if len(stored) > 3 else {}
         doubtful = stored[4] if len(stored) > 4 else {}
         for number, runs in crashed.items():
+            unit = units[int(number)]
             progress.add_crashes(
-                units[int(number)],
+                unit,
                 {int(run) for run in runs},
                 {int(run) for run in doubtful.get(number, ())},
             )
+            # Which workers have crashed lately is not known.
+            unit.held_until_s = now_s + hold_s(
+                unit.crashed_runs, unit.doubtful_runs, endless=False
+            )
 
 
 def restore_units(units: list[Unit], stored: list[Any], now_s: float) -> None:
@@ -245,6 +251,7 @@
     run, failures, failed_run, checkpoint, avoid, members = fields
     unit.run = run
     unit.stored_run = run
+    unit.adopted_run = run
     unit.failures = failures
     unit.failed_run = failed_run
     unit.checkpoint = checkpoint
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterator, Set
 
-from damaskstall.tasks.crash_evidence import is_given_up
+from damaskstall.tasks.crash_evidence import RunRecord, is_given_up
 from damaskstall.tasks.model import (
     CANCELLED,
     COMPLETED,
@@ -85,7 +85,10 @@
     ``avoid`` names workers on which a run failed or stalled, and
     ``crashed_runs`` has the numbers of the runs under which a worker crashed,
     the longest of which lasted ``longest_crash_s``, None if not known;
-    ``doubtful_runs`` has those whose worker may well have crashed anyway.
+    ``doubtful_runs`` has those whose worker may well have crashed anyway, and
+    ``unstarted_runs`` those that never started, and ``harmless_runs`` those
+    after which all workers were up; ``adopted_run`` is the newest run that
+    another holder placed. The unit is not started before ``held_until_s``.
     """
 
     __slots__ = (
@@ -105,6 +108,10 @@
         "avoid",
         "crashed_runs",
         "doubtful_runs",
+        "adopted_run",
+        "unstarted_runs",
+        "harmless_runs",
+        "held_until_s",
         "longest_crash_s",
         "has_begun",
     )
@@ -127,6 +134,10 @@
         self.avoid: set[str] = set()
         self.crashed_runs: set[int] = set()
         self.doubtful_runs: set[int] = set()
+        self.adopted_run = 0
+        self.unstarted_runs: set[int] = set()
+        self.harmless_runs: set[int] = set()
+        self.held_until_s = float("-inf")
         self.longest_crash_s: float | None = 0.0
         self.has_begun = False
 
@@ -157,6 +168,16 @@
         reported_s = max((m.reported_s for m in self.members), default=0.0)
         return max(0.0, reported_s - self.started_s)
 
+    def run_record(self) -> RunRecord:
+        """Return the runs of the unit by what became of their workers."""
+        return RunRecord(
+            self.run,
+            self.crashed_runs,
+            self.doubtful_runs,
+            self.unstarted_runs,
+            self.harmless_runs,
+        )
+
     def workers(self) -> tuple[str, ...]:
         """Return the worker of each task whose run may exist."""
         return tuple(m.worker for m in self.members if not m.ended)
@@ -265,7 +286,12 @@
             occurrence = units[0].occurrence
             if now_s < self.due_s(occurrence):
                 return
-            waiting = [u for u in units if not (u.done or u.members)]
+            waiting = [
+                unit
+                for unit in units
+                if not (unit.done or unit.members)
+                and now_s >= unit.held_until_s
+            ]
             if not waiting:
                 continue
             after = self.step_of(units[0]).after
@@ -327,6 +353,7 @@
             unit.avoid.add(member.worker)
             self._count_failure(unit, unit.run, attempt_limit)
         if all(other.ended for other in unit.members):
+            note_harmless_run(unit)
             unit.members = []
             unit.stopping = False
             self._give_up_suspect(unit)
@@ -348,6 +375,7 @@
         if breaks_row(longest_s, ran_s):
             unit.crashed_runs.clear()
             unit.doubtful_runs.clear()
+            unit.harmless_runs.update(range(1, run))
             longest_s = 0.0
         self.add_crashes(unit, {run}, {run} if doubtful else frozenset())
         unit.longest_crash_s = max(longest_s or 0.0, ran_s)
@@ -373,7 +401,7 @@
         """
         if unit.done or any(not m.ended for m in unit.members):
             return
-        if is_given_up(unit.crashed_runs, unit.doubtful_runs):
+        if is_given_up(unit.run_record()):
             self.failed = True
 
     def record_late_end(
@@ -406,6 +434,21 @@
             self.failed = True
 
 
+def note_harmless_run(unit: Unit) -> None:
+    """Note whether a run that has ended left all of its workers up.
+
+    The workers of an adopted run may have crashed before they answered this
+    holder.
+    """
+    outcomes = {member.ended for member in unit.members}
+    if unit.run == unit.adopted_run or ENDED_LAPSED in outcomes:
+        return
+    if outcomes == {ENDED_NOT_STARTED}:
+        unit.unstarted_runs.add(unit.run)
+    else:
+        unit.harmless_runs.add(unit.run)
+
+
 def breaks_row(longest_s: float | None, ran_s: float) -> bool:
     """Return whether a run lasted so long that earlier crashes don't count.
 
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -2,9 +2,16 @@
 
 from typing import Protocol
 
+from damaskstall.tasks.crash_evidence import (
+    WorkerCrash,
+    hold_s,
+    is_doubtful,
+)
+from damaskstall.tasks.isolation import was_isolated
 from damaskstall.tasks.model import RunKey
 from damaskstall.tasks.ports import (
     CRASH_EVIDENCE,
+    OUTAGE,
     REPORTED,
     UNOBSERVED,
     UNSEEN,
@@ -27,6 +34,9 @@
 # logged, unless more ends than this were logged since.
 LOGGED_ENDS_LIMIT = 1000
 
+# Evidence that the worker of a run was lost, by a crash or with others.
+LOSS_EVIDENCE = CRASH_EVIDENCE | {UNOBSERVED, OUTAGE}
+
 Jobs = dict[str, JobProgress]
 # A job, one of its units and a position in the unit.
 FoundRun = tuple[JobProgress, Unit, int]
@@ -77,6 +87,12 @@
         If it is not certain that workers beside it went on, return False.
         """
 
+    def recent_crashes(self) -> list[WorkerCrash]:
+        """Return the last crashes of each worker, with those of its runs."""
+
+    def now_s(self) -> float:
+        """Return the present time on the local clock."""
+
     def record_outcome(
         self, worker: str, progress: JobProgress, unit: Unit, how: str
     ) -> None:
@@ -140,8 +156,10 @@
         )
         log_run_ended(worker, end)
         if self._is_crash(worker, progress, end.evidence):
-            doubtful = end.evidence == UNSEEN
+            doubtful = self._is_doubtful(worker, unit, end.evidence)
             self._count_crash(progress, unit, end.key.run, ran_s, doubtful)
+        if end.evidence in LOSS_EVIDENCE:
+            self._hold(progress, unit)
         if end.evidence == REPORTED:
             self._mark_logged(worker, end.key)
         self.owner.record_outcome(worker, progress, unit, end.how)
@@ -161,14 +179,39 @@
             return self.owner.is_lost_alone(worker, progress)
         return evidence in CRASH_EVIDENCE
 
-    def record_late_crash(self, key: RunKey, evidence: str) -> None:
+    def _is_doubtful(self, worker: str, unit: Unit, evidence: str) -> bool:
+        """Return whether a worker may well have crashed without a unit."""
+        if evidence == UNSEEN:
+            return True
+        others = [
+            crash
+            for crash in self.owner.recent_crashes()
+            if not self._explains(crash, unit)
+        ]
+        return is_doubtful(worker, others, self.owner.now_s())
+
+    def _explains(self, crash: WorkerCrash, unit: Unit) -> bool:
+        """Return whether a unit, or one isolated then, was on a worker."""
+        for key in crash.runs:
+            progress = self.jobs.get(key.task.job_id)
+            found = progress.find(key.task) if progress is not None else None
+            if found is None:
+                continue
+            if found[0] is unit or was_isolated(found[0], key.run):
+                return True
+        return False
+
+    def record_late_crash(
+        self, worker: str, key: RunKey, evidence: str
+    ) -> None:
         """Record that the worker of a run that has ended had crashed."""
         progress = self.jobs.get(key.task.job_id)
         found = progress.find(key.task) if progress is not None else None
         if progress is None or found is None:
             return
-        doubtful = evidence == UNSEEN
-        self._count_crash(progress, found[0], key.run, 0.0, doubtful)
+        unit, _ = found
+        doubtful = self._is_doubtful(worker, unit, evidence)
+        self._count_crash(progress, unit, key.run, 0.0, doubtful)
         if progress.failed:
             self.owner.stop_all(progress, "the job has failed")
         self.owner.schedule_write(progress)
@@ -184,6 +227,12 @@
         if progress.record_crash(unit, run, ran_s, doubtful):
             log_crash_counted(progress, unit, run)
 
+    def _hold(self, progress: JobProgress, unit: Unit) -> None:
+        """Hold a unit back if its worker may be lost with others."""
+        endless = progress.step_of(unit).endless
+        held_s = hold_s(unit.crashed_runs, unit.doubtful_runs, endless)
+        unit.held_until_s = self.owner.now_s() + held_s
+
     def _record_late_end(self, worker: str, end: EndReport) -> None:
         """Record the end of a run that is not, or no longer, present."""
         progress = self.jobs.get(end.key.task.job_id)
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -30,7 +30,7 @@
     def record_end(self, worker: str, end: EndReport) -> None:
         """Record that a run has ended, or has never started."""
 
-    def record_crash(self, key: RunKey, evidence: str) -> None:
+    def record_crash(self, worker: str, key: RunKey, evidence: str) -> None:
         """Record that the worker of a run that has ended had crashed."""
 
     async def wait_ends_stored(self, job_ids: set[str]) -> None:
--- a/src/damaskstall/tasks/stored_runs.py
+++ b/src/damaskstall/tasks/stored_runs.py
@@ -54,6 +54,7 @@
     """Replace the present run of a unit by the stored one."""
     unit.run = stored.run
     unit.stored_run = stored.run
+    unit.adopted_run = stored.run
     unit.members = stored.members
     unit.stopping = False
     unit.started_s = stored.started_s
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -13,6 +13,7 @@
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity
 from damaskstall.tasks.context import NodeContext
+from damaskstall.tasks.crash_evidence import WorkerCrash
 from damaskstall.tasks.events import WORKER_SUSPECTED
 from damaskstall.tasks.expected_runs import ALWAYS_S
 from damaskstall.tasks.fencing import FencingTokens
@@ -208,6 +209,14 @@
             if session.crashed_s > since_s
         )
 
+    def recent_crashes(self) -> list[WorkerCrash]:
+        """Return the last crashes of each listed worker."""
+        return [
+            crash
+            for session in self.sessions.values()
+            for crash in session.crashes
+        ]
+
     def adopt(self, progress: JobProgress, unit: Unit) -> None:
         """Count the runs of a unit that an earlier holder placed."""
         demand = progress.step_of(unit).demand
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -5,6 +5,7 @@
 that it never started, or its lease has certainly expired.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
@@ -20,6 +21,7 @@
 from damaskstall.events import log
 from damaskstall.tasks.capacity import FreeCapacity, WorkerLoad
 from damaskstall.tasks.clock import Clock
+from damaskstall.tasks.crash_evidence import WorkerCrash
 from damaskstall.tasks.events import (
     RUNS_LAPSED,
     RUNS_UNCOUNTED,
@@ -82,6 +84,8 @@
 STORE_WAIT_LIMIT_S = 0.3
 # The list of machines may be unavailable for longer than a lease lasts.
 LAPSED_RUNS_KEPT_S = 30.0
+# The newest crash of a worker, and the one before.
+KEPT_CRASHES = 2
 
 
 class Answer(NamedTuple):
@@ -154,6 +158,9 @@
         self.in_outage = False
         # When the worker last crashed, as far as this holder knows.
         self.crashed_s = float("-inf")
+        # The last crashes, and whether the newest is that of this silence.
+        self.crashes: deque[WorkerCrash] = deque(maxlen=KEPT_CRASHES)
+        self._has_noted_crash = False
         # Whether the worker has answered this holder.
         self.heard = False
         # The runs that lapsed in this silence, and whether each was unseen;
@@ -316,8 +323,18 @@
         runs, self._lapsed_runs = self._lapsed_runs, {}
         if evidence in CRASH_EVIDENCE:
             self.crashed_s = self.clock()
+            self._note_crash(frozenset({*self.load.runs, *runs}))
             for key, unseen in runs.items():
-                self.owner.record_crash(key, UNSEEN if unseen else evidence)
+                found = UNSEEN if unseen else evidence
+                self.owner.record_crash(self.worker.name, key, found)
+
+    def _note_crash(self, runs: frozenset[RunKey]) -> None:
+        """Note a crash once, however often it is noticed."""
+        if self._has_noted_crash:
+            return
+        self._has_noted_crash = True
+        crash = WorkerCrash(self.worker.name, self.clock(), runs)
+        self.crashes.append(crash)
 
     def _loss_evidence(self, evidence: str) -> str:
         """Return why the worker's runs ended if it did not just crash."""
@@ -460,6 +477,7 @@
             self.answered.set()
         self.lease.record_clock(report.clock_s, self.clock())
         self.fenced = True
+        self._has_noted_crash = False
         if not self.reachable:
             self.reachable = True
             self._lapsed_runs = {}
--- a/tests/tasks/test_deadly_tasks.py
+++ b/tests/tasks/test_deadly_tasks.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from functools import partial
 
+from pytest import mark
 from trio import current_time, sleep
 
 from damaskstall.tasks.progress import Unit
@@ -186,6 +187,27 @@
     run_scenario(scenario)
 
 
+@mark.parametrize("others", [0, 1])
+def test_crash_is_doubtful_if_another_worker_has_just_crashed(
+    others: int,
+) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(DEADLY_JOB, [ONE_TASK], work_s=20.0)
+        await cluster.wait(lambda: cluster.history.runs)
+        name = cluster.history.runs[0].worker
+        idle = [w for w in cluster.workers.values() if w.name != name]
+        for worker in idle[:others]:
+            worker.crash()
+            await return_worker(cluster, worker, renamed=False)
+        await sleep(1.0)
+        cluster.workers[name].crash()
+        unit = await wait_suspect(cluster)
+        assert unit.crashed_runs == {1}
+        assert len(unit.doubtful_runs) == others
+
+    run_scenario(scenario)
+
+
 def suspected_jobs(cluster: Cluster) -> list[str]:
     """Return the holder's jobs under whose tasks workers have crashed."""
     name = cluster.holder()
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -231,6 +231,28 @@
     assert not job.failed
 
 
+def test_unit_that_is_held_back_does_not_start() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    crash(job, 3).held_until_s = 5.0
+    assert started_on(fleet, now_s=4.9) == {}
+    assert started_on(fleet, now_s=5.0) == {job.job_id: ["w00"]}
+
+
+def test_doubtful_run_that_another_holder_placed_uses_up_a_start() -> None:
+    """It seems not to have started once its worker has started again."""
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.add(NORMAL, task(1))
+    unit = next(job.all_units())
+    for run in range(1, 5):
+        job.record_crash(unit, run, 0.1, doubtful=True)
+    unit.run, unit.adopted_run = 4, 5
+    assert not job.failed
+    job.begin_run(unit, [("w00", 1)], 1.0)
+    job.end_member(unit, 0, "not_started", attempt_limit=3)
+    assert job.failed
+
+
 def test_crashes_are_stored_in_the_row() -> None:
     fleet = Fleet(racks=1, per_rack=1)
     job = fleet.add(NORMAL, task(1, task_count=3))
