Count the room for moved tasks on all workers

A unit that needs a label did not get its workers cleared: the search for moves was skipped if the workers with the label alone had less free than the unit needs, though endless tasks without a label can go on elsewhere. The free capacity is now counted on all workers, and each move is checked by itself as before. The test failed before: the gang did not start in 3 s.

--- a/src/damaskstall/tasks/defragmentation.py
+++ b/src/damaskstall/tasks/defragmentation.py
@@ -205,24 +205,26 @@
 ) -> bool:
     """Return whether a unit could fit if all others that may move were gone.
 
-    As much as it needs must be free in all, for those that move, and not too
-    many of its tasks may need a move. This rules out most searches that find
-    nothing.
+    As much as it needs must be free on all workers, since those that move go
+    on there, and not too many of its tasks may need a move. This rules out
+    most searches that find nothing.
     """
+    accelerators = sum(
+        max(0, free.accelerators) for free in plan.free.values()
+    )
+    if accelerators < placement.step.unit_accelerators:
+        return False
     freed = freed_capacity(movable)
     size = placement.step.unit_size
-    accelerators = fits = fits_now = 0
+    fits = fits_now = 0
     for name in eligible_workers(plan, placement):
         free = plan.free[name]
-        accelerators += max(0, free.accelerators)
         count = tasks_that_fit(placement, name, free, size)
         fits_now += count
         if name in freed:
             free = free.plus(freed[name])
             count = tasks_that_fit(placement, name, free, size)
         fits += count
-    if accelerators < placement.step.unit_accelerators:
-        return False
     return fits >= size and size - fits_now <= MOVED_TASKS_LIMIT
 
 
--- a/tests/tasks/test_defragmentation.py
+++ b/tests/tasks/test_defragmentation.py
@@ -90,6 +90,18 @@
     assert all_running(job)
 
 
+def test_moved_task_may_leave_the_workers_with_the_units_label() -> None:
+    """On those there is less free than the unit needs."""
+    fleet = SlowFleet(1, 4)
+    gold = frozenset({"gold"})
+    for number in (0, 1):
+        fleet.workers[number] = fleet.workers[number]._replace(labels=gold)
+    endless_job(fleet, "w00", "w03")
+    job = add_now(fleet, gang(2, required_label="gold"))
+    fleet.play(WAIT_ROUNDS)
+    assert all_running(job)
+
+
 def test_no_endless_task_is_moved_before_the_unit_has_waited() -> None:
     fleet, _ = spread_fleet(racks=1, per_rack=3)
     add_now(fleet, gang(2))
