Keep a moved task apart whose worker crashed during the move

The room where a moved task goes on is claimed when it is stopped. If its worker crashed before the stop, the task is suspected of it and has to run apart from others, but it started in the claimed room beside them. A unit that needs isolation now gives its claim up and is placed as any other. The test failed before: the task started beside another, not on the idle worker.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -919,6 +919,9 @@
         claim = self.claims.get(key)
         if claim is None:
             return False
+        if needs_isolation(unit):
+            self._release_claim(key, claim, batch.step)
+            return False
         if is_ready(claim, self.plan):
             # The unit's run takes over the capacity that the claim held.
             del self.claims[key]
--- a/tests/tasks/test_defragmentation.py
+++ b/tests/tasks/test_defragmentation.py
@@ -102,6 +102,22 @@
     assert all_running(job)
 
 
+def test_task_whose_worker_crashes_during_a_move_runs_apart() -> None:
+    """The room where it was to go on has another task beside it."""
+    fleet = SlowFleet(1, 4)
+    gold = frozenset({"gold"})
+    for number in (0, 1):
+        fleet.workers[number] = fleet.workers[number]._replace(labels=gold)
+    job, _ = endless_job(fleet, "w00", "w03")
+    add_now(fleet, gang(2, required_label="gold"))
+    fleet.play(int(MOVE_WAIT_S / ROUND_S) + 1)
+    (unit,) = moved_units(fleet)
+    job.add_crashes(unit, {-1, -2})
+    unit.ended_s = fleet.now_s
+    fleet.play(STOP_ROUNDS + 2)
+    assert unit.workers() == ("w02",)
+
+
 def test_no_endless_task_is_moved_before_the_unit_has_waited() -> None:
     fleet, _ = spread_fleet(racks=1, per_rack=3)
     add_now(fleet, gang(2))
