Let guaranteed jobs take the room that moves clear for others

While endless tasks moved for a unit without a guarantee, a job that a guarantee covers moved or preempted other endless tasks, since claims of uncovered units were dropped only after that. Claims of less urgent units are now dropped first; the order among urgent units is as before.

--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -642,10 +642,13 @@
     ) -> bool:
         """Find capacity that a guarantee covers; return whether it was found.
 
-        Endless units are moved or preempted if nothing else frees enough, then
-        covered units with smaller tasks. Then uncovered units lose their
-        claims, and at last the isolation of suspected units ends.
+        Less urgent units lose their claims first. Endless units are moved or
+        preempted if nothing else frees enough, then covered units with smaller
+        tasks. Then uncovered units lose their claims, and at last the
+        isolation of suspected units ends.
         """
+        if self._drop_uncovered_claims(urgent=False):
+            return self._place_urgent(batch, unit, placement)
         if needs_one_rack(self.plan, placement):
             placement = across_racks(placement)
             if self._try_preempt(batch, unit, placement):
@@ -654,7 +657,7 @@
             return True
         if self._try_preempt(batch, unit, placement, SMALLER):
             return True
-        if not self._drop_uncovered_claims():
+        if not self._drop_uncovered_claims(urgent=True):
             if not self._open_closed_workers():
                 return False
         return self._place_urgent(batch, unit, placement)
@@ -1021,13 +1024,23 @@
             return set(self.plan.racks[racks.pop()])
         return set(self.plan.workers)
 
-    def _drop_uncovered_claims(self) -> bool:
+    def _drop_uncovered_claims(self, urgent: bool) -> bool:
         """End the claims of units that no guarantee covers.
 
-        Return whether there were any.
+        Return whether there were any. Claims of urgent units end only if
+        ``urgent`` is set.
         """
-        found = [key for key in self.claims if key.job_id not in self.covered]
+        claims = [key for key in self.claims if key.job_id not in self.covered]
+        if not claims:
+            return False
         jobs = {progress.job_id: progress for progress in self.inputs.jobs}
+        found = [
+            key
+            for key in claims
+            if urgent
+            or queue_of(self.inputs, jobs[key.job_id]).priority
+            != URGENT_PRIORITY
+        ]
         for key in found:
             step = jobs[key.job_id].job.declaration.steps[key.step]
             self._release_claim(key, self.claims[key], step)
--- a/tests/tasks/test_defragmentation.py
+++ b/tests/tasks/test_defragmentation.py
@@ -266,6 +266,19 @@
     assert all(all_running(each) for each in endless)
 
 
+def test_guaranteed_job_takes_room_cleared_for_a_less_urgent_one() -> None:
+    """It stops no run for itself."""
+    fleet, _ = spread_fleet(racks=1, per_rack=5)
+    add_now(fleet, gang(2))
+    fleet.play(int(MOVE_WAIT_S / ROUND_S) + 1)
+    assert fleet.stops
+    fleet.guarantees = {"blue": 16}
+    job = add_now(fleet, gang(2), URGENT)
+    fleet.play(STOP_ROUNDS + 1)
+    assert all_running(job)
+    assert not fleet.stops_for(job)
+
+
 def test_reclaiming_respects_the_limit_of_an_endless_step() -> None:
     fleet = SlowFleet(1, 2)
     step = task(4, task_count=4, endless=True, absent_limit=1)
