--- a/tests/tasks/test_slow_holder.py
+++ b/tests/tasks/test_slow_holder.py
@@ -27,6 +27,9 @@
 ROUND_S = 0.2
 # A task that lasts has to run again 6 s after its last run.
 RESTART_LIMIT_S = 6.0
+# As without a delay (test_lease_preference.py).
+HAND_OVER_LIMIT_S = 5.0
+LATE_ROUND_S = 0.5
 
 
 def reachable_workers(cluster: Cluster) -> int:
@@ -190,3 +193,26 @@
         assert not {STORE_LOST, RELAY_STARTED}.intersection(events)
 
     run_scenario(scenario, nodes=1, racks=6, per_rack=4)
+
+
+def test_late_small_holder_hands_the_lease_over(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    """Its own delay does not make the larger instance seem unreachable."""
+
+    async def scenario(cluster: Cluster) -> None:
+        def decide_late(inputs: SchedulingInput, now_s: float) -> RoundResult:
+            use_processor(LATE_ROUND_S)
+            return decide(inputs, now_s)
+
+        monkeypatch.setattr("damaskstall.tasks.holder.decide", decide_late)
+        assert cluster.nursery is not None
+        cluster.nursery.start_soon(request_decisions, cluster)
+        cluster.cores["n1"] = 4.0
+        await cluster.start_node("n1")
+        await cluster.wait(
+            lambda: cluster.nodes["n1"].election.holder is not None,
+            HAND_OVER_LIMIT_S,
+        )
+
+    run_scenario(scenario, nodes=1)
