Miss no job where some answers of the store are old

An accepted job was not known to a new holder, and so never started, if the store answered the reading of the job rows with an older state than that of the progress rows: the job had progress but no declaration and was left out, and the watch began after the revision at which it was accepted. After the history was dropped, the newest revision and the rows of a part could differ alike. Reads of the store may be seconds behind in one of its disruptions, and pages of one reading may differ.

The watch now begins at the oldest revision of all pages that were read, and a part that is read again is read until its rows are as new as the watched changes.

--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -1,6 +1,6 @@
 """Read the jobs of the table, and watch for new jobs and cancellations."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from random import Random
 from time import time
 from typing import NamedTuple
@@ -48,11 +48,13 @@
 class ReadJobs(NamedTuple):
     """The unfinished jobs that were read, and the finished ones.
 
-    ``finished`` has the Unix time at which each finished, if known.
+    ``finished`` has the Unix time at which each finished, if known. The rows
+    contain at least the state of ``revision``.
     """
 
     unfinished: list[JobProgress]
     finished: dict[str, float | None]
+    revision: int
 
 
 class JobReader:
@@ -69,8 +71,9 @@
         # The jobs that were finished when last read, with the Unix time at
         # which they finished, if known.
         self.finished: dict[str, float | None] = {}
-        # How often changes were missed, by part that is being read again.
-        self._missed: dict[str, int] = {}
+        # The revision that the rows must reach, by part that is being read
+        # again.
+        self._needed: dict[str, int] = {}
         self._random = Random()
 
     async def load(self) -> list[JobProgress]:
@@ -149,7 +152,7 @@
             try:
                 if revision < 0:
                     revision = await self._newest_revision()
-                    self._read_again(resync, nursery)
+                    self._read_again(revision, resync, nursery)
                 page = await self.table.watch(table, revision, WATCH_WAIT_S)
             except RevisionTooOldError:
                 revision = -1
@@ -173,42 +176,45 @@
         page = await self.table.scan(part_prefix(PROGRESS_TABLE, ""), "", 1)
         return page.revision
 
-    def _read_again(self, resync: Resync, nursery: Nursery) -> None:
-        """Begin to read the jobs of all parts.
-
-        A part that is being read already is read once more after that.
-        """
+    def _read_again(
+        self, revision: int, resync: Resync, nursery: Nursery
+    ) -> None:
+        """Begin to read the jobs of all parts, as of a revision or later."""
         for part in all_parts():
-            if part not in self._missed:
+            if part not in self._needed:
                 nursery.start_soon(self._read_part_again, part, resync)
-            self._missed[part] = self._missed.get(part, 0) + 1
+            self._needed[part] = max(revision, self._needed.get(part, 0))
 
     async def _read_part_again(self, part: str, resync: Resync) -> None:
-        """Pass the jobs of a part to ``resync``; retry until that succeeds."""
-        found = 0
+        """Pass the jobs of a part to ``resync``; retry until they are new."""
         tries = 0
-        while found < self._missed[part]:
-            missed = self._missed[part]
+        while True:
             try:
                 read = await self._read_part(part)
-            except TableUnavailableError as error:
-                if not tries:
-                    log(STORE_LOST, used_for="jobs", error=str(error))
-                delay_s = retry_delay_s(tries, self._random)
-                await sleep(min(delay_s, RETRY_LIMIT_S))
-                tries += 1
-                continue
-            resync(read.unfinished)
-            found = missed
-        del self._missed[part]
+                if read.revision >= self._needed[part]:
+                    break
+                error = "The rows are older than the watched changes."
+            except TableUnavailableError as failure:
+                error = str(failure)
+            if not tries:
+                log(STORE_LOST, used_for="jobs", error=error)
+            delay_s = retry_delay_s(tries, self._random)
+            await sleep(min(delay_s, RETRY_LIMIT_S))
+            tries += 1
+        del self._needed[part]
+        resync(read.unfinished)
 
     async def _read_part(self, part: str) -> ReadJobs:
         """Return the jobs of one part, the progress rows read first."""
-        rows = []
-        for table in (PROGRESS_TABLE, JOB_TABLE):
-            found = await scan_rows(self.table, part_prefix(table, part))
-            rows.append({job_id_of(row.key): row for row in found.rows})
-        return self._decode_jobs(*rows)
+        progress, jobs = [
+            await scan_rows(self.table, part_prefix(table, part))
+            for table in (PROGRESS_TABLE, JOB_TABLE)
+        ]
+        return self._decode_jobs(
+            by_job(progress.rows),
+            by_job(jobs.rows),
+            min(progress.revision, jobs.revision),
+        )
 
     async def _load(self) -> list[JobProgress]:
         """Return all unfinished jobs, and record the finished ones.
@@ -216,18 +222,22 @@
         Progress rows are read first: a job's declaration is written in the
         same transaction, so it is found by the later read.
         """
-        progress_rows, revision = await self._scan(PROGRESS_TABLE)
-        job_rows, _ = await self._scan(JOB_TABLE)
-        read = self._decode_jobs(progress_rows, job_rows)
+        progress_rows, progress_revision = await self._scan(PROGRESS_TABLE)
+        job_rows, job_revision = await self._scan(JOB_TABLE)
+        revision = min(progress_revision, job_revision)
+        read = self._decode_jobs(progress_rows, job_rows, revision)
         self.finished = read.finished
-        self.revision = revision
+        self.revision = read.revision
         return read.unfinished
 
     def _decode_jobs(
-        self, progress_rows: dict[str, Row], job_rows: dict[str, Row]
+        self,
+        progress_rows: dict[str, Row],
+        job_rows: dict[str, Row],
+        revision: int,
     ) -> ReadJobs:
         """Return the jobs that rows describe, except unreadable ones."""
-        read = ReadJobs([], {})
+        read = ReadJobs([], {}, revision)
         for job_id, row in progress_rows.items():
             if row.value is None:
                 continue
@@ -267,7 +277,7 @@
         async def scan(part: str) -> None:
             found = await scan_rows(self.table, part_prefix(table, part))
             revisions.append(found.revision)
-            rows.update((job_id_of(row.key), row) for row in found.rows)
+            rows.update(by_job(found.rows))
 
         await self._run_for_each_part(scan)
         return rows, min(revisions)
@@ -294,6 +304,11 @@
             raise failed[0]
 
 
+def by_job(rows: Iterable[Row]) -> dict[str, Row]:
+    """Return rows by the ID of their job."""
+    return {job_id_of(row.key): row for row in rows}
+
+
 def log_unreadable(row: Row, error: Exception) -> None:
     """Log that a job is left alone, since its rows cannot be read.
 
--- a/src/damaskstall/tasks/scans.py
+++ b/src/damaskstall/tasks/scans.py
@@ -28,5 +28,6 @@
     rows = list(page.rows)
     while page.next_after:
         page = await table.scan(prefix, page.next_after, PAGE_LIMIT)
+        revision = min(revision, page.revision)
         rows += page.rows
     return Scan(rows, revision)
