Compare paces over differences that rounding does not hide

A sound worker whose runs last a minute or more was suspected as slow again and again and left in backoff: with runs of 60 s for 4 s in every 6 s, with runs of 100 s without a pause (a cluster without any fault, 20 s observed; none with runs of 15, 30 and 45 s).

Cause: a pace was the difference of two percentages half a second apart. Percentages are rounded down, so a run of 100 s gains 1, 0, 1, 0 percent: its best pace was compared with no progress at all.

Evidence: test_slowness.py. Before, test_worker_of_long_runs_is_not_slow_by_rounding failed for each run of 60 s and more, and test_worker_of_long_runs_that_becomes_slow_is_found found such workers slow before they were.

A pace now spans a difference of three percent, or the time that a run at the usual pace needs for it. A run of up to 16 s is compared as before, since it gains three percent in each half second.

--- a/src/damaskstall/tasks/pace.py
+++ b/src/damaskstall/tasks/pace.py
@@ -14,6 +14,9 @@
 SAMPLES_LIMIT = 16
 # An older sample does not describe the present pace.
 MAX_SAMPLE_AGE_S = 1.0
+# Percentages are rounded down, so a pace is computed from a difference of at
+# least this much: paces of one run then differ by less than a factor of two.
+MIN_DIFFERENCE_PERCENT = 3.0
 WHOLE_PERCENT = 100.0
 # A member that has finished its own work reports this until its whole gang
 # has finished.
@@ -64,20 +67,36 @@
         """Record that the worker is unreachable and reports no progress."""
         self.changed_s = now_s
 
-    def recent_per_s(self, now_s: float) -> float | None:
-        """Return the pace between the last two samples, or None if unknown."""
-        if (
-            len(self.samples) < 2
-            or now_s - self.samples[-1].at_s > MAX_SAMPLE_AGE_S
-        ):
+    def recent_per_s(self, now_s: float, normal_per_s: float) -> float | None:
+        """Return the pace between the last samples, or None if unknown.
+
+        They are as far apart as a run with the pace ``normal_per_s`` needs
+        for MIN_DIFFERENCE_PERCENT.
+        """
+        if not self.samples or normal_per_s <= 0:
+            return None
+        last = self.samples[-1]
+        if now_s - last.at_s > MAX_SAMPLE_AGE_S:
             return None
-        return percent_per_s(self.samples[-2], self.samples[-1])
+        first_s = last.at_s - MIN_DIFFERENCE_PERCENT / normal_per_s
+        for sample in reversed(self.samples):
+            if sample is not last and sample.at_s <= first_s:
+                return percent_per_s(sample, last)
+        return None
 
     def best_per_s(self) -> float:
         """Return the highest pace between kept samples, 0 if unknown."""
-        samples = list(self.samples)
-        pairs = zip(samples, samples[1:], strict=False)
-        return max((percent_per_s(*pair) for pair in pairs), default=0.0)
+        best_per_s = 0.0
+        firsts = iter(self.samples)
+        first = next(firsts, None)
+        for later in self.samples:
+            while (
+                first is not None
+                and later.percent - first.percent >= MIN_DIFFERENCE_PERCENT
+            ):
+                best_per_s = max(best_per_s, percent_per_s(first, later))
+                first = next(firsts, None)
+        return best_per_s
 
     def remaining_s(self, now_s: float) -> float | None:
         """Return the remaining time of the run at its mean pace, if known."""
--- a/src/damaskstall/tasks/slowness.py
+++ b/src/damaskstall/tasks/slowness.py
@@ -84,10 +84,10 @@
     member: Member, normal_per_s: float, now_s: float
 ) -> float | None:
     """Return the factor by which a run is slower than normal, if known."""
-    recent_per_s = member.pace.recent_per_s(now_s)
+    recent_per_s = member.pace.recent_per_s(now_s, normal_per_s)
     if member.ended or member.pace.percent >= COMPARED_PERCENT_LIMIT:
         return None
-    if recent_per_s is None or normal_per_s <= 0:
+    if recent_per_s is None:
         return None
     return normal_per_s / max(recent_per_s, MIN_PERCENT_PER_S)
 
--- a/tests/tasks/test_slowness.py
+++ b/tests/tasks/test_slowness.py
@@ -1,5 +1,8 @@
 """Runs on slow workers restart elsewhere if they would finish sooner."""
 
+from math import floor
+
+from pytest import mark
 from trio import sleep
 
 from damaskstall.tasks.model import Step
@@ -87,6 +90,39 @@
     assert should_restart(slowdown, task(8, checkpoints=True))
 
 
+@mark.parametrize("run_s", [5.0, 15.0, 30.0, 60.0, 100.0, 200.0])
+@mark.parametrize("offset_s", [0.0, 0.1, 0.2, 0.3, 0.4])
+def test_worker_of_long_runs_is_not_slow_by_rounding(
+    run_s: float, offset_s: float
+) -> None:
+    """A pace of one percent in some samples looked like no progress."""
+    fleet = Fleet(racks=1, per_rack=1)
+    pace = add_running_job(fleet, task(8)).units[0][0].members[0].pace
+    for number in range(60):
+        passed_s = offset_s + 0.5 * number
+        pace.record(floor(100.0 * passed_s / run_s), passed_s)
+        assert not slow_workers(find_slowdowns(fleet.jobs, passed_s))
+        if passed_s > 0.9 * run_s:
+            break
+
+
+@mark.parametrize("run_s", [5.0, 15.0, 30.0, 60.0, 100.0])
+def test_worker_of_long_runs_that_becomes_slow_is_found(run_s: float) -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    pace = add_running_job(fleet, task(8)).units[0][0].members[0].pace
+    percent = found_s = 0.0
+    slow_s = min(0.5 * run_s, 8.0)
+    for number in range(1, 40):
+        now_s = 0.5 * number
+        percent += 50.0 / run_s * (1.0 if now_s <= slow_s else 0.15)
+        pace.record(floor(percent), now_s)
+        if slow_workers(find_slowdowns(fleet.jobs, now_s)):
+            found_s = now_s
+            break
+    # The time for the least difference at the usual pace, twice.
+    assert slow_s < found_s <= slow_s + max(1.0, 0.06 * run_s)
+
+
 def test_gang_moves_off_a_worker_that_becomes_slow() -> None:
     async def scenario(cluster: Cluster) -> None:
         await cluster.submit(job_id(1), [GANG], work_s=6.0)
