Bound a unit's whole wait beside free capacity

A job of which nothing ran waited for up to 16 s beside ample free capacity if few workers have its label: these backed off, were probed by other units (one unit a second each), isolated, reserved or kept as headroom in turn. Each of these has a bound of its own, none knows of the others, and so they add up.

There is one bound now: a unit that has waited for 2 s while nothing of its job is listed as running, and most of its service is free, starts on any worker that only a backoff keeps back, in several racks if need be, on what is reserved if two such units fit, beside other runs if it should be alone, and, unless it is suspected itself, beside an isolated unit if it fits nowhere else. The hard constraints stay: capacity, label, limit per worker, drain, runs that are being stopped. One unit a job starts so in a round, so that a worker that fails all runs gets few of them; one that refuses starts is tried once a second.

In test_policy.py and test_isolation.py the unit that is kept back was due at time 0 and so overdue; its turn comes later now, and what they assert is the same.

--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -440,6 +440,7 @@
             self.urgent_load,
             self.pool.backoff_capacities(configuration.evacuated),
             self.pool.crashed_workers(),
+            self.pool.resting_capacities(configuration.evacuated),
             self.pool.reachable_capacities(),
             self.writer.failing_parts(),
         )
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -40,7 +40,11 @@
     needs_isolation,
     waits_for_idle_workers,
 )
-from damaskstall.tasks.last_resort import may_use_backoff, waiting_since_s
+from damaskstall.tasks.last_resort import (
+    is_overdue,
+    may_use_backoff,
+    waiting_since_s,
+)
 from damaskstall.tasks.model import URGENT_PRIORITY, Demand, Step
 from damaskstall.tasks.packing import (
     CapacityPlan,
@@ -233,6 +237,15 @@
             if each.worker.name not in self.suspects.isolated
         }
         self.unplaceable_in_backoff: set[UnitShape] = set()
+        # All workers in backoff, for overdue units, the shapes of these that
+        # do not fit with them either, and the jobs that start something.
+        self.resting = {
+            each.worker.name: each
+            for each in inputs.resting_capacities
+            if each.worker.name not in self.suspects.isolated
+        }
+        self.unplaceable_overdue: set[UnitShape] = set()
+        self.started_jobs: set[str] = set()
         # Time limits within which no reservation was found, by shape.
         self.unreservable_s: dict[UnitShape, float] = {}
         self.running: list[tuple[JobProgress, Unit]] | None = None
@@ -421,8 +434,80 @@
     ) -> bool:
         """Start a unit as a last resort with workers in backoff.
 
-        Return whether it fits and has waited long enough. Each such worker
-        gets one unit, since its runs may fail.
+        Return whether it fits and has waited long enough.
+        """
+        if self._place_with_probes(batch, unit, placement):
+            return True
+        return self._place_overdue(batch, unit, placement)
+
+    def _place_overdue(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Start a unit that has waited too long against its preferences.
+
+        Return whether it fits. Unless its step is endless, nothing else of
+        its job may work. Where there is capacity for two such units, it is not
+        kept for others.
+        """
+        if not is_overdue(batch, unit, self.now_s):
+            return False
+        if not self._is_mostly_free(batch.progress.job.service):
+            return False
+        job_id = batch.progress.job_id
+        if not batch.step.endless and job_id in self.started_jobs:
+            return False
+        plan, shape = self._available_plan(batch, placement.alone)
+        if shape in self.unplaceable_overdue:
+            return False
+        workers = self._find_overdue(plan, placement)
+        if workers is None and not unit.crashed_runs:
+            workers = self._place_beside_isolated(placement)
+        if workers is None:
+            if not batch.step.per_worker_limit:
+                self.unplaceable_overdue.add(shape)
+            return False
+        self._start(batch, unit, workers)
+        return True
+
+    def _find_overdue(
+        self, available: CapacityPlan, placement: PlacementRequest
+    ) -> list[str] | None:
+        """Return workers for an overdue unit, also those in backoff."""
+        plan = self.plan.with_backoff(self.resting.values())
+        loose = across_racks(placement)._replace(
+            alone=False, spread=placement.alone
+        )
+        needed = 2 * placement.step.unit_size
+        if len(pack_some(plan, loose, plan.free, needed)) < needed:
+            plan = available.with_backoff(self.resting.values())
+        for tried in (placement, across_racks(placement), loose):
+            workers = place_unit(plan, tried)
+            if workers is not None:
+                return workers
+        return None
+
+    def _place_beside_isolated(
+        self, placement: PlacementRequest
+    ) -> list[str] | None:
+        """Return workers for an overdue unit, also those kept for others.
+
+        The crash of such a worker counts against the unit too, so it must not
+        be suspected itself.
+        """
+        if not self.closed:
+            return None
+        plan = self.plan.with_backoff(self.resting.values())
+        for worker, (free, _) in self.closed.items():
+            plan.release(worker, free)
+        return place_unit(plan, across_racks(placement))
+
+    def _place_with_probes(
+        self, batch: Batch, unit: Unit, placement: PlacementRequest
+    ) -> bool:
+        """Start a unit with workers in backoff that may get one unit each.
+
+        Return whether it fits and has waited long enough. Their runs may
+        fail, so none of them gets more.
         """
         if not self.probes or not may_use_backoff(batch, unit, self.now_s):
             return False
@@ -452,6 +537,7 @@
         self._allocate(batch, workers)
         if batch.step.endless:
             self._hosts_of_endless().update(workers)
+        self.started_jobs.add(batch.progress.job_id)
         if unit.crashed_runs:
             self.suspects.shared.update(workers)
         if needs_isolation(unit):
@@ -1071,11 +1157,19 @@
     def _allocate(self, batch: Batch, workers: list[str]) -> None:
         for worker in workers:
             if worker not in self.plan.workers:
-                self.probes.pop(worker, None)
+                self._allocate_resting(worker, batch.step.demand)
                 continue
             self.plan.allocate(worker, batch.step.demand)
             self.plan_after_stops.allocate(worker, batch.step.demand)
 
+    def _allocate_resting(self, worker: str, demand: Demand) -> None:
+        """Allocate the demand of a task on a worker in backoff."""
+        self.probes.pop(worker, None)
+        capacity = self.resting.get(worker)
+        if capacity is not None:
+            free = capacity.free.minus(demand)
+            self.resting[worker] = capacity._replace(free=free)
+
     def _placement_request(self, batch: Batch, unit: Unit) -> PlacementRequest:
         task_counts: dict[str, int] = {}
         if batch.step.per_worker_limit:
--- a/src/damaskstall/tasks/scheduling_input.py
+++ b/src/damaskstall/tasks/scheduling_input.py
@@ -19,9 +19,10 @@
     """The jobs, their queues and guarantees, and the free capacity.
 
     ``claims`` is the result of the round before. ``backoff_capacities`` has
-    the workers in backoff, which are a last resort, and ``crashed_workers``
-    names those that have crashed a short time ago. ``reachable_capacities``
-    has all workers that answer, also those that get no new run. The jobs of
+    the workers in backoff that may get one unit as a last resort, and
+    ``resting_capacities`` those for overdue units. ``crashed_workers`` names
+    those that have crashed a short time ago, and ``reachable_capacities`` has
+    all workers that answer, also those that get no new run. The jobs of
     ``failing_parts`` start nothing, since no placement of theirs can be
     stored.
     """
@@ -35,6 +36,7 @@
     urgent_load: UrgentLoad
     backoff_capacities: Sequence[FreeCapacity] = ()
     crashed_workers: frozenset[str] = frozenset()
+    resting_capacities: Sequence[FreeCapacity] = ()
     reachable_capacities: Sequence[FreeCapacity] = ()
     failing_parts: frozenset[str] = frozenset()
 
--- a/src/damaskstall/tasks/worker_health.py
+++ b/src/damaskstall/tasks/worker_health.py
@@ -96,6 +96,16 @@
         )
         return now_s >= self._placed_s + interval_s
 
+    def may_get_overdue(self, now_s: float) -> bool:
+        """Return whether overdue units may go to the worker in backoff.
+
+        One that refuses starts only gets them once per PROBE_INTERVAL_S,
+        since the next ones would be refused as well.
+        """
+        if now_s >= self._refused.until_s:
+            return True
+        return now_s >= self._placed_s + PROBE_INTERVAL_S
+
     def record_placed(self, now_s: float) -> None:
         """Record that a run was placed on the worker."""
         self._placed_s = now_s
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -192,6 +192,20 @@
             and session.worker.failure_domain not in evacuated
         ]
 
+    def resting_capacities(self, evacuated: set[str]) -> list[FreeCapacity]:
+        """Return the free capacity of each worker for overdue units.
+
+        These workers are in backoff.
+        """
+        now_s = self.context.clock()
+        return [
+            session.available_capacity()
+            for session in self.sessions.values()
+            if session.is_resting()
+            and session.health.may_get_overdue(now_s)
+            and session.worker.failure_domain not in evacuated
+        ]
+
     def reachable_capacities(self) -> list[FreeCapacity]:
         """Return the free capacity of each worker that answers."""
         return [
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -177,10 +177,13 @@
         """Return whether new runs may go to the worker."""
         return not self.unusable_reasons()
 
+    def is_resting(self) -> bool:
+        """Return whether only a backoff keeps new runs from the worker."""
+        return self.unusable_reasons() == (IN_BACKOFF,)
+
     def may_probe(self) -> bool:
         """Return whether one unit may go to the worker, in backoff."""
-        in_backoff = self.unusable_reasons() == (IN_BACKOFF,)
-        return in_backoff and self.health.may_probe(self.clock())
+        return self.is_resting() and self.health.may_probe(self.clock())
 
     def unusable_reasons(self) -> tuple[str, ...]:
         """Return the names of what keeps new runs from the worker."""
--- a/tests/tasks/fleet.py
+++ b/tests/tasks/fleet.py
@@ -68,6 +68,8 @@
         self.estimator = RunTimeEstimator()
         self.claims = no_claims()
         self.in_backoff: set[str] = set()
+        # Those of them that have got a unit a moment ago.
+        self.probed: set[str] = set()
         self.urgent_load = UrgentLoad()
         self.crashed_workers: frozenset[str] = frozenset()
 
@@ -127,13 +129,18 @@
             self.estimator,
             self.claims,
             self.urgent_load,
-            in_backoff,
+            [c for c in in_backoff if c.worker.name not in self.probed],
             self.crashed_workers,
+            in_backoff,
             usable + in_backoff,
         )
 
     def decide(self, now_s: float = 1.0) -> list[Decision]:
         """Return the decisions for the current state; keep the claims."""
+        for progress in self.jobs:
+            for unit in progress.all_units():
+                for member in unit.members:
+                    member.reported_s = now_s
         result = decide(self.current_input(), now_s)
         self.claims = result.claims
         return result.decisions
--- a/tests/tasks/test_isolation.py
+++ b/tests/tasks/test_isolation.py
@@ -74,6 +74,7 @@
     crash(suspect, 2)
     fleet.decide_and_apply(now_s=1.0)
     other = fleet.add(NORMAL, task(1))
+    other.first_due_s = ISOLATION_S
     assert started_on(fleet, now_s=0.9 + ISOLATION_S) == {}
     assert started_on(fleet, now_s=1.1 + ISOLATION_S) == {
         other.job_id: ["w00"]
--- a/tests/tasks/test_last_resort.py
+++ b/tests/tasks/test_last_resort.py
@@ -3,6 +3,7 @@
 from damaskstall.tasks.last_resort import (
     LAST_ATTEMPT_WAIT_S,
     LAST_RESORT_WAIT_S,
+    PREFERENCES_WAIT_S,
 )
 from damaskstall.tasks.progress import JobProgress
 from tests.tasks.fleet import (
@@ -215,3 +216,72 @@
     job = fleet.add(NORMAL, gang(2))
     fleet.decide_and_apply(now_s=0.5)
     assert fleet.racks_of(job) == {"r2-0", "r3-0"}
+
+
+def test_overdue_task_uses_workers_in_backoff_that_others_have_probed() -> (
+    None
+):
+    fleet = label_fleet({"w00", "w01"})
+    fleet.probed = {"w00", "w01"}
+    job = fleet.add(BULK, task(1, required_label="gold"))
+    check_starts_after(fleet, job, PREFERENCES_WAIT_S)
+
+
+def test_overdue_gang_uses_workers_in_backoff_in_several_racks() -> None:
+    fleet = Fleet(racks=2, per_rack=3)
+    fleet.in_backoff = {"w00", "w01", "w10"}
+    fleet.probed = {"w01", "w10"}
+    for name in ("w02", "w12"):
+        fleet.run_on(fleet.add(URGENT, task(1, estimate_s=60.0)), name)
+    job = fleet.add(NORMAL, gang(4))
+    check_starts_after(fleet, job, PREFERENCES_WAIT_S)
+    assert fleet.racks_of(job) == {"r0-0", "r1-0"}
+
+
+def test_overdue_task_waits_while_most_capacity_is_in_use() -> None:
+    fleet = label_fleet({"w00", "w01"})
+    fleet.probed = {"w00", "w01"}
+    for name in ("w10", "w11"):
+        fleet.run_on(fleet.add(URGENT, task(8, estimate_s=60.0)), name)
+    fleet.run_on(fleet.add(URGENT, task(1, estimate_s=60.0)), "w00")
+    job = fleet.add(BULK, task(1, required_label="gold"))
+    fleet.decide_and_apply(now_s=100.0)
+    assert not active_units(job)
+
+
+def test_overdue_job_starts_one_unit_on_probed_workers() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.in_backoff = fleet.probed = {"w00", "w01"}
+    job = fleet.add(BULK, task(1, task_count=8))
+    fleet.decide_and_apply(now_s=100.0)
+    assert active_units(job) == 1
+
+
+def test_each_overdue_endless_unit_uses_probed_workers() -> None:
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.in_backoff = fleet.probed = {"w00", "w01"}
+    job = fleet.add(BULK, task(1, task_count=8, endless=True))
+    fleet.decide_and_apply(now_s=100.0)
+    assert all_running(job)
+
+
+def test_overdue_task_starts_beside_an_isolated_unit_if_nowhere_else() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    suspect = fleet.add(BULK, task(1))
+    unit = next(suspect.all_units())
+    suspect.add_crashes(unit, {1, 2})
+    suspect.begin_run(unit, [("w00", 1)], 0.0)
+    job = fleet.add(BULK, task(1))
+    check_starts_after(fleet, job, PREFERENCES_WAIT_S)
+
+
+def test_overdue_suspect_does_not_start_beside_an_isolated_unit() -> None:
+    fleet = Fleet(racks=1, per_rack=1)
+    suspect = fleet.add(BULK, task(1))
+    unit = next(suspect.all_units())
+    suspect.add_crashes(unit, {1, 2})
+    suspect.begin_run(unit, [("w00", 1)], 0.0)
+    other = fleet.add(BULK, task(1))
+    other.add_crashes(next(other.all_units()), {1})
+    fleet.decide_and_apply(now_s=PREFERENCES_WAIT_S)
+    assert not active_units(other)
--- a/tests/tasks/test_policy.py
+++ b/tests/tasks/test_policy.py
@@ -249,6 +249,7 @@
     fleet.run_on(fleet.add(NORMAL, task(1)), "w00")
     fleet.add(NORMAL, gang(2))
     small = fleet.add(BULK, task(1))
+    small.first_due_s = 2.0
     fleet.decide_and_apply(now_s=3.9)
     assert not all_running(small)
     fleet.decide_and_apply(now_s=4.1)
