Do not renew a unit's wait when its start is refused

A job whose workers refuse starts in turn, or crash before they begin a run, waited for over 8 s beside free workers in backoff. Each refusal counted as the end of a run, from which the unit's wait for the workers in backoff began anew.

Only the end of a run that may have started renews the wait now.

test_refused_start_does_not_renew_the_wait failed before.

--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -80,8 +80,8 @@
     newest run known to be in the table; a later one has not been launched.
     ``members`` is empty while no run may exist. ``stopping`` states that the
     run is being stopped, and ``has_begun`` that a run of the unit has started.
-    ``ended_s`` is when a member of a run last ended, as far as this holder
-    knows.
+    ``ended_s`` is when a member of a run that had started last ended, as far
+    as this holder knows.
     ``avoid`` names workers on which a run failed or stalled, and
     ``crashed_runs`` has the numbers of the runs under which a worker crashed,
     the longest of which lasted ``longest_crash_s``, None if not known;
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -162,7 +162,7 @@
             unit.checkpoint = end.checkpoint
         if end.how != ENDED_NOT_STARTED:
             unit.has_begun = True
-        unit.ended_s = unit.started_s + self.owner.run_age_s(unit)
+            unit.ended_s = unit.started_s + self.owner.run_age_s(unit)
         ran_s = unit.observed_s
         progress.end_member(
             unit, position, end.how, self.owner.attempt_limit(progress)
--- a/tests/tasks/test_last_resort.py
+++ b/tests/tasks/test_last_resort.py
@@ -1,11 +1,15 @@
 """Workers in backoff are a last resort: used late, but used."""
 
+from trio import sleep
+
 from damaskstall.tasks.last_resort import (
     LAST_ATTEMPT_WAIT_S,
     LAST_RESORT_WAIT_S,
     PREFERENCES_WAIT_S,
+    waiting_since_s,
 )
 from damaskstall.tasks.progress import JobProgress
+from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.fleet import (
     BULK,
     NORMAL,
@@ -14,6 +18,7 @@
     all_running,
     task,
 )
+from tests.tasks.job_specs import ONE_TASK, job_id
 from tests.tasks.test_policy import gang
 
 # The queues of the fleet allow three attempts.
@@ -207,6 +212,22 @@
     assert next(job.all_units()).workers() == ("w11", "w01")
 
 
+def test_refused_start_does_not_renew_the_wait() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for worker in cluster.workers.values():
+            worker.refuse_starts = True
+        await cluster.submit(job_id(1), [ONE_TASK])
+        await sleep(2.0)
+        holder = cluster.nodes[cluster.holder() or ""].election.holder
+        assert holder is not None
+        job = holder.jobs[job_id(1)]
+        unit = next(job.all_units())
+        assert unit.run > 1
+        assert waiting_since_s(job, unit) == job.due_s(0)
+
+    run_scenario(scenario)
+
+
 def test_free_workers_in_backoff_count_as_free() -> None:
     """A gang does not wait for one rack while most of all is free."""
     fleet = Fleet(racks=4, per_rack=3)
