--- a/bench/tasks/day_simulation.py
+++ b/bench/tasks/day_simulation.py
@@ -270,6 +270,7 @@
             self.claims,
             self.urgent_load,
             backoff_capacities,
+            reachable_capacities=[*free_capacities, *backoff_capacities],
         )
         result = self.policy(inputs, self.now_s)
         self.claims = result.claims
--- a/bench/tasks/round_cost.py
+++ b/bench/tasks/round_cost.py
@@ -308,6 +308,7 @@
             self.estimator,
             self.claims,
             self.urgent_load,
+            reachable_capacities=capacities,
         )
 
     def _apply_decision(self, decision: Decision) -> None:
