Let lost runs use up a deadly task's starts from three counted crashes on

A deadly task was started three times after three crashes if one of its crashes was not counted, near a take-over, a drain or an outage: the runs that may have crashed their workers were only looked at from four counted crashes on. Now three counted crashes are enough.

The price: jobs without fault are given up more often while workers crash all the time. A stop by the scheduler may use up the last start (test_doubtful_stops.py).

--- a/src/damaskstall/tasks/crash_evidence.py
+++ b/src/damaskstall/tasks/crash_evidence.py
@@ -75,7 +75,7 @@
 
 def is_given_up(runs: RunRecord) -> bool:
     """Return whether a task is not to be started again."""
-    if len(runs.crashed) < CRASH_LIMIT:
+    if len(runs.crashed) < BUDGET_CRASHES:
         return False
     if len(runs.crashed - runs.doubtful) >= CRASH_LIMIT:
         return True
