Bound how many waiting units a round checks for moves

A round took 1.7 s with 2,000 waiting jobs with a limit per worker, and 1.9 s with as many distinct demands, on 270 workers with an endless task each (0.13 s and 0.33 s before endless tasks were moved): whether a search may find moves was checked over all workers for each unit with a shape of its own, and again for each unit of a step with a limit per worker.

A round now checks eight units at most, and a step with a limit once.

--- a/src/damaskstall/tasks/defragmentation.py
+++ b/src/damaskstall/tasks/defragmentation.py
@@ -34,8 +34,10 @@
 MOVE_INTERVAL_S = 10.0
 # Maximum number of tasks that are moved in a round.
 MOVED_TASKS_LIMIT = 32
-# Maximum number of units for which a round searches for moves.
+# Maximum number of units for which a round searches for moves, and for which
+# it checks whether a search may find any.
 MOVE_SEARCH_LIMIT = 2
+ROOM_CHECKS_LIMIT = 8
 # A search is repeated without the units that fit nowhere else.
 TRIES_LIMIT = 2
 # An endless run loses no work, but its users wait until it runs again.
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -25,6 +25,7 @@
     MOVE_SEARCH_LIMIT,
     MOVE_WAIT_S,
     MOVED_TASKS_LIMIT,
+    ROOM_CHECKS_LIMIT,
     Clearance,
     Move,
     best_clearance,
@@ -59,6 +60,7 @@
     racks_by_free,
 )
 from damaskstall.tasks.preemption import (
+    GroupKey,
     PreemptionSearch,
     Victim,
     find_preemption,
@@ -224,10 +226,13 @@
         self.stopped: set[int] = set()
         self.preemption_searches = 0
         self.move_searches = 0
+        self.room_checks = 0
         self.moved_tasks = 0
         self.movable: list[Victim] | None = None
-        # The units for which no moves were found.
+        # The units for which no moves were found, and the steps of those that
+        # have a limit per worker.
         self.unmovable = Misfits()
+        self.unmovable_steps: set[GroupKey] = set()
         self.unplaceable: set[UnitShape] = set()
         # The workers in backoff that may still get a unit in this round, and
         # the shapes that do not fit with them either.
@@ -867,9 +872,16 @@
         kind, size = kind_of(plan, placement), placement.step.unit_size
         if self.move_searches >= MOVE_SEARCH_LIMIT:
             return None
+        if self.room_checks >= ROOM_CHECKS_LIMIT:
+            return None
+        unit = batch.units[0]
+        group = batch.progress.job_id, unit.occurrence, unit.step
+        if group in self.unmovable_steps:
+            return None
         if self.unmovable.covers(kind, size, 0.0):
             return None
         found = None
+        self.room_checks += 1
         movable = self._movable_units()
         if has_room(plan, placement, movable) and not place_unit(
             self.plan, placement
@@ -879,7 +891,9 @@
             if kind.in_one_rack and self._may_relax(batch):
                 requests.append(across_racks(placement))
             found = best_clearance(plan, requests, movable, self._request_of)
-        if found is None and not placement.step.per_worker_limit:
+        if found is None and placement.step.per_worker_limit:
+            self.unmovable_steps.add(group)
+        elif found is None:
             self.unmovable.add(kind, size, 0.0)
         return found
 
