Give up the place of a moved task if its stop hangs

The room where a moved task was to go on stayed claimed for as long as its old worker did not confirm the stop, also against the unit that it moved for. The claim now ends after the time in which stops free capacity. The test failed before.

--- a/src/damaskstall/tasks/claims.py
+++ b/src/damaskstall/tasks/claims.py
@@ -134,6 +134,11 @@
     return ""
 
 
+def is_expired(claim: Claim, now_s: float) -> bool:
+    """Return whether the run that is to move there has not ended in time."""
+    return any(now_s - task.claimed_s >= FREED_LIMIT_S for task in claim.tasks)
+
+
 def is_ready(claim: Claim, plan: CapacityPlan) -> bool:
     """Return whether a claim's capacity is free.
 
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -15,6 +15,7 @@
     ClaimLoss,
     Claims,
     UnitKey,
+    is_expired,
     is_ready,
     key_of,
     loss_reason,
@@ -987,7 +988,7 @@
                 continue
             key = key_of(progress, unit)
             claim = self.inputs.claims.by_unit.get(key)
-            if claim is None:
+            if claim is None or is_expired(claim, self.now_s):
                 continue
             claim = observe(claim, self.plan, self.now_s)
             self._hold(key, claim, progress.step_of(unit).demand)
--- a/tests/tasks/test_defragmentation.py
+++ b/tests/tasks/test_defragmentation.py
@@ -3,6 +3,7 @@
 from pytest import mark
 from trio import sleep
 
+from damaskstall.tasks.claims import FREED_LIMIT_S, key_of
 from damaskstall.tasks.defragmentation import (
     MOVE_INTERVAL_S,
     MOVE_WAIT_S,
@@ -90,6 +91,17 @@
     assert all_running(job)
 
 
+def test_place_of_a_moved_task_is_given_up_if_its_stop_hangs() -> None:
+    fleet, _ = spread_fleet(racks=1, per_rack=3)
+    add_now(fleet, gang(2))
+    fleet.play(int(MOVE_WAIT_S / ROUND_S) + 1)
+    (stop,) = fleet.stops
+    fleet.stuck.update(stop.unit.workers())
+    assert key_of(stop.progress, stop.unit) in fleet.claims.by_unit
+    fleet.play(int(FREED_LIMIT_S / ROUND_S) + 2)
+    assert key_of(stop.progress, stop.unit) not in fleet.claims.by_unit
+
+
 def test_moved_task_may_leave_the_workers_with_the_units_label() -> None:
     """On those there is less free than the unit needs."""
     fleet = SlowFleet(1, 4)
--- a/tests/tasks/test_stale_reads.py
+++ b/tests/tasks/test_stale_reads.py
@@ -4,13 +4,13 @@
 
 from trio import current_time, sleep
 
+from damaskstall.http.messages import Response
 from damaskstall.tasks.job_rows import (
     JOB_TABLE,
     PROGRESS_TABLE,
     all_parts,
     part_of,
 )
-from damaskstall.http.messages import Response
 from tests.tasks.cluster import Cluster, run_scenario
 from tests.tasks.job_specs import ONE_TASK, job_id
 from tests.tasks.test_accepted_jobs import check_started
