--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -4,6 +4,7 @@
 """
 
 from base64 import b64encode
+from copy import deepcopy
 from functools import partial
 from json import dumps
 from typing import Any
@@ -68,6 +69,10 @@
         self.calls: dict[str, int] = {}
         # The parts whose rows are neither read nor written.
         self.failing_parts: set[str] = set()
+        # The tables and parts that are read as of the time of their keeping.
+        self.old_parts: set[tuple[str, str]] = set()
+        self.old_answers = 0
+        self._old_rows = self.rows
         # While set, watches report no changes.
         self.withhold_changes = False
         self._history_drops = 0
@@ -99,6 +104,10 @@
         """Remove a row as operators and workers do; return the version."""
         return self._apply({"remove": [RowId(table, "", key)._asdict()]})
 
+    def keep_old_rows(self) -> None:
+        """Keep the present rows for the reads of ``old_parts``."""
+        self._old_rows = deepcopy(self.rows)
+
     def drop_history(self) -> None:
         """Drop all recorded changes, and end waiting watches with 410."""
         self.rows.compact_changes()
@@ -181,15 +190,19 @@
     def _get(self, query: dict[str, str]) -> Response:
         if query["part"] in self.failing_parts:
             return json_response(503, {})
-        rows, more = self.rows.get(
+        source = self.rows
+        if (query["table"], query["part"]) in self.old_parts:
+            self.old_answers += 1
+            source = self._old_rows
+        rows, more = source.get(
             query["table"],
             query["part"],
             query.get("from", ""),
             int(query.get("limit", "500")),
         )
-        return json_response(
-            200, self._with_version({"rows": rows, "more_pages": more})
-        )
+        page = {"rows": rows, "more_pages": more}
+        page["version_number"] = source.version
+        return json_response(200, self._with_version(page))
 
     async def _feed(self, caller: str, query: dict[str, str]) -> Response:
         after = int(query["after"])
