Let both checkers of waiting jobs share what is free and mostly free

room_watch.py counted the free capacity of the workers, whether most is free, and the limits of the condition again, as wait_checker.py does.

--- a/tests/tasks/room_watch.py
+++ b/tests/tasks/room_watch.py
@@ -8,15 +8,18 @@
 
 from standins.operators.run_history import Run
 from tests.tasks.cluster import Cluster
+from tests.tasks.wait_checker import (
+    ENDLESS_GRACE_S,
+    RESOURCES,
+    WAIT_LIMIT_S,
+    Free,
+    free_by_worker,
+    is_mostly_free,
+)
 
-RESOURCES = ("cpu", "task_memory_mb", "gpus")
 WATCH_INTERVAL_S = 0.1
-WAIT_LIMIT_S = 3.0
-# An endless task may wait for this time after its last run.
-ENDLESS_PAUSE_S = 6.0
 SPARE_FACTOR = 2
 
-Free = dict[str, dict[str, int]]
 # A job, one of its steps, and a task of it if that is endless.
 WaitKey = tuple[str, int, int]
 
@@ -47,9 +50,9 @@
 
     def look(self, now_s: float) -> None:
         """Update the waits."""
-        free = self._free()
+        free = free_by_worker(self.cluster)
         waiting: set[WaitKey] = set()
-        if self._is_mostly_free(free):
+        if is_mostly_free(self.cluster, free):
             for job in self.cluster.accepted:
                 waiting.update(self._waiting_steps(job, free, now_s))
         for key in list(self._since_s):
@@ -68,28 +71,6 @@
         }
         assert not found, f"jobs waited beside free capacity: {found}"
 
-    def _free(self) -> Free:
-        """Return the capacity that is free on each worker that is up."""
-        free = {
-            name: dict(worker.capacity)
-            for name, worker in self.cluster.workers.items()
-            if worker.up
-        }
-        for run in self.cluster.history.runs:
-            if run.ended_s is None and run.worker in free:
-                step = self.cluster.history.step(run.name)
-                for name in RESOURCES:
-                    free[run.worker][name] -= step.get(name, 0)
-        return free
-
-    def _is_mostly_free(self, free: Free) -> bool:
-        workers = self.cluster.workers
-        return all(
-            2 * sum(left[name] for left in free.values())
-            > sum(workers[worker].capacity[name] for worker in free)
-            for name in RESOURCES
-        )
-
     def _waiting_steps(
         self, job: str, free: Free, now_s: float
     ) -> Iterator[WaitKey]:
@@ -186,5 +167,5 @@
         if any(run.ended_s is None for run in mine):
             continue
         ended_s = max((run.ended_s or 0.0 for run in mine), default=None)
-        if ended_s is None or now_s >= ended_s + ENDLESS_PAUSE_S:
+        if ended_s is None or now_s >= ended_s + ENDLESS_GRACE_S:
             yield job, number, index
