Log the incarnation, the token and the time of a run's start commands

run_launched names the worker's incarnation, the token that the start carried and how long its attempts took; run_found is the first report that lists a run of which an attempt had no answer. Without them, a start that was carried out by another incarnation could not be told from one that was not.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -148,6 +148,12 @@
     "run_overdue",
     "A run was neither reported by its worker nor ended for some seconds.",
 )
+RUN_FOUND = Event(
+    8039,
+    "INFO",
+    "run_found",
+    "A worker lists a run although a start command of it had no answer.",
+)
 RUN_ENDED = Event(8032, "INFO", "run_ended", "The run of a task has ended.")
 RUN_REFUSED = Event(
     8033, "INFO", "run_refused", "A worker refused to start a run."
--- a/src/damaskstall/tasks/expected_runs.py
+++ b/src/damaskstall/tasks/expected_runs.py
@@ -39,6 +39,8 @@
         self._sent: set[RunKey] = set()
         # When the newest start of each unconfirmed run was sent.
         self._sent_s: dict[RunKey, float] = {}
+        # The unconfirmed runs of which a start had no answer.
+        self._unanswered: set[RunKey] = set()
         # The unconfirmed runs that lists have lacked since.
         self._unseen: set[RunKey] = set()
 
@@ -55,13 +57,20 @@
         """Expect a run whose start may be carried out until a time."""
         self._runs[key] = ExpectedRun(not_after_s, ENDED_NOT_STARTED)
 
-    def confirm(self, key: RunKey, clock_s: float) -> None:
-        """Record that an expected run existed at a time on the clock."""
-        if key in self._runs:
-            self._sent.add(key)
-            self._sent_s.pop(key, None)
-            self._unseen.discard(key)
-            self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
+    def confirm(self, key: RunKey, clock_s: float) -> bool:
+        """Record that an expected run existed at a time on the clock.
+
+        Return whether a start of it had no answer and this is the first time.
+        """
+        if key not in self._runs:
+            return False
+        was_unanswered = key in self._unanswered
+        self._sent.add(key)
+        self._sent_s.pop(key, None)
+        self._unanswered.discard(key)
+        self._unseen.discard(key)
+        self._runs[key] = ExpectedRun(clock_s, ENDED_LAPSED)
+        return was_unanswered
 
     def mark_sent(self, key: RunKey, now_s: float) -> bool:
         """Record that a start is being sent; return whether one was before."""
@@ -71,6 +80,10 @@
         self._unseen.discard(key)
         return was_sent
 
+    def mark_unanswered(self, key: RunKey) -> None:
+        """Record that a start of a run had no answer."""
+        self._unanswered.add(key)
+
     def record_lists(self, listed: Set[RunKey], requested_s: float) -> None:
         """Note which runs the lists of a renewal sent at a time lack."""
         for key, sent_s in self._sent_s.items():
@@ -112,6 +125,7 @@
         """Stop expecting a run."""
         self._sent.discard(key)
         self._sent_s.pop(key, None)
+        self._unanswered.discard(key)
         self._unseen.discard(key)
         self._runs.pop(key, None)
 
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -26,7 +26,7 @@
     WorkerClient,
 )
 from damaskstall.tasks.progress import ENDED_NOT_STARTED
-from damaskstall.tasks.run_log import log_run_launched
+from damaskstall.tasks.run_log import LaunchRecord, log_run_launched
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_health import WorkerHealth
 from damaskstall.tasks.worker_lease import WorkerLease
@@ -52,6 +52,7 @@
     expected: ExpectedRuns
     late_starts: LateStarts
     token: int
+    incarnation: int
     reachable: bool
     command_slots: CapacityLimiter
 
@@ -90,6 +91,8 @@
         self.attempts = 0
         self.unanswered = 0
         self.started_s = target.clock()
+        self.token = target.token
+        self.incarnation = target.incarnation
 
     async def run(self, payload: str, checkpoint: str) -> None:
         """Start the run; retry until it is answered or its window ends."""
@@ -103,8 +106,10 @@
         known_clock_s = target.lease.clock_s
         not_after_s = target.worker_clock_s() + START_WINDOW_S
         target.expected.add_launched(self.key, not_after_s)
+        self.token = target.token
+        self.incarnation = target.incarnation
         request = StartRequest(
-            target.token, self.key, payload, not_after_s, checkpoint
+            self.token, self.key, payload, not_after_s, checkpoint
         )
         target.wake()
         while target.worker_clock_s() < not_after_s:
@@ -140,13 +145,15 @@
             target.end_run(self.key, ENDED_NOT_STARTED, NOT_LAUNCHED)
 
     def _log(self, outcome: str) -> None:
-        log_run_launched(
-            self.target.worker.name,
-            self.key,
+        record = LaunchRecord(
             outcome,
             self.attempts,
             self.unanswered,
+            self.incarnation,
+            self.token,
+            round(self.target.clock() - self.started_s, 3),
         )
+        log_run_launched(self.target.worker.name, self.key, record)
 
     def _should_send(self, request: StartRequest) -> bool:
         """Return whether the start is still needed by this incarnation."""
@@ -185,6 +192,7 @@
             clock_s = await target.client.start(request)
         except CommandOutcomeUnknownError:
             target.late_starts.expect(self.key, target.clock())
+            target.expected.mark_unanswered(self.key)
             raise
         except CommandError:
             target.late_starts.reset(self.key, earlier_s)
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -1,5 +1,7 @@
 """Log and count starts, stops and ends of units, runs and jobs."""
 
+from typing import NamedTuple
+
 from damaskstall.events import Field, log
 from damaskstall.tasks.claims import ClaimLoss
 from damaskstall.tasks.events import (
@@ -7,6 +9,7 @@
     CRASH_COUNTED,
     END_UNMATCHED,
     RUN_ENDED,
+    RUN_FOUND,
     RUN_LAUNCHED,
     RUN_OVERDUE,
     TASK_JOB_ENDED,
@@ -110,17 +113,37 @@
     )
 
 
-def log_run_launched(
-    worker: str, key: RunKey, outcome: str, attempts: int, unanswered: int
-) -> None:
+class LaunchRecord(NamedTuple):
+    """The start commands of one run to one incarnation of its worker.
+
+    ``attempts`` counts those that were sent, ``unanswered`` those of them
+    without an answer. The incarnation is the one known when the first was
+    sent, ``took_s`` the time from then on.
+    """
+
+    outcome: str
+    attempts: int
+    unanswered: int
+    incarnation: int
+    token: int
+    took_s: float
+
+
+def log_run_launched(worker: str, key: RunKey, record: LaunchRecord) -> None:
     """Log the outcome of a run's start command and of its repeats."""
+    log(RUN_LAUNCHED, **run_fields(key), worker=worker, **record._asdict())
+
+
+def log_run_found(
+    worker: str, key: RunKey, incarnation: int, token: int
+) -> None:
+    """Log that a run is listed of which a start command had no answer."""
     log(
-        RUN_LAUNCHED,
+        RUN_FOUND,
         **run_fields(key),
         worker=worker,
-        outcome=outcome,
-        attempts=attempts,
-        unanswered=unanswered,
+        incarnation=incarnation,
+        token=token,
     )
 
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -51,7 +51,7 @@
 )
 from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
 from damaskstall.tasks.run_launch import RunLaunch
-from damaskstall.tasks.run_log import log_worker_lost
+from damaskstall.tasks.run_log import log_run_found, log_worker_lost
 from damaskstall.tasks.session_owner import SessionOwner
 from damaskstall.tasks.worker_flags import (
     CLOSED,
@@ -518,7 +518,10 @@
         self._check_unknown_runs(report)
         for run in report.running:
             listed.add(run.key)
-            self.expected.confirm(run.key, report.clock_s)
+            if self.expected.confirm(run.key, report.clock_s):
+                log_run_found(
+                    self.worker.name, run.key, report.incarnation, self.token
+                )
             if self.owner.should_continue(self.worker.name, run.key):
                 self.owner.record_running(self.worker.name, run)
             else:
