Reproduce two runs of one task by a start that its run has outlived

Callers of a job may see a task carried out twice. A start without an answer may be carried out up to 12 s late, also by the worker's next incarnation, which knows neither tokens nor run numbers. Once its run has ended, nothing keeps it in mind.

--- a/tests/tasks/soak_faults.py
+++ b/tests/tasks/soak_faults.py
@@ -9,7 +9,9 @@
 from standins.operators.store import ALL_CALLERS, BUSY, RESET, SILENT
 from standins.operators.worker import (
     AFTER_FIRST_CALL,
+    ALWAYS,
     DROPPED,
+    IF_UP,
     PORT,
     StandinWorker,
 )
@@ -26,6 +28,7 @@
 DRAIN_MIN_S, DRAIN_MAX_S = 1.0, 6.0
 FAULT_PAUSE_MAX_S = 0.8
 CLOCK_BASES_S = (0.0, 100.0, 5000.0)
+LATE_CALLS = (DROPPED, AFTER_FIRST_CALL, IF_UP, ALWAYS)
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -47,9 +50,7 @@
         self._busy_nodes: set[str] = set()
         self._down: set[str] = set()
         self._addresses = 0
-        # Nothing can prevent that an incarnation that no holder has called yet
-        # carries out a start of before.
-        late_calls = random.choice((DROPPED, AFTER_FIRST_CALL))
+        late_calls = random.choice(LATE_CALLS)
         born = [w.reports_born for w in cluster.workers.values()]
         self.note(f"late calls after a crash: {late_calls}, 'born': {born[0]}")
         for worker in cluster.workers.values():
