Start a unit nowhere else while a start of an earlier run may be carried out

Callers could see a task carried out twice at the same time. A start without an answer may be carried out up to 12 s late. The worker to which it was sent refuses it by then, but its next incarnation knows neither tokens nor run numbers. The holder forgot such a start with its run: when lists lacked the run, when it was stopped after a second start was answered, or when the holder was replaced.

Now the unit keeps its open starts, also in the job's row. Until they are too old, or its worker's next incarnation has accepted a higher token and lists no run of them, the unit only starts again where it was: a run there ends with the incarnation that refuses the start. A worker that lists such a run keeps the unit waiting until the run is stopped. A listed run settles the one start that it was begun by. After a silence, and for another incarnation, commands use new connections: those of before only broke, and left starts without an answer.

--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -50,6 +50,7 @@
     ) -> None:
         """Call the worker at its listed address, with a time limit."""
         self.network = network
+        self.worker = worker
         self.answer_limit = answer_limit
         self.headers = ((EXPECTED_INSTANCE, worker.name),)
         self.renewal_client = self._client_of(worker)
@@ -97,9 +98,14 @@
 
     def follow(self, worker: WorkerInfo) -> None:
         """Send all further calls to the address in the worker's entry."""
+        self.worker = worker
+        self.reconnect()
+
+    def reconnect(self) -> None:
+        """Send all further calls over new connections."""
         self._earlier_clients += [self.renewal_client, self.command_client]
-        self.renewal_client = self._client_of(worker)
-        self.command_client = self._client_of(worker)
+        self.renewal_client = self._client_of(self.worker)
+        self.command_client = self._client_of(self.worker)
 
     async def close(self) -> None:
         """Close the connections to the worker."""
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -154,6 +154,12 @@
     "run_found",
     "A worker lists a run although a start command of it had no answer.",
 )
+START_OPEN = Event(
+    8058,
+    "INFO",
+    "start_open",
+    "A run has ended while a start command of it may still be carried out.",
+)
 RUN_ENDED = Event(8032, "INFO", "run_ended", "The run of a task has ended.")
 RUN_REFUSED = Event(
     8033, "INFO", "run_refused", "A worker refused to start a run."
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -18,6 +18,7 @@
 from damaskstall.tasks.claims import no_claims
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.crash_evidence import WorkerCrash
+from damaskstall.tasks.earlier_starts import OpenStart
 from damaskstall.tasks.events import (
     HOLDER_READY,
     PROGRESS_CONFLICT,
@@ -56,6 +57,7 @@
 from damaskstall.tasks.run_log import (
     log_claim_lost,
     log_job_ended,
+    log_start_open,
     log_unit_started,
     log_unit_stopped,
 )
@@ -225,6 +227,36 @@
         unit.has_begun = True
         self.schedule_write(progress)
 
+    def record_open_start(
+        self, worker: str, key: RunKey, until_s: float
+    ) -> None:
+        """Keep a unit from running elsewhere while a start of it is open."""
+        progress = self.jobs.get(key.task.job_id)
+        found = progress.find(key.task) if progress is not None else None
+        if progress is None or found is None or found[0].done:
+            return
+        unit, position = found
+        start = OpenStart(position, worker, key.run)
+        if start not in unit.earlier_starts.listed():
+            log_start_open(worker, key, until_s - self.context.clock())
+            self.schedule_write(progress)
+        unit.earlier_starts.add(start, until_s)
+
+    def settle_open_start(self, worker: str, key: RunKey) -> None:
+        """Record that no run of a start can exist any more."""
+        progress = self.jobs.get(key.task.job_id)
+        found = progress.find(key.task) if progress is not None else None
+        if found is not None:
+            unit, position = found
+            unit.earlier_starts.settle(OpenStart(position, worker, key.run))
+            self._wake.set()
+
+    def forget_open_starts(self, worker: str) -> None:
+        """Record that a worker will certainly not start again."""
+        for progress in self.jobs.values():
+            for unit in progress.all_units():
+                unit.earlier_starts.forget_worker(worker)
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
         found = find_present_run(self.jobs, worker, report.key)
--- a/src/damaskstall/tasks/job_rows.py
+++ b/src/damaskstall/tasks/job_rows.py
@@ -11,6 +11,7 @@
 
 from damaskstall.platform.types import Value
 from damaskstall.tasks.crash_evidence import hold_s
+from damaskstall.tasks.earlier_starts import OpenStart
 from damaskstall.tasks.model import (
     CANCELLED,
     COMPLETED,
@@ -23,6 +24,7 @@
     Step,
 )
 from damaskstall.tasks.progress import JobProgress, Member, Unit
+from damaskstall.tasks.worker_lease import LATE_COMMAND_LIMIT_S
 
 JOB_TABLE = "job"
 PROGRESS_TABLE = "progress"
@@ -150,14 +152,15 @@
 
 
 def encode_units(units: list[Unit]) -> list[Any]:
-    """Return the units of one step as a bit set and three mappings.
+    """Return the units of one step as a bit set and five mappings.
 
     The hexadecimal bit set marks the units that are done. The first mapping
     has an entry by index for each unit with a run, unless it is done and no
     run may exist. The second one has a bit set of the settled members of each
     unit that has any, and the third the runs of each unfinished unit under
-    which a worker crashed, and the fourth those of them that are doubtful.
-    Rows of older versions lack the last ones.
+    which a worker crashed, the fourth those of them that are doubtful, and the
+    fifth the starts of its earlier runs that may still be carried out. Rows of
+    older versions lack the last ones.
     """
     done = sum(1 << number for number, unit in enumerate(units) if unit.done)
     unfinished = {
@@ -180,7 +183,12 @@
         for number, unit in enumerate(units)
         if unit.doubtful_runs and not unit.done
     }
-    return [f"{done:x}", unfinished, settled, crashed, doubtful]
+    open_starts = {
+        str(number): [list(start) for start in unit.earlier_starts.listed()]
+        for number, unit in enumerate(units)
+        if unit.earlier_starts.listed() and not unit.done
+    }
+    return [f"{done:x}", unfinished, settled, crashed, doubtful, open_starts]
 
 
 def settled_members(unit: Unit) -> int:
@@ -218,6 +226,13 @@
         restore_units(units, stored, now_s)
         crashed = stored[3] if len(stored) > 3 else {}
         doubtful = stored[4] if len(stored) > 4 else {}
+        open_starts = stored[5] if len(stored) > 5 else {}
+        for number, starts in open_starts.items():
+            for position, worker, run in starts:
+                units[int(number)].earlier_starts.add(
+                    OpenStart(int(position), str(worker), int(run)),
+                    now_s + LATE_COMMAND_LIMIT_S,
+                )
         for number, runs in crashed.items():
             unit = units[int(number)]
             progress.add_crashes(
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Sequence, Set
 from math import inf
 from typing import NamedTuple
 
@@ -293,6 +293,19 @@
     return chosen
 
 
+def fits_on(
+    plan: CapacityPlan, placement: PlacementRequest, workers: Sequence[str]
+) -> bool:
+    """Return whether a unit's tasks fit on given workers, one for each."""
+    eligible = eligible_workers(plan, placement)
+    return all(
+        name in eligible
+        and is_apart(plan, placement, name)
+        and tasks_that_fit(placement, name, plan.free[name], count) == count
+        for name, count in Counter(workers).items()
+    )
+
+
 def packing_order(
     plan: CapacityPlan, placement: PlacementRequest, name: str
 ) -> tuple[bool, bool, bool, bool, int, int, str]:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -53,6 +53,7 @@
     Misfits,
     PlacementRequest,
     across_racks,
+    fits_on,
     kind_of,
     may_run,
     needs_one_rack,
@@ -296,9 +297,13 @@
 
         Units with a claim come first. Units without workers to avoid are
         interchangeable and come before the others, and units that need
-        isolation come last.
+        isolation come last. A unit that must not run elsewhere is not waited
+        for.
         """
-        units = batch.units
+        units = [u for u in batch.units if not self._is_bound(u)]
+        for unit in batch.units:
+            if self._is_bound(unit):
+                self._start_again(batch, unit)
         if batch.progress.job_id in self.claimed_jobs:
             units = [u for u in units if not self._follow_claim(batch, u)]
         if batch.step.gang or batch.step.per_worker_limit:
@@ -313,6 +318,21 @@
             if not self._try_place(batch, unit):
                 return
 
+    def _is_bound(self, unit: Unit) -> bool:
+        """Return whether a unit may only run where it ran before."""
+        return unit.earlier_starts.are_open(self.now_s)
+
+    def _start_again(self, batch: Batch, unit: Unit) -> None:
+        """Start a unit again on its last workers, if it may and fits there."""
+        size = batch.step.unit_size
+        workers = unit.earlier_starts.workers_to_repeat(size)
+        if not workers or unit.avoid.intersection(workers):
+            return
+        placement = self._placement_request(batch, unit)
+        plan, _ = self._available_plan(batch, placement.alone)
+        if fits_on(plan, placement, workers):
+            self._start(batch, unit, list(workers))
+
     def _place_identical(self, batch: Batch, units: list[Unit]) -> int:
         """Start interchangeable units while they fit; return how many."""
         if not units:
@@ -974,7 +994,7 @@
                 if key in before.preempted_cores:
                     self.preempted_cores[key] = before.preempted_cores[key]
                 claim = before.by_unit.get(key)
-                if claim is not None:
+                if claim is not None and not self._is_bound(unit):
                     claim = observe(claim, self.plan, self.now_s)
                     self._claim(batch, unit, claim)
         self.claimed_jobs = {key.job_id for key in self.claims}
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -153,6 +153,9 @@
     def follow(self, worker: WorkerInfo) -> None:
         """Send all further calls to the address in the worker's entry."""
 
+    def reconnect(self) -> None:
+        """Send all further calls over new connections."""
+
     async def close(self) -> None:
         """Close the connections to the worker."""
 
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Set
 
 from damaskstall.tasks.crash_evidence import RunRecord, is_given_up
+from damaskstall.tasks.earlier_starts import EarlierStarts
 from damaskstall.tasks.model import (
     CANCELLED,
     COMPLETED,
@@ -114,6 +115,7 @@
         "held_until_s",
         "longest_crash_s",
         "has_begun",
+        "earlier_starts",
     )
 
     def __init__(self, occurrence: int, step: int, first_index: int) -> None:
@@ -140,6 +142,7 @@
         self.held_until_s = float("-inf")
         self.longest_crash_s: float | None = 0.0
         self.has_begun = False
+        self.earlier_starts = EarlierStarts()
 
     @property
     def active(self) -> bool:
@@ -333,6 +336,7 @@
         unit.members = [Member(*worker) for worker in workers]
         unit.stopping = False
         unit.started_s = now_s
+        unit.earlier_starts.begin_run(unit.workers(), now_s)
         self.count_change()
 
     def end_member(
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -71,6 +71,9 @@
     def end_run(self, key: RunKey, how: str, evidence: str) -> None:
         """Record the end of a run that the worker does not list."""
 
+    def report_open_start(self, key: RunKey) -> None:
+        """Report a start of an ended run that may still be carried out."""
+
     def handle_fenced(self, token: int) -> None:
         """Handle the refusal of a command because of its token."""
 
@@ -184,22 +187,24 @@
         target = self.target
         if not target.reachable:
             raise CommandNotSentError("The worker does not answer.")
-        earlier_s = target.late_starts.until(self.key)
-        target.late_starts.expect(self.key, target.clock())
+        target.late_starts.begin(self.key, target.clock())
         target.lease.extend_expiry(request.not_after_s)
         was_sent = target.expected.mark_sent(self.key, target.clock())
         try:
             clock_s = await target.client.start(request)
         except CommandOutcomeUnknownError:
-            target.late_starts.expect(self.key, target.clock())
+            target.late_starts.leave_open(self.key, target.clock())
             target.expected.mark_unanswered(self.key)
+            if self.key not in target.load.runs:
+                # The worker has listed its end meanwhile.
+                target.report_open_start(self.key)
             raise
         except CommandError:
-            target.late_starts.reset(self.key, earlier_s)
+            target.late_starts.settle(self.key, answered=False)
             if not was_sent:
                 target.expected.mark_not_sent(self.key)
             raise
-        target.late_starts.reset(self.key, earlier_s)
+        target.late_starts.settle(self.key, answered=True)
         return clock_s
 
     def _handle_answer(
--- a/src/damaskstall/tasks/run_log.py
+++ b/src/damaskstall/tasks/run_log.py
@@ -12,6 +12,7 @@
     RUN_FOUND,
     RUN_LAUNCHED,
     RUN_OVERDUE,
+    START_OPEN,
     TASK_JOB_ENDED,
     TASK_WORKER_GONE,
     UNIT_STARTED,
@@ -147,6 +148,11 @@
     )
 
 
+def log_start_open(worker: str, key: RunKey, left_s: float) -> None:
+    """Log that a start of an ended run is open for the time that is left."""
+    log(START_OPEN, **run_fields(key), worker=worker, left_s=round(left_s, 3))
+
+
 def log_worker_lost(worker: str, runs: list[RunKey], evidence: str) -> None:
     """Log and count a worker that has ended, with the runs it had."""
     WORKERS_LOST.inc({"evidence": evidence})
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -24,6 +24,21 @@
         None of them can be carried out late any more.
         """
 
+    def record_open_start(
+        self, worker: str, key: RunKey, until_s: float
+    ) -> None:
+        """Record that a start of a run that is over is still open.
+
+        Its worker may carry it out yet. Unless it is settled earlier, a run
+        of it may exist until ``until_s``.
+        """
+
+    def settle_open_start(self, worker: str, key: RunKey) -> None:
+        """Record that no run of a start can exist any more."""
+
+    def forget_open_starts(self, worker: str) -> None:
+        """Record that a worker will certainly not start again."""
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record that a run is running, with its progress."""
 
--- a/src/damaskstall/tasks/stored_runs.py
+++ b/src/damaskstall/tasks/stored_runs.py
@@ -30,6 +30,7 @@
     pairs = zip(progress.all_units(), other.all_units(), strict=True)
     for unit, stored in pairs:
         unit.done = unit.done or stored.done
+        unit.earlier_starts.merge(stored.earlier_starts)
         progress.add_crashes(unit, stored.crashed_runs, stored.doubtful_runs)
         if stored.failed_run > unit.failed_run:
             unit.failed_run = stored.failed_run
--- a/src/damaskstall/tasks/wait_reasons.py
+++ b/src/damaskstall/tasks/wait_reasons.py
@@ -35,6 +35,9 @@
 # No round is held.
 LEASE_NOT_HELD = "lease_not_held"
 STORE_FAILING = "store_failing"
+# A start of an earlier run may still be carried out on another worker, or on
+# one that has no room for the unit.
+EARLIER_START = "earlier_start"
 # No worker could ever run the unit.
 NO_WORKER_OF_SERVICE = "no_worker_of_service"
 NO_WORKER_WITH_LABEL = "no_worker_with_label"
--- a/src/damaskstall/tasks/waiting_units.py
+++ b/src/damaskstall/tasks/waiting_units.py
@@ -16,6 +16,7 @@
 from damaskstall.tasks.reservations import KeptCapacity
 from damaskstall.tasks.scheduling_input import SchedulingInput, queue_of
 from damaskstall.tasks.wait_reasons import (
+    EARLIER_START,
     STORE_FAILING,
     WaitingUnit,
     WaitReason,
@@ -85,7 +86,7 @@
         LONGEST_WAIT_SECONDS.set(NO_LABELS, now_s - first_s)
         count_workers(view.workers)
         for step in self._steps_to_log(view.inputs, steps, now_s):
-            log_waiting(step, explain(view, step), now_s)
+            log_waiting(step, explain(view, step, now_s), now_s)
 
     def reset_metrics(self) -> None:
         """Show nothing any more, since this process is not the holder."""
@@ -167,13 +168,15 @@
         WORKERS_BY_FLAG.set({"flag": flag}, counts[flag])
 
 
-def explain(view: RoundView, step: WaitingStep) -> WaitReason:
+def explain(view: RoundView, step: WaitingStep, now_s: float) -> WaitReason:
     """Return why the unit of a step that waits longest does not run."""
     if view.obstacle:
         return WaitReason(view.obstacle)
     progress, unit = step.progress, step.longest
     if not view.inputs.may_start(progress):
         return WaitReason(STORE_FAILING)
+    if unit.earlier_starts.are_open(now_s):
+        return WaitReason(EARLIER_START)
     queue = queue_of(view.inputs, progress)
     waiting = WaitingUnit(
         progress,
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -233,6 +233,14 @@
 
     def adopt(self, progress: JobProgress, unit: Unit) -> None:
         """Count the runs of a unit that an earlier holder placed."""
+        lease_s = lease_limit_s(self.context.settings.worker_lease_s)
+        open_s = LATE_COMMAND_LIMIT_S + lease_s
+        for start in unit.earlier_starts.listed():
+            unit.earlier_starts.add(start, self.context.clock() + open_s)
+            session = self.sessions.get(start.worker)
+            if session is not None and not session.closed:
+                task = progress.task_key(unit, start.position)
+                session.adopt_open_start(RunKey(task, start.run))
         demand = progress.step_of(unit).demand
         for position, member in enumerate(unit.members):
             if member.ended:
@@ -274,14 +282,20 @@
                 session.stop(progress.run_key(unit, position))
 
     def silent_workers(self) -> dict[str, float]:
-        """Return since when workers with runs have been unreachable."""
+        """Return since when workers have been unreachable.
+
+        Those without runs or starts that may be carried out are left out.
+        """
+        now_s = self.context.clock()
         silent_since: dict[str, float] = {}
         for orphan in self._orphans.values():
             since_s = silent_since.get(orphan.worker, orphan.adopted_s)
             silent_since[orphan.worker] = max(since_s, orphan.adopted_s)
         for name, session in self.sessions.items():
+            if session.reachable:
+                continue
             has_runs = bool(session.load.runs) or session.has_lapsed_runs()
-            if has_runs and not session.reachable:
+            if has_runs or session.late_starts.are_open(now_s):
                 silent_since[name] = session.silent_since_s
         return silent_since
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Set
 from typing import NamedTuple
 
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
@@ -168,6 +169,11 @@
         self._lapsed_runs: dict[RunKey, bool] = {}
         self._judged_until_s = started_s
         self.late_starts = LateStarts(started_s)
+        # Whether the worker's present incarnation is not the one that the
+        # starts so far were sent to, and has not accepted a higher token yet.
+        self._has_restarted = False
+        # Until when the starts of ended runs may be carried out.
+        self._open_starts: dict[RunKey, float] = {}
         self._stop_sent_s: dict[RunKey, float] = {}
         self.command_slots = CapacityLimiter(CONCURRENT_COMMAND_LIMIT)
         self._wake = Event()
@@ -223,7 +229,7 @@
         self.load.add(key, demand)
         self.expected.add_adopted(key)
         if not settled:
-            self.late_starts.expect(key, self.clock())
+            self.late_starts.adopt(key, self.clock())
 
     def reserve(self, key: RunKey, demand: Demand) -> None:
         """Count a run that is about to be launched."""
@@ -237,10 +243,42 @@
         """Stop counting a run; request a decision if it was counted."""
         self.expected.remove(key)
         self._stop_sent_s.pop(key, None)
-        self.late_starts.remove(key)
         if self.load.remove(key):
+            self.report_open_start(key)
             self.owner.request_decision()
 
+    def report_open_start(self, key: RunKey) -> None:
+        """Report a start of an ended run that may still be carried out."""
+        until_s = self.late_starts.until(key)
+        if until_s > self.clock():
+            self._note_open_start(key, until_s)
+
+    def adopt_open_start(self, key: RunKey) -> None:
+        """Expect that a start of an earlier holder may be carried out."""
+        self.late_starts.adopt(key, self.clock())
+        self._open_starts[key] = self.late_starts.until(key)
+
+    def _note_open_start(self, key: RunKey, until_s: float) -> None:
+        """Note a start that may be carried out until a time.
+
+        Unless the worker answers by then, its run may last for a lease more.
+        """
+        self._open_starts[key] = until_s
+        limit_s = lease_limit_s(self.lease.lease_s)
+        self.owner.record_open_start(self.worker.name, key, until_s + limit_s)
+
+    def _settle_open_starts(
+        self, running: Set[RunKey], requested_s: float
+    ) -> None:
+        """Settle the starts of which the lists of a renewal show no run.
+
+        It was sent at ``requested_s``, after the starts were too old.
+        """
+        for key, until_s in list(self._open_starts.items()):
+            if requested_s >= until_s and key not in running:
+                del self._open_starts[key]
+                self.owner.settle_open_start(self.worker.name, key)
+
     async def run(self, nursery: Nursery) -> None:
         """Renew the lease and record ends until the worker is removed."""
         self._nursery = nursery
@@ -308,9 +346,14 @@
             return
         self.in_outage = self.in_outage or found.in_outage
         self._record_loss(self._loss_evidence(MACHINE_DOWN))
-        runs = list(self.load.runs)
-        if not found.replaced:
-            runs = self._settled_runs(0.0)
+        runs = self._settled_runs(0.0)
+        if found.replaced:
+            runs = list(self.load.runs)
+            self.late_starts.clear()
+            self._open_starts.clear()
+            self.owner.forget_open_starts(self.worker.name)
+        else:
+            self._settle_open_starts(frozenset(), self.clock())
         if not runs:
             return
         evidence = self._loss_evidence(MACHINE_DOWN)
@@ -452,7 +495,11 @@
         """Return whether the worker may have runs, or may yet start one."""
         if self.load.runs or self.has_unknown_runs:
             return True
-        return self.clock() < self.late_starts.until_s
+        limit_s = lease_limit_s(self.lease.lease_s)
+        now_s = self.clock()
+        if any(now_s < u + limit_s for u in self._open_starts.values()):
+            return True
+        return now_s < self.late_starts.until_s
 
     def _may_close(self) -> bool:
         """Return whether nothing more is to be learnt about the worker."""
@@ -480,6 +527,11 @@
             self.answered.set()
         self.lease.record_clock(report.clock_s, self.clock())
         self.fenced = True
+        if self._has_restarted:
+            # It refuses all commands with an earlier token.
+            self._has_restarted = False
+            self.late_starts.clear()
+            self._open_starts = dict.fromkeys(self._open_starts, requested_s)
         self._has_noted_crash = False
         if not self.reachable:
             self.reachable = True
@@ -518,6 +570,7 @@
         self._check_unknown_runs(report)
         for run in report.running:
             listed.add(run.key)
+            self.late_starts.record_listed(run.key)
             if self.expected.confirm(run.key, report.clock_s):
                 log_run_found(
                     self.worker.name, run.key, report.incarnation, self.token
@@ -528,12 +581,18 @@
                 self.stop(run.key)
         for end in report.ended:
             listed.add(end.key)
+            self.late_starts.record_listed(end.key)
             if end.number > self.acknowledged_end:
                 self.release(end.key)
                 self.owner.record_end(self.worker.name, end)
         if len(report.ended) >= LISTED_ENDS_LIMIT:
             # The ends of runs that are not listed may follow.
             return
+        running = {run.key for run in report.running}
+        for key in running - self.load.runs.keys():
+            until_s = max(self.late_starts.until(key), self.clock())
+            self._note_open_start(key, until_s)
+        self._settle_open_starts(running, requested_s)
         self.expected.record_lists(listed, requested_s)
         for key, missing in self.expected.missing(report.clock_s, listed):
             self.end_run(key, missing.outcome, missing.evidence)
@@ -560,6 +619,8 @@
         if self.reachable or not self.answered.is_set():
             log(TASK_WORKER_LOST, worker=self.worker.name, error=error)
         if self.reachable:
+            # The worker may start again, which breaks its connections.
+            self.client.reconnect()
             self.silent_since_s = self.clock()
             self.in_outage = False
         self.reachable = False
@@ -603,6 +664,8 @@
         self._newest_end = 0
         self._sent_end = 0
         self.fenced = False
+        self._has_restarted = True
+        self.client.reconnect()
         self.lease.begin_incarnation(self.clock())
         self.expected.expect_in_next_lists(evidence)
         self.wake()
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -112,6 +112,9 @@
         """Record the entry whose address is to be called."""
         self.followed.append(worker)
 
+    def reconnect(self) -> None:
+        """Keep using the same connection."""
+
     async def close(self) -> None:
         """Close nothing."""
 
@@ -146,6 +149,7 @@
         self.ends: list[EndReport] = []
         self.end_times_s: list[float] = []
         self.settled: list[RunKey] = []
+        self.open_starts: dict[RunKey, float] = {}
         self.crashes: list[RunKey] = []
         self.stores = True
         self.stepped_down = False
@@ -178,6 +182,20 @@
         """Record a run whose starts were all answered."""
         self.settled.append(key)
 
+    def record_open_start(
+        self, worker: str, key: RunKey, until_s: float
+    ) -> None:
+        """Record a start of an ended run that is open, and until when."""
+        self.open_starts[key] = until_s
+
+    def settle_open_start(self, worker: str, key: RunKey) -> None:
+        """Forget an open start."""
+        self.open_starts.pop(key, None)
+
+    def forget_open_starts(self, worker: str) -> None:
+        """Forget all open starts."""
+        self.open_starts.clear()
+
     def record_running(self, worker: str, report: RunReport) -> None:
         """Record nothing."""
 
--- a/tests/tasks/test_run_obstacles.py
+++ b/tests/tasks/test_run_obstacles.py
@@ -61,7 +61,7 @@
 def send_start(session: WorkerSession) -> None:
     """Let a start command be sent now, without an answer."""
     session.expected.mark_sent(KEY, 0.0)
-    session.late_starts.expect(KEY, NOW_S)
+    session.late_starts.begin(KEY, NOW_S)
 
 
 def lose_worker(session: WorkerSession) -> None:
--- a/tests/tasks/test_start_records.py
+++ b/tests/tasks/test_start_records.py
@@ -38,6 +38,7 @@
             assert fields["worker"] == worker.name
             assert fields["incarnation"] == worker.born
 
+    logger.enable("damaskstall")
     sink = logger.add(keep, level="INFO")
     try:
         run_scenario(scenario, seed=1)
--- a/tests/tasks/test_wait_reasons_fuzz.py
+++ b/tests/tasks/test_wait_reasons_fuzz.py
@@ -50,7 +50,8 @@
     """Return why the first and the last waiting unit of each step waits."""
 
     def reason(progress: JobProgress, units: list[Unit], unit: Unit) -> str:
-        return explain(view, WaitingStep(progress, units, unit, 0.0)).reason
+        step = WaitingStep(progress, units, unit, 0.0)
+        return explain(view, step, now_s).reason
 
     return {
         unit: reason(progress, units, unit)
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -111,6 +111,9 @@
     def follow(self, worker: WorkerInfo) -> None:
         """Keep the script."""
 
+    def reconnect(self) -> None:
+        """Keep the script."""
+
     async def close(self) -> None:
         """Close nothing."""
 
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -50,6 +50,9 @@
     def follow(self, worker: WorkerInfo) -> None:
         """Stay at the address."""
 
+    def reconnect(self) -> None:
+        """Keep the connection."""
+
     async def close(self) -> None:
         """Do nothing."""
 
