Acknowledge no outcome while a start of its run may be carried out

Callers could see a task carried out again after it was done. A run began by its second start, was done, and its end was acknowledged; the worker started again and carried the first start out, which had had no answer.

An acknowledged end is final. So the acknowledgement of an outcome now waits until no start of its run can be carried out, 12 s at most; the outcome is recorded and shown at once, as before. While ends are kept, their worker is called four times a second, since it does not delay its answers then.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Set
+from collections.abc import Sequence, Set
 from typing import NamedTuple
 
 from trio import CapacityLimiter, Event, Nursery, move_on_after, sleep
@@ -50,7 +50,12 @@
     WorkerClient,
     WorkerReport,
 )
-from damaskstall.tasks.progress import ENDED_LAPSED, ENDED_NOT_STARTED
+from damaskstall.tasks.progress import (
+    ENDED_DONE,
+    ENDED_FAILED,
+    ENDED_LAPSED,
+    ENDED_NOT_STARTED,
+)
 from damaskstall.tasks.run_launch import RunLaunch
 from damaskstall.tasks.run_log import log_run_found, log_worker_lost
 from damaskstall.tasks.session_owner import SessionOwner
@@ -76,6 +81,8 @@
 # the platform charges for each call to a worker.
 IDLE_RETRY_S = 1.0
 STOP_RETRY_S = 0.4
+# A worker that lists an end answers at once, however long it may wait.
+HELD_ENDS_PAUSE_S = 0.25
 # A worker lists at most this many ends in one answer, the oldest first.
 LISTED_ENDS_LIMIT = 500
 # Concurrent commands to one worker; each needs a connection.
@@ -149,6 +156,8 @@
         # was sent: the worker keeps the ends between them.
         self._newest_end = 0
         self._sent_end = 0
+        # Whether some of the listed ends are not to be acknowledged yet.
+        self.holds_ends_back = False
         self.answered = Event()
         started_s = clock()
         self.lease = WorkerLease(lease_s, started_s)
@@ -299,6 +308,8 @@
                 urgent = bool(self.load.runs)
                 urgent = urgent or (self.listed and self._may_have_runs())
                 await sleep(RETRY_S if urgent else IDLE_RETRY_S)
+            elif self.holds_ends_back:
+                await sleep(HELD_ENDS_PAUSE_S)
 
     async def launch(self, key: RunKey, payload: str, checkpoint: str) -> None:
         """Start a run; retry until it is answered or its window has ended."""
@@ -539,8 +550,10 @@
             self.owner.request_decision()
         self._apply_run_lists(report, requested_s)
         self._newest_end = max((end.number for end in report.ended), default=0)
+        self.holds_ends_back = False
         if report.ended:
-            newest = max(end.number for end in report.ended)
+            newest = self._newest_to_acknowledge(report.ended)
+            self.holds_ends_back = newest < self._newest_end
             job_ids = {end.key.task.job_id for end in report.ended}
             with move_on_after(STORE_WAIT_LIMIT_S):
                 token = self.token
@@ -548,6 +561,21 @@
                 if token == self.token:
                     self.acknowledged_end = max(self.acknowledged_end, newest)
 
+    def _newest_to_acknowledge(self, ended: Sequence[EndReport]) -> int:
+        """Return the newest listed end up to which none is to be kept yet.
+
+        The acknowledgement of an outcome states that its task does not run
+        again, so it waits until no start of the run can be carried out.
+        """
+        now_s = self.clock()
+        newest = 0
+        for end in sorted(ended, key=lambda each: each.number):
+            is_outcome = end.how in (ENDED_DONE, ENDED_FAILED)
+            if is_outcome and self.late_starts.until(end.key) > now_s:
+                break
+            newest = end.number
+        return newest
+
     def _is_from_another_incarnation(self, report: WorkerReport) -> bool:
         """Return whether a report can not be from the known incarnation.
 
--- a/tests/tasks/test_open_starts.py
+++ b/tests/tasks/test_open_starts.py
@@ -17,6 +17,7 @@
 )
 
 LATE_S = 8.0
+LATE_LIMIT_S = 12.0
 SEEDS = 4
 
 
@@ -130,6 +131,27 @@
         run_scenario(scenario, seed=seed)
 
 
+def test_end_is_acknowledged_once_its_first_try_is_too_old() -> None:
+    """The worker lists the end until then, and is not called all the time."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await sleep(13.0)
+        delay_starts(cluster, [LATE_S])
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
+        worker = await worker_with_first_start(cluster)
+        await cluster.wait_state(job_id(1), "completed")
+        calls = worker.calls["/hold"]
+        await sleep(LATE_S)
+        (run,) = cluster.history.runs
+        assert run.acknowledged_s is None
+        assert worker.calls["/hold"] - calls < 5 * LATE_S
+        await sleep(LATE_LIMIT_S - LATE_S)
+        assert run.acknowledged_s is not None
+
+    for seed in range(SEEDS):
+        run_scenario(scenario, seed=seed)
+
+
 def test_run_that_lists_lack_starts_again_at_once_on_the_same_worker() -> None:
     """The worker still runs, so it refuses the earlier run's late start."""
 
