Let a successor keep the outcomes that were not acknowledged before it

Callers could see a task carried out again after it was done, if the holder was replaced in between: the successor acknowledged the end at once, although an unanswered first start of the run was still under way. A full list is acknowledged at once, as before, since newer ends are hidden behind it.

--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -532,6 +532,8 @@
             self.begin_incarnation(report.incarnation, "report")
             return
         self.incarnation = report.incarnation
+        if not self.heard:
+            self._inherit_ends(report.ended)
         self.heard = True
         if not self.lease.clock_known:
             log(TASK_WORKER_FENCED, worker=self.worker.name, epoch=self.token)
@@ -561,12 +563,24 @@
                 if token == self.token:
                     self.acknowledged_end = max(self.acknowledged_end, newest)
 
+    def _inherit_ends(self, ended: Sequence[EndReport]) -> None:
+        """Expect late starts of the runs that ended under an earlier holder.
+
+        It may have kept their ends from being acknowledged for that reason.
+        """
+        for end in ended:
+            if end.key not in self.load.runs:
+                self.late_starts.adopt(end.key, self.clock())
+
     def _newest_to_acknowledge(self, ended: Sequence[EndReport]) -> int:
         """Return the newest listed end up to which none is to be kept yet.
 
         The acknowledgement of an outcome states that its task does not run
-        again, so it waits until no start of the run can be carried out.
+        again, so it waits until no start of the run can be carried out. A full
+        list may hide newer ends, so that none of it is kept.
         """
+        if len(ended) >= LISTED_ENDS_LIMIT:
+            return max(end.number for end in ended)
         now_s = self.clock()
         newest = 0
         for end in sorted(ended, key=lambda each: each.number):
--- a/tests/tasks/test_open_starts.py
+++ b/tests/tasks/test_open_starts.py
@@ -152,6 +152,27 @@
         run_scenario(scenario, seed=seed)
 
 
+def test_successor_does_not_acknowledge_what_was_held_back() -> None:
+    """The job is over, so that the successor does not read its row."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await sleep(13.0)
+        delay_starts(cluster, [LATE_S])
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
+        worker = await worker_with_first_start(cluster)
+        await cluster.wait_state(job_id(1), "completed")
+        await replace_holder(cluster)
+        await sleep(1.0)
+        await restart_cut_off(cluster, worker)
+        await sleep(LATE_S)
+        cluster.reconnect_worker(worker.name)
+        await sleep(2.0)
+        check_runs(cluster)
+
+    for seed in range(SEEDS):
+        run_scenario(scenario, seed=seed)
+
+
 def test_run_that_lists_lack_starts_again_at_once_on_the_same_worker() -> None:
     """The worker still runs, so it refuses the earlier run's late start."""
 
