Acknowledge ends only over a connection that has answered

Callers could see a task carried out again after it was done. Between two renewals a worker may start again; the next renewal then opened a connection to its next incarnation, which numbers its ends anew, and told it to forget ends that nobody had read. The first renewal on a connection now acknowledges nothing. A kept connection leads to the incarnation that answered on it.

Found by reading: the stand-in's network breaks connections in another way.

--- a/src/damaskstall/http/client.py
+++ b/src/damaskstall/http/client.py
@@ -293,6 +293,10 @@
         while self._idle:
             await self._idle.pop().close()
 
+    def is_connected(self) -> bool:
+        """Return whether the next call can use a connection that is open."""
+        return any(not has_pending_input(c.stream) for c in self._idle)
+
     async def call(
         self,
         method: str,
--- a/src/damaskstall/platform/worker_client.py
+++ b/src/damaskstall/platform/worker_client.py
@@ -72,6 +72,10 @@
         )
         return decode_report(answer.value)
 
+    def is_connected(self) -> bool:
+        """Return whether the next renewal uses an open connection."""
+        return self.renewal_client.is_connected()
+
     async def start(self, request: StartRequest) -> float:
         """Start a run; return the worker's clock in seconds."""
         body = {
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -144,6 +144,12 @@
     async def renew_lease(self, request: LeaseRenewal) -> WorkerReport:
         """Renew the lease of all runs; return the running and ended runs."""
 
+    def is_connected(self) -> bool:
+        """Return whether the next renewal uses an open connection.
+
+        It then reaches the incarnation that answered the one before.
+        """
+
     async def start(self, request: StartRequest) -> float:
         """Start a run; return the worker's clock in seconds."""
 
--- a/src/damaskstall/tasks/worker_session.py
+++ b/src/damaskstall/tasks/worker_session.py
@@ -496,10 +496,13 @@
         """Return the newest end to acknowledge, 0 if there is none.
 
         An acknowledgement is neither repeated once it was answered nor sent
-        after a silence: the next incarnation numbers its ends anew.
+        after a silence or over a new connection: the next incarnation numbers
+        its ends anew.
         """
         if not self.reachable or self.acknowledged_end <= self._sent_end:
             return 0
+        if not self.client.is_connected():
+            return 0
         return self.acknowledged_end
 
     def _may_have_runs(self) -> bool:
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -52,7 +52,8 @@
     """A worker that carries out all commands, with faults by attribute.
 
     With ``loses_answers`` it carries out commands but no answer arrives. With
-    ``replaced`` another worker answers at its address.
+    ``replaced`` another worker answers at its address. Unless ``connected``,
+    its connections have been closed.
     """
 
     def __init__(self, clock_rate: float = 1.0) -> None:
@@ -60,6 +61,8 @@
         self.clock_rate = clock_rate
         self.loses_answers = False
         self.replaced = False
+        self.connected = True
+        self.acknowledged: list[int] = []
         self.running: dict[RunKey, None] = {}
         self.ended: list[EndReport] = []
         self.list_limit = 500
@@ -85,6 +88,7 @@
         await self._deliver()
         self._extend(request.lease_until_s)
         last = request.acknowledged_end
+        self.acknowledged.append(last)
         self.ended = [end for end in self.ended if end.number > last]
         await self._answer()
         await sleep(request.wait_s)
@@ -95,6 +99,10 @@
             tuple(self.ended[: self.list_limit]),
         )
 
+    def is_connected(self) -> bool:
+        """Return whether the connection is open."""
+        return self.connected
+
     async def start(self, request: StartRequest) -> float:
         """Start a run."""
         await self._deliver()
--- a/tests/tasks/test_worker_incarnations.py
+++ b/tests/tasks/test_worker_incarnations.py
@@ -95,6 +95,10 @@
             raise CommandOutcomeUnknownError("The worker is silent.")
         return await self._receive.receive()
 
+    def is_connected(self) -> bool:
+        """Return that the connection is open."""
+        return True
+
     async def start(self, request: StartRequest) -> float:
         """Answer with the clock of the script, or refuse a lower token."""
         self.starts.append(request)
--- a/tests/tasks/test_worker_session.py
+++ b/tests/tasks/test_worker_session.py
@@ -39,6 +39,10 @@
             current_time() + 100.0, self.incarnation, (), listed
         )
 
+    def is_connected(self) -> bool:
+        """Return that the connection is open."""
+        return True
+
     async def start(self, request: StartRequest) -> float:
         """Record a start."""
         self.started.append(request.key)
