--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -62,6 +62,7 @@
         self.loses_answers = False
         self.replaced = False
         self.connected = True
+        self.reconnects = 0
         self.acknowledged: list[int] = []
         self.running: dict[RunKey, None] = {}
         self.ended: list[EndReport] = []
@@ -121,7 +122,8 @@
         self.followed.append(worker)
 
     def reconnect(self) -> None:
-        """Keep using the same connection."""
+        """Count the calls."""
+        self.reconnects += 1
 
     async def close(self) -> None:
         """Close nothing."""
--- a/tests/tasks/test_new_connections.py
+++ b/tests/tasks/test_new_connections.py
@@ -44,6 +44,27 @@
     run_virtual(main)
 
 
+def test_commands_after_a_silence_use_new_connections() -> None:
+    """Those of before lead to an incarnation that may have ended."""
+
+    async def main() -> None:
+        worker, owner = FakeWorker(), RecordingOwner()
+        session = open_session(worker, owner)
+        async with open_nursery() as nursery:
+            nursery.start_soon(session.run, nursery)
+            await session.answered.wait()
+            session.reserve(KEY, DEMAND)
+            await session.launch(KEY, "", "")
+            worker.loses_answers = True
+            await sleep(2.0)
+            assert worker.reconnects == 1
+            session.begin_incarnation(2, "list of workers")
+            assert worker.reconnects == 2
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
 async def answer(request: Request) -> Response:
     """Answer a request with an empty body."""
     return Response(200)
--- a/tests/tasks/test_open_starts.py
+++ b/tests/tasks/test_open_starts.py
@@ -191,6 +191,27 @@
         run_scenario(scenario, seed=seed)
 
 
+def test_open_start_on_a_replaced_worker_delays_nothing() -> None:
+    """Another worker runs on its machine, so it will not start again."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await sleep(13.0)
+        delay_starts(cluster, [LATE_S] * 20)
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.5)
+        worker = await worker_with_first_start(cluster)
+        await use_other_workers(cluster, worker)
+        await sleep(1.0)
+        assert not cluster.history.runs
+        worker.crash()
+        await cluster.replace_worker(worker.name)
+        await cluster.wait_state(job_id(1), "completed", limit_s=5.0)
+        check_runs(cluster)
+        check_finished_once(cluster, job_id(1))
+
+    for seed in range(SEEDS):
+        run_scenario(scenario, seed=seed)
+
+
 def test_open_starts_on_a_lost_worker_delay_its_tasks_for_12_s_at_most() -> (
     None
 ):
