Write a settled start out of the job's row

A successor kept a unit from starting elsewhere for a start that was long settled, since the row still named it. A row that names a task which the unit lacks no longer ends a round.

--- a/src/damaskstall/tasks/earlier_starts.py
+++ b/src/damaskstall/tasks/earlier_starts.py
@@ -89,6 +89,7 @@
             workers = tuple({start.worker for start in self._until_s})
         if len(workers) != unit_size:
             return ()
-        if any(workers[s.position] != s.worker for s in self._until_s):
-            return ()
+        for start in self._until_s:
+            if workers[start.position : start.position + 1] != (start.worker,):
+                return ()
         return workers
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -246,10 +246,11 @@
         """Record that no run of a start can exist any more."""
         progress = self.jobs.get(key.task.job_id)
         found = progress.find(key.task) if progress is not None else None
-        if found is not None:
+        if progress is not None and found is not None:
             unit, position = found
             unit.earlier_starts.settle(OpenStart(position, worker, key.run))
-            self._wake.set()
+            # A successor would wait for the start once more.
+            self.schedule_write(progress)
 
     def forget_open_starts(self, worker: str) -> None:
         """Record that a worker will certainly not start again."""
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -300,10 +300,12 @@
         isolation come last. A unit that must not run elsewhere is not waited
         for.
         """
-        units = [u for u in batch.units if not self._is_bound(u)]
+        units = []
         for unit in batch.units:
             if self._is_bound(unit):
                 self._start_again(batch, unit)
+            else:
+                units.append(unit)
         if batch.progress.job_id in self.claimed_jobs:
             units = [u for u in units if not self._follow_claim(batch, u)]
         if batch.step.gang or batch.step.per_worker_limit:
--- a/tests/tasks/test_earlier_starts.py
+++ b/tests/tasks/test_earlier_starts.py
@@ -98,6 +98,13 @@
     assert starts.workers_to_repeat(1) == ()
 
 
+def test_start_of_a_task_that_the_unit_lacks_leaves_no_worker() -> None:
+    starts = EarlierStarts()
+    starts.begin_run(("w00",), NOW_S)
+    starts.add(OpenStart(7, "w00", 1), UNTIL_S)
+    assert starts.workers_to_repeat(1) == ()
+
+
 def test_starts_on_a_worker_that_is_gone_are_forgotten() -> None:
     starts = EarlierStarts()
     starts.add(OpenStart(0, "w00", 1), UNTIL_S)
