Bind only the tasks of open starts, not the whole gang

Only a task whose start is open must not run elsewhere, so the others go to any workers, in the same rack if the gang runs slower across racks.

--- a/src/damaskstall/tasks/earlier_starts.py
+++ b/src/damaskstall/tasks/earlier_starts.py
@@ -8,8 +8,8 @@
 
 from typing import NamedTuple
 
-# A unit is started on the same workers for at most this many runs in a row. A
-# worker that does not answer starts would keep it otherwise.
+# At most this many runs in a row are bound to the workers of open starts. A
+# worker that does not answer starts would keep the unit otherwise.
 REPEAT_LIMIT = 2
 
 
@@ -22,17 +22,14 @@
 
 
 class EarlierStarts:
-    """The open starts of a unit's earlier runs, and where it ran last."""
+    """The open starts of a unit's earlier runs."""
 
-    __slots__ = ("_until_s", "_workers", "_repeats")
+    __slots__ = ("_until_s", "_repeats")
 
     def __init__(self) -> None:
         """Begin without any."""
         self._until_s: dict[OpenStart, float] = {}
-        # The workers of the newest run by position, as far as this holder
-        # knows, and the runs in a row that were on the workers of the one
-        # before.
-        self._workers: tuple[str, ...] = ()
+        # How many runs in a row were bound to workers.
         self._repeats = 0
 
     def add(self, start: OpenStart, until_s: float) -> None:
@@ -55,15 +52,14 @@
             if start.worker != worker
         }
 
-    def begin_run(self, workers: tuple[str, ...], now_s: float) -> None:
-        """Record the workers of the next run; forget what is too old."""
+    def begin_run(self, now_s: float) -> None:
+        """Record that the next run begins; forget what is too old."""
         self._until_s = {
             start: until_s
             for start, until_s in self._until_s.items()
             if until_s > now_s
         }
         self._repeats = self._repeats + 1 if self._until_s else 0
-        self._workers = workers
 
     def listed(self) -> list[OpenStart]:
         """Return the starts that are known, in order."""
@@ -77,19 +73,17 @@
         """Return whether a run of any of the starts may exist."""
         return bool(self._until_s) and self.until_s() > now_s
 
-    def workers_to_repeat(self, unit_size: int) -> tuple[str, ...]:
-        """Return the workers, by position, on which the unit may start now.
+    def bound_workers(self, now_s: float) -> dict[int, str]:
+        """Return the workers, by position, on which tasks may start now.
 
-        Return none if it has to wait until the starts are too old.
+        Return none if the unit has to wait until the starts are too old.
         """
         if self._repeats >= REPEAT_LIMIT:
-            return ()
-        workers = self._workers
-        if not workers and unit_size == 1:
-            workers = tuple({start.worker for start in self._until_s})
-        if len(workers) != unit_size:
-            return ()
-        for start in self._until_s:
-            if workers[start.position : start.position + 1] != (start.worker,):
-                return ()
-        return workers
+            return {}
+        bound: dict[int, str] = {}
+        for start, until_s in self._until_s.items():
+            if until_s <= now_s:
+                continue
+            if bound.setdefault(start.position, start.worker) != start.worker:
+                return {}
+        return bound
--- a/src/damaskstall/tasks/packing.py
+++ b/src/damaskstall/tasks/packing.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from math import inf
 from typing import NamedTuple
 
@@ -306,6 +306,39 @@
     )
 
 
+def place_bound(
+    plan: CapacityPlan, placement: PlacementRequest, bound: Mapping[int, str]
+) -> list[str] | None:
+    """Return a worker for each task of a unit of which some are bound.
+
+    ``bound`` has their workers by position. The other tasks go to the racks of
+    these if the unit runs slower across racks. Return None if it does not fit.
+    """
+    if not fits_on(plan, placement, list(bound.values())):
+        return None
+    left = plan.copy()
+    counts = Counter(placement.task_counts)
+    for name in bound.values():
+        left.allocate(name, placement.step.demand)
+        counts[name] += 1
+    racks = {plan.workers[name].rack for name in bound.values()}
+    if not needs_one_rack(plan, placement):
+        racks = set(plan.racks)
+    names = [name for rack in racks for name in plan.racks[rack]]
+    free_positions = set(range(placement.step.unit_size)) - bound.keys()
+    rest = pack_some(
+        left,
+        placement._replace(task_counts=counts),
+        names,
+        len(free_positions),
+    )
+    if len(rest) + len(bound) != placement.step.unit_size:
+        return None
+    chosen = dict(zip(sorted(free_positions), rest, strict=True))
+    chosen.update(bound)
+    return [chosen[position] for position in sorted(chosen)]
+
+
 def packing_order(
     plan: CapacityPlan, placement: PlacementRequest, name: str
 ) -> tuple[bool, bool, bool, bool, int, int, str]:
--- a/src/damaskstall/tasks/policy.py
+++ b/src/damaskstall/tasks/policy.py
@@ -53,11 +53,11 @@
     Misfits,
     PlacementRequest,
     across_racks,
-    fits_on,
     kind_of,
     may_run,
     needs_one_rack,
     pack_some,
+    place_bound,
     place_unit,
     racks_by_free,
 )
@@ -321,19 +321,19 @@
                 return
 
     def _is_bound(self, unit: Unit) -> bool:
-        """Return whether a unit may only run where it ran before."""
+        """Return whether tasks of a unit may only run where they ran."""
         return unit.earlier_starts.are_open(self.now_s)
 
     def _start_again(self, batch: Batch, unit: Unit) -> None:
-        """Start a unit again on its last workers, if it may and fits there."""
-        size = batch.step.unit_size
-        workers = unit.earlier_starts.workers_to_repeat(size)
-        if not workers or unit.avoid.intersection(workers):
+        """Start a unit with the workers of its open starts, if it fits."""
+        bound = unit.earlier_starts.bound_workers(self.now_s)
+        if not bound or unit.avoid.intersection(bound.values()):
             return
         placement = self._placement_request(batch, unit)
         plan, _ = self._available_plan(batch, placement.alone)
-        if fits_on(plan, placement, workers):
-            self._start(batch, unit, list(workers))
+        workers = place_bound(plan, placement, bound)
+        if workers is not None:
+            self._start(batch, unit, workers)
 
     def _place_identical(self, batch: Batch, units: list[Unit]) -> int:
         """Start interchangeable units while they fit; return how many."""
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -336,7 +336,7 @@
         unit.members = [Member(*worker) for worker in workers]
         unit.stopping = False
         unit.started_s = now_s
-        unit.earlier_starts.begin_run(unit.workers(), now_s)
+        unit.earlier_starts.begin_run(now_s)
         self.count_change()
 
     def end_member(
--- a/tests/tasks/test_earlier_starts.py
+++ b/tests/tasks/test_earlier_starts.py
@@ -51,10 +51,32 @@
     assert started_workers(fleet, NOW_S) == [["w01"]]
 
 
-def test_gang_starts_again_on_the_same_workers_in_the_same_order() -> None:
+def test_only_the_task_of_an_open_start_stays_on_its_worker() -> None:
+    """The worker of the other task is in use."""
     fleet = Fleet(2, 2)
-    ended_unit(fleet, "w10", "w01", gang=True, task_count=2)
-    assert started_workers(fleet, NOW_S) == [["w10", "w01"]]
+    unit = ended_unit(fleet, "w10", "w01", gang=True, task_count=2)
+    fleet.run_on(fleet.add(NORMAL, task(8)), "w01")
+    ((first, second),) = started_workers(fleet, NOW_S)
+    assert unit.earlier_starts.listed() == [OpenStart(0, "w10", 1)]
+    assert first == "w10"
+    assert second in ("w00", "w11")
+
+
+def test_gang_in_one_rack_stays_in_the_rack_of_its_open_start() -> None:
+    fleet = Fleet(2, 2)
+    ended_unit(fleet, "w10", "w11", gang=True, task_count=2, one_rack=True)
+    assert started_workers(fleet, NOW_S) == [["w10", "w11"]]
+    fleet.run_on(fleet.add(NORMAL, task(8)), "w11")
+    assert started_workers(fleet, NOW_S) == []
+
+
+def test_gang_with_a_limit_for_each_worker_keeps_to_it() -> None:
+    fleet = Fleet(1, 2)
+    step = {"gang": True, "task_count": 2, "per_worker_limit": 1}
+    job = fleet.add(NORMAL, task(1, **step))
+    unit = next(job.all_units())
+    unit.earlier_starts.add(OpenStart(1, "w01", 1), UNTIL_S)
+    assert started_workers(fleet, NOW_S) == [["w00", "w01"]]
 
 
 def test_unit_waits_if_its_worker_is_in_use_until_the_start_is_too_old() -> (
@@ -82,27 +104,28 @@
 
 def test_runs_in_a_row_on_the_same_worker_are_limited() -> None:
     starts = EarlierStarts()
-    starts.begin_run(("w00",), NOW_S)
+    starts.begin_run(NOW_S)
     for run in range(1, REPEAT_LIMIT + 1):
         starts.add(OpenStart(0, "w00", run), UNTIL_S)
-        assert starts.workers_to_repeat(1) == ("w00",)
-        starts.begin_run(("w00",), NOW_S)
+        assert starts.bound_workers(NOW_S) == {0: "w00"}
+        starts.begin_run(NOW_S)
     starts.add(OpenStart(0, "w00", REPEAT_LIMIT + 1), UNTIL_S)
-    assert starts.workers_to_repeat(1) == ()
+    assert not starts.bound_workers(NOW_S)
 
 
 def test_starts_on_several_workers_leave_no_worker_to_repeat() -> None:
     starts = EarlierStarts()
     starts.add(OpenStart(0, "w00", 1), UNTIL_S)
     starts.add(OpenStart(0, "w01", 2), UNTIL_S)
-    assert starts.workers_to_repeat(1) == ()
+    assert not starts.bound_workers(NOW_S)
 
 
-def test_start_of_a_task_that_the_unit_lacks_leaves_no_worker() -> None:
-    starts = EarlierStarts()
-    starts.begin_run(("w00",), NOW_S)
-    starts.add(OpenStart(7, "w00", 1), UNTIL_S)
-    assert starts.workers_to_repeat(1) == ()
+def test_start_of_a_task_that_the_unit_lacks_starts_nothing() -> None:
+    fleet = Fleet(1, 3)
+    unit = ended_unit(fleet, "w01")
+    unit.earlier_starts.settle(OpenStart(0, "w01", 1))
+    unit.earlier_starts.add(OpenStart(7, "w01", 1), UNTIL_S)
+    assert started_workers(fleet, NOW_S) == []
 
 
 def test_starts_on_a_worker_that_is_gone_are_forgotten() -> None:
