Share the frame of the tests of open starts, and correct two docstrings

LateStarts.clear is also used once the next incarnation has accepted a higher token, and the docstring of Unit lacked earlier_starts.

--- a/src/damaskstall/tasks/late_starts.py
+++ b/src/damaskstall/tasks/late_starts.py
@@ -90,7 +90,10 @@
         return any(each.until_s() > now_s for each in self._by_run.values())
 
     def clear(self) -> None:
-        """Forget all starts, since the worker can not start again."""
+        """Forget all starts, since none can be carried out any more.
+
+        The worker will not start again, or its next incarnation refuses them.
+        """
         self._by_run.clear()
 
     def _starts_of(self, key: RunKey, now_s: float) -> RunStarts:
--- a/src/damaskstall/tasks/progress.py
+++ b/src/damaskstall/tasks/progress.py
@@ -90,6 +90,7 @@
     ``unstarted_runs`` those that never started, and ``harmless_runs`` those
     after which all workers were up; ``adopted_run`` is the newest run that
     another holder placed. The unit is not started before ``held_until_s``.
+    ``earlier_starts`` has the starts of ended runs that may be carried out.
     """
 
     __slots__ = (
--- a/tests/tasks/test_open_starts.py
+++ b/tests/tasks/test_open_starts.py
@@ -3,6 +3,8 @@
 A start without an answer may be carried out up to 12 s late.
 """
 
+from typing import Any
+
 from trio import current_time, sleep
 
 from standins.operators.worker import StandinWorker
@@ -21,6 +23,23 @@
 SEEDS = 4
 
 
+async def start_late(
+    cluster: Cluster,
+    step: dict[str, Any],
+    work_s: float,
+    delays_s: list[float],
+) -> StandinWorker:
+    """Submit a job; return the worker that gets its first start.
+
+    No start of an earlier holder is late any more, and each worker carries
+    out its next starts after these delays.
+    """
+    await sleep(13.0)
+    delay_starts(cluster, delays_s)
+    await cluster.submit(job_id(1), [step], work_s=work_s)
+    return await worker_with_first_start(cluster)
+
+
 async def restart_cut_off(cluster: Cluster, worker: StandinWorker) -> None:
     """Crash a worker; its next incarnation is called by no node."""
     cluster.disconnect_worker(worker.name)
@@ -44,10 +63,7 @@
 
 def test_start_of_an_ended_run_is_not_carried_out_beside_the_next() -> None:
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S] * 20)
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 8.0, [LATE_S] * 20)
         await use_other_workers(cluster, worker)
         await sleep(2.0)
         await restart_cut_off(cluster, worker)
@@ -59,10 +75,7 @@
 
 def test_start_of_an_ended_gang_is_not_carried_out_beside_the_next() -> None:
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S] * 20)
-        await cluster.submit(job_id(1), [GANG], work_s=8.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, GANG, 8.0, [LATE_S] * 20)
         await use_other_workers(cluster, worker)
         await sleep(2.0)
         await restart_cut_off(cluster, worker)
@@ -74,10 +87,7 @@
 
 def test_successor_knows_the_open_start_of_a_run_that_has_ended() -> None:
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S] * 20)
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 8.0, [LATE_S] * 20)
         await use_other_workers(cluster, worker)
         await sleep(1.5)
         await replace_holder(cluster)
@@ -95,10 +105,7 @@
     """The second try is answered; the run moves as its worker drains."""
 
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S])
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=8.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 8.0, [LATE_S])
         await cluster.wait(lambda: len(cluster.history.runs) == 1)
         for other in cluster.workers.values():
             other.order_delays_s = []
@@ -115,10 +122,7 @@
     """The second try is answered, and the worker crashes after the end."""
 
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S])
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 1.0, [LATE_S])
         await cluster.wait_state(job_id(1), "completed")
         await sleep(1.0)
         await restart_cut_off(cluster, worker)
@@ -135,10 +139,7 @@
     """The worker lists the end until then, and is not called all the time."""
 
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S])
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 1.0, [LATE_S])
         await cluster.wait_state(job_id(1), "completed")
         calls = worker.calls["/hold"]
         await sleep(LATE_S)
@@ -156,10 +157,7 @@
     """The job is over, so that the successor does not read its row."""
 
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S])
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=1.0)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 1.0, [LATE_S])
         await cluster.wait_state(job_id(1), "completed")
         await replace_holder(cluster)
         await sleep(1.0)
@@ -195,10 +193,7 @@
     """Another worker runs on its machine, so it will not start again."""
 
     async def scenario(cluster: Cluster) -> None:
-        await sleep(13.0)
-        delay_starts(cluster, [LATE_S] * 20)
-        await cluster.submit(job_id(1), [ONE_TASK], work_s=0.5)
-        worker = await worker_with_first_start(cluster)
+        worker = await start_late(cluster, ONE_TASK, 0.5, [LATE_S] * 20)
         await use_other_workers(cluster, worker)
         await sleep(1.0)
         assert not cluster.history.runs
