Review: tasks that last are not started again beside hopeless jobs

Hopeless tasks that last put all workers in backoff for good, and the limit that should end such a wait does not apply while most capacity is in use.

--- a/review/common/checks.py
+++ b/review/common/checks.py
@@ -65,3 +65,44 @@
         if len(failed) >= attempts:
             found.append(f"{run.task} run {run.number}")
     return found
+
+
+RESTART_S = 6.0
+
+
+def has_room(case, demand, count):
+    """Return whether the runners have room for some tasks of one demand."""
+    found = 0
+    for runner in case.fleet.runners.values():
+        fits = count
+        for name, amount in demand.items():
+            used = sum(r.step.get(name, 0) for r in runner.running.values())
+            if amount:
+                fits = min(fits, (runner.capacity[name] - used) // amount)
+        found += max(0, fits)
+    return found >= count
+
+
+async def find_not_restarted(case, job, end_s):
+    """Return the tasks of a job that lasts which LOST counts as lost.
+
+    Nothing of such a task runs for 3 s, from 6 s after its last run, and
+    there is capacity for it twice over all that while.
+    """
+    lacking_s = {}
+    lost = {}
+    while time.monotonic() < end_s:
+        now_s = time.monotonic()
+        newest = {run.task: run for run in runs_of(case, job)}
+        for task, run in newest.items():
+            names = ("cpu", "task_memory_mb", "gpus")
+            demand = {name: run.step.get(name, 0) for name in names}
+            due = run.ended_s is not None and now_s >= run.ended_s + RESTART_S
+            if not due or not has_room(case, demand, 2):
+                lacking_s.pop(task, None)
+                continue
+            lacks_s = now_s - lacking_s.setdefault(task, now_s)
+            if lacks_s >= NOTHING_RUNS_S:
+                lost[task] = round(now_s - run.ended_s, 1)
+        await asyncio.sleep(0.05)
+    return [f"{task} for {idle_s} s" for task, idle_s in lost.items()]
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -9,6 +9,7 @@
 import json
 import time
 from base64 import b64encode
+from math import inf
 from urllib.parse import parse_qs, urlsplit
 
 HOST = "127.0.0.1"
@@ -58,12 +59,17 @@
         return len(cls.open)
 
 
-async def serve(handle, port=0):
-    """Serve HTTP/1.1 with ``handle``; return the server and its port."""
+async def serve(handle, writers=None):
+    """Serve HTTP/1.1 with ``handle``; return the server and its port.
+
+    The open connections are kept in ``writers``.
+    """
+    writers = set() if writers is None else writers
 
     async def connected(reader, writer):
         me = object()
         Connections.open.add(me)
+        writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -87,9 +93,10 @@
             return
         finally:
             Connections.open.discard(me)
+            writers.discard(writer)
             writer.close()
 
-    server = await asyncio.start_server(connected, HOST, port, backlog=512)
+    server = await asyncio.start_server(connected, HOST, 0, backlog=512)
     return server, server.sockets[0].getsockname()[1]
 
 
@@ -246,6 +253,9 @@
         self.jobs = {}
         # Returns how a run ends: "done" or "failed".
         self.outcome = lambda run: "done"
+        # Returns how long a run of a task that lasts works until it fails.
+        self.lasts_s = lambda run: inf
+        self.hold_maximum_ms = 6000
 
     def step_of(self, task):
         """Return the step of a task, as the consumer sent it."""
@@ -286,6 +296,8 @@
         self.labels, self.capacity = [label, rack], capacity
         self.up = True
         self.state = "ready"
+        self.draining = {}
+        self.writers = set()
         self.born = round(time.time() * 1000)
         self.booted_s = time.monotonic()
         self.sequence = 0
@@ -294,13 +306,12 @@
         self.running, self.ended, self.highest = {}, [], {}
         self.number = 0
         self.ended_event = asyncio.Event()
-        self.hold_maximum_ms = 6000
         # Called with the path and the body before an order is looked at.
         self.before = None
 
     async def start(self):
         """Listen, report to the store, and work."""
-        _, port = await serve(self.handle)
+        self.server, port = await serve(self.handle, self.writers)
         self.address = f"{HOST}:{port}"
         self.beat()
         self.tasks = [
@@ -328,8 +339,27 @@
             "clock_ms": self.clock_ms(),
             "born": self.born,
             "sequence": self.sequence,
+            **self.draining,
         }
 
+    async def leave(self, drain_s, longer_s):
+        """Report `draining`, serve on for a while, and exit for good."""
+        self.state = "draining"
+        self.draining = {"remaining_ms": round(drain_s * 1000)}
+        self.beat()
+        self.fleet.log(f"{self.name} drains, and stays for {drain_s} s")
+        await asyncio.sleep(drain_s + longer_s)
+        self.up = False
+        for run in self.running.values():
+            run.how, run.ended_s = "left", time.monotonic()
+        self.running.clear()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        del self.fleet.runners[self.name]
+        self.fleet.store.remove("servers", self.name)
+        self.fleet.log(f"{self.name} exits, and its machine is taken away")
+
     def beat(self):
         """Write the entry to the store."""
         self.fleet.store.put("servers", self.name, self.entry())
@@ -366,6 +396,8 @@
             return
         run.worked_s += passed_s
         if run.step.get("long_running"):
+            if run.worked_s >= self.fleet.lasts_s(run):
+                self.end(run, "failed")
             return
         if run.worked_s * 1000 >= run.step.get("estimate_ms", 0):
             self.end(run, self.fleet.outcome(run))
@@ -409,7 +441,7 @@
 
     def extend(self, deadline_ms):
         """Extend the lease, which is never shortened."""
-        until_ms = min(deadline_ms, self.clock_ms() + self.hold_maximum_ms)
+        until_ms = min(deadline_ms, self.clock_ms() + self.fleet.hold_maximum_ms)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def start_run(self, fields):
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -423,4 +423,6 @@
         code = 1 if broken else 0
     finally:
         case.end()
-    sys.exit(code)
+    sys.stdout.flush()
+    # Open connections need no farewell.
+    os._exit(code)
