--- a/review/common/system.py
+++ b/review/common/system.py
@@ -216,8 +216,6 @@
         """Start the process with the command of the deploy file."""
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             words = tomllib.load(file)["roles"]["node"]["run"].split()
-        if words[0] == "python3":
-            words[0] = sys.executable
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": str(self.case.folder),
