Log and measure the age of the configuration that answers are decided by

No decision changes. The bound configuration_ms is read from the settings, which no code did; configuration_outdated (8060) names version, age and bound of each answer beyond it.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -6,7 +6,10 @@
 
 from damaskstall.addresses import Address, parse_address
 from damaskstall.errors import DECODE_ERRORS, SettingsError
-from damaskstall.tasks.node_settings import NodeSettings
+from damaskstall.tasks.node_settings import (
+    DEFAULT_CONFIGURATION_S,
+    NodeSettings,
+)
 
 SETTINGS_VARIABLE = "DAMASKSTALL_SETTINGS"
 MILLISECONDS_PER_S = 1000
@@ -49,6 +52,9 @@
         machines=machines_address(value),
         processor_cores=processor_cores(value.get("limits") or {}),
         state_kept_s=float(bounds["status_s"]),
+        configuration_s=bound_s(
+            bounds, "configuration_ms", DEFAULT_CONFIGURATION_S
+        ),
     )
 
 
@@ -68,6 +74,15 @@
     return parse_address(address) if address else None
 
 
+def bound_s(bounds: Any, name: str, default_s: float) -> float:
+    """Return a bound in milliseconds as seconds, or the default without it.
+
+    Deployments without a part of the platform's rules lack its bounds.
+    """
+    milliseconds = bounds.get(name)
+    return default_s if milliseconds is None else seconds(milliseconds)
+
+
 def seconds(milliseconds: Any) -> float:
     """Return a time in milliseconds as seconds."""
     return float(milliseconds) / MILLISECONDS_PER_S
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -80,6 +80,13 @@
 REQUEST_REFUSED = Event(
     8015, "INFO", "task_request_refused", "A request was refused."
 )
+CONFIGURATION_OUTDATED = Event(
+    8060,
+    "WARNING",
+    "configuration_outdated",
+    "A request was answered while the configuration had not been confirmed "
+    "for longer than its bound.",
+)
 HOLDER_STARTED = Event(
     8020,
     "INFO",
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -23,6 +23,7 @@
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.events import (
     CANCEL_ACCEPTED,
+    CONFIGURATION_OUTDATED,
     JOB_ACCEPTED,
     JOB_OUTCOME_UNKNOWN,
     JOB_REFUSED,
@@ -44,7 +45,11 @@
     check_supported,
     is_job_id,
 )
-from damaskstall.tasks.metrics import REQUEST_SECONDS, SUBMISSIONS
+from damaskstall.tasks.metrics import (
+    ANSWER_AGE_SECONDS,
+    REQUEST_SECONDS,
+    SUBMISSIONS,
+)
 from damaskstall.tasks.model import AcceptedJob, JobDeclaration, Queue
 
 # A refused client retries only a few times, and a store that has been down for
@@ -94,12 +99,34 @@
         """Answer one request, and record its latency."""
         started_s = self.context.clock()
         response = await self._answer(request)
+        self._record_age(request, response.status)
         # Clients may send any word as a method; each label value uses memory.
         method = request.method if request.method in METHODS else "other"
         labels = {"method": method, "status": str(response.status)}
         REQUEST_SECONDS.observe(labels, self.context.clock() - started_s)
         return response
 
+    def _record_age(self, request: Request, status: int) -> None:
+        """Record how old the configuration is by which a request is answered.
+
+        The log names an age beyond the bound.
+        """
+        configuration = self.context.configuration
+        if not configuration.known:
+            return
+        age_s = configuration.age_s(self.context.clock())
+        ANSWER_AGE_SECONDS.observe({"status": str(status)}, age_s)
+        bound_s = self.context.settings.configuration_s
+        if age_s > bound_s:
+            log(
+                CONFIGURATION_OUTDATED,
+                path=request.path,
+                status=status,
+                version=configuration.state.version,
+                state_age_s=round(age_s, 2),
+                bound_s=bound_s,
+            )
+
     async def _answer(self, request: Request) -> Response:
         configuration = self.context.configuration
         if not configuration.known:
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -6,6 +6,8 @@
 # Upper bounds of the latency buckets in seconds: from a call to an idle store
 # up to a client's deadline.
 BUCKETS_S = (0.01, 0.05, 0.1, 0.5, 1.0, 3.0, float("inf"))
+# The bounds of the present deployments are 2 to 5 s.
+AGE_BUCKETS_S = (1.0, 2.0, 2.5, 3.0, 4.0, 5.0, 10.0, float("inf"))
 
 SUBMISSIONS = Counter(
     "damaskstall_task_submissions", "Jobs submitted, by the answer's status."
@@ -33,6 +35,19 @@
     "damaskstall_holds_lease",
     "Whether this process holds the lease (1) or not (0).",
 )
+CONFIGURATION_VERSION = Gauge(
+    "damaskstall_task_configuration_version",
+    "Version of the configuration that this process answers by.",
+)
+CONFIGURATION_AGE_SECONDS = Gauge(
+    "damaskstall_task_configuration_age_seconds",
+    "Seconds since that configuration was last confirmed; -1: never.",
+)
+ANSWER_AGE_SECONDS = Histogram(
+    "damaskstall_task_answer_age_seconds",
+    "Age of the configuration by which a request was answered, by status.",
+    buckets=AGE_BUCKETS_S,
+)
 REQUEST_SECONDS = Histogram(
     "damaskstall_task_request_seconds",
     "Time from a client's request to its answer, by method and status.",
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -19,6 +19,11 @@
 from damaskstall.tasks.events import SETTINGS_APPLIED
 from damaskstall.tasks.gateway import JobCodec, TaskGateway
 from damaskstall.tasks.job_service import JobService
+from damaskstall.tasks.metrics import (
+    CONFIGURATION_AGE_SECONDS,
+    CONFIGURATION_VERSION,
+    NO_LABELS,
+)
 from damaskstall.tasks.node_settings import NodeSettings
 from damaskstall.tasks.peer_directory import PeerDirectory
 from damaskstall.tasks.peer_table import serve_calls
@@ -98,12 +103,17 @@
             self.clients,
         )
         probes = probe_handler(self, not_found)
+
+        async def answer_probe(request: Request) -> Response:
+            self._update_metrics()
+            return await probes(request)
+
         limits = ServerLimits(connections=PROBE_CONNECTION_LIMIT)
         metrics = Address(settings.ip_address, settings.metrics_port)
         bound = {"listen": listen}
         for name, handler, address in (
             ("readiness", self._answer_ready, settings.readiness_listen),
-            ("metrics", probes, metrics),
+            ("metrics", answer_probe, metrics),
         ):
             bound[name] = await nursery.start(
                 serve_http,
@@ -150,5 +160,14 @@
         with move_on_after(end_s - current_time()):
             await self.clients.wait_closed()
 
+    def _update_metrics(self) -> None:
+        """Set the metrics that change with the time alone."""
+        configuration = self.configuration
+        age_s = configuration.age_s(self.context.clock())
+        if not configuration.known:
+            age_s = -1.0
+        CONFIGURATION_VERSION.set(NO_LABELS, configuration.state.version)
+        CONFIGURATION_AGE_SECONDS.set(NO_LABELS, age_s)
+
     async def _answer_ready(self, request: Request) -> Response:
         return Response(200 if self.is_ready() else 503)
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -4,16 +4,21 @@
 
 from damaskstall.addresses import Address
 
+# The shortest bound of the present deployments.
+DEFAULT_CONFIGURATION_S = 2.0
+
 
 class NodeSettings(NamedTuple):
     """Settings of one process.
 
     ``stop_grace_s`` is the time from the request to stop until the process
     is killed. ``key_removal_s`` bounds for how long a removed key may still
-    be accepted. ``worker_lease_s`` is the longest lease that a worker grants.
-    ``machines`` is the address of the platform's list of machines, or None.
-    ``state_kept_s`` is for how long the state of a finished job is kept.
-    ``processor_cores`` is how many cores the process may use.
+    be accepted, and ``configuration_s`` for how long after its storing an
+    earlier configuration may still be in force. ``worker_lease_s`` is the
+    longest lease that a worker grants. ``machines`` is the address of the
+    platform's list of machines, or None. ``state_kept_s`` is for how long the
+    state of a finished job is kept. ``processor_cores`` is how many cores the
+    process may use.
     """
 
     instance: str
@@ -30,3 +35,4 @@
     machines: Address | None = None
     processor_cores: float = 1.0
     state_kept_s: float = 120.0
+    configuration_s: float = DEFAULT_CONFIGURATION_S
