--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -75,13 +75,18 @@
         # Returns the delay of a write that is to be performed late and without
         # an answer, None for any other.
         self.delay_of: Callable[[dict[str, Any]], float | None] = no_delay
+        # The calls that were answered, by path, and by path and table.
         self.calls: dict[str, int] = {}
+        self.table_calls: dict[tuple[str, str], int] = {}
         # The parts whose rows are neither read nor written.
         self.failing_parts: set[str] = set()
         # The tables and parts that are read as of the time of their keeping.
         self.old_parts: set[tuple[str, str]] = set()
         self.old_answers = 0
         self._old_rows = self.rows
+        # The paths whose calls for one table are answered with 503 or, if
+        # silent, not at all: by path, table and caller (or ALL_CALLERS).
+        self.failing_calls: dict[tuple[str, str, str], str] = {}
         # While set, watches report no changes.
         self.withhold_changes = False
         self._history_drops = 0
@@ -144,7 +149,9 @@
         if self._fault(caller) in (BUSY, TOO_MANY):
             status = 503 if self._fault(caller) == BUSY else 429
             return json_response(status, {})
-        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        if await self._fails_call(caller, request):
+            return json_response(503, {})
+        self._count_call(request)
         await sleep(ANSWER_DELAY_S * self.slow_factor)
         if request.path == "/rows-tx":
             return await self._transact(request)
@@ -154,6 +161,22 @@
             return await self._feed(caller, request.query)
         return json_response(404, {})
 
+    async def _fails_call(self, caller: str, request: Request) -> bool:
+        """Return whether a call is refused; never return if it is silent."""
+        table = request.query.get("table", "")
+        for who in (caller, ALL_CALLERS):
+            how = self.failing_calls.get((request.path, table, who), "")
+            if how == SILENT:
+                await sleep_forever()
+            if how:
+                return True
+        return False
+
+    def _count_call(self, request: Request) -> None:
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        which = request.path, request.query.get("table", "")
+        self.table_calls[which] = self.table_calls.get(which, 0) + 1
+
     def _fault(self, caller: str) -> str:
         return self.faults.get(caller, self.faults.get(ALL_CALLERS, ""))
 
