Read the rows and ask peers when the feed does not confirm the configuration

Callers saw 200 on a queue that had been dropped, and 404 on one that had been added, while the store refused the feed of the operators' rows alone: the feed was the only path to the configuration, and nothing else was tried, at any instance.

Change: the belief (Configuration) is apart from the paths to it (ConfigWatcher). When the feed fails or is late, an attempt reads the feed without waiting, then the rows, then asks three peers for what they know, each path beginning when the one before has failed or not answered in 0.3 s. A peer that is refused itself answers from memory with its age, and first confirms what is older than half of the bound. Relayed calls pass by peers that failed a moment ago; this asks any peer, since one without the store may still know more.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -55,6 +55,7 @@
         configuration_s=bound_s(
             bounds, "configuration_ms", DEFAULT_CONFIGURATION_S
         ),
+        bounds_key_removal=bool(bounds.get("strict_revocation", True)),
     )
 
 
--- /dev/null
+++ b/src/damaskstall/tasks/configuration.py
@@ -0,0 +1,173 @@
+"""Hold what the operators have configured, and as of when that is confirmed.
+
+A version is in force from its storing on, so what this process knows is only
+used while it was confirmed recently enough for the use at hand.
+"""
+
+from collections.abc import Iterable
+
+from trio import Event
+
+from damaskstall.containment import contained
+from damaskstall.errors import MalformedRowError
+from damaskstall.events import log
+from damaskstall.platform.types import Row
+from damaskstall.tasks.desired_state import NO_STATE, DesiredState
+from damaskstall.tasks.events import (
+    EVACUATION_CHANGED,
+    STATE_APPLIED,
+    STATE_REFUSED,
+)
+from damaskstall.tasks.model import Queue
+from damaskstall.tasks.ports import ConfigurationReport, Platform
+
+NEVER_S = float("-inf")
+NO_REVISION = -1
+
+
+class Configuration:
+    """The newest configuration and the evacuations.
+
+    ``confirmed_s`` is the time as of which they are known to be in force, and
+    ``revision`` that of the operators' rows which they reflect.
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        """Start without a configuration."""
+        self.platform = platform
+        self.state: DesiredState = NO_STATE
+        # The present queues, and all that this process has seen: jobs outlive
+        # their queues.
+        self.queues: dict[str, Queue] = {}
+        self.seen_queues: dict[str, Queue] = {}
+        self.evacuated: set[str] = set()
+        self.confirmed_s = NEVER_S
+        self.revision = NO_REVISION
+        self._row: Row | None = None
+        self._changed = Event()
+
+    @property
+    def known(self) -> bool:
+        """Return whether a configuration has been read."""
+        return self.state.version > 0
+
+    @property
+    def row_revision(self) -> int:
+        """Return the revision of the row with the configuration."""
+        return NO_REVISION if self._row is None else self._row.revision
+
+    def age_s(self, now_s: float) -> float:
+        """Return the seconds since the configuration was last confirmed."""
+        return now_s - self.confirmed_s
+
+    async def wait_change(self) -> None:
+        """Wait for the next change of an operators' row."""
+        await self._changed.wait()
+
+    def replace(
+        self, rows: Iterable[Row], revision: int, sent_s: float
+    ) -> bool:
+        """Apply all rows, as read by a request that was sent at a time.
+
+        Return False if they are older than what is known. A mark that such
+        rows lack may have been set since, and only a newer version in them is
+        applied.
+        """
+        is_current = revision >= self.revision
+        found = list(rows)
+        listed = {self.platform.evacuated_domain(row.key) for row in found}
+        if is_current:
+            for domain in self.evacuated - listed:
+                self._set_evacuated(domain, False)
+        for row in found:
+            if is_current or self.platform.is_configuration(row.key):
+                self._apply(row)
+        self._wake()
+        if is_current:
+            self._confirm(revision, sent_s)
+        return is_current
+
+    def update(
+        self, rows: Iterable[Row], revision: int, sent_s: float
+    ) -> None:
+        """Apply the rows changed up to a revision, in order."""
+        changed = [row for row in rows if row.revision > self.revision]
+        for row in changed:
+            self._apply(row)
+        if changed:
+            self._wake()
+        if revision >= self.revision:
+            self._confirm(revision, sent_s)
+
+    def report(self, now_s: float, row_revision: int) -> ConfigurationReport:
+        """Return what is known to an instance that has a row already."""
+        row = self._row
+        if row is not None and row.revision <= row_revision:
+            row = None
+        return ConfigurationReport(
+            self.age_s(now_s), self.revision, row, tuple(self.evacuated)
+        )
+
+    def merge(self, report: ConfigurationReport, sent_s: float) -> None:
+        """Take over what a peer has reported, if it is confirmed later.
+
+        ``sent_s`` is the time at which the peer was asked.
+        """
+        confirmed_s = sent_s - report.age_s
+        is_newer = report.revision >= self.revision
+        if confirmed_s <= self.confirmed_s or not is_newer:
+            return
+        if report.row is not None:
+            self._apply(report.row)
+        evacuated = set(report.evacuated)
+        for domain in evacuated ^ self.evacuated:
+            self._set_evacuated(domain, domain in evacuated)
+        self._wake()
+        self._confirm(report.revision, confirmed_s)
+
+    def _confirm(self, revision: int, confirmed_s: float) -> None:
+        self.revision = revision
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+
+    def _apply(self, row: Row) -> None:
+        with contained("operators' row", row.key):
+            self._apply_row(row)
+
+    def _apply_row(self, row: Row) -> None:
+        domain = self.platform.evacuated_domain(row.key)
+        if domain:
+            self._set_evacuated(domain, row.value is not None)
+            return
+        if not self.platform.is_configuration(row.key) or row.value is None:
+            return
+        try:
+            state = self.platform.desired_state(row)
+        except MalformedRowError as error:
+            log(STATE_REFUSED, revision=row.revision, error=str(error))
+            return
+        if state.version <= self.state.version:
+            return
+        self.state = state
+        self.queues = state.queue_by_name()
+        self.seen_queues.update(self.queues)
+        self._row = row
+        log(
+            STATE_APPLIED,
+            version=state.version,
+            revision=row.revision,
+            queues=len(state.queues),
+            teams=len(state.teams),
+        )
+
+    def _set_evacuated(self, domain: str, evacuated: bool) -> None:
+        if (domain in self.evacuated) == evacuated:
+            return
+        if evacuated:
+            self.evacuated.add(domain)
+        else:
+            self.evacuated.discard(domain)
+        log(EVACUATION_CHANGED, failure_domain=domain, evacuated=evacuated)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
--- a/src/damaskstall/tasks/context.py
+++ b/src/damaskstall/tasks/context.py
@@ -2,6 +2,7 @@
 
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.config_watcher import ConfigWatcher
+from damaskstall.tasks.configuration import Configuration
 from damaskstall.tasks.node_settings import NodeSettings
 from damaskstall.tasks.ports import Platform
 from damaskstall.tasks.relayed_table import RelayedTable
@@ -15,7 +16,8 @@
         settings: NodeSettings,
         platform: Platform,
         table: RelayedTable,
-        configuration: ConfigWatcher,
+        configuration: Configuration,
+        config_watcher: ConfigWatcher,
         clock: Clock,
         unix_s: Clock,
     ) -> None:
@@ -27,5 +29,6 @@
         self.settings = settings
         self.platform = platform
         self.configuration = configuration
+        self.config_watcher = config_watcher
         self.clock = clock
         self.unix_s = unix_s
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -14,6 +14,7 @@
 from damaskstall.program import not_found, probe_handler
 from damaskstall.tasks.clock import Clock
 from damaskstall.tasks.config_watcher import ConfigWatcher
+from damaskstall.tasks.configuration import Configuration
 from damaskstall.tasks.context import NodeContext
 from damaskstall.tasks.election import Election
 from damaskstall.tasks.events import SETTINGS_APPLIED
@@ -59,9 +60,22 @@
         self.stopping = False
         self.peers = PeerDirectory(network, settings, clock)
         self.table = RelayedTable(platform.table, self.peers)
-        self.configuration = ConfigWatcher(platform, self.table, clock)
+        self.configuration = Configuration(platform)
+        self.config_watcher = ConfigWatcher(
+            self.configuration,
+            self.table,
+            self.peers,
+            clock,
+            lambda: self.settings.configuration_age_limit_s,
+        )
         self.context = NodeContext(
-            settings, platform, self.table, self.configuration, clock, unix_s
+            settings,
+            platform,
+            self.table,
+            self.configuration,
+            self.config_watcher,
+            clock,
+            unix_s,
         )
         self.election = Election(self.context, self.peers)
         jobs = JobService(self.context, self.election)
@@ -123,17 +137,18 @@
                 limits,
                 DrainState(),
             )
+        peer_service = DirectTable(
+            self.table, self.config_watcher, self.election.competes
+        )
         bound["peers"] = await nursery.start(
             self.network.serve,
-            partial(
-                serve_calls, DirectTable(self.table, self.election.competes)
-            ),
+            partial(serve_calls, peer_service),
             self.peers.own_address,
         )
         for name, task in (
             ("relay", self.table.run),
             ("peers", partial(self.peers.run, self.table)),
-            ("configuration", self.configuration.run),
+            ("configuration", self.config_watcher.run),
             ("election", self.election.run),
         ):
             nursery.start_soon(restart_on_error, name, task)
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -12,10 +12,10 @@
     """Settings of one process.
 
     ``stop_grace_s`` is the time from the request to stop until the process
-    is killed. ``key_removal_s`` bounds for how long a removed key may still
-    be accepted, and ``configuration_s`` for how long after its storing an
-    earlier configuration may still be in force. ``worker_lease_s`` is the
-    longest lease that a worker grants. ``machines`` is the address of the
+    is killed. ``configuration_s`` bounds for how long an earlier configuration
+    may still be in force, and ``key_removal_s`` for how long a removed key may
+    still be accepted, if ``bounds_key_removal`` is set. ``worker_lease_s`` is
+    the longest lease that a worker grants. ``machines`` is the address of the
     platform's list of machines, or None. ``state_kept_s`` is for how long the
     state of a finished job is kept. ``processor_cores`` is how many cores the
     process may use.
@@ -36,3 +36,15 @@
     processor_cores: float = 1.0
     state_kept_s: float = 120.0
     configuration_s: float = DEFAULT_CONFIGURATION_S
+    bounds_key_removal: bool = True
+
+    @property
+    def configuration_age_limit_s(self) -> float:
+        """Return how old a configuration may be to decide a request by it.
+
+        A request may then be decided by no version that was replaced for
+        longer than the bounds before the request was sent.
+        """
+        if not self.bounds_key_removal:
+            return self.configuration_s
+        return min(self.configuration_s, self.key_removal_s)
--- a/src/damaskstall/tasks/peer_directory.py
+++ b/src/damaskstall/tasks/peer_directory.py
@@ -95,6 +95,14 @@
         names.sort(key=lambda name: name != self._last_success)
         return [(name, self.peers[name]) for name in names[:limit]]
 
+    def any_peers(self, limit: int) -> list[PeerTable]:
+        """Return up to ``limit`` peers, whether or not calls have failed.
+
+        One that cannot reach the store may still know what it has read.
+        """
+        peers = list(self.peers.values())
+        return self._random.sample(peers, min(limit, len(peers)))
+
     def record_failure(self, name: str) -> None:
         """Record that a call to a peer failed, so that it is skipped."""
         self._failure_times_s[name] = self.clock()
--- a/src/damaskstall/tasks/peer_table.py
+++ b/src/damaskstall/tasks/peer_table.py
@@ -17,6 +17,7 @@
 from trio.abc import HalfCloseableStream
 
 from damaskstall.addresses import Address
+from damaskstall.bounds import checked_float
 from damaskstall.errors import (
     DECODE_ERRORS,
     FrameError,
@@ -29,7 +30,7 @@
 from damaskstall.generated.messages import Frame, TableCall, TableReply
 from damaskstall.network import Network
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
-from damaskstall.tasks.ports import PeerService
+from damaskstall.tasks.ports import ConfigurationReport, PeerService
 
 Result = TypeVar("Result")
 
@@ -46,6 +47,8 @@
 # A configuration of some thousand queues, 0.5 MB, is sent over two links of 10
 # Mbit/s: to the peer and from there to this instance.
 BULK_LIMIT_S = 4.0
+# The peer may call the store once; a configuration's row has up to 64 KiB.
+CONFIGURATION_LIMIT_S = 0.6
 # Number of idle connections to one peer that are kept open.
 IDLE_LIMIT = 4
 
@@ -106,6 +109,19 @@
         """Return whether the peer competes for the lease."""
         return await self._call("can_hold_lease", {}, bool)
 
+    async def configuration(
+        self, row_revision: int, max_age_s: float
+    ) -> ConfigurationReport:
+        """Return what the peer knows of the configuration.
+
+        If that is older than ``max_age_s``, the peer first tries to confirm
+        it. The row is left out if it is that of ``row_revision``, or older.
+        """
+        arguments = {"row_revision": row_revision, "max_age_s": max_age_s}
+        return await self._call(
+            "configuration", arguments, decode_report, CONFIGURATION_LIMIT_S
+        )
+
     async def _call(
         self,
         operation: str,
@@ -194,6 +210,17 @@
     return TableUnavailableError(message)
 
 
+def decode_report(value: Any) -> ConfigurationReport:
+    """Return the report in a peer's result."""
+    age_s, revision, row, evacuated = value
+    return ConfigurationReport(
+        checked_float("age_s", age_s, 0, float("inf")),
+        int(revision),
+        decode_row(row),
+        tuple(str(domain) for domain in evacuated),
+    )
+
+
 def decode_result(reply: TableReply) -> Any:
     """Return the result in a reply, or raise the error that it reports."""
     value = loads(reply.result)
@@ -223,6 +250,7 @@
     "watch": lambda table, fields: table.watch(**fields),
     "commit": perform_commit,
     "can_hold_lease": lambda table, _: table.can_hold_lease(),
+    "configuration": lambda table, fields: table.configuration(**fields),
 }
 
 
--- a/src/damaskstall/tasks/ports.py
+++ b/src/damaskstall/tasks/ports.py
@@ -53,6 +53,19 @@
         """
 
 
+class ConfigurationReport(NamedTuple):
+    """What a peer knows of the operators' rows.
+
+    ``age_s`` is the time since it was confirmed, as of ``revision``. ``row``
+    is that of the configuration, None if the asking instance has it already.
+    """
+
+    age_s: float
+    revision: int
+    row: Row | None
+    evacuated: tuple[str, ...]
+
+
 class PeerService(WatchedTable, Protocol):
     """What an instance does for its peers."""
 
@@ -62,6 +75,15 @@
         Raises TableUnavailableError while the store refuses it.
         """
 
+    async def configuration(
+        self, row_revision: int, max_age_s: float
+    ) -> ConfigurationReport:
+        """Return what the instance knows of the configuration.
+
+        If that is older than ``max_age_s``, it first tries to confirm it.
+        Raises TableUnavailableError before it has read one.
+        """
+
 
 class RunReport(NamedTuple):
     """State of a running run: its newest checkpoint and percentage done."""
--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from trio import CancelScope, Event, sleep
 
@@ -14,7 +14,7 @@
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
 from damaskstall.tasks.events import RELAY_ENDED, RELAY_STARTED
 from damaskstall.tasks.peer_directory import PeerDirectory
-from damaskstall.tasks.ports import WatchedTable
+from damaskstall.tasks.ports import ConfigurationReport, WatchedTable
 from damaskstall.tasks.store_latency import StoreLatency
 
 Result = TypeVar("Result")
@@ -202,17 +202,30 @@
     return key.partition("/")[0].partition("@")[2]
 
 
+class ConfigurationSource(Protocol):
+    """What tells peers of the configuration."""
+
+    async def report(
+        self, row_revision: int, max_age_s: float
+    ) -> ConfigurationReport:
+        """Return what this instance knows, confirmed if it is too old."""
+
+
 class DirectTable:
     """Table service for peers: calls the store directly, or fails at once."""
 
     def __init__(
-        self, table: RelayedTable, competes: Callable[[], bool]
+        self,
+        table: RelayedTable,
+        watcher: ConfigurationSource,
+        competes: Callable[[], bool],
     ) -> None:
         """Use the direct connection of a relayed table.
 
         ``competes`` returns whether this instance competes for the lease.
         """
         self.table = table
+        self.watcher = watcher
         self.competes = competes
 
     async def can_hold_lease(self) -> bool:
@@ -222,6 +235,12 @@
         await self.read(PROBE_KEY)
         return True
 
+    async def configuration(
+        self, row_revision: int, max_age_s: float
+    ) -> ConfigurationReport:
+        """Return what this instance knows of the configuration."""
+        return await self.watcher.report(row_revision, max_age_s)
+
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
         return await self._direct().read(key)
--- a/src/damaskstall/tasks/worker_list.py
+++ b/src/damaskstall/tasks/worker_list.py
@@ -10,7 +10,7 @@
 )
 from damaskstall.events import log
 from damaskstall.platform.types import Row
-from damaskstall.tasks.config_watcher import ConfigWatcher
+from damaskstall.tasks.configuration import Configuration
 from damaskstall.tasks.events import WORKER_IGNORED
 from damaskstall.tasks.model import WorkerInfo
 from damaskstall.tasks.ports import WORKER_TABLE, Platform, WatchedTable
@@ -30,7 +30,7 @@
         self,
         platform: Platform,
         table: WatchedTable,
-        configuration: ConfigWatcher,
+        configuration: Configuration,
     ) -> None:
         """Create an empty list."""
         self.platform = platform
