Decide no request by a configuration that is older than its bound

Callers saw 200 on a queue that a version had dropped, 404 and 401 on queues and keys that it had added, removed keys accepted, and jobs handed in on a dropped queue, for as long as an instance could not learn of the version.

Cause: the gateway decided by the version in memory, whatever its age. Only for queues with keys the age was compared, after the look-up and with the bound of removed keys; configuration_ms was not read. is_ready asked whether a configuration is known.

Change: each request first has the configuration confirmed as of configuration_ms ago (revoke_ms, where that is shorter and in force), counted from the sending of what confirmed it. So no version that was replaced for longer before the request was sent can decide it. Nothing is excepted: a 401, 404 or 410 is a claim too, and a DELETE of a known job by a removed key would have run. A hand-in is decided after its body has arrived. The margin of 1 s for a call in progress goes: what counts is when the request was sent. An instance is not ready once its configuration is a second past its bound.

--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -84,8 +84,8 @@
     8060,
     "WARNING",
     "configuration_outdated",
-    "A request was answered while the configuration had not been confirmed "
-    "for longer than its bound.",
+    "A request is refused: the configuration was last confirmed longer ago "
+    "than its bound.",
 )
 HOLDER_STARTED = Event(
     8020,
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -4,7 +4,7 @@
 answered at once, with a Retry-After where a retry can succeed.
 """
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from damaskstall.errors import (
     BodyTooLargeError,
@@ -47,20 +47,22 @@
 )
 from damaskstall.tasks.metrics import (
     ANSWER_AGE_SECONDS,
+    NO_LABELS,
     REQUEST_SECONDS,
     SUBMISSIONS,
 )
-from damaskstall.tasks.model import AcceptedJob, JobDeclaration, Queue
+from damaskstall.tasks.model import (
+    AcceptedJob,
+    JobDeclaration,
+    Queue,
+    TaskTeam,
+)
 
 # A refused client retries only a few times, and a store that has been down for
 # LONG_OUTAGE_S stays down for some seconds: clients then wait longer.
 RETRY_AFTER_S = 1
 LONG_OUTAGE_S = 1.5
 LONG_RETRY_AFTER_S = 2
-# A removed key may be accepted for at most key_removal_s. So the configuration
-# must have been confirmed within that time less this margin, which covers a
-# call in progress.
-KEY_MARGIN_S = 1.0
 # Part of the client's deadline that is reserved for sending the answer.
 ANSWER_MARGIN_S = 0.2
 DEFAULT_DEADLINE_S = 3.0
@@ -84,8 +86,19 @@
         """Return the answer body with the number of waiting jobs."""
 
 
+class RequestRoute(NamedTuple):
+    """What a request is for: its queue, its team, and the path below both.
+
+    The team of a request for a public queue is "".
+    """
+
+    queue: Queue
+    team: str
+    remaining_path: str
+
+
 class TaskGateway:
-    """Handler of clients' requests, by the newest known configuration."""
+    """Handler of clients' requests, by the newest configuration."""
 
     def __init__(
         self, context: NodeContext, jobs: JobService, codec: JobCodec
@@ -99,115 +112,127 @@
         """Answer one request, and record its latency."""
         started_s = self.context.clock()
         response = await self._answer(request)
-        self._record_age(request, response.status)
         # Clients may send any word as a method; each label value uses memory.
         method = request.method if request.method in METHODS else "other"
         labels = {"method": method, "status": str(response.status)}
         REQUEST_SECONDS.observe(labels, self.context.clock() - started_s)
         return response
 
-    def _record_age(self, request: Request, status: int) -> None:
-        """Record how old the configuration is by which a request is answered.
+    async def _answer(self, request: Request) -> Response:
+        route = await self._find_route(request)
+        if isinstance(route, Response):
+            return route
+        return await self._serve(request, route)
 
-        The log names an age beyond the bound.
-        """
-        configuration = self.context.configuration
-        if not configuration.known:
-            return
-        age_s = configuration.age_s(self.context.clock())
-        ANSWER_AGE_SECONDS.observe({"status": str(status)}, age_s)
-        bound_s = self.context.settings.configuration_s
-        if age_s > bound_s:
-            log(
-                CONFIGURATION_OUTDATED,
-                path=request.path,
-                status=status,
-                version=configuration.state.version,
-                state_age_s=round(age_s, 2),
-                bound_s=bound_s,
-            )
+    async def _find_route(self, request: Request) -> RequestRoute | Response:
+        """Return what a request is for, or the refusal to send.
 
-    async def _answer(self, request: Request) -> Response:
+        Both are decided by a configuration that is confirmed recently enough
+        for its bounds.
+        """
         configuration = self.context.configuration
         if not configuration.known:
             return retry_later_response(
                 503, "No configuration has been read yet.", RETRY_AFTER_S
             )
+        if not await self.context.config_watcher.confirm():
+            return self._refuse_unconfirmed(request)
+        ANSWER_AGE_SECONDS.observe(
+            NO_LABELS, configuration.age_s(self.context.clock())
+        )
         host = request.headers.get("host", "").partition(":")[0]
         queue = configuration.state.find_queue(host, request.path)
         if queue is None:
             return error_response(
                 404, f"No queue serves {host}{request.path}."
             )
-        team = ""
-        if not queue.public:
-            refusal = self._check_key(request)
-            if isinstance(refusal, Response):
-                return refusal
-            team = refusal
         remaining_path = request.path.removeprefix(queue.path_prefix)
-        return await self._serve(request, queue, team, remaining_path)
+        if queue.public:
+            return RequestRoute(queue, "", remaining_path)
+        team = self._find_team(request)
+        if isinstance(team, Response):
+            return team
+        return RequestRoute(queue, team.name, remaining_path)
 
-    def _check_key(self, request: Request) -> Response | str:
-        """Return the team of a request's API key, or the refusal to send."""
+    def _refuse_unconfirmed(self, request: Request) -> Response:
         configuration = self.context.configuration
         age_s = configuration.age_s(self.context.clock())
-        if age_s > self.context.settings.key_removal_s - KEY_MARGIN_S:
-            log(
-                REQUEST_REFUSED, path=request.path, state_age_s=round(age_s, 2)
-            )
-            return retry_later_response(
-                503,
-                f"The configuration was last confirmed {age_s:.1f} s ago.",
-                self._retry_after_s(),
-            )
+        limit_s = self.context.settings.configuration_age_limit_s
+        log(
+            CONFIGURATION_OUTDATED,
+            path=request.path,
+            version=configuration.state.version,
+            state_age_s=round(age_s, 2),
+            bound_s=limit_s,
+        )
+        return retry_later_response(
+            503,
+            f"The configuration was last confirmed {age_s:.1f} s ago, and at "
+            f"most {limit_s:.1f} s are allowed.",
+            self._retry_after_s(),
+        )
+
+    def _find_team(self, request: Request) -> TaskTeam | Response:
+        """Return the team of a request's API key, or the refusal to send."""
         text = request.headers.get("authorization", "")
         if not text.lower().startswith(BEARER):
             return error_response(401, "The request has no API key.")
-        team = configuration.state.team_of_key(text[len(BEARER) :].strip())
+        state = self.context.configuration.state
+        team = state.team_of_key(text[len(BEARER) :].strip())
         if team is None:
             return error_response(401, "The API key is not known.")
-        return team.name
+        return team
 
-    async def _serve(
-        self, request: Request, queue: Queue, team: str, remaining_path: str
-    ) -> Response:
-        if not remaining_path and request.method == "GET":
-            return await self._waiting(queue)
-        if not is_job_id(remaining_path):
-            return error_response(
-                400, f"{remaining_path!r} is not a valid job name."
-            )
+    async def _serve(self, request: Request, route: RequestRoute) -> Response:
+        job_id = route.remaining_path
+        if not job_id and request.method == "GET":
+            return await self._waiting(route.queue)
+        if not is_job_id(job_id):
+            return error_response(400, f"{job_id!r} is not a valid job name.")
         if request.method == "POST":
-            return await self._submit(request, queue, team, remaining_path)
+            return await self._submit(request, job_id)
         if request.method == "GET":
-            return await self._state(remaining_path)
+            return await self._state(job_id)
         if request.method == "DELETE":
-            return await self._cancel(request, team, remaining_path)
+            return await self._cancel(request, route.team, job_id)
         return error_response(
             405, f"The method {request.method} is not supported."
         )
 
-    async def _submit(
-        self, request: Request, queue: Queue, team: str, job_id: str
-    ) -> Response:
+    async def _submit(self, request: Request, job_id: str) -> Response:
         limit = self.context.configuration.state.body_limit_bytes
         try:
             body = await request.body.read(limit)
             declaration = self.codec.declaration(body)
             check_declaration(declaration)
-            check_supported(queue)
         except BodyTooLargeError as error:
             return self._refuse_submission(job_id, 413, str(error))
         except ValidationError as error:
             return self._refuse_submission(job_id, 400, str(error))
         except UnsupportedJobError as error:
             return self._refuse_submission(job_id, 422, str(error))
+        # The configuration may have changed while the body arrived.
+        route = await self._find_route(request)
+        if isinstance(route, Response):
+            return route
+        return await self._store_job(request, route, declaration)
+
+    async def _store_job(
+        self,
+        request: Request,
+        route: RequestRoute,
+        declaration: JobDeclaration,
+    ) -> Response:
+        queue, job_id = route.queue, route.remaining_path
+        try:
+            check_supported(queue)
+        except UnsupportedJobError as error:
+            return self._refuse_submission(job_id, 422, str(error))
         job = AcceptedJob(
             job_id,
             queue.name,
             queue.service,
-            team,
+            route.team,
             self.context.unix_s(),
             declaration,
             queue.terms,
--- a/src/damaskstall/tasks/metrics.py
+++ b/src/damaskstall/tasks/metrics.py
@@ -45,7 +45,7 @@
 )
 ANSWER_AGE_SECONDS = Histogram(
     "damaskstall_task_answer_age_seconds",
-    "Age of the configuration by which a request was answered, by status.",
+    "Age of the configuration by which a request was decided.",
     buckets=AGE_BUCKETS_S,
 )
 REQUEST_SECONDS = Histogram(
--- a/src/damaskstall/tasks/node.py
+++ b/src/damaskstall/tasks/node.py
@@ -39,6 +39,9 @@
 # The load balancer probes once a second and removes an instance after two
 # failed probes.
 BALANCER_NOTICE_S = 2.4
+# A configuration is confirmed on demand when it has reached its age limit, so
+# one that is a little older may only have met no request.
+READINESS_DELAY_S = 1.0
 # Time reserved for the process to exit before it is killed.
 EXIT_MARGIN_S = 0.8
 
@@ -88,8 +91,13 @@
         return self.context.settings
 
     def is_ready(self) -> bool:
-        """Return whether the node should get new connections."""
-        return self.configuration.known and not self.stopping
+        """Return whether the node should get new connections.
+
+        It refuses requests while its configuration is not confirmed.
+        """
+        age_s = self.configuration.age_s(self.context.clock())
+        limit_s = self.settings.configuration_age_limit_s + READINESS_DELAY_S
+        return age_s <= limit_s and not self.stopping
 
     def dump(self) -> dict[str, Any]:
         """Return the full state as JSON values, without API keys."""
