Do not count a configuration as confirmed while a newer row is refused

Change: a row of the configuration is refused until it is applied, whatever the reason is: a field, unreadable bytes, a removed row, an unexpected error. Meanwhile nothing is confirmed, and requests are refused once the bound has passed.

So that one field does not refuse a whole deployment: the store accepts only valid configurations, so the readable parts of a version are in force. A queue that cannot be read is answered with 503 where it may be meant, services count as not checking, and a key that is not found in an incomplete list of teams is not called unknown. state_incomplete (8061) names the parts.

An unreadable row of another writer counted as removed, which ended an evacuation; it is empty now, as its key says that it exists.

--- a/src/damaskstall/platform/events.py
+++ b/src/damaskstall/platform/events.py
@@ -6,5 +6,6 @@
     7000,
     "WARNING",
     "row_unreadable",
-    "A row of the store cannot be decoded: it counts as absent.",
+    "A row of the store cannot be decoded: it counts as absent, one of "
+    "another writer as empty.",
 )
--- a/src/damaskstall/platform/operator_rows.py
+++ b/src/damaskstall/platform/operator_rows.py
@@ -1,6 +1,7 @@
 """Decode the rows that operators and workers write to typed records."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 
 from damaskstall.addresses import Address, parse_ip_endpoint
 from damaskstall.bounds import (
@@ -19,11 +20,14 @@
 from damaskstall.tasks.desired_state import (
     DEFAULT_BODY_LIMIT_BYTES,
     DesiredState,
+    QueuePattern,
 )
 from damaskstall.tasks.machine_evidence import MachineEntry
 from damaskstall.tasks.model import Demand, Queue, TaskTeam, WorkerInfo
 from damaskstall.tasks.ports import AnswerLimit
 
+Part = TypeVar("Part")
+
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WORKER_PREFIX = "servers/"
@@ -95,21 +99,62 @@
 
 def decode_desired_state(value: Any) -> DesiredState:
     """Return the configuration that a JSON value describes."""
-    queues = [decode_queue(route) for route in value["routes"]]
+    queues, queue_problems = decode_each(decode_queue, value["routes"])
     queues.sort(key=lambda queue: -len(queue.path_prefix))
-    capacity_checked = frozenset(
-        decode_name("service", service["name"])
-        for service in value["services"]
-        if service.get("enforces_capacity")
-    )
+    services, service_problems = decode_each(decode_service, value["services"])
+    teams, team_problems = decode_each(decode_team, value.get("tenants", ()))
+    problems = queue_problems + service_problems + team_problems
     limits = value.get("limits", {})
     body_bytes = limits.get("body_bytes", DEFAULT_BODY_LIMIT_BYTES)
     return DesiredState(
         checked_int("version", value["version"], 0, UNIX_MS_LIMIT),
         tuple(queues),
-        capacity_checked,
-        tuple(decode_team(tenant) for tenant in value.get("tenants", ())),
+        frozenset(name for name in services if name),
+        tuple(teams),
         checked_int("body_bytes", body_bytes, 0, AMOUNT_LIMIT),
+        tuple(decode_pattern(problem.value) for problem in queue_problems),
+        not team_problems,
+        tuple(problem.error for problem in problems),
+    )
+
+
+class PartProblem(NamedTuple):
+    """A part of a configuration that cannot be read, and why."""
+
+    value: Any
+    error: str
+
+
+def decode_each(
+    decode: Callable[[Any], Part], values: Any
+) -> tuple[list[Part], list[PartProblem]]:
+    """Return the parts of a configuration, and those that cannot be read.
+
+    The store accepts only valid configurations, so a version with a part that
+    this program does not know is in force like any other.
+    """
+    parts, problems = [], []
+    for value in values:
+        try:
+            parts.append(decode(value))
+        except DECODE_ERRORS as error:
+            problems.append(PartProblem(value, repr(error)))
+    return parts, problems
+
+
+def decode_service(service: Any) -> str:
+    """Return a service's name if its workers check their capacity, or ""."""
+    name = decode_name("service", service["name"])
+    return name if service.get("enforces_capacity") else ""
+
+
+def decode_pattern(route: Any) -> QueuePattern:
+    """Return what is known of a queue whose route cannot be read."""
+    fields = route if isinstance(route, dict) else {}
+    host, prefix = fields.get("host"), fields.get("path_prefix")
+    return QueuePattern(
+        host if isinstance(host, str) else None,
+        prefix if isinstance(prefix, str) else None,
     )
 
 
--- a/src/damaskstall/platform/row_store.py
+++ b/src/damaskstall/platform/row_store.py
@@ -42,6 +42,9 @@
 COMPRESSION_THRESHOLD_BYTES = 4096
 # The first byte of a zlib stream; no JSON text begins with it.
 ZLIB_FIRST_BYTE = b"x"
+# The value of a row of another writer that cannot be decoded. The row exists,
+# and some rows say all with their keys.
+UNREADABLE_VALUE: dict[str, Any] = {}
 # A row of 64 KiB could otherwise fill the memory of an instance.
 VALUE_LIMIT_BYTES = 4 * 1024 * 1024
 
@@ -104,7 +107,10 @@
 
 
 def decode_row(fields: Any) -> Row:
-    """Return a row; one that cannot be decoded counts as deleted."""
+    """Return a row; one that cannot be decoded counts as deleted.
+
+    One of another writer counts as empty, since its key says that it exists.
+    """
     location = RowLocation(
         str(fields["table"]), str(fields["part"]), str(fields["key"])
     )
@@ -115,11 +121,14 @@
     try:
         value = parse_json(decompress_value(b64decode(fields["value"])))
         if location.table in EXTERNAL_TABLES:
+            value = UNREADABLE_VALUE if value is None else value
             return Row(key, revision, "", value)
         return Row(key, revision, value["id"], value["value"])
     except (*DECODE_ERRORS, zlib_error) as error:
         log(ROW_UNREADABLE, key=key, revision=revision, error=repr(error))
-        return Row(key, revision, "", None)
+        is_external = location.table in EXTERNAL_TABLES
+        value = UNREADABLE_VALUE if is_external else None
+        return Row(key, revision, "", value)
 
 
 def decode_scan(value: Any) -> ScanPage:
--- a/src/damaskstall/tasks/configuration.py
+++ b/src/damaskstall/tasks/configuration.py
@@ -16,6 +16,7 @@
 from damaskstall.tasks.events import (
     EVACUATION_CHANGED,
     STATE_APPLIED,
+    STATE_INCOMPLETE,
     STATE_REFUSED,
 )
 from damaskstall.tasks.model import Queue
@@ -44,6 +45,8 @@
         self.confirmed_s = NEVER_S
         self.revision = NO_REVISION
         self._row: Row | None = None
+        # The revision of a newer row that was not applied.
+        self._refused_revision = NO_REVISION
         self._changed = Event()
 
     @property
@@ -126,8 +129,10 @@
         self._confirm(report.revision, confirmed_s)
 
     def _confirm(self, revision: int, confirmed_s: float) -> None:
+        """Record that what is known is in force, unless a row was refused."""
         self.revision = revision
-        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        if self._refused_revision <= self.row_revision:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def _apply(self, row: Row) -> None:
         with contained("operators' row", row.key):
@@ -138,12 +143,21 @@
         if domain:
             self._set_evacuated(domain, row.value is not None)
             return
-        if not self.platform.is_configuration(row.key) or row.value is None:
+        if self.platform.is_configuration(row.key):
+            self._apply_configuration(row)
+
+    def _apply_configuration(self, row: Row) -> None:
+        if row.revision == self.row_revision:
             return
+        # Until it is applied: neither may an error in this confirm what it
+        # replaces.
+        was_refused = row.revision <= self._refused_revision
+        self._refused_revision = max(row.revision, self._refused_revision)
         try:
             state = self.platform.desired_state(row)
         except MalformedRowError as error:
-            log(STATE_REFUSED, revision=row.revision, error=str(error))
+            if not was_refused:
+                log(STATE_REFUSED, revision=row.revision, error=str(error))
             return
         if state.version <= self.state.version:
             return
@@ -151,6 +165,12 @@
         self.queues = state.queue_by_name()
         self.seen_queues.update(self.queues)
         self._row = row
+        if state.problems:
+            log(
+                STATE_INCOMPLETE,
+                version=state.version,
+                problems="; ".join(state.problems),
+            )
         log(
             STATE_APPLIED,
             version=state.version,
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -9,7 +9,14 @@
     8001,
     "ERROR",
     "state_refused",
-    "A configuration cannot be read: the previous one stays in force.",
+    "A configuration cannot be read: the previous one is no longer confirmed.",
+)
+STATE_INCOMPLETE = Event(
+    8061,
+    "ERROR",
+    "state_incomplete",
+    "Parts of a configuration cannot be read: requests that may concern them "
+    "are refused, and the rest is in force.",
 )
 EVACUATION_CHANGED = Event(
     8002,
--- a/src/damaskstall/tasks/gateway.py
+++ b/src/damaskstall/tasks/gateway.py
@@ -141,7 +141,10 @@
             NO_LABELS, configuration.age_s(self.context.clock())
         )
         host = request.headers.get("host", "").partition(":")[0]
-        queue = configuration.state.find_queue(host, request.path)
+        state = configuration.state
+        if state.may_be_unreadable(host, request.path):
+            return self._refuse_unreadable(request, "queue")
+        queue = state.find_queue(host, request.path)
         if queue is None:
             return error_response(
                 404, f"No queue serves {host}{request.path}."
@@ -172,6 +175,12 @@
             self._retry_after_s(),
         )
 
+    def _refuse_unreadable(self, request: Request, part: str) -> Response:
+        version = self.context.configuration.state.version
+        reason = f"A {part} of the configuration {version} cannot be read."
+        log(REQUEST_REFUSED, path=request.path, reason=reason)
+        return retry_later_response(503, reason, LONG_RETRY_AFTER_S)
+
     def _find_team(self, request: Request) -> TaskTeam | Response:
         """Return the team of a request's API key, or the refusal to send."""
         text = request.headers.get("authorization", "")
@@ -179,6 +188,8 @@
             return error_response(401, "The request has no API key.")
         state = self.context.configuration.state
         team = state.team_of_key(text[len(BEARER) :].strip())
+        if team is None and not state.teams_complete:
+            return self._refuse_unreadable(request, "team")
         if team is None:
             return error_response(401, "The API key is not known.")
         return team
--- a/tests/tasks/test_drawn_inputs.py
+++ b/tests/tasks/test_drawn_inputs.py
@@ -4,8 +4,10 @@
 broken in one or two places, written beside jobs that must be completed.
 """
 
+from base64 import b64encode
 from collections.abc import Callable
 from copy import deepcopy
+from json import dumps
 from random import Random
 from typing import Any
 
@@ -132,8 +134,21 @@
 DRAWN: tuple[Drawn, ...] = (write_worker, write_operators_row, write_bytes)
 
 
-async def send_request(random: Random, cluster: Cluster, number: int) -> None:
-    """Submit a broken job, or make another odd request."""
+def is_stored(cluster: Cluster, state: dict[str, Any]) -> bool:
+    """Return whether a configuration is the one in the store."""
+    rows, _ = cluster.store.rows.get("op", "", "config", 1)
+    text = b64encode(dumps(state).encode()).decode()
+    return any(row["value"] == text for row in rows)
+
+
+async def send_request(
+    random: Random, cluster: Cluster, number: int, valid: dict[str, Any]
+) -> None:
+    """Submit a broken job, or make another odd request.
+
+    While the newest configuration is a broken one and not ``valid``, what it
+    may concern is not decided by an older one.
+    """
     node = random.choice(list(cluster.nodes))
     path = f"/{NORMAL}/{job_id(number)}"
     method = random.choice(("POST", "POST", "POST", "GET", "DELETE", "PUT"))
@@ -146,6 +161,10 @@
         path = random.choice(("/", f"/{NORMAL}/x", f"/{NORMAL}/%00", "//a"))
     cluster.history.jobs[job_id(number)] = body
     reply = await cluster.call(method, path, body, node=node)
+    if reply.status == 503 and not is_stored(cluster, valid):
+        assert "configuration" in reply.value["error"], reply
+        assert "retry-after" in reply.headers
+        return
     assert reply.status < 500, (method, path, body, reply)
     if reply.status == 200 and method == "POST":
         # Such a job may wait, and must not use capacity for long.
@@ -159,11 +178,12 @@
 
     async def scenario(cluster: Cluster) -> None:
         epoch = epoch_of(cluster)
+        state = configuration(1)
         for number in range(INPUTS):
             if random.random() < 0.5:
                 random.choice(DRAWN)(random, cluster)
             else:
-                await send_request(random, cluster, 1000 + number)
+                await send_request(random, cluster, 1000 + number, state)
             await sleep(random.choice((0.0, 0.1, 0.6)))
             if number % INPUTS_PER_JOB == 0:
                 # What was drawn may be a valid configuration without queues.
