Do not take a failing table for a refusal of all calls

The tables without parts shared one mark of success, and a failure there counted as one of the store, so each instance relayed all its calls to peers that did the same.

Change: success and failure are counted by table and part. The table with the lease still stands for the store, whose failure is then relayed at once.

Test: test_holder_keeps_the_lease_while_the_operators_rows_fail_alone failed before.

--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -22,6 +22,7 @@
 # Interval of direct test calls while the store refuses this instance.
 PROBE_S = 0.25
 PROBE_KEY = "cell/service"
+LEASE_TABLE = "cell"
 # A peer that cannot reach the store answers at once. If this many peers fail,
 # the store is probably unavailable to all instances.
 PEER_TRIES = 3
@@ -29,8 +30,8 @@
 # The lease is renewed several times within this time, so if nothing was
 # answered in it, the store refuses all calls of this instance.
 ANSWER_AGE_S = 0.5
-# Stands for the part of a call that concerns all parts of a table.
-ALL_PARTS = "*"
+# Follows the table in the shard of a call that concerns all its parts.
+ALL_PARTS = "@*"
 
 
 class RelayedTable:
@@ -43,7 +44,7 @@
         self.latency = StoreLatency()
         self.refused = False
         self.refused_since_s = float("inf")
-        # When a direct call was last answered, by part.
+        # When a direct call was last answered, by shard.
         self._answered_s: dict[str, float] = {}
         self._refused_event = Event()
         self._relayed: set[CancelScope] = set()
@@ -73,13 +74,13 @@
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
         return await self._call(
-            part_of_key(key), lambda table: table.read(key), "read"
+            shard_of(key), lambda table: table.read(key), "read"
         )
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
         """Return rows whose key begins with a prefix, after a key."""
         return await self._call(
-            part_of_key(prefix),
+            shard_of(prefix),
             lambda table: table.scan(prefix, after, limit),
             "scan",
         )
@@ -89,7 +90,7 @@
     ) -> ChangePage:
         """Return rows changed after a revision."""
         return await self._call(
-            ALL_PARTS,
+            shard_of(prefix) + ALL_PARTS,
             lambda table: table.changes(prefix, after_revision, limit),
         )
 
@@ -98,7 +99,7 @@
     ) -> ChangePage:
         """Return the rows of a table changed after a revision, in order."""
         return await self._call(
-            ALL_PARTS,
+            table + ALL_PARTS,
             lambda target: target.watch(table, after_revision, wait_s),
         )
 
@@ -109,14 +110,14 @@
         the caller resolves the outcome by reading the row.
         """
         return await self._call(
-            part_of_key(writes[0].key),
+            shard_of(writes[0].key),
             lambda target: target.commit(writes, mutation_id),
             COMMIT,
         )
 
     async def _call(
         self,
-        part: str,
+        shard: str,
         call: Callable[[WatchedTable], Awaitable[Result]],
         measured_as: str = "",
     ) -> Result:
@@ -128,12 +129,12 @@
             try:
                 sent_s = self.peers.clock()
                 result = await call(self.direct)
-                now_s = self._answered_s[part] = self.peers.clock()
+                now_s = self._answered_s[shard] = self.peers.clock()
                 if measured_as:
                     self.latency.record(measured_as, now_s - sent_s)
                 return result
             except TableUnavailableError as refusal:
-                if not self._fails_alone(part, self.peers.clock()):
+                if not self._fails_alone(shard, self.peers.clock()):
                     self._mark_refused(str(refusal))
         with CancelScope() as scope:
             self._relayed.add(scope)
@@ -174,14 +175,13 @@
             return result
         raise last_error
 
-    def _fails_alone(self, part: str, now_s: float) -> bool:
-        """Return whether the store answers calls for other parts.
+    def _fails_alone(self, shard: str, now_s: float) -> bool:
+        """Return whether the store answers calls for other shards.
 
-        The part without a name contains the lease and the configuration, so
-        its failure counts as that of the store.
+        A failure of the table with the lease counts as one of the store.
         """
-        self._answered_s.pop(part, None)
-        if not part:
+        self._answered_s.pop(shard, None)
+        if shard == LEASE_TABLE:
             return False
         return any(
             now_s - answered_s < ANSWER_AGE_S
@@ -197,9 +197,9 @@
         log(RELAY_STARTED, reason=reason)
 
 
-def part_of_key(key: str) -> str:
-    """Return the part that a key, or a prefix of keys, is in."""
-    return key.partition("/")[0].partition("@")[2]
+def shard_of(key: str) -> str:
+    """Return the table, and the part of it, that a key or prefix is in."""
+    return key.partition("/")[0]
 
 
 class ConfigurationSource(Protocol):
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -155,3 +155,22 @@
         assert holder.context.configuration.evacuated == {"fd0"}
 
     run_scenario(scenario, nodes=3)
+
+
+def test_holder_keeps_the_lease_while_the_operators_rows_fail_alone() -> None:
+    """Each instance took the failing table for a refusal of all its calls."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(job_id(0), [ONE_TASK], work_s=25.0)
+        await sleep(1.0)
+        holder = cluster.holder()
+        for path in ("/rows-feed", "/rows-get"):
+            cluster.store.failing_calls[path, "op", ALL_CALLERS] = BUSY
+        await sleep(20.0)
+        assert cluster.holder() == holder
+        cluster.store.failing_calls.clear()
+        await cluster.wait_state(job_id(0), "completed")
+        check_finished_once(cluster, job_id(0))
+        assert len(cluster.history.runs) == 1
+
+    run_scenario(scenario, nodes=3)
