Start no task by evacuations or workers that were confirmed too long ago

Operators saw nothing yet; a test sees tasks that start in a failure domain more than 5 s after its evacuation, and on draining workers more than 2 s after their report, while the feed of that table fails, or its rows too: the holder placed by what it had read last, however long ago. A task that had been placed before, and whose row was stored late, was started there although the holder knew better.

Change: no round decides, and no start is sent, while the evacuations are older than evacuation_ms or the list of workers is older than drain_ms; what runs goes on, and its leases are renewed. Each sending looks at the worker again: one that leaves or whose domain is evacuated gets no start, and the unit is placed elsewhere. unit_waiting names places_unconfirmed.

--- a/src/damaskstall/platform/local_settings.py
+++ b/src/damaskstall/platform/local_settings.py
@@ -8,6 +8,8 @@
 from damaskstall.errors import DECODE_ERRORS, SettingsError
 from damaskstall.tasks.node_settings import (
     DEFAULT_CONFIGURATION_S,
+    DEFAULT_EVACUATION_S,
+    DEFAULT_WORKER_DRAIN_S,
     NodeSettings,
 )
 
@@ -55,6 +57,8 @@
         configuration_s=bound_s(
             bounds, "configuration_ms", DEFAULT_CONFIGURATION_S
         ),
+        evacuation_s=bound_s(bounds, "evacuation_ms", DEFAULT_EVACUATION_S),
+        worker_drain_s=bound_s(bounds, "drain_ms", DEFAULT_WORKER_DRAIN_S),
         bounds_key_removal=bool(bounds.get("strict_revocation", True)),
     )
 
--- a/src/damaskstall/tasks/config_watcher.py
+++ b/src/damaskstall/tasks/config_watcher.py
@@ -33,12 +33,11 @@
     ConfigurationReport,
     WatchedTable,
 )
-from damaskstall.tasks.scans import scan_rows
+from damaskstall.tasks.scans import scan_current_rows
 
 # Each answer confirms the configuration as of its request, so its age stays
 # below about twice this time while the feed answers.
 WATCH_WAIT_S = 1.0
-OPERATOR_PREFIX = f"{OPERATOR_TABLE}/"
 # Longest delay before a retry: the platform requires that a new configuration
 # is in force within 2 s.
 RETRY_LIMIT_S = 0.3
@@ -166,12 +165,10 @@
 
     async def _read_rows(self) -> None:
         sent_s = self.clock()
-        found = await scan_rows(self.table, OPERATOR_PREFIX)
-        if not self.configuration.replace(found.rows, found.revision, sent_s):
-            raise TableUnavailableError(
-                f"The rows are those of revision {found.revision}, before "
-                f"{self.configuration.revision}."
-            )
+        found = await scan_current_rows(
+            self.table, OPERATOR_TABLE, self.configuration.revision
+        )
+        self.configuration.replace(found.rows, found.revision, sent_s)
 
     async def _read_changes(self, wait_s: float = 0.0) -> None:
         if self.configuration.revision == NO_REVISION:
--- a/src/damaskstall/tasks/configuration.py
+++ b/src/damaskstall/tasks/configuration.py
@@ -69,26 +69,22 @@
 
     def replace(
         self, rows: Iterable[Row], revision: int, sent_s: float
-    ) -> bool:
+    ) -> None:
         """Apply all rows, as read by a request that was sent at a time.
 
-        Return False if they are older than what is known. A mark that such
-        rows lack may have been set since, and only a newer version in them is
-        applied.
+        Rows that were read before the ones known, in a call that took longer,
+        are ignored: a mark that they lack may have been set since.
         """
-        is_current = revision >= self.revision
+        if revision < self.revision:
+            return
         found = list(rows)
         listed = {self.platform.evacuated_domain(row.key) for row in found}
-        if is_current:
-            for domain in self.evacuated - listed:
-                self._set_evacuated(domain, False)
+        for domain in self.evacuated - listed:
+            self._set_evacuated(domain, False)
         for row in found:
-            if is_current or self.platform.is_configuration(row.key):
-                self._apply(row)
+            self._apply(row)
         self._wake()
-        if is_current:
-            self._confirm(revision, sent_s)
-        return is_current
+        self._confirm(revision, sent_s)
 
     def update(
         self, rows: Iterable[Row], revision: int, sent_s: float
--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -42,7 +42,7 @@
     withdrawn_unix_s,
 )
 from damaskstall.tasks.machine_list_poller import MachineListPoller
-from damaskstall.tasks.model import QUEUED, Demand, RunKey
+from damaskstall.tasks.model import QUEUED, Demand, RunKey, WorkerInfo
 from damaskstall.tasks.policy import (
     Decision,
     RoundResult,
@@ -84,7 +84,7 @@
 from damaskstall.tasks.supervision import restart_on_error
 from damaskstall.tasks.sweeper import Sweeper
 from damaskstall.tasks.urgent_load import UrgentLoad
-from damaskstall.tasks.wait_reasons import LEASE_NOT_HELD
+from damaskstall.tasks.wait_reasons import LEASE_NOT_HELD, PLACES_UNCONFIRMED
 from damaskstall.tasks.waiting_units import RoundView, WaitingUnits
 from damaskstall.tasks.worker_lease import OUTAGE_RENEWAL_LIMIT_S
 from damaskstall.tasks.worker_pool import WorkerPool
@@ -251,6 +251,26 @@
         """
         return self.lease.is_held(self.context.clock())
 
+    def knows_places(self) -> bool:
+        """Return whether evacuations and workers were confirmed lately.
+
+        Otherwise a failure domain may have been evacuated, or a worker may
+        have reported that it leaves, for longer than starts may go there.
+        """
+        now_s = self.context.clock()
+        settings = self.context.settings
+        evacuations_age_s = self.context.configuration.age_s(now_s)
+        workers_age_s = self.pool.worker_list.age_s(now_s)
+        return (
+            evacuations_age_s <= settings.evacuation_s
+            and workers_age_s <= settings.worker_drain_s
+        )
+
+    def may_use(self, worker: WorkerInfo) -> bool:
+        """Return whether a worker stays, in a domain that is in service."""
+        evacuated = self.context.configuration.evacuated
+        return not worker.leaving and worker.failure_domain not in evacuated
+
     def record_settled(self, key: RunKey) -> None:
         """Record that no start of a run can be carried out late any more.
 
@@ -498,7 +518,7 @@
             now_s = self.context.clock()
             for stop in self.monitor.find_stops(self._used_jobs(), now_s):
                 self.stop_unit(*stop)
-            if self.lease.may_decide(now_s):
+            if not self._decision_obstacle(now_s):
                 self._apply_round(decide(self._scheduling_input(), now_s))
             if self.waiting_units.is_due(now_s):
                 # It only explains why units wait.
@@ -510,17 +530,20 @@
                 await self._wake.wait()
             await sleep(max(DECISION_BATCH_S, took_s * PAUSE_PER_ROUND))
 
+    def _decision_obstacle(self, now_s: float) -> str:
+        """Return why nothing may be decided at present, or ""."""
+        if not self.lease.may_decide(now_s):
+            return LEASE_NOT_HELD
+        return "" if self.knows_places() else PLACES_UNCONFIRMED
+
     def _round_view(self, now_s: float) -> RoundView:
         """Return what explains why units wait after this round."""
-        obstacle = ""
-        if not self.lease.may_decide(now_s):
-            obstacle = LEASE_NOT_HELD
         evacuated = self.context.configuration.evacuated
         return RoundView(
             self._scheduling_input(),
             self.pool.worker_states(evacuated),
             self.kept,
-            obstacle,
+            self._decision_obstacle(now_s),
         )
 
     def _count_work(self) -> WorkCounts:
--- a/src/damaskstall/tasks/node_settings.py
+++ b/src/damaskstall/tasks/node_settings.py
@@ -4,8 +4,10 @@
 
 from damaskstall.addresses import Address
 
-# The shortest bound of the present deployments.
+# The shortest bounds of the present deployments.
 DEFAULT_CONFIGURATION_S = 2.0
+DEFAULT_EVACUATION_S = 5.0
+DEFAULT_WORKER_DRAIN_S = 2.0
 
 
 class NodeSettings(NamedTuple):
@@ -14,11 +16,13 @@
     ``stop_grace_s`` is the time from the request to stop until the process
     is killed. ``configuration_s`` bounds for how long an earlier configuration
     may still be in force, and ``key_removal_s`` for how long a removed key may
-    still be accepted, if ``bounds_key_removal`` is set. ``worker_lease_s`` is
-    the longest lease that a worker grants. ``machines`` is the address of the
-    platform's list of machines, or None. ``state_kept_s`` is for how long the
-    state of a finished job is kept. ``processor_cores`` is how many cores the
-    process may use.
+    still be accepted, if ``bounds_key_removal`` is set. ``evacuation_s`` and
+    ``worker_drain_s`` bound for how long tasks may still start in a failure
+    domain that is evacuated, and on a worker that leaves. ``worker_lease_s``
+    is the longest lease that a worker grants. ``machines`` is the address of
+    the platform's list of machines, or None. ``state_kept_s`` is for how long
+    the state of a finished job is kept. ``processor_cores`` is how many cores
+    the process may use.
     """
 
     instance: str
@@ -37,6 +41,8 @@
     state_kept_s: float = 120.0
     configuration_s: float = DEFAULT_CONFIGURATION_S
     bounds_key_removal: bool = True
+    evacuation_s: float = DEFAULT_EVACUATION_S
+    worker_drain_s: float = DEFAULT_WORKER_DRAIN_S
 
     @property
     def configuration_age_limit_s(self) -> float:
--- a/src/damaskstall/tasks/run_launch.py
+++ b/src/damaskstall/tasks/run_launch.py
@@ -123,8 +123,9 @@
                     if not self._should_send(request):
                         self._log("not needed")
                         return
-                    if not target.load.fits(target.worker):
-                        self._give_up_for_capacity()
+                    unfit = self._unfit_reason()
+                    if unfit:
+                        self._give_up(unfit)
                         return
                     self.attempts += 1
                     clock_s = await self._send(request)
@@ -169,13 +170,22 @@
             return False
         return target.owner.should_continue(target.worker.name, self.key)
 
-    def _give_up_for_capacity(self) -> None:
-        """Send no start to a worker whose capacity has shrunk meanwhile.
+    def _unfit_reason(self) -> str:
+        """Return why the worker may get no start any more, or ""."""
+        target = self.target
+        if not target.owner.may_use(target.worker):
+            return "the worker is not used any more"
+        if not target.load.fits(target.worker):
+            return "the capacity has shrunk"
+        return ""
+
+    def _give_up(self, reason: str) -> None:
+        """Send no start to a worker that has become unfit meanwhile.
 
         After an attempt without an answer, the worker's lists show whether
         the run exists.
         """
-        self._log("the capacity has shrunk")
+        self._log(reason)
         if not self.unanswered:
             self.target.end_run(self.key, ENDED_NOT_STARTED, NOT_LAUNCHED)
 
@@ -184,11 +194,14 @@
 
         Returns the time on the worker's clock. Raises CommandNotSentError
         while the worker does not answer renewals, whose next answer shows
-        whether it has started again.
+        whether it has started again, and while it is not known where tasks may
+        start.
         """
         target = self.target
         if not target.reachable:
             raise CommandNotSentError("The worker does not answer.")
+        if not target.owner.knows_places():
+            raise CommandNotSentError("It is not known where tasks may start.")
         target.late_starts.begin(self.key, target.clock())
         target.lease.extend_expiry(request.not_after_s)
         was_sent = target.expected.mark_sent(self.key, target.clock())
--- a/src/damaskstall/tasks/session_owner.py
+++ b/src/damaskstall/tasks/session_owner.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from damaskstall.tasks.model import RunKey
+from damaskstall.tasks.model import RunKey, WorkerInfo
 from damaskstall.tasks.ports import EndReport, RunReport
 
 
@@ -18,6 +18,12 @@
     def may_start_runs(self) -> bool:
         """Return whether start commands may be sent."""
 
+    def knows_places(self) -> bool:
+        """Return whether it is known where tasks may start at present."""
+
+    def may_use(self, worker: WorkerInfo) -> bool:
+        """Return whether tasks may start on a worker, as far as is known."""
+
     def record_settled(self, key: RunKey) -> None:
         """Record that a run has started and each of its starts was answered.
 
--- a/src/damaskstall/tasks/wait_reasons.py
+++ b/src/damaskstall/tasks/wait_reasons.py
@@ -34,6 +34,7 @@
 
 # No round is held.
 LEASE_NOT_HELD = "lease_not_held"
+PLACES_UNCONFIRMED = "places_unconfirmed"
 STORE_FAILING = "store_failing"
 # A start of an earlier run may still be carried out on another worker, or on
 # one that has no room for the unit.
--- a/src/damaskstall/tasks/worker_pool.py
+++ b/src/damaskstall/tasks/worker_pool.py
@@ -107,7 +107,10 @@
         self.owner = owner
         self.tokens = FencingTokens(epoch)
         self.worker_list = WorkerList(
-            context.platform, context.table, context.configuration
+            context.platform,
+            context.table,
+            context.configuration,
+            context.clock,
         )
         self.sessions: dict[str, WorkerSession] = {}
         self._orphans: dict[RunKey, Orphan] = {}
--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -129,6 +129,11 @@
         self.withhold_changes = False
         self._notify_watches()
 
+    def expire_watches(self) -> None:
+        """End waiting watches with 410, and keep the changes."""
+        self._history_drops += 1
+        self._notify_watches()
+
     def _apply(self, body: dict[str, Any]) -> int:
         full = {"expect": [], "writes": [], "remove": [], **body}
         version = self.rows.apply(full)
--- a/tests/tasks/session_fakes.py
+++ b/tests/tasks/session_fakes.py
@@ -184,6 +184,14 @@
         """Return whether the holder's lease allows starts."""
         return self.may_renew
 
+    def knows_places(self) -> bool:
+        """Return that the evacuations and the workers are known."""
+        return True
+
+    def may_use(self, worker: WorkerInfo) -> bool:
+        """Return whether the worker stays."""
+        return not worker.leaving
+
     def may_renew_leases(self) -> bool:
         """Return whether the holder's lease allows renewals."""
         return self.may_renew
--- a/tests/tasks/test_stale_reads.py
+++ b/tests/tasks/test_stale_reads.py
@@ -8,7 +8,7 @@
     all_parts,
     part_of,
 )
-from tests.tasks.cluster import Cluster, run_scenario
+from tests.tasks.cluster import Cluster, configuration, run_scenario
 from tests.tasks.job_specs import ONE_TASK, job_id
 from tests.tasks.test_accepted_jobs import check_started
 
@@ -74,3 +74,31 @@
         await check_started(cluster, current_time())
 
     run_scenario(scenario, nodes=3)
+
+
+def test_configuration_is_confirmed_though_rows_are_read_late() -> None:
+    """The feed has what such rows lack."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.store.put("op", "config", configuration(5))
+        cluster.store.put("op", "evacuate/fd1", {})
+        await sleep(1.0)
+        cluster.store.keep_old_rows()
+        cluster.store.put("op", "evacuate/fd0", {})
+        cluster.store.remove("op", "evacuate/fd1")
+        cluster.store.put("op", "config", configuration(6))
+        await sleep(0.5)
+        cluster.store.old_parts = {("op", "")}
+        cluster.store.expire_watches()
+        await sleep(0.1)
+        cluster.store.put("op", "config", configuration(7))
+        for _ in range(40):
+            await sleep(0.1)
+            for node in cluster.nodes.values():
+                assert node.config_watcher.is_confirmed()
+                assert node.configuration.evacuated == {"fd0"}
+        assert cluster.store.old_answers
+        for node in cluster.nodes.values():
+            assert node.configuration.state.version == 7
+
+    run_scenario(scenario)
