Read the jobs while the feed of jobs or cancellations is late

The same cause once more: the holder knew of jobs and cancellations by their feeds alone. While the store refused or did not answer these, and served everything else, an accepted job waited and a cancelled one ran for as long as that lasted.

Change: a feed that has not been answered for 3 s is late, and the jobs are read every 2 s meanwhile, part by part, as after dropped history; while the store answers nobody that costs one call. A start was safe before: it needs the job's row as last read.

--- a/src/damaskstall/tasks/job_reader.py
+++ b/src/damaskstall/tasks/job_reader.py
@@ -1,6 +1,7 @@
 """Read the jobs of the table, and watch for new jobs and cancellations."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
 from random import Random
 from time import time
 from typing import NamedTuple
@@ -43,6 +44,10 @@
 # A failed connection is detected after this time plus the timeout of a call.
 WATCH_WAIT_S = 2.0
 RETRY_LIMIT_S = 0.5
+# A feed is late if it has not been answered for this time.
+FEED_LATE_S = WATCH_WAIT_S + 1.0
+# All jobs are read this often while a feed is late.
+READ_INSTEAD_S = 2.0
 # What decoding raises for the rows of a job that cannot be scheduled.
 ROW_ERRORS = (*DECODE_ERRORS, ValidationError)
 
@@ -82,6 +87,10 @@
         # The revision that the rows must reach, by part that is being read
         # again.
         self._needed: dict[str, int] = {}
+        # When each feed was last answered, by table, and when the jobs were
+        # last read since one was late.
+        self._answered_s: dict[str, float] = {}
+        self._read_instead_s = float("-inf")
         self._random = Random()
 
     async def load(self) -> list[JobProgress]:
@@ -145,6 +154,7 @@
         are followed.
         """
         async with open_nursery() as nursery:
+            nursery.start_soon(self._read_while_late, table, resync, nursery)
             await self._follow(table, handle_row, resync, nursery)
 
     async def _follow(
@@ -172,6 +182,7 @@
                 await sleep(min(delay_s, RETRY_LIMIT_S))
                 tries += 1
                 continue
+            self._answered_s[table] = self.clock()
             for row in page.rows:
                 with contained("job row", row.key):
                     handle_row(row)
@@ -180,6 +191,25 @@
                 log(STORE_REGAINED, used_for=table, tries=tries)
             tries = 0
 
+    async def _read_while_late(
+        self, table: str, resync: Resync, nursery: Nursery
+    ) -> None:
+        """Read all jobs now and then while the feed of a table is late.
+
+        The store may fail in part, and serve the rows.
+        """
+        self._answered_s[table] = self.clock()
+        while True:
+            await sleep(RETRY_LIMIT_S)
+            now_s = self.clock()
+            is_late = now_s - self._answered_s[table] > FEED_LATE_S
+            if not is_late or now_s - self._read_instead_s < READ_INSTEAD_S:
+                continue
+            self._read_instead_s = now_s
+            with suppress(TableUnavailableError):
+                revision = await self._newest_revision()
+                self._read_again(revision, resync, nursery)
+
     async def _newest_revision(self) -> int:
         """Return the store's newest revision."""
         page = await self.table.scan(part_prefix(PROGRESS_TABLE, ""), "", 1)
