Pause between attempts to confirm that confirm nothing

The test allows 240.

Change: an attempt after which the configuration is still older than a cycle of the feed is followed by the pause, whether or not the bound has passed.

Tests: test_failing_calls_are_repeated_at_intervals failed before.

--- a/src/damaskstall/tasks/config_watcher.py
+++ b/src/damaskstall/tasks/config_watcher.py
@@ -49,7 +49,7 @@
 # a slow store needs.
 HEAD_START_S = 0.3
 ATTEMPT_LIMIT_S = 0.9
-# Pause after an attempt in which all paths failed.
+# Pause after an attempt that has not confirmed the configuration anew.
 ATTEMPT_PAUSE_S = 1.0
 PEERS_ASKED = 3
 # For how long the feed is read when a peer asks.
@@ -203,7 +203,7 @@
                 self._needed = Event()
                 self._attempted.set()
                 self._attempted = Event()
-            if self._is_failing():
+            if self.configuration.age_s(self.clock()) > WATCH_WAIT_S:
                 await sleep(ATTEMPT_PAUSE_S)
 
     async def _wait_needed(self, began_s: float) -> None:
--- a/standins/operators/store.py
+++ b/standins/operators/store.py
@@ -87,6 +87,7 @@
         # The paths whose calls for one table are answered with 503 or, if
         # silent, not at all: by path, table and caller (or ALL_CALLERS).
         self.failing_calls: dict[tuple[str, str, str], str] = {}
+        self.failed_calls = 0
         # While set, watches report no changes.
         self.withhold_changes = False
         self._history_drops = 0
@@ -171,10 +172,12 @@
         table = request.query.get("table", "")
         for who in (caller, ALL_CALLERS):
             how = self.failing_calls.get((request.path, table, who), "")
+            if not how:
+                continue
+            self.failed_calls += 1
             if how == SILENT:
                 await sleep_forever()
-            if how:
-                return True
+            return True
         return False
 
     def _count_call(self, request: Request) -> None:
--- a/tests/tasks/test_configuration_age.py
+++ b/tests/tasks/test_configuration_age.py
@@ -331,3 +331,20 @@
         assert answer.split()[1] == b"404", answer
 
     run_scenario(scenario, nodes=2)
+
+
+@mark.parametrize("bound_s", [2.0, 4.0])
+def test_failing_calls_are_repeated_at_intervals(bound_s: float) -> None:
+    """Attempts followed each other at once while the bound had not passed."""
+
+    async def scenario(cluster: Cluster) -> None:
+        for node in cluster.nodes.values():
+            changed = node.settings._replace(configuration_s=bound_s)
+            node.apply_settings(changed)
+        await sleep(SETTLED_S)
+        FAULTS["op refused"](cluster)
+        await sleep(10.0)
+        # The watch retries every 0.3 s, and an attempt is made each second.
+        assert cluster.store.failed_calls < 10 * 8 * len(cluster.nodes)
+
+    run_scenario(scenario, nodes=3)
