Ask the next peer when one does not answer a relayed read soon

Change: reads, scans and watches are tried through the next peer as well when one has failed, or has not answered for 0.4 s, 1 s for scans, or 1 s beyond its wait. The first answer counts, and the others are left and passed by for a second. A write still goes through one peer at a time.

--- a/src/damaskstall/tasks/relayed_table.py
+++ b/src/damaskstall/tasks/relayed_table.py
@@ -5,15 +5,27 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
-
-from trio import CancelScope, Event, sleep
-
-from damaskstall.errors import TableOutcomeUnknownError, TableUnavailableError
+from typing import Generic, Protocol, TypeVar
+
+from trio import (
+    Cancelled,
+    CancelScope,
+    Event,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from damaskstall.errors import (
+    PlatformError,
+    TableOutcomeUnknownError,
+    TableUnavailableError,
+)
 from damaskstall.events import log
 from damaskstall.platform.types import ChangePage, Row, ScanPage, Write
 from damaskstall.tasks.events import RELAY_ENDED, RELAY_STARTED
 from damaskstall.tasks.peer_directory import PeerDirectory
+from damaskstall.tasks.peer_table import PeerTable
 from damaskstall.tasks.ports import ConfigurationReport, WatchedTable
 from damaskstall.tasks.store_latency import StoreLatency
 
@@ -27,6 +39,10 @@
 # the store is probably unavailable to all instances.
 PEER_TRIES = 3
 COMMIT = "commit"
+# A peer answers a read in this time, and a scan over two slow links in the
+# longer one, unless it is cut off.
+PATIENCE_S = 0.4
+BULK_PATIENCE_S = 1.0
 # The lease is renewed several times within this time, so if nothing was
 # answered in it, the store refuses all calls of this instance.
 ANSWER_AGE_S = 0.5
@@ -74,7 +90,7 @@
     async def read(self, key: str) -> Row | None:
         """Return a row, or None where it is absent."""
         return await self._call(
-            shard_of(key), lambda table: table.read(key), "read"
+            shard_of(key), lambda table: table.read(key), "read", PATIENCE_S
         )
 
     async def scan(self, prefix: str, after: str, limit: int) -> ScanPage:
@@ -101,6 +117,7 @@
         return await self._call(
             table + ALL_PARTS,
             lambda target: target.watch(table, after_revision, wait_s),
+            patience_s=BULK_PATIENCE_S + wait_s,
         )
 
     async def commit(self, writes: tuple[Write, ...], mutation_id: str) -> int:
@@ -113,6 +130,8 @@
             shard_of(writes[0].key),
             lambda target: target.commit(writes, mutation_id),
             COMMIT,
+            # Two peers must not perform one write.
+            float("inf"),
         )
 
     async def _call(
@@ -120,6 +139,7 @@
         shard: str,
         call: Callable[[WatchedTable], Awaitable[Result]],
         measured_as: str = "",
+        patience_s: float = BULK_PATIENCE_S,
     ) -> Result:
         """Perform a call; record its latency under ``measured_as`` if given.
 
@@ -139,7 +159,7 @@
         with CancelScope() as scope:
             self._relayed.add(scope)
             try:
-                return await self._call_peers(call)
+                return await self._call_peers(call, patience_s)
             finally:
                 self._relayed.discard(scope)
         return await self._repeat_directly(call, measured_as == COMMIT)
@@ -158,22 +178,25 @@
         return await call(self.direct)
 
     async def _call_peers(
-        self, call: Callable[[WatchedTable], Awaitable[Result]]
+        self,
+        call: Callable[[WatchedTable], Awaitable[Result]],
+        patience_s: float,
     ) -> Result:
-        """Perform a call through the first peer that reaches the store."""
-        last_error = TableUnavailableError(
-            "Neither the store nor a peer answers."
-        )
-        for name, peer in self.peers.candidates(PEER_TRIES):
-            try:
-                result = await call(peer)
-            except TableUnavailableError as refusal:
-                self.peers.record_failure(name)
-                last_error = refusal
-                continue
-            self.peers.record_success(name)
-            return result
-        raise last_error
+        """Perform a call through the first peer that reaches the store.
+
+        The next peer is tried as well once one has failed, or has not answered
+        in ``patience_s``: it may be cut off.
+        """
+        attempt = PeerAttempt(self.peers, call)
+        async with open_nursery() as nursery:
+            for name, peer in self.peers.candidates(PEER_TRIES):
+                failed = Event()
+                nursery.start_soon(
+                    attempt.run, name, peer, failed, nursery.cancel_scope
+                )
+                with move_on_after(patience_s):
+                    await failed.wait()
+        return attempt.result()
 
     def _fails_alone(self, shard: str, now_s: float) -> bool:
         """Return whether the store answers calls for other shards.
@@ -202,6 +225,51 @@
     return key.partition("/")[0]
 
 
+class PeerAttempt(Generic[Result]):
+    """One call that several peers perform, of which one answer is used."""
+
+    def __init__(
+        self,
+        peers: PeerDirectory,
+        call: Callable[[WatchedTable], Awaitable[Result]],
+    ) -> None:
+        """Start without an answer."""
+        self.peers = peers
+        self.call = call
+        self._results: list[Result] = []
+        self._error: PlatformError = TableUnavailableError(
+            "Neither the store nor a peer answers."
+        )
+
+    async def run(
+        self, name: str, peer: PeerTable, failed: Event, scope: CancelScope
+    ) -> None:
+        """Call one peer; cancel the calls of the others once it answers."""
+        try:
+            self._results.append(await self.call(peer))
+            self.peers.record_success(name)
+            scope.cancel()
+        except TableUnavailableError as error:
+            self.peers.record_failure(name)
+            self._error = error
+        except PlatformError as error:
+            # The store has answered, or a write may have taken effect.
+            self._error = error
+            scope.cancel()
+        except Cancelled:
+            # Another peer was faster, or the store answers directly again.
+            self.peers.record_failure(name)
+            raise
+        finally:
+            failed.set()
+
+    def result(self) -> Result:
+        """Return the result, or raise the error of the last answer."""
+        if self._results:
+            return self._results[0]
+        raise self._error
+
+
 class ConfigurationSource(Protocol):
     """What tells peers of the configuration."""
 
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -1,9 +1,11 @@
 """Instances that the store refuses reach it through their peers."""
 
 from pytest import mark
-from trio import sleep
+from trio import current_time, sleep
 
 from damaskstall.tasks.job_rows import part_of
+from damaskstall.tasks.relayed_table import BULK_PATIENCE_S, PATIENCE_S
+from damaskstall.tasks.scans import scan_rows
 from standins.operators.store import ALL_CALLERS, BUSY, RESET, SILENT, TOO_MANY
 from tests.tasks.cluster import (
     NORMAL,
@@ -174,3 +176,30 @@
         assert len(cluster.history.runs) == 1
 
     run_scenario(scenario, nodes=3)
+
+
+def test_cut_off_peer_does_not_hold_up_relayed_reads() -> None:
+    """Guards against a peer with an idle connection that never answers."""
+
+    async def scenario(cluster: Cluster) -> None:
+        await cluster.submit(job_id(1), [ONE_TASK], work_s=30.0)
+        cluster.store.faults["n0"] = BUSY
+        for _ in range(8):
+            await cluster.state(job_id(1), node="n0")
+        node = cluster.nodes["n0"]
+        ((used, _),) = node.peers.candidates(1)
+        cluster.network.cut("n0", used)
+        cluster.network.cut(used, "n0")
+        prefix = f"progress@{part_of(job_id(1))}/"
+        for _ in range(5):
+            sent_s = current_time()
+            assert await node.table.read(f"{prefix}x") is None
+            assert current_time() - sent_s < 2 * PATIENCE_S
+            # The failure of a peer is remembered for a second.
+            await sleep(1.2)
+            sent_s = current_time()
+            await scan_rows(node.table, prefix)
+            assert current_time() - sent_s < 2 * BULK_PATIENCE_S
+            await sleep(1.2)
+
+    run_scenario(scenario, nodes=4)
