Let the stand-in worker list a run without work

The stand-in's percentage of a run whose work takes no time divided by zero, if the run was listed before its first tick; that depends on the order of the tests before.

--- a/src/damaskstall/tasks/config_watcher.py
+++ b/src/damaskstall/tasks/config_watcher.py
@@ -259,7 +259,7 @@
         failed.set()
 
     async def _ask_peers(self) -> None:
-        """Ask some peers for what they know; the store is not called."""
+        """Ask some peers for what they know, until one confirms enough."""
         async with open_nursery() as nursery:
             for peer in self.peers.any_peers(PEERS_ASKED):
                 nursery.start_soon(self._ask_peer, peer, nursery.cancel_scope)
--- a/standins/operators/run_history.py
+++ b/standins/operators/run_history.py
@@ -101,7 +101,11 @@
 
     def percent(self, run: Run) -> int:
         """Return a run's progress in whole percent, at most 99."""
-        return min(99, int(100 * run.worked_s / self.needed_s(run)))
+        needed_s = self.needed_s(run)
+        # Work that takes no time is listed until the next tick.
+        if needed_s <= 0:
+            return 99
+        return min(99, int(100 * run.worked_s / needed_s))
 
     def worked_s(self, run: Run) -> float:
         """Return the work of a run in seconds, in a gang the least."""
