Review: add a case of a task that runs again after its end was acknowledged

After a crash of the worker the late start runs the task again. The nodes of the scripts now have loopback addresses of their own, since two scripts side by side could choose the same port.

--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -11,7 +11,6 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -29,6 +28,8 @@
 GANG_S = 3.0
 CHECKPOINT_S = 1.0
 LIST_LIMIT = 500
+FRONT_PORT, READY_PORT = 8521, 8523
+INTERNAL_PORT, METRICS_PORT = 7000, 7015
 BOUNDS = {
     "seed_lag_s": 3,
     "address_reuse_s": 2,
@@ -74,16 +75,9 @@
     """Raised by a handler to close a connection without an answer."""
 
 
-def free_port() -> int:
-    """Return a free port below those that the system gives to clients."""
-    while True:
-        port = randrange(15000, 30000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+def new_address() -> str:
+    """Return a loopback address that no other process is likely to use."""
+    return f"127.{randrange(1, 255)}.{randrange(255)}.{randrange(1, 255)}"
 
 
 async def read_message(reader):
@@ -360,7 +354,8 @@
         self.up = False
         self.server = Server(self.handle)
 
-    async def boot(self):
+    async def boot(self, late_start=None):
+        """Begin a life, which first carries out a late order if given."""
         self.born = int(time.time() * 1000)
         self.booted_s = time.monotonic()
         self.sequence = 0
@@ -371,6 +366,9 @@
         self.last_number = 0
         self.highest = {}
         self.ended_event = asyncio.Event()
+        if late_start is not None:
+            self.fence = late_start["fencing_token"]
+            self.start(late_start)
         await self.server.start()
         self.up = True
         self.beat()
@@ -543,28 +541,27 @@
     def __init__(self, world, number):
         self.world = world
         self.name = f"front-{number}"
-        self.ports = [free_port() for _ in range(4)]
+        self.ip = new_address()
         self.folder = world.folder / self.name
         self.folder.mkdir()
         self.process = None
 
     async def start(self, first=True):
         caller = await Server(self.world.store.handler_for(self.name)).start()
-        front, ready, internal, metrics = self.ports
         settings = {
             "node_name": self.name,
             "role": "node",
             "machine_class": "front",
             "serves": ["front"],
-            "ip_address": "127.0.0.1",
+            "ip_address": self.ip,
             "zone": "zone-a",
             "region": "here",
             "zones": {"zone-a": "here"},
             "listen_addresses": {
-                "front": f"127.0.0.1:{front}",
-                "ready": f"127.0.0.1:{ready}",
+                "front": f"{self.ip}:{FRONT_PORT}",
+                "ready": f"{self.ip}:{READY_PORT}",
             },
-            "internal_port_range": [internal, metrics],
+            "internal_port_range": [INTERNAL_PORT, METRICS_PORT],
             "seed_nodes": [],
             "first_start": first,
             "counted_in_tolerance": False,
@@ -608,19 +605,19 @@
 
     @property
     def front(self):
-        return self.ports[0]
+        return self.ip, FRONT_PORT
 
     async def state(self):
         """Return the process's own dump, on its metrics port."""
-        answer = await call("GET", self.ports[3], "/debug/state")
+        answer = await call("GET", (self.ip, METRICS_PORT), "/debug/state")
         return answer[1] if answer else None
 
 
-async def call(method, port, path, value=None, headers=(), limit_s=3.0):
+async def call(method, address, path, value=None, headers=(), limit_s=3.0):
     """Return the status and body of an answer, None without one."""
     try:
         async with asyncio.timeout(limit_s):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(*address)
             try:
                 body = b"" if value is None else json.dumps(value).encode()
                 lines = [f"{method} {path} HTTP/1.1", "connection: close"]
@@ -840,7 +837,7 @@
         raise CannotRun(failure)
 
     async def is_ready(self, node):
-        answer = await call("GET", node.ports[1], "/readiness")
+        answer = await call("GET", (node.ip, READY_PORT), "/readiness")
         return answer is not None and answer[0] == 200
 
     async def holder(self, ready=True):
