Confirm a configuration that is written again

No accepted job went on.

Cause: each new row of the configuration counted as refused until it was applied, and a row with a version that is known already was never applied. Two revisions were compared, that of the newest row that was not applied and that of the row in force, so "read, and nothing to do" looked like "could not be read".

One instance restarted after the second write answers 200 beside two that answer 503.

The newest row that was read is told from the row in force now. The same version replaces the row; an older one, which is a late copy of a write, is logged (state_outdated, 8062) and leaves the newest known version in force.

--- a/src/damaskstall/tasks/configuration.py
+++ b/src/damaskstall/tasks/configuration.py
@@ -17,6 +17,7 @@
     EVACUATION_CHANGED,
     STATE_APPLIED,
     STATE_INCOMPLETE,
+    STATE_OUTDATED,
     STATE_REFUSED,
 )
 from damaskstall.tasks.model import Queue
@@ -44,19 +45,22 @@
         self.evacuated: set[str] = set()
         self.confirmed_s = NEVER_S
         self.revision = NO_REVISION
+        # The row with the configuration in force.
         self._row: Row | None = None
-        # The revision of a newer row that was not applied.
+        # The revisions of the newest row that was read, and of the newest one
+        # that could not be.
+        self._read_revision = NO_REVISION
         self._refused_revision = NO_REVISION
         self._changed = Event()
 
     @property
     def known(self) -> bool:
         """Return whether a configuration has been read."""
-        return self.state.version > 0
+        return self._row is not None
 
     @property
     def row_revision(self) -> int:
-        """Return the revision of the row with the configuration."""
+        """Return the revision of the row with the configuration in force."""
         return NO_REVISION if self._row is None else self._row.revision
 
     def age_s(self, now_s: float) -> float:
@@ -127,7 +131,7 @@
     def _confirm(self, revision: int, confirmed_s: float) -> None:
         """Record that what is known is in force, unless a row was refused."""
         self.revision = revision
-        if self._refused_revision <= self.row_revision:
+        if self._refused_revision <= self._read_revision:
             self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def _apply(self, row: Row) -> None:
@@ -143,24 +147,49 @@
             self._apply_configuration(row)
 
     def _apply_configuration(self, row: Row) -> None:
-        if row.revision == self.row_revision:
+        """Put the state in a newer row in force, unless it is an older one.
+
+        Versions only increase, so a row with an older version is a late copy
+        of a write, and the newest version known stays in force. A row with
+        the same version replaces it: a write whose answer was lost is sent
+        again.
+        """
+        if row.revision <= self._read_revision:
+            return
+        state = self._read_state(row)
+        if state is None:
+            return
+        self._read_revision = row.revision
+        if state.version < self.state.version:
+            log(
+                STATE_OUTDATED,
+                version=state.version,
+                revision=row.revision,
+                known_version=self.state.version,
+                known_revision=self.row_revision,
+            )
             return
-        # Until it is applied: neither may an error in this confirm what it
+        self._row = row
+        if state != self.state:
+            self._set_state(state)
+
+    def _read_state(self, row: Row) -> DesiredState | None:
+        """Return the state in a row, or None if the row is refused."""
+        # Until it is read: neither may an error in this confirm what the row
         # replaces.
         was_refused = row.revision <= self._refused_revision
         self._refused_revision = max(row.revision, self._refused_revision)
         try:
-            state = self.platform.desired_state(row)
+            return self.platform.desired_state(row)
         except MalformedRowError as error:
             if not was_refused:
                 log(STATE_REFUSED, revision=row.revision, error=str(error))
-            return
-        if state.version <= self.state.version:
-            return
+            return None
+
+    def _set_state(self, state: DesiredState) -> None:
         self.state = state
         self.queues = state.queue_by_name()
         self.seen_queues.update(self.queues)
-        self._row = row
         if state.problems:
             log(
                 STATE_INCOMPLETE,
@@ -170,7 +199,7 @@
         log(
             STATE_APPLIED,
             version=state.version,
-            revision=row.revision,
+            revision=self.row_revision,
             queues=len(state.queues),
             teams=len(state.teams),
         )
--- a/src/damaskstall/tasks/events.py
+++ b/src/damaskstall/tasks/events.py
@@ -18,6 +18,13 @@
     "Parts of a configuration cannot be read: requests that may concern them "
     "are refused, and the rest is in force.",
 )
+STATE_OUTDATED = Event(
+    8062,
+    "WARNING",
+    "state_outdated",
+    "A newer row has an older version of the configuration: the newest known "
+    "version stays in force.",
+)
 EVACUATION_CHANGED = Event(
     8002,
     "INFO",
--- a/tests/tasks/test_configuration_soak.py
+++ b/tests/tasks/test_configuration_soak.py
@@ -111,6 +111,7 @@
         self.random = random
         self.history = History()
         self.number = 10
+        self.state: dict[str, Any] = {}
         self.refused = 0
         self.answered = 0
 
@@ -121,12 +122,12 @@
         keys = [key for key in KEYS if random.random() < 0.6]
         routes = [route(name, 1, public=True) for name in queues]
         self.number += random.randint(1, 5)
-        state = configuration(
+        self.state = configuration(
             self.number,
             routes=[*routes, route(NORMAL, 1)],
             tenants=[{"name": "blue", "api_keys": keys}],
         )
-        self.cluster.store.put("op", "config", state)
+        self.cluster.store.put("op", "config", self.state)
         version = Version(current_time(), frozenset(queues), frozenset(keys))
         self.history.versions.append(version)
 
@@ -138,6 +139,12 @@
                 self.store_version()
                 await sleep(gap_s)
 
+    async def repeat_versions(self, until_s: float, random: Random) -> None:
+        """Store the last version again, as after a lost answer."""
+        while current_time() < until_s:
+            await sleep(random.choice((0.2, 1.0, 5.0)))
+            self.cluster.store.put("op", "config", self.state)
+
     async def ask(self, node: str, number: int) -> None:
         """Send one request to a node and check the answer."""
         subject = self.random.choice((*QUEUES, *KEYS))
@@ -290,6 +297,8 @@
         until_s = current_time() + FAULTS_S
         async with open_nursery() as nursery:
             nursery.start_soon(soak.write_versions, until_s)
+            repeats = Random(f"repeats of {seed}")
+            nursery.start_soon(soak.repeat_versions, until_s, repeats)
             for _ in range(3):
                 nursery.start_soon(soak.break_forever, until_s)
             for node in list(cluster.nodes):
