Confirm nothing by rows from which the configuration is missing

Callers would be answered by a removed configuration for as long as it stays removed, if the feed did not show the removal: read rows confirmed whatever was known, though the row of the configuration was not among them. A removal that the feed shows is refused already.

test_row_that_is_missed_by_the_feed_leaves_no_old_version_in_force[None] fails before (200 by the removed version) and passes with this. The row itself, at any revision, ends the refusal, so one answer without it cannot last.

--- a/src/damaskstall/tasks/configuration.py
+++ b/src/damaskstall/tasks/configuration.py
@@ -51,6 +51,8 @@
         # that could not be.
         self._read_revision = NO_REVISION
         self._refused_revision = NO_REVISION
+        # Whether a row that was in force has been removed.
+        self._removed = False
         self._changed = Event()
 
     @property
@@ -85,6 +87,10 @@
         listed = {self.platform.evacuated_domain(row.key) for row in found}
         for domain in self.evacuated - listed:
             self._set_evacuated(domain, False)
+        configured = any(
+            self.platform.is_configuration(row.key) for row in found
+        )
+        self._set_removed(self.known and not configured, revision)
         for row in found:
             self._apply(row)
         self._wake()
@@ -129,10 +135,14 @@
         self._confirm(report.revision, confirmed_s)
 
     def _confirm(self, revision: int, confirmed_s: float) -> None:
-        """Record that what is known is in force, unless a row was refused."""
+        """Record that what is known is in force, as of a time.
+
+        Nothing is while the newest row was refused, or is removed.
+        """
         self.revision = revision
-        if self._refused_revision <= self._read_revision:
-            self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        if self._removed or self._refused_revision > self._read_revision:
+            return
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def _apply(self, row: Row) -> None:
         with contained("operators' row", row.key):
@@ -160,6 +170,7 @@
         if state is None:
             return
         self._read_revision = row.revision
+        self._removed = False
         if state.version < self.state.version:
             log(
                 STATE_OUTDATED,
@@ -186,6 +197,12 @@
                 log(STATE_REFUSED, revision=row.revision, error=str(error))
             return None
 
+    def _set_removed(self, removed: bool, revision: int) -> None:
+        if removed and not self._removed:
+            error = "The configuration has been removed."
+            log(STATE_REFUSED, revision=revision, error=error)
+        self._removed = removed
+
     def _set_state(self, state: DesiredState) -> None:
         self.state = state
         self.queues = state.queue_by_name()
--- a/tests/tasks/test_refused_configurations.py
+++ b/tests/tasks/test_refused_configurations.py
@@ -9,6 +9,7 @@
 from trio import current_time, sleep
 
 from damaskstall.platform.types import Row
+from standins.operators.store import ALL_CALLERS, BUSY
 from tests.failures import expects_failures
 from tests.tasks.cluster import (
     KEY,
@@ -22,6 +23,7 @@
 from tests.tasks.job_specs import job_id
 from tests.tasks.test_configuration_age import (
     BOUND_S,
+    FEED,
     NEW,
     OLD,
     SETTLED_S,
@@ -173,3 +175,26 @@
         assert not configured.evacuated
 
     run_scenario(scenario)
+
+
+@mark.parametrize("text", [None, UNREADABLE])
+def test_row_that_is_missed_by_the_feed_leaves_no_old_version_in_force(
+    text: str | None,
+) -> None:
+    """The rows are read, in which a removed one is missing."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.store.put("op", "config", version(5, OLD))
+        await sleep(SETTLED_S)
+        cluster.store.failing_calls[FEED, "op", ALL_CALLERS] = BUSY
+        # No watch that was sent before is answered with the change.
+        await sleep(BOUND_S)
+        if text is None:
+            cluster.store.remove("op", "config")
+        else:
+            cluster.store.put_text("op", "config", text)
+        await check_answers(cluster, {f"/{OLD}/": {503}})
+        cluster.store.put("op", "config", version(5, OLD))
+        await check_answers(cluster, {f"/{OLD}/": {200}})
+
+    run_scenario(scenario, nodes=3)
