--- a/src/damaskstall/tasks/holder.py
+++ b/src/damaskstall/tasks/holder.py
@@ -63,7 +63,12 @@
 )
 from damaskstall.tasks.progress_writer import ProgressWriter
 from damaskstall.tasks.reservations import NOTHING_KEPT
-from damaskstall.tasks.run_ends import RunEnds, find_present_run, find_run
+from damaskstall.tasks.run_ends import (
+    RunEnds,
+    find_present_run,
+    find_run,
+    find_task,
+)
 from damaskstall.tasks.run_log import (
     log_claim_lost,
     log_job_ended,
@@ -276,11 +281,12 @@
 
         A run of another number or place is stopped, but its task has begun.
         """
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is not None and found is not None:
-            if progress.record_begun(found[0]):
-                self.schedule_write(progress)
+        found = find_task(self.jobs, key.task)
+        if found is None:
+            return
+        progress, unit, _ = found
+        if progress.record_begun(unit):
+            self.schedule_write(progress)
 
     def record_settled(self, key: RunKey) -> None:
         """Record that no start of a run can be carried out late any more.
@@ -298,11 +304,12 @@
         self, worker: str, key: RunKey, until_s: float
     ) -> None:
         """Keep a unit from running elsewhere while a start of it is open."""
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is None or found is None or found[0].done:
+        found = find_task(self.jobs, key.task)
+        if found is None:
+            return
+        progress, unit, position = found
+        if unit.done:
             return
-        unit, position = found
         start = OpenStart(position, worker, key.run)
         if start not in unit.earlier_starts.listed():
             log_start_open(worker, key, until_s - self.context.clock())
@@ -311,13 +318,13 @@
 
     def settle_open_start(self, worker: str, key: RunKey) -> None:
         """Record that no run of a start can exist any more."""
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is not None and found is not None:
-            unit, position = found
-            unit.earlier_starts.settle(OpenStart(position, worker, key.run))
-            # A successor would wait for the start once more.
-            self.schedule_write(progress)
+        found = find_task(self.jobs, key.task)
+        if found is None:
+            return
+        progress, unit, position = found
+        unit.earlier_starts.settle(OpenStart(position, worker, key.run))
+        # A successor would wait for the start once more.
+        self.schedule_write(progress)
 
     def forget_open_starts(self, worker: str) -> None:
         """Record that a worker will certainly not start again."""
--- a/src/damaskstall/tasks/isolation.py
+++ b/src/damaskstall/tasks/isolation.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from damaskstall.crash_record import CrashRecord
 from damaskstall.tasks.model import Step
 from damaskstall.tasks.progress import JobProgress, Unit
 
@@ -34,7 +35,12 @@
 
 def needs_isolation(unit: Unit) -> bool:
     """Return whether a task of a unit is to be kept apart from other runs."""
-    return bool(isolated_positions(unit))
+    return any(is_isolated(record) for record in unit.crash_records.values())
+
+
+def is_isolated(record: CrashRecord) -> bool:
+    """Return whether a task is to be kept apart from other runs."""
+    return len(record.crashed) >= ISOLATION_CRASHES
 
 
 def isolated_positions(unit: Unit) -> list[int]:
@@ -42,7 +48,7 @@
     return [
         position
         for position, record in unit.crash_records.items()
-        if len(record.crashed) >= ISOLATION_CRASHES
+        if is_isolated(record)
     ]
 
 
--- a/src/damaskstall/tasks/run_ends.py
+++ b/src/damaskstall/tasks/run_ends.py
@@ -38,22 +38,30 @@
 
 Jobs = dict[str, JobProgress]
 # A job, one of its units and a position in the unit.
-FoundRun = tuple[JobProgress, Unit, int]
+FoundTask = tuple[JobProgress, Unit, int]
 
 
-def find_run(jobs: Jobs, key: RunKey) -> FoundRun | None:
-    """Return the job, the unit and the position of a current run."""
-    progress = jobs.get(key.task.job_id)
-    found = progress.find(key.task) if progress is not None else None
+def find_task(jobs: Jobs, task: TaskKey) -> FoundTask | None:
+    """Return the job, the unit and the position of a task."""
+    progress = jobs.get(task.job_id)
+    found = progress.find(task) if progress is not None else None
     if progress is None or found is None:
         return None
-    unit, position = found
+    return progress, *found
+
+
+def find_run(jobs: Jobs, key: RunKey) -> FoundTask | None:
+    """Return the job, the unit and the position of a current run."""
+    found = find_task(jobs, key.task)
+    if found is None:
+        return None
+    _, unit, position = found
     if unit.run != key.run or position >= len(unit.members):
         return None
-    return progress, unit, position
+    return found
 
 
-def find_present_run(jobs: Jobs, worker: str, key: RunKey) -> FoundRun | None:
+def find_present_run(jobs: Jobs, worker: str, key: RunKey) -> FoundTask | None:
     """Return where a run belongs if it is present on a worker."""
     found = find_run(jobs, key)
     if found is None:
@@ -223,9 +231,11 @@
         for key in crash.runs:
             if key.task == task:
                 return True
-            progress = self.jobs.get(key.task.job_id)
-            found = progress.find(key.task) if progress is not None else None
-            if found is not None and was_isolated(*found, key.run):
+            found = find_task(self.jobs, key.task)
+            if found is None:
+                continue
+            _, unit, position = found
+            if was_isolated(unit, position, key.run):
                 return True
         return False
 
@@ -233,24 +243,24 @@
         self, worker: str, key: RunKey, evidence: str
     ) -> None:
         """Record that the worker of a run that has ended had crashed."""
-        progress = self.jobs.get(key.task.job_id)
-        found = progress.find(key.task) if progress is not None else None
-        if progress is None or found is None:
+        found = find_task(self.jobs, key.task)
+        if found is None:
             return
+        progress, _, _ = found
         doubtful = self._is_doubtful(worker, key.task, evidence)
-        self._count_crash((progress, *found), key.run, 0.0, doubtful)
+        self._count_crash(found, key.run, 0.0, doubtful)
         if progress.failed:
             self.owner.stop_all(progress, "the job has failed")
         self.owner.schedule_write(progress)
 
     def _count_crash(
-        self, found: FoundRun, run: int, ran_s: float, doubtful: bool
+        self, found: FoundTask, run: int, ran_s: float, doubtful: bool
     ) -> None:
         progress, unit, position = found
         if progress.record_crash(unit, position, run, ran_s, doubtful):
             log_crash_counted(progress, unit, position, run)
 
-    def _hold(self, found: FoundRun) -> None:
+    def _hold(self, found: FoundTask) -> None:
         """Hold a unit back if its worker may be lost with others."""
         progress, unit, position = found
         endless = progress.step_of(unit).endless
@@ -260,12 +270,11 @@
 
     def _record_late_end(self, worker: str, end: EndReport) -> None:
         """Record the end of a run that is not, or no longer, present."""
-        progress = self.jobs.get(end.key.task.job_id)
-        found = progress.find(end.key.task) if progress is not None else None
-        if progress is None or found is None:
+        found = find_task(self.jobs, end.key.task)
+        if found is None:
             self._log_unmatched(worker, end, None)
             return
-        unit, _ = found
+        progress, unit, _ = found
         if unit.run != end.key.run:
             self._log_unmatched(worker, end, unit.run)
         limit = self.owner.attempt_limit(progress)
