Put a configuration in force whole, or not at all

The row counted as read before its queues were derived, and the state was in force before them. An unexpected error in between would have left the new state beside the old queues, and confirmed. What is derived comes first now, and the row counts as read last.

test_unexpected_error_leaves_no_old_version_in_force has a second place for the error. For it the test fails on and passes with this.

--- a/src/damaskstall/tasks/configuration.py
+++ b/src/damaskstall/tasks/configuration.py
@@ -169,8 +169,6 @@
         state = self._read_state(row)
         if state is None:
             return
-        self._read_revision = row.revision
-        self._removed = False
         if state.version < self.state.version:
             log(
                 STATE_OUTDATED,
@@ -179,15 +177,15 @@
                 known_version=self.state.version,
                 known_revision=self.row_revision,
             )
-            return
-        self._row = row
-        if state != self.state:
-            self._set_state(state)
+        else:
+            self._put_in_force(row, state)
+        self._read_revision = row.revision
+        self._removed = False
 
     def _read_state(self, row: Row) -> DesiredState | None:
         """Return the state in a row, or None if the row is refused."""
-        # Until it is read: neither may an error in this confirm what the row
-        # replaces.
+        # Until it is read: neither may an unexpected error confirm what the
+        # row replaces.
         was_refused = row.revision <= self._refused_revision
         self._refused_revision = max(row.revision, self._refused_revision)
         try:
@@ -203,23 +201,16 @@
             log(STATE_REFUSED, revision=revision, error=error)
         self._removed = removed
 
-    def _set_state(self, state: DesiredState) -> None:
+    def _put_in_force(self, row: Row, state: DesiredState) -> None:
+        # Whole, or not at all: an unexpected error leaves no mixture.
+        queues = state.queue_by_name()
+        is_new = state != self.state
+        self._row = row
         self.state = state
-        self.queues = state.queue_by_name()
-        self.seen_queues.update(self.queues)
-        if state.problems:
-            log(
-                STATE_INCOMPLETE,
-                version=state.version,
-                problems="; ".join(state.problems),
-            )
-        log(
-            STATE_APPLIED,
-            version=state.version,
-            revision=self.row_revision,
-            queues=len(state.queues),
-            teams=len(state.teams),
-        )
+        self.queues = queues
+        self.seen_queues.update(queues)
+        if is_new:
+            log_applied(row, state)
 
     def _set_evacuated(self, domain: str, evacuated: bool) -> None:
         if (domain in self.evacuated) == evacuated:
@@ -233,3 +224,20 @@
     def _wake(self) -> None:
         self._changed.set()
         self._changed = Event()
+
+
+def log_applied(row: Row, state: DesiredState) -> None:
+    """Log that a configuration is in force, and what of it cannot be read."""
+    if state.problems:
+        log(
+            STATE_INCOMPLETE,
+            version=state.version,
+            problems="; ".join(state.problems),
+        )
+    log(
+        STATE_APPLIED,
+        version=state.version,
+        revision=row.revision,
+        queues=len(state.queues),
+        teams=len(state.teams),
+    )
--- a/tests/tasks/test_refused_configurations.py
+++ b/tests/tasks/test_refused_configurations.py
@@ -8,7 +8,6 @@
 from pytest import MonkeyPatch, mark
 from trio import current_time, sleep
 
-from damaskstall.platform.types import Row
 from standins.operators.store import ALL_CALLERS, BUSY
 from tests.failures import expects_failures
 from tests.tasks.cluster import (
@@ -74,22 +73,26 @@
     run_scenario(scenario, nodes=3)
 
 
+@mark.parametrize(
+    "function",
+    [
+        "platform.operator_rows.OperatorsPlatform.desired_state",
+        "tasks.desired_state.DesiredState.queue_by_name",
+    ],
+)
 @expects_failures
 def test_unexpected_error_leaves_no_old_version_in_force(
+    function: str,
     monkeypatch: MonkeyPatch,
 ) -> None:
     async def scenario(cluster: Cluster) -> None:
         cluster.store.put("op", "config", version(5, OLD))
         await sleep(SETTLED_S)
 
-        def fail(platform: Any, row: Row) -> None:
+        def fail(*arguments: Any) -> None:
             raise RuntimeError("an unexpected error")
 
-        monkeypatch.setattr(
-            "damaskstall.platform.operator_rows.OperatorsPlatform"
-            ".desired_state",
-            fail,
-        )
+        monkeypatch.setattr(f"damaskstall.{function}", fail)
         cluster.store.put("op", "config", version(9, NEW))
         await check_answers(cluster, {f"/{OLD}/": {503}, f"/{NEW}/": {503}})
 
