Show that a failed task waits for its open start beside idle workers

Cause, by the test: a try of a start without an answer binds the unit to its worker while the worker's next incarnation may carry it out, and a run that fails there makes the unit avoid it.

--- a/tests/tasks/test_open_starts.py
+++ b/tests/tasks/test_open_starts.py
@@ -20,6 +20,8 @@
 
 LATE_S = 8.0
 LATE_LIMIT_S = 12.0
+# A job whose task could run must not have nothing running for longer.
+IDLE_S = 3.0
 SEEDS = 4
 
 
@@ -227,3 +229,29 @@
 
     for seed in range(SEEDS):
         run_scenario(scenario, seed=seed)
+
+
+def test_task_that_failed_beside_its_open_start_runs_again_soon() -> None:
+    """Guards against LOST: it waited for the open start, beside idle workers.
+
+    The unit keeps to the worker of the open start and avoids it, since the
+    run has failed there.
+    """
+
+    async def scenario(cluster: Cluster) -> None:
+        history = cluster.history
+        history.choose_outcome = lambda run: (
+            "failed" if run.run == 1 else "done"
+        )
+        await start_late(cluster, ONE_TASK, 1.0, [LATE_S])
+        await cluster.wait(lambda: len(history.runs) == 1)
+        for other in cluster.workers.values():
+            other.order_delays_s = []
+        await cluster.wait(lambda: history.runs[0].how == "failed")
+        await cluster.wait(lambda: len(history.runs) == 2, limit_s=IDLE_S)
+        await sleep(LATE_S)
+        check_runs(cluster)
+        check_finished_once(cluster, job_id(1))
+
+    for seed in range(SEEDS):
+        run_scenario(scenario, seed=seed)
