--- a/review/standins-3/case.py
+++ b/review/standins-3/case.py
@@ -133,15 +133,18 @@
         return state
 
 
-def budget_excess(fleet, crashes, limit=3):
-    """Return the starts of tasks beyond the budget after three crashes."""
+def budget_excess(fleet, crashes, breaking=3):
+    """Return the tasks started too often after three crashes under them.
+
+    The rule is broken if a task is started three times more.
+    """
     found = []
     for task in sorted({task for _, task, _ in crashes}):
         times_s = sorted(t for t, name, _ in crashes if name == task)
         if len(times_s) < 3:
             continue
         later = [e for e in fleet.starts(task) if e[0] > times_s[2]]
-        if len(later) > limit:
+        if len(later) >= breaking:
             found.append((task, len(times_s), len(later)))
     return found
 
--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -271,6 +271,8 @@
         self.number = number
         self.lives = 0
         self.up = False
+        # Whether the runner is partitioned from all instances and the store.
+        self.cut = False
         self.server = None
         self.port = 0
         self.name = ""
@@ -330,11 +332,25 @@
 
     async def _handle(self, method, target, headers, body):
         life = self.lives
+        if self.cut:
+            # Nothing arrives, and nothing is said.
+            await asyncio.sleep(3600.0)
         if target == "/health":
             return 200, {}
         if headers.get("damaskstall-expected-instance", self.name) != self.name:
             return 421, {"clock_ms": self.clock_ms()}
         value = json.loads(body)
+        if target == "/run-start":
+            self.fleet.orders += 1
+            due = self.fleet.late_order(self, value)
+            if due is not None:
+                self.fleet.late_orders += 1
+                self.fleet.record.add(
+                    f"unanswered start of {value['task']} run {value['run']} "
+                    f"on {self.name}"
+                )
+                asyncio.ensure_future(self._start_late(value, due))
+                await asyncio.sleep(3600.0)
         if value.get("fencing_token", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = value.get("fencing_token", 0)
@@ -365,6 +381,23 @@
             self.fleet.note_start(self, run, value)
         return 200, {"clock_ms": self.clock_ms()}
 
+    async def _start_late(self, value, due):
+        """Carry out a start later, by whichever life there is then."""
+        sent_s = time.monotonic()
+        await due.wait()
+        late_s = time.monotonic() - sent_s
+        self.fleet.lateness_s.append(late_s)
+        if not self.up or value["fencing_token"] < self.fence:
+            result = "refused"
+        else:
+            self.fence = value["fencing_token"]
+            status, answer = self._start(value)
+            result = answer.get("reason", status)
+        self.fleet.record.add(
+            f"late start of {value['task']} run {value['run']} on "
+            f"{self.name}, {late_s:.1f} s late: {result}"
+        )
+
     def _stop(self, value):
         key = value["task"], value["run"]
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
@@ -431,7 +464,16 @@
         # Called with each started run; returns seconds until its runner
         # crashes, or None.
         self.crash_after = lambda run: None
+        # Called with a run at work; returns after how many seconds of work it
+        # fails by its own fault.
+        self.fails_after = lambda run: float("inf")
         self.crashes = []
+        # Called with a runner and an order to start; returns the event at
+        # which the order is carried out, without an answer, or None.
+        self.late_order = lambda runner, value: None
+        self.orders = 0
+        self.late_orders = 0
+        self.lateness_s = []
         self.down_s = 3.0
         self.keeps_name = False
         self.list_refused = False
@@ -450,7 +492,7 @@
     async def _beat(self, runner):
         await asyncio.sleep(random.random() * BEAT_S)
         while True:
-            if runner.up:
+            if runner.up and not runner.cut:
                 self.store.put("servers", runner.name, runner.entry())
             await asyncio.sleep(BEAT_S)
 
@@ -507,7 +549,8 @@
         await asyncio.sleep(self.down_s)
         runner.boot(self.keeps_name)
         await runner.listen()
-        self.store.put("servers", runner.name, runner.entry())
+        if not runner.cut:
+            self.store.put("servers", runner.name, runner.entry())
         self.record.add(f"runner {runner.name} ({runner.machine}) is up")
 
     async def _expire(self, runner, name):
@@ -562,6 +605,9 @@
             else:
                 return
         run.worked_s += passed_s
+        if self.fails_after(run) < run.worked_s:
+            runner.end(run, "failed")
+            return
         if run.worked_s * 1000 >= step["estimate_ms"]:
             if step.get("gang"):
                 for each in self.members(run):
