--- a/review/standins-3/nodes.py
+++ b/review/standins-3/nodes.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import tomllib
@@ -24,25 +23,15 @@
     "requires_fencing": False, "lease_ms": 3000, "thaw_ms": 300,
     "pace_ms": 100, "harm_ms": 4000, "reclaim_ms": 2700,
 }
-HOST = "127.0.0.1"
+FRONT_PORT = 8521
+READY_PORT = 8523
+FIRST_INTERNAL_PORT = 7000
 
 
-def free_port():
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        return found.getsockname()[1]
-
-
-def free_pair():
-    """Return two free ports in a row."""
-    while True:
-        port = free_port()
-        with socket.socket() as other:
-            try:
-                other.bind((HOST, port + 1))
-                return port
-            except OSError:
-                continue
+def own_host(number):
+    """Return a loopback address that no other case uses at this time."""
+    process = os.getpid()
+    return f"127.{64 + process % 100}.{process // 100 % 250 + 1}.{number}"
 
 
 class Node:
@@ -50,18 +39,20 @@
 
     def __init__(self, number, zone, zones, store, machines, folder):
         self.name = f"front-{zone}-{number}"
-        self.front = f"{HOST}:{free_port()}"
-        self.ready = f"{HOST}:{free_port()}"
-        first = free_pair()
+        host = own_host(number)
+        self.front = f"{host}:{FRONT_PORT}"
+        self.ready = f"{host}:{READY_PORT}"
         self.process = None
         self.path = folder / f"{self.name}.yaml"
         self.log = folder / f"{self.name}.log"
         settings = {
             "node_name": self.name, "role": "node", "machine_class": "front",
-            "serves": ["front"], "ip_address": HOST, "zone": zone,
+            "serves": ["front"], "ip_address": host, "zone": zone,
             "region": "region-1", "zones": dict.fromkeys(zones, "region-1"),
             "listen_addresses": {"front": self.front, "ready": self.ready},
-            "internal_port_range": [first, first + 1], "seed_nodes": [],
+            "internal_port_range": [
+                FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 15
+            ], "seed_nodes": [],
             "first_start": True, "counted_in_tolerance": False,
             "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300,
                        "file_descriptors": 4100, "link_mbps": 1000.0,
--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -14,7 +14,10 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
+from nodes import own_host
+
 HOST = "127.0.0.1"
+RUNNER_PORT = 8080
 ANSWER_S = 0.004
 TRANSACTION_S = 0.005
 HOLD_MAXIMUM_S = 6.0
@@ -274,7 +277,8 @@
         # Whether the runner is partitioned from all instances and the store.
         self.cut = False
         self.server = None
-        self.port = 0
+        # Nothing else uses the address, so its port stays free in a crash.
+        self.host = own_host(100 + number)
         self.name = ""
 
     def boot(self, keep_name=False):
@@ -294,9 +298,8 @@
         self.up = True
 
     async def listen(self):
-        self.server = HttpServer(self._handle, port=self.port)
+        self.server = HttpServer(self._handle, self.host, RUNNER_PORT)
         await self.server.start()
-        self.port = self.server.port
 
     def crash(self):
         """End everything at once; nothing is said any more."""
@@ -314,7 +317,7 @@
         self.sequence += 1
         return {
             "service": self.fleet.service,
-            "address": f"{HOST}:{self.port}",
+            "address": f"{self.host}:{RUNNER_PORT}",
             "zone": self.zone, "version": "v1", "slots": 8,
             "state": "ready", "cold_remaining_ms": 0,
             "capacity": self.fleet.capacity, "labels": ["a", self.rack],
